Lay down the shape: core types, ports, workers, lock order

Ruled out: one goroutine for each request as the unit of work (no bound, no order between classes); a generic key-value port (its codec would leak into the decisions), so rows are typed.

--- /dev/null
+++ b/internal/archtest/arch_test.go
@@ -0,0 +1,122 @@
+// Package archtest checks the layout of the code: ports and adapters.
+package archtest
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+const module = "fescuespar/"
+
+// coreStdlib lists what the decisions may import from the standard library.
+var coreStdlib = map[string]bool{
+	"cmp": true, "container/heap": true, "errors": true, "fmt": true, "hash/fnv": true,
+	"hash/maphash": true, "iter": true, "maps": true, "math": true, "math/bits": true,
+	"math/rand": true, "math/rand/v2": true, "slices": true, "sort": true, "strconv": true,
+	"strings": true, "time": true, "unicode": true, "unicode/utf8": true,
+}
+
+// rule says which of the module's packages a folder may import.
+type rule struct {
+	folder  string
+	allowed []string
+}
+
+var rules = []rule{
+	{"internal/core", []string{"internal/core", "internal/errkind"}},
+	{"internal/ports", []string{"internal/core"}},
+	{"internal/errkind", nil},
+	{"internal/lockrank", nil},
+	{"internal/workers", []string{"internal/core", "internal/errkind", "internal/lockrank"}},
+	{"internal/tables", []string{"internal/core", "internal/errkind", "internal/lockrank"}},
+	{"internal/app", []string{"internal/core", "internal/errkind", "internal/lockrank",
+		"internal/ports", "internal/tables", "internal/workers", "internal/app"}},
+	{"internal/adapters", []string{"internal/core", "internal/errkind", "internal/lockrank",
+		"internal/ports", "internal/adapters"}},
+}
+
+type goFile struct {
+	path    string
+	imports []string
+}
+
+func readFiles(t *testing.T, root, folder string) []goFile {
+	t.Helper()
+	var files []goFile
+	err := filepath.WalkDir(filepath.Join(root, folder), func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		parsed, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ImportsOnly)
+		if err != nil {
+			return err
+		}
+		file := goFile{path: path}
+		for _, spec := range parsed.Imports {
+			name, _ := strconv.Unquote(spec.Path.Value)
+			file.imports = append(file.imports, name)
+		}
+		files = append(files, file)
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return files
+}
+
+func allowedBy(r rule, name string) bool {
+	for _, prefix := range r.allowed {
+		if name == module+prefix || strings.HasPrefix(name, module+prefix+"/") {
+			return true
+		}
+	}
+	return false
+}
+
+func violations(files []goFile, r rule) []string {
+	var found []string
+	for _, file := range files {
+		for _, name := range file.imports {
+			if strings.HasPrefix(name, module) && !allowedBy(r, name) {
+				found = append(found, file.path+" imports "+name)
+			}
+			if r.folder == "internal/core" && !strings.HasPrefix(name, module) && !coreStdlib[name] {
+				found = append(found, file.path+" imports "+name)
+			}
+		}
+	}
+	return found
+}
+
+func TestImportsFollowTheLayout(t *testing.T) {
+	for _, r := range rules {
+		for _, v := range violations(readFiles(t, "../..", r.folder), r) {
+			t.Error(v)
+		}
+	}
+}
+
+func TestProductStartsNoProcessAndNeedsNoStandin(t *testing.T) {
+	for _, folder := range []string{"internal", "cmd/fescuespar"} {
+		for _, file := range readFiles(t, "../..", folder) {
+			for _, name := range file.imports {
+				if name == "os/exec" || strings.HasPrefix(name, module+"standin") {
+					t.Errorf("%s imports %s", file.path, name)
+				}
+			}
+		}
+	}
+}
+
+func TestRulesRefuseAWrongImport(t *testing.T) {
+	planted := []goFile{{"x.go", []string{"encoding/json", module + "internal/adapters/tablehttp", "time"}}}
+	if got := violations(planted, rules[0]); len(got) != 2 {
+		t.Errorf("violations = %v, want the codec and the adapter", got)
+	}
+}
--- /dev/null
+++ b/internal/core/peer.go
@@ -0,0 +1,59 @@
+package core
+
+// MemberState is what one entry process believes of another.
+type MemberState int
+
+// The states of a member. Suspicion is never proof: ownership passes on only
+// when a lease has lapsed.
+const (
+	MemberAlive MemberState = iota
+	MemberSuspect
+	MemberLeaving
+	MemberGone
+)
+
+// String returns the state's name for dumps and status.
+func (s MemberState) String() string {
+	return [...]string{"alive", "suspect", "leaving", "gone"}[s]
+}
+
+// Member is one entry process as known to another.
+type Member struct {
+	VM          VMID
+	Incarnation Incarnation
+	PeerAddress string // QUIC address of the process
+	CallAddress string // HTTP address told to callers
+	Zone        ZoneName
+	Region      RegionName
+	State       MemberState
+	Sequence    uint64 // grows with every change that the member reports of itself
+	Generation  Generation
+	Load        uint32 // requests in flight
+}
+
+// Heartbeat is sent between entry processes and answered with the same type.
+type Heartbeat struct {
+	Sender  Member
+	Members []Member // a bounded part of the sender's view
+	Weights []WeightNews
+}
+
+// WeightNews spreads a deployment's newest published weight version.
+type WeightNews struct {
+	Deployment DeploymentName
+	Version    WeightVersion
+}
+
+// AnswerRequest asks a peer for the rest of an answer that it holds.
+type AnswerRequest struct {
+	Caller CallerName
+	ID     RequestID
+	Offset int // tokens that the asker already has
+}
+
+// AnswerPart is a part of an answer. Finish is set on the last part.
+type AnswerPart struct {
+	Found  bool
+	Chunks []Chunk
+	Finish FinishReason
+}
--- /dev/null
+++ b/internal/core/server.go
@@ -0,0 +1,76 @@
+package core
+
+// ServerKind tells what a backend server or VM does.
+type ServerKind string
+
+// The kinds of VM in the platform's VM list.
+const (
+	KindEntry  ServerKind = "entry"
+	KindEngine ServerKind = "engine"
+	KindPlain  ServerKind = "plain"
+	KindScorer ServerKind = "scorer"
+)
+
+// VMState is a VM's state in the platform's VM list.
+type VMState string
+
+// The states of a VM. A VM that is gone is absent from the list.
+const (
+	VMLive    VMState = "live"
+	VMLeaving VMState = "leaving"
+)
+
+// VM is one row of the platform's VM list, which lags behind the truth.
+type VM struct {
+	ID      ServerID
+	Kind    ServerKind
+	Service string // model or plain service that the VM runs; empty for entry VMs
+	Address string // host:port of its own protocol
+	Zone    ZoneName
+	Region  RegionName
+	State   VMState
+}
+
+// EngineStatus is an engine's own report. It lags by the engine's reporting
+// interval, and CacheEvents may have gaps: NextEvent is larger than the last
+// seen number plus the events' count when events were lost.
+type EngineStatus struct {
+	Server       ServerID
+	Model        ModelName
+	Adapter      AdapterName
+	Version      WeightVersion // version that new streams start on
+	Loading      WeightVersion // version being loaded, zero when none is
+	RunningCount int           // streams in the running batch
+	QueuedCount  int           // streams waiting for the batch
+	QueuedTokens int           // tokens of prompts not yet processed
+	CacheEvents  []CacheEvent
+	NextEvent    uint64 // cursor for the next status call
+}
+
+// CacheEvent says that an engine stored or evicted a prompt prefix.
+type CacheEvent struct {
+	PrefixHash uint64
+	Evicted    bool
+}
+
+// OrderKind is what an order asks of an engine.
+type OrderKind string
+
+// The orders that engines take.
+const (
+	OrderLoadVersion OrderKind = "load_version"
+	OrderLoadModel   OrderKind = "load_model"
+	OrderSetRole     OrderKind = "set_role"
+)
+
+// Order tells an engine to change what it runs. Engines that check fencing
+// refuse an order whose Fence is below the highest they have seen; for the
+// others the sender keeps the order inside its lease.
+type Order struct {
+	Kind    OrderKind
+	Model   ModelName
+	Adapter AdapterName
+	Version WeightVersion
+	Role    string
+	Fence   Fence
+}
--- /dev/null
+++ b/internal/errkind/errkind.go
@@ -0,0 +1,160 @@
+// Package errkind is the closed list of error kinds and the one table from a
+// kind to the answer a caller gets.
+package errkind
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+
+	"github.com/joomcode/errorx"
+)
+
+// Kind names one kind of error. The list in this file is closed.
+type Kind string
+
+// The kinds of errors.
+const (
+	BadRequest         Kind = "bad_request"
+	TooLarge           Kind = "too_large"
+	Unauthenticated    Kind = "unauthenticated"
+	Forbidden          Kind = "forbidden"
+	UnknownDeployment  Kind = "unknown_deployment"
+	UnknownRequest     Kind = "unknown_request"
+	KeyRequired        Kind = "idempotency_key_required"
+	KeyReused          Kind = "idempotency_key_reused"
+	Overloaded         Kind = "overloaded"
+	DeadlineTooShort   Kind = "deadline_too_short"
+	NoServer           Kind = "no_server"
+	Canceled           Kind = "canceled"
+	Timeout            Kind = "timeout"
+	ServerFailed       Kind = "server_failed"
+	ServerRefused      Kind = "server_refused"
+	CrashesServers     Kind = "crashes_servers"
+	MayHaveRun         Kind = "may_have_run"
+	AnswerIncomplete   Kind = "answer_incomplete"
+	StoreUnavailable   Kind = "store_unavailable"
+	OutcomeUnknown     Kind = "outcome_unknown"
+	GenerationConflict Kind = "generation_conflict"
+	InvalidConfig      Kind = "invalid_configuration"
+	NotOwner           Kind = "not_owner"
+	Fenced             Kind = "fenced"
+	StepConflict       Kind = "step_conflict"
+	BatchNotReady      Kind = "batch_not_ready"
+	PeerUnreachable    Kind = "peer_unreachable"
+	ShuttingDown       Kind = "shutting_down"
+	NotFound           Kind = "not_found"
+	Internal           Kind = "internal"
+)
+
+// Ran says what an error tells of the request's execution.
+type Ran string
+
+// The values of Ran.
+const (
+	NotRun Ran = "not_run"      // the request was not run and will not be
+	Maybe  Ran = "may_have_run" // nobody can tell, or the kind alone does not say
+)
+
+// Answer is what a caller gets for a kind.
+type Answer struct {
+	Status    int // HTTP status code
+	Ran       Ran
+	Retryable bool // the caller may send the same request again later
+}
+
+// answers is the one table from kind to answer.
+var answers = map[Kind]Answer{
+	BadRequest:         {http.StatusBadRequest, NotRun, false},
+	TooLarge:           {http.StatusRequestEntityTooLarge, NotRun, false},
+	Unauthenticated:    {http.StatusUnauthorized, NotRun, false},
+	Forbidden:          {http.StatusForbidden, NotRun, false},
+	UnknownDeployment:  {http.StatusNotFound, NotRun, false},
+	UnknownRequest:     {http.StatusNotFound, Maybe, false},
+	KeyRequired:        {http.StatusBadRequest, NotRun, false},
+	KeyReused:          {http.StatusUnprocessableEntity, NotRun, false},
+	Overloaded:         {http.StatusTooManyRequests, NotRun, true},
+	DeadlineTooShort:   {http.StatusServiceUnavailable, NotRun, true},
+	NoServer:           {http.StatusServiceUnavailable, NotRun, true},
+	Canceled:           {http.StatusRequestTimeout, Maybe, true},
+	Timeout:            {http.StatusGatewayTimeout, Maybe, false},
+	ServerFailed:       {http.StatusBadGateway, Maybe, false},
+	ServerRefused:      {http.StatusServiceUnavailable, NotRun, true},
+	CrashesServers:     {http.StatusUnprocessableEntity, Maybe, false},
+	MayHaveRun:         {http.StatusConflict, Maybe, false},
+	AnswerIncomplete:   {http.StatusBadGateway, Maybe, true},
+	StoreUnavailable:   {http.StatusServiceUnavailable, NotRun, true},
+	OutcomeUnknown:     {http.StatusBadGateway, Maybe, true},
+	GenerationConflict: {http.StatusConflict, NotRun, false},
+	InvalidConfig:      {http.StatusUnprocessableEntity, NotRun, false},
+	NotOwner:           {http.StatusServiceUnavailable, NotRun, true},
+	Fenced:             {http.StatusConflict, NotRun, true},
+	StepConflict:       {http.StatusConflict, NotRun, false},
+	BatchNotReady:      {http.StatusServiceUnavailable, NotRun, true},
+	PeerUnreachable:    {http.StatusServiceUnavailable, Maybe, true},
+	ShuttingDown:       {http.StatusServiceUnavailable, NotRun, true},
+	NotFound:           {http.StatusNotFound, NotRun, false},
+	Internal:           {http.StatusInternalServerError, Maybe, false},
+}
+
+const namespaceName = "fescuespar"
+
+var (
+	namespace = errorx.NewNamespace(namespaceName)
+	types     = buildTypes()
+)
+
+func buildTypes() map[Kind]*errorx.Type {
+	built := make(map[Kind]*errorx.Type, len(answers))
+	for kind := range answers {
+		built[kind] = namespace.NewType(string(kind))
+	}
+	return built
+}
+
+// Kinds returns every kind in the table, in no order.
+func Kinds() []Kind {
+	kinds := make([]Kind, 0, len(answers))
+	for kind := range answers {
+		kinds = append(kinds, kind)
+	}
+	return kinds
+}
+
+// New returns an error of the kind with a formatted message.
+func New(kind Kind, format string, args ...any) error {
+	return types[kind].New(format, args...)
+}
+
+// Wrap returns an error of the kind caused by err; a nil err stays nil.
+func Wrap(kind Kind, err error, format string, args ...any) error {
+	if err == nil {
+		return nil
+	}
+	return types[kind].Wrap(err, format, args...)
+}
+
+// Of returns the kind of an error: Canceled or Timeout for context errors,
+// Internal for an error that this package did not make.
+func Of(err error) Kind {
+	var typed *errorx.Error
+	if errors.As(err, &typed) {
+		if kind := Kind(strings.TrimPrefix(typed.Type().FullName(), namespaceName+".")); answers[kind].Status != 0 {
+			return kind
+		}
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return Timeout
+	}
+	if errors.Is(err, context.Canceled) {
+		return Canceled
+	}
+	return Internal
+}
+
+// Is reports whether err is of the kind.
+func Is(err error, kind Kind) bool { return err != nil && Of(err) == kind }
+
+// AnswerTo returns the answer for an error.
+func AnswerTo(err error) Answer { return answers[Of(err)] }
--- /dev/null
+++ b/internal/lockrank/check_on.go
@@ -0,0 +1,55 @@
+//go:build lockcheck
+
+package lockrank
+
+import (
+	"bytes"
+	"fmt"
+	"runtime"
+	"slices"
+	"sync"
+)
+
+// Checked reports whether acquisitions are checked.
+const Checked = true
+
+// held maps a goroutine to the ranks that it holds, in order of acquisition.
+var held = struct {
+	sync.Mutex
+	ranks map[string][]Rank
+}{ranks: make(map[string][]Rank)}
+
+// stackHeaderBytes is enough for "goroutine N [" of a stack trace.
+const stackHeaderBytes = 64
+
+func goroutineID() string {
+	var header [stackHeaderBytes]byte
+	n := runtime.Stack(header[:], false)
+	return string(bytes.Fields(header[:n])[1])
+}
+
+func acquire(rank Rank) {
+	id := goroutineID()
+	held.Lock()
+	defer held.Unlock()
+	for _, other := range held.ranks[id] {
+		if other >= rank {
+			panic(fmt.Sprintf("lockrank: rank %d taken while holding rank %d", rank, other))
+		}
+	}
+	held.ranks[id] = append(held.ranks[id], rank)
+}
+
+func release(rank Rank) {
+	id := goroutineID()
+	held.Lock()
+	defer held.Unlock()
+	at := slices.Index(held.ranks[id], rank)
+	if at < 0 {
+		panic(fmt.Sprintf("lockrank: rank %d released by a goroutine that does not hold it", rank))
+	}
+	held.ranks[id] = slices.Delete(held.ranks[id], at, at+1)
+	if len(held.ranks[id]) == 0 {
+		delete(held.ranks, id)
+	}
+}
