--- /dev/null
+++ b/cmd/fescuespar/main.go
@@ -0,0 +1,38 @@
+// Command fescuespar is the rollout service and its command line: one binary.
+package main
+
+import (
+	"errors"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// command is one subcommand; each file of this package registers its own.
+type command struct {
+	name  string
+	short string
+	data  flags.Commander
+}
+
+var registered []command
+
+func register(name, short string, data flags.Commander) {
+	registered = append(registered, command{name, short, data})
+}
+
+func main() {
+	parser := flags.NewParser(&struct{}{}, flags.Default)
+	for _, c := range registered {
+		if _, err := parser.AddCommand(c.name, c.short, c.short, c.data); err != nil {
+			panic(err)
+		}
+	}
+	if _, err := parser.Parse(); err != nil {
+		var flagsErr *flags.Error
+		if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(1)
+	}
+}
