Add the callers' path: routing, answers, front ends, claims

Cause: the whole path needs its application layer before it can run. Change: tables for answers, servers, leases, group commits, lifecycle and configuration; completions with retry and resume, calls of plain services with a durable claim before the first byte leaves; HTTP front ends for callers and trainers over driving ports. Ruled out: front ends calling the application's types directly (a second front end would need them); one commit at the table service for each claim (see the group commit's figures in docs/design/claims.md).

--- /dev/null
+++ b/internal/app/leases.go
@@ -0,0 +1,132 @@
+package app
+
+import (
+	"cmp"
+	"context"
+	"hash/fnv"
+	"slices"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/core/lease"
+	"fescuespar/internal/errkind"
+)
+
+// leaseCandidates is how many entry processes follow each lease, so that the
+// reads at the table service do not grow with the number of processes.
+const leaseCandidates = 3
+
+// leaseName returns the name of the lease on coordinating a deployment.
+func leaseName(deployment core.DeploymentName) string { return "deployment/" + string(deployment) }
+
+// tendLeases follows the leases for which this process is a candidate and
+// drops those that it no longer needs.
+func (s *Service) tendLeases() {
+	wanted := make(map[string]bool)
+	for _, deployment := range s.configuration.InForce().Deployments {
+		name := leaseName(deployment.Name)
+		if deployment.Rollout != nil && s.isCandidate(name) {
+			wanted[name] = true
+			s.leases.Follow(name)
+		}
+	}
+	for _, name := range s.leases.Names() {
+		if !wanted[name] && !s.leases.Forget(name) {
+			s.leases.Leave(name)
+		}
+		s.tendLease(name)
+	}
+	s.coordinateAll()
+}
+
+// isCandidate reports whether this process is among the first live ones in the
+// lease's own order of all processes (rendezvous hashing).
+func (s *Service) isCandidate(name string) bool {
+	if !s.servesNewWork() {
+		return false
+	}
+	members := s.members.Live()
+	slices.SortFunc(members, func(a, b core.Member) int {
+		return cmp.Compare(rendezvous(name, a.VM), rendezvous(name, b.VM))
+	})
+	for i := range min(leaseCandidates, len(members)) {
+		if members[i].VM == s.options.Self.VM {
+			return true
+		}
+	}
+	return false
+}
+
+func rendezvous(name string, vm core.VMID) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(name))
+	_, _ = hash.Write([]byte{0})
+	_, _ = hash.Write([]byte(vm))
+	return hash.Sum64()
+}
+
+// tendLease carries out a lease's next action, and the one after it.
+func (s *Service) tendLease(name string) {
+	action := s.leases.Begin(name, s.ports.Clock.Now(), s.newAttemptID())
+	switch action.Kind {
+	case lease.ActionWait:
+		return
+	case lease.ActionRead:
+		s.onLeaseLane(name, func(ctx context.Context) func(*lease.Tracker) { return s.readLease(ctx, name) })
+	default:
+		s.onLeaseLane(name, func(ctx context.Context) func(*lease.Tracker) { return s.commitLease(ctx, action) })
+	}
+}
+
+// onLeaseLane runs a call whose result goes to the lease's tracker. A full
+// lane counts as a failed read.
+func (s *Service) onLeaseLane(name string, call func(context.Context) func(*lease.Tracker)) {
+	err := s.lanes.leases.Go(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+		defer cancel()
+		outcome := call(ctx)
+		s.pool.MustEnqueue(core.ClassControl, func() { s.leaseEnded(name, outcome) })
+	})
+	if err != nil {
+		s.leases.End(name, func(t *lease.Tracker) { t.CommitLost(s.ports.Clock.Now()) })
+	}
+}
+
+func (s *Service) leaseEnded(name string, outcome func(*lease.Tracker)) {
+	now := s.ports.Clock.Now()
+	_, before := s.leases.Held(name, now)
+	s.leases.End(name, outcome)
+	holding, after := s.leases.Held(name, now)
+	switch {
+	case after && !before:
+		s.metrics.LeasesAcquired.Inc(1)
+		s.log.Info().Str("lease", name).Uint64("fence", uint64(holding.Fence)).Msg("lease acquired")
+	case before && !after:
+		s.metrics.LeasesLost.Inc(1)
+		s.log.Info().Str("lease", name).Msg("lease lost")
+	}
+	s.tendLease(name)
+}
+
+func (s *Service) readLease(ctx context.Context, name string) func(*lease.Tracker) {
+	leaseKey, fenceKey := lease.Keys(name)
+	rows, err := s.read(ctx, leaseKey, fenceKey)
+	now := s.ports.Clock.Now()
+	if err != nil {
+		return func(t *lease.Tracker) { t.ReadFailed(now) }
+	}
+	return func(t *lease.Tracker) { t.Observe(rows[0], rows[1], now) }
+}
+
+func (s *Service) commitLease(ctx context.Context, action lease.Action) func(*lease.Tracker) {
+	s.metrics.TableCommits.Inc(1)
+	result, err := s.ports.Tables.Commit(ctx, action.Commit)
+	now := s.ports.Clock.Now()
+	switch {
+	case err == nil:
+		return func(t *lease.Tracker) { t.Committed(result, now) }
+	case errkind.Is(err, errkind.StoreUnavailable):
+		return func(t *lease.Tracker) { t.CommitRefused(now) }
+	default:
+		return func(t *lease.Tracker) { t.CommitLost(now) }
+	}
+}
--- /dev/null
+++ b/internal/app/service.go
@@ -0,0 +1,165 @@
+package app
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/core/retry"
+	"fescuespar/internal/metrics"
+	"fescuespar/internal/ports"
+	"fescuespar/internal/tables"
+	"fescuespar/internal/workers"
+)
+
+// Ports are the outside things that the service needs.
+type Ports struct {
+	Tables  ports.TableService
+	Objects ports.ObjectStore
+	VMs     ports.VMList
+	Engine  ports.Engine
+	Plain   ports.PlainService
+	Scorer  ports.Scorer
+	Peers   ports.Peers
+	Clock   ports.Clock
+}
+
+// Options are the settings of one entry process.
+type Options struct {
+	Self          core.Member
+	Seeds         []string // peer addresses known from settings
+	Workers       int      // workers of the pool
+	QueueLength   int      // steps waiting in each class
+	StreamLimit   int      // streams to engines in flight
+	CallLimit     int      // calls to plain services and scorers in flight
+	TableLimit    int      // calls to the platform in flight
+	AnswerLimit   int      // answers in progress or kept
+	AnswerKeep    time.Duration
+	AddressKeep   time.Duration // how long callers may keep the entry addresses
+	VMListEvery   time.Duration
+	StatusEvery   time.Duration
+	ConfigEvery   time.Duration
+	HeartbeatTick time.Duration
+	LeaseTick     time.Duration
+	LeaseTerm     time.Duration
+	DrainTimeout  time.Duration
+	Seed          uint64 // of the random source
+}
+
+// lanes bound the calls in flight to each kind of outside thing.
+type lanes struct {
+	streams *workers.Lane // engines' streams
+	calls   *workers.Lane // plain services and scorers
+	control *workers.Lane // engines' status and orders
+	table   *workers.Lane // table service, object store and VM list
+	peers   *workers.Lane // other entry processes
+}
+
+// Service is one entry process without its front ends.
+type Service struct {
+	options Options
+	ports   Ports
+	log     zerolog.Logger
+	metrics *metrics.Set
+	retry   retry.Policy
+
+	pool   *workers.Pool
+	timers *workers.Timers
+	lanes  lanes
+
+	lifecycle     *tables.Lifecycle
+	configuration *tables.Configuration
+	members       *tables.Members
+	leases        *tables.Leases
+	servers       *tables.Servers
+	rollouts      *tables.Rollouts
+	weights       *tables.Weights
+	claims        *tables.Commits
+	answers       *tables.Answers
+	random        *tables.Random
+
+	requestCounter atomic.Uint64
+	attemptCounter atomic.Uint64
+}
+
+const (
+	retryAttempts  = 3
+	retryBaseDelay = 50 * time.Millisecond
+	retryMaxDelay  = 2 * time.Second
+
+	controlLaneLimit   = 32
+	controlLaneBacklog = 8192
+	peerLaneLimit      = 64
+	laneBacklogFactor  = 4
+)
+
+// New returns a service that is not yet running.
+func New(options Options, outside Ports, log zerolog.Logger) *Service {
+	random := rand.New(rand.NewPCG(options.Seed, uint64(options.Self.Incarnation)))
+	pool := workers.NewPool(options.Workers, options.QueueLength)
+	return &Service{
+		options: options,
+		ports:   outside,
+		log:     log,
+		metrics: metrics.New(),
+		retry:   retry.Policy{Attempts: retryAttempts, Base: retryBaseDelay, Max: retryMaxDelay},
+		pool:    pool,
+		timers:  workers.NewTimers(pool),
+		lanes: lanes{
+			streams: workers.NewLane("streams", options.StreamLimit, options.StreamLimit*laneBacklogFactor),
+			calls:   workers.NewLane("calls", options.CallLimit, options.CallLimit*laneBacklogFactor),
+			control: workers.NewLane("control", controlLaneLimit, controlLaneBacklog),
+			table:   workers.NewLane("table", options.TableLimit, options.TableLimit*laneBacklogFactor),
+			peers:   workers.NewLane("peers", peerLaneLimit, peerLaneLimit*laneBacklogFactor),
+		},
+		lifecycle:     tables.NewLifecycle(),
+		configuration: tables.NewConfiguration(),
+		members:       tables.NewMembers(options.Self, options.Seeds, rand.New(rand.NewPCG(random.Uint64(), 1))),
+		leases:        tables.NewLeases(),
+		servers:       tables.NewServers(rand.New(rand.NewPCG(random.Uint64(), 2))),
+		rollouts:      tables.NewRollouts(),
+		weights:       tables.NewWeights(),
+		claims:        tables.NewCommits(),
+		answers:       tables.NewAnswers(options.AnswerLimit),
+		random:        tables.NewRandom(random),
+	}
+}
+
+// Metrics returns the process's counters.
+func (s *Service) Metrics() *metrics.Set { return s.metrics }
+
+// Start begins the periodic work.
+func (s *Service) Start() {
+	s.every(s.options.VMListEvery, s.pollVMs)
+	s.every(s.options.StatusEvery, s.pollStatus)
+	s.every(s.options.ConfigEvery, s.pollConfiguration)
+	s.every(s.options.HeartbeatTick, s.heartbeat)
+	s.every(s.options.LeaseTick, s.tendLeases)
+	s.every(s.options.AnswerKeep/4, s.expireAnswers)
+}
+
+// every runs a step now and then at an interval with a jitter of a tenth, until
+// the process has stopped.
+func (s *Service) every(interval time.Duration, step workers.Step) {
+	s.pool.MustEnqueue(core.ClassControl, func() {
+		if phase, _ := s.lifecycle.Phase(); phase == tables.PhaseStopped {
+			return
+		}
+		step()
+		jitter := s.random.Duration(interval / 10)
+		s.timers.After(interval+jitter-interval/20, core.ClassControl, func() { s.every(interval, step) })
+	})
+}
+
+func (s *Service) expireAnswers() {
+	s.answers.Expire(s.ports.Clock.Now().Add(-s.options.AnswerKeep))
+}
+
+// NewRequestID returns an id that names this process, so that peers can find
+// the answer.
+func (s *Service) NewRequestID() core.RequestID {
+	return requestID(s.options.Self.VM, s.options.Self.Incarnation, s.requestCounter.Add(1))
+}
--- a/internal/core/peer.go
+++ b/internal/core/peer.go
@@ -55,5 +55,6 @@
 type AnswerPart struct {
 	Found  bool
 	Chunks []Chunk
+	Source AnswerSource
 	Finish FinishReason
 }
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -33,6 +33,7 @@
 	ServerRefused      Kind = "server_refused"
 	CrashesServers     Kind = "crashes_servers"
 	MayHaveRun         Kind = "may_have_run"
+	ClaimUnsettled     Kind = "claim_unsettled"
 	AnswerIncomplete   Kind = "answer_incomplete"
 	StoreUnavailable   Kind = "store_unavailable"
 	OutcomeUnknown     Kind = "outcome_unknown"
@@ -83,6 +84,7 @@
 	ServerRefused:      {http.StatusServiceUnavailable, NotRun, true},
 	CrashesServers:     {http.StatusUnprocessableEntity, Maybe, false},
 	MayHaveRun:         {http.StatusConflict, Maybe, false},
+	ClaimUnsettled:     {http.StatusServiceUnavailable, NotRun, false},
 	AnswerIncomplete:   {http.StatusBadGateway, Maybe, true},
 	StoreUnavailable:   {http.StatusServiceUnavailable, NotRun, true},
 	OutcomeUnknown:     {http.StatusBadGateway, Maybe, true},
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,79 @@
+// Package metrics holds the service's counters. Every metric is listed here
+// once; docs/METRICS.md describes each.
+package metrics
+
+import gometrics "github.com/rcrowley/go-metrics"
+
+// Set is the metrics of one process.
+type Set struct {
+	Registry gometrics.Registry
+
+	RequestsAccepted   gometrics.Counter
+	RequestsRefused    gometrics.Counter
+	RequestsFailed     gometrics.Counter
+	Attempts           gometrics.Counter
+	Retries            gometrics.Counter
+	TokensDelivered    gometrics.Counter
+	AnswersResumed     gometrics.Counter
+	ClaimsTaken        gometrics.Counter
+	ClaimsReplayed     gometrics.Counter
+	ClaimsUnresolved   gometrics.Counter
+	TableReads         gometrics.Counter
+	TableCommits       gometrics.Counter
+	TableUnknown       gometrics.Counter
+	ConfigApplied      gometrics.Counter
+	ConfigConflicts    gometrics.Counter
+	LeasesAcquired     gometrics.Counter
+	LeasesLost         gometrics.Counter
+	SamplesFinished    gometrics.Counter
+	SamplesTooOld      gometrics.Counter
+	StepsCommitted     gometrics.Counter
+	BatchesServed      gometrics.Counter
+	WeightOrders       gometrics.Counter
+	WeightSwapsFailed  gometrics.Counter
+	HeartbeatsSent     gometrics.Counter
+	HeartbeatsReceived gometrics.Counter
+	HeartbeatsMissed   gometrics.Counter
+	VMListFailures     gometrics.Counter
+}
+
+// New returns a set of zeroed metrics in a registry of their own.
+func New() *Set {
+	s := &Set{Registry: gometrics.NewRegistry()}
+	for name, counter := range s.counters() {
+		*counter = gometrics.NewRegisteredCounter(name, s.Registry)
+	}
+	return s
+}
+
+func (s *Set) counters() map[string]*gometrics.Counter {
+	return map[string]*gometrics.Counter{
+		"requests.accepted":       &s.RequestsAccepted,
+		"requests.refused":        &s.RequestsRefused,
+		"requests.failed":         &s.RequestsFailed,
+		"attempts":                &s.Attempts,
+		"retries":                 &s.Retries,
+		"tokens.delivered":        &s.TokensDelivered,
+		"answers.resumed":         &s.AnswersResumed,
+		"claims.taken":            &s.ClaimsTaken,
+		"claims.replayed":         &s.ClaimsReplayed,
+		"claims.unresolved":       &s.ClaimsUnresolved,
+		"table.reads":             &s.TableReads,
+		"table.commits":           &s.TableCommits,
+		"table.unknown":           &s.TableUnknown,
+		"configuration.applied":   &s.ConfigApplied,
+		"configuration.conflicts": &s.ConfigConflicts,
+		"leases.acquired":         &s.LeasesAcquired,
+		"leases.lost":             &s.LeasesLost,
+		"samples.finished":        &s.SamplesFinished,
+		"samples.too_old":         &s.SamplesTooOld,
+		"steps.committed":         &s.StepsCommitted,
+		"batches.served":          &s.BatchesServed,
+		"weights.orders":          &s.WeightOrders,
+		"weights.failed":          &s.WeightSwapsFailed,
+		"heartbeats.sent":         &s.HeartbeatsSent,
+		"heartbeats.received":     &s.HeartbeatsReceived,
+		"heartbeats.missed":       &s.HeartbeatsMissed,
+		"vm_list.failures":        &s.VMListFailures,
+	}
+}
--- /dev/null
+++ b/internal/tables/leases.go
@@ -0,0 +1,168 @@
+package tables
+
+import (
+	"time"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/core/lease"
+	"fescuespar/internal/lockrank"
+)
+
+type leaseRow struct {
+	tracker *lease.Tracker
+	busy    bool // a read or commit for it is in flight
+}
+
+// Leases holds the leases that this process follows or holds.
+type Leases struct {
+	self   lease.Self
+	timing lease.Timing
+
+	// mu guards all fields below.
+	mu   lockrank.Mutex
+	rows map[string]*leaseRow
+}
+
+// NewLeases returns a table that follows no lease.
+func NewLeases(self lease.Self, timing lease.Timing) *Leases {
+	return &Leases{
+		self: self, timing: timing,
+		mu: lockrank.New(lockrank.RankLeases), rows: make(map[string]*leaseRow),
+	}
+}
+
+// Follow starts to follow a lease and to take it when it is free.
+func (t *Leases) Follow(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.rows[name] == nil {
+		t.rows[name] = &leaseRow{tracker: lease.New(name, t.self, t.timing)}
+	}
+}
+
+// Leave starts to release a lease.
+func (t *Leases) Leave(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if row := t.rows[name]; row != nil {
+		row.tracker.Leave()
+	}
+}
+
+// Forget drops a lease that was left, or that this process neither holds nor
+// may be acquiring. It returns false for any other.
+func (t *Leases) Forget(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row := t.rows[name]
+	if row == nil {
+		return true
+	}
+	if row.busy || !(row.tracker.Left() || row.tracker.State() == lease.Waiting) {
+		return false
+	}
+	delete(t.rows, name)
+	return true
+}
+
+// Begin returns the next action for a lease and marks the lease busy unless it
+// is to wait. End must follow every action that is not a wait.
+func (t *Leases) Begin(name string, now time.Time, id core.AttemptID) lease.Action {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row := t.rows[name]
+	if row == nil || row.busy {
+		return lease.Action{Kind: lease.ActionWait}
+	}
+	action := row.tracker.Decide(now, id)
+	if action.Kind == lease.ActionWait {
+		return action
+	}
+	row.busy = true
+	if action.Kind != lease.ActionRead {
+		row.tracker.CommitSent(action, now)
+	}
+	return action
+}
+
+// End hands an action's outcome to the lease's tracker.
+func (t *Leases) End(name string, outcome func(*lease.Tracker)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row := t.rows[name]
+	if row == nil {
+		return
+	}
+	row.busy = false
+	outcome(row.tracker)
+}
+
+// Held returns the holding of a lease that can be trusted at this time.
+func (t *Leases) Held(name string, now time.Time) (lease.Holding, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row := t.rows[name]
+	if row == nil {
+		return lease.Holding{}, false
+	}
+	return row.tracker.Held(now)
+}
+
+// StartOrder reports whether an order to an engine that ignores fencing
+// numbers may be sent now, and until when it must have been sent.
+func (t *Leases) StartOrder(name string, now time.Time) (time.Time, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row := t.rows[name]
+	if row == nil {
+		return time.Time{}, false
+	}
+	return row.tracker.StartOrder(now)
+}
+
+// Owner returns the last known holder of a followed lease.
+func (t *Leases) Owner(name string) (core.LeaseRecord, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row := t.rows[name]
+	if row == nil {
+		return core.LeaseRecord{}, false
+	}
+	return row.tracker.Owner()
+}
+
+// Names returns the followed leases, in no order.
+func (t *Leases) Names() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	names := make([]string, 0, len(t.rows))
+	for name := range t.rows {
+		names = append(names, name)
+	}
+	return names
+}
+
+// LeaseState is one lease's part of the state dump.
+type LeaseState struct {
+	Name  string     `json:"name"`
+	State string     `json:"state"`
+	Owner core.VMID  `json:"owner"`
+	Fence core.Fence `json:"fence"`
+	Held  bool       `json:"held"`
+}
+
+// State returns every followed lease.
+func (t *Leases) State(now time.Time) []LeaseState {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	states := make([]LeaseState, 0, len(t.rows))
+	for name, row := range t.rows {
+		holding, held := row.tracker.Held(now)
+		owner, _ := row.tracker.Owner()
+		states = append(states, LeaseState{
+			Name: name, State: row.tracker.State().String(),
+			Owner: owner.Holder, Fence: holding.Fence, Held: held,
+		})
+	}
+	return states
+}
--- /dev/null
+++ b/internal/tables/random.go
@@ -0,0 +1,34 @@
+package tables
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"fescuespar/internal/lockrank"
+)
+
+// Random is the process's shared random source for delays and jitter.
+type Random struct {
+	// mu guards source.
+	mu     lockrank.Mutex
+	source *rand.Rand
+}
+
+// NewRandom returns a table around a source.
+func NewRandom(source *rand.Rand) *Random {
+	return &Random{mu: lockrank.New(lockrank.RankTimers), source: source}
+}
+
+// Duration draws from zero to the bound.
+func (t *Random) Duration(bound time.Duration) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Duration(t.source.Int64N(int64(bound) + 1))
+}
+
+// With lends the source to a decision.
+func (t *Random) With(use func(*rand.Rand)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	use(t.source)
+}
