--- a/internal/core/row.go
+++ b/internal/core/row.go
@@ -87,8 +87,9 @@
 
 // The states of a claim.
 const (
-	ClaimTaken ClaimState = "taken" // dispatched, or about to be
-	ClaimDone  ClaimState = "done"  // outcome recorded
+	ClaimTaken    ClaimState = "taken"    // dispatched, or about to be
+	ClaimDone     ClaimState = "done"     // outcome recorded
+	ClaimReleased ClaimState = "released" // the backend server proved that it did not run
 )
 
 // ClaimRecord is written before the first byte of a non-idempotent request
@@ -99,20 +100,23 @@
 	Incarnation Incarnation
 	State       ClaimState
 	Response    *PlainResponse // set when State is ClaimDone
+	TakenAt     time.Time      // wall clock of the owner; decides only when the row is removed
 }
 
 // StepRecord fixes a step's batch. It is written once.
 type StepRecord struct {
 	Version WeightVersion // trainer's weights when the batch was fixed
-	Groups  []GroupID
+	Oldest  WeightVersion // oldest weights that produced a token of the batch
+	Groups  []GroupRange
 	Body    ObjectKey // object holding the groups
 }
 
 // DeliveryRecord marks, for one deployment, which groups any batch holds.
 type DeliveryRecord struct {
-	LastStep  Step      // newest step with a fixed batch
-	Closed    Step      // groups planned before this step can no longer be delivered
-	Delivered []GroupID // delivered groups planned at Closed or later
+	LastStep    Step          // newest step with a fixed batch
+	LastVersion WeightVersion // trainer's weights at LastStep
+	Closed      Step          // groups planned before this step can no longer be delivered
+	Delivered   []GroupRange  // delivered groups planned at Closed or later, sorted and disjoint
 }
 
 // ConfigRecord is the head of the configuration chain.
--- a/internal/core/sample.go
+++ b/internal/core/sample.go
@@ -9,6 +9,13 @@
 	Index int
 }
 
+// GroupRange is the groups of one step with index in [From, To).
+type GroupRange struct {
+	Step Step
+	From int
+	To   int
+}
+
 // SampleID identifies a sample within a deployment.
 type SampleID struct {
 	Group GroupID
@@ -39,13 +46,14 @@
 }
 
 // OldestVersion returns the oldest weights that produced a token of the sample,
-// or zero for a sample without tokens.
+// or zero when no span or a span without a known version is recorded.
 func (s *Sample) OldestVersion() WeightVersion {
-	var oldest WeightVersion
+	if len(s.Spans) == 0 {
+		return 0
+	}
+	oldest := s.Spans[0].Version
 	for _, span := range s.Spans {
-		if oldest == 0 || span.Version < oldest {
-			oldest = span.Version
-		}
+		oldest = min(oldest, span.Version)
 	}
 	return oldest
 }
@@ -56,14 +64,15 @@
 	Samples []Sample
 }
 
-// OldestVersion returns the oldest weights that produced a token of the group.
+// OldestVersion returns the oldest weights that produced a token of the group,
+// or zero when they are not known for every sample.
 func (g *Group) OldestVersion() WeightVersion {
-	var oldest WeightVersion
+	if len(g.Samples) == 0 {
+		return 0
+	}
+	oldest := g.Samples[0].OldestVersion()
 	for i := range g.Samples {
-		v := g.Samples[i].OldestVersion()
-		if oldest == 0 || v < oldest {
-			oldest = v
-		}
+		oldest = min(oldest, g.Samples[i].OldestVersion())
 	}
 	return oldest
 }
