Make the batch test see a repeat of a member

Change: the test also looks at which commit is left over.

Conclusion: with the check taken out the test now fails; with it, it passes.

--- a/internal/core/claim/claim_test.go
+++ b/internal/core/claim/claim_test.go
@@ -73,6 +73,9 @@
 	if len(batch.Commit.Writes) != MaxBatchRows || len(rest) != 6 {
 		t.Errorf("batch of %d rows, %d left; want %d and 6", len(batch.Commit.Writes), len(rest), MaxBatchRows)
 	}
+	if rest[0].Writes[0].Key != commits[0].Writes[0].Key {
+		t.Error("a repeat of a member is in the same batch")
+	}
 	split := batch.Settle(core.CommitResult{Failed: []core.RowKey{commits[4].Writes[0].Key}})
 	if len(split.Refused) != 1 || len(split.Again) != MaxBatchRows-1 || len(split.Applied) != 0 {
 		t.Errorf("refused %d, again %d, applied %d", len(split.Refused), len(split.Again), len(split.Applied))
