Add in-memory fakes and contract suites of the platform's ports

Cause: the decisions and the application layer need the table service, the object store and the VM list with faults on order before any adapter stands, and every adapter needs one contract to pass.

Ruled out: fakes with rules of their own beside the stand-in's. Rows, objects and fault orders stand once, in porttest/memstore and porttest/faults, so that the stand-in process can use them too.

Change: porttest.Tables, Objects and VMs implement the ports; fault orders refuse, drop before or after the effect, delay, or let the effect come late when it is released. Suites TableService, ObjectStore and VMList hold the contract; fault cases stand in tables of operation, event, expected kind, expected effect at return and after release. The fakes' locks rank below all of the service's, so in a lockcheck build a call of a fake under a lock of the service panics. ports.go: Put names the errors for another body under the same key and for an oversize body.

Broken once and seen to fail: conditions ignored (conditions, races, late_loses), fixed row versions (versions, records), effect skipped under drop_after, StoreUnavailable in place of OutcomeUnknown (all lost replies), counts not spent, table filter ignored, overwrite of an object accepted, a shallow copy of a record.

--- a/internal/ports/ports.go
+++ b/internal/ports/ports.go
@@ -29,7 +29,8 @@
 // ObjectStore holds bodies that are too large for rows. Objects are never
 // changed: a key is written with one content only, so Put may be repeated.
 type ObjectStore interface {
-	// Put stores an object. Errors: StoreUnavailable, OutcomeUnknown.
+	// Put stores an object. Errors: BadRequest when the key holds another body,
+	// TooLarge, StoreUnavailable, OutcomeUnknown.
 	Put(ctx context.Context, key core.ObjectKey, body []byte) error
 	// Get returns an object's body. Errors: NotFound, StoreUnavailable.
 	Get(ctx context.Context, key core.ObjectKey) ([]byte, error)
--- /dev/null
+++ b/internal/ports/porttest/faults/holder.go
@@ -0,0 +1,70 @@
+package faults
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"fescuespar/internal/lockrank"
+)
+
+// After arranges that a step runs once a delay has passed.
+type After func(delay time.Duration, step func())
+
+// Holder keeps the effects of delayed calls until they are due or released.
+type Holder struct {
+	after After
+
+	// mu guards the fields below.
+	mu   lockrank.Mutex
+	next uint64
+	held map[uint64]func()
+}
+
+// NewHolder returns an empty holder that uses after for effects with a delay.
+func NewHolder(after After) *Holder {
+	return &Holder{after: after, mu: lockrank.New(rankFaults), held: make(map[uint64]func())}
+}
+
+// Hold keeps an effect. It runs after the delay, or at Release, whichever
+// comes first; with a delay of zero only at Release.
+func (h *Holder) Hold(delay time.Duration, effect func()) {
+	h.mu.Lock()
+	h.next++
+	id := h.next
+	h.held[id] = effect
+	h.mu.Unlock()
+	if delay > 0 {
+		h.after(delay, func() { h.run(id) })
+	}
+}
+
+// Release runs all held effects in the order in which they came and returns
+// their number.
+func (h *Holder) Release() int {
+	h.mu.Lock()
+	ids := slices.Sorted(maps.Keys(h.held))
+	h.mu.Unlock()
+	for _, id := range ids {
+		h.run(id)
+	}
+	return len(ids)
+}
+
+// run runs an effect unless it has run already.
+func (h *Holder) run(id uint64) {
+	h.mu.Lock()
+	effect := h.held[id]
+	delete(h.held, id)
+	h.mu.Unlock()
+	if effect != nil {
+		effect()
+	}
+}
+
+// Count returns the number of held effects.
+func (h *Holder) Count() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.held)
+}
--- /dev/null
+++ b/internal/ports/porttest/objects.go
@@ -0,0 +1,71 @@
+package porttest
+
+import (
+	"bytes"
+	"context"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/errkind"
+	"fescuespar/internal/ports"
+	"fescuespar/internal/ports/porttest/faults"
+	"fescuespar/internal/ports/porttest/memstore"
+)
+
+// Objects is an in-memory ports.ObjectStore.
+type Objects struct {
+	Script
+	stored *memstore.Objects
+}
+
+var _ ports.ObjectStore = (*Objects)(nil)
+
+// NewObjects returns an empty object store without faults.
+func NewObjects() *Objects {
+	return &Objects{Script: newScript(), stored: memstore.NewObjects()}
+}
+
+// Counters returns the counts of calls and bytes since the start.
+func (o *Objects) Counters() memstore.ObjectCounters { return o.stored.Counters() }
+
+// Put implements ports.ObjectStore.
+func (o *Objects) Put(ctx context.Context, key core.ObjectKey, body []byte) error {
+	body = bytes.Clone(body)
+	var same bool
+	effect := func() { same = o.stored.Put(key, body) }
+	if err := o.perform(ctx, faults.ObjectWrite, effect); err != nil {
+		return err
+	}
+	if !same {
+		return errkind.New(errkind.BadRequest, "object %q holds another body", key)
+	}
+	return nil
+}
+
+// Get implements ports.ObjectStore.
+func (o *Objects) Get(ctx context.Context, key core.ObjectKey) ([]byte, error) {
+	var body []byte
+	var found bool
+	effect := func() { body, found = o.stored.Get(key) }
+	if err := o.perform(ctx, faults.ObjectRead, effect); err != nil {
+		return nil, err
+	}
+	if !found {
+		return nil, errkind.New(errkind.NotFound, "no object %q", key)
+	}
+	return body, nil
+}
+
+// Delete implements ports.ObjectStore.
+func (o *Objects) Delete(ctx context.Context, key core.ObjectKey) error {
+	return o.perform(ctx, faults.ObjectWrite, func() { o.stored.Delete(key) })
+}
+
+// List implements ports.ObjectStore.
+func (o *Objects) List(ctx context.Context, prefix, after core.ObjectKey, limit int) ([]core.ObjectKey, error) {
+	var keys []core.ObjectKey
+	effect := func() { keys = o.stored.List(prefix, after, limit) }
+	if err := o.perform(ctx, faults.ObjectRead, effect); err != nil {
+		return nil, err
+	}
+	return keys, nil
+}
