Add the trainers' path: leases, coordination, batches, weights

Cause: a trainer's step needs one coordinator at a time, found from any entry VM. Ruled out: every process following every lease (its reads grow with processes times deployments).

--- a/internal/app/completion.go
+++ b/internal/app/completion.go
@@ -19,7 +19,8 @@
 	key        tables.AnswerKey
 	request    core.CompletionRequest
 	deployment *core.Deployment
-	attempt    int // attempts started here
+	oldest     core.WeightVersion // oldest weights on which it may start, zero for any
+	attempt    int                // attempts started here
 	exclude    []core.ServerID
 	ended      func(error) // called once in a step; nil error when whole
 }
@@ -112,7 +113,7 @@
 		Kind: core.KindEngine, Service: c.deployment.Service, Adapter: c.deployment.Adapter,
 		Zone: s.options.Self.Zone, Region: s.options.Self.Region,
 		Class: c.request.Class, Tokens: expectedTokens(&c.request), Exclude: c.exclude,
-		Version: c.deployment.Versions.Pinned,
+		Version: max(c.oldest, c.deployment.Versions.Pinned),
 	}
 	server, err := s.servers.Acquire(query)
 	if err != nil {
--- /dev/null
+++ b/internal/app/coordinator.go
@@ -0,0 +1,158 @@
+package app
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"strings"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/core/delivery"
+	"fescuespar/internal/core/lease"
+	"fescuespar/internal/errkind"
+	"fescuespar/internal/tables"
+)
+
+// stepsAhead is for how many steps after the last fixed one groups are planned,
+// so that a trainer's next step is being made while it trains on this one.
+const stepsAhead = 2
+
+// coordinateAll does the coordinator's work for every deployment whose lease
+// this process holds, and drops the work for the others.
+func (s *Service) coordinateAll() {
+	config := s.configuration.InForce()
+	for i := range config.Deployments {
+		deployment := &config.Deployments[i]
+		if deployment.Rollout == nil {
+			continue
+		}
+		holding, held := s.leases.Held(leaseName(deployment.Name), s.ports.Clock.Now())
+		if !held {
+			s.rollouts.Close(deployment.Name)
+			continue
+		}
+		s.coordinate(deployment, holding)
+	}
+}
+
+func (s *Service) coordinate(deployment *core.Deployment, holding lease.Holding) {
+	if s.rollouts.Open(deployment.Name, holding.Fence) {
+		s.loadRollout(deployment, holding.Fence)
+		return
+	}
+	s.orderWeights(deployment, holding)
+	limit := s.options.StreamLimit / 2
+	for _, work := range s.rollouts.Plan(deployment.Name, holding.Fence, planPolicy(deployment.Rollout), limit) {
+		s.startSample(deployment, holding.Fence, work)
+	}
+}
+
+func planPolicy(rollout *core.Rollout) tables.PlanPolicy {
+	return tables.PlanPolicy{
+		GroupsPerStep: rollout.GroupsPerStep, GroupSize: rollout.GroupSize, StepsAhead: stepsAhead,
+	}
+}
+
+// loadRollout reads what a new coordinator needs: the delivery row, the newest
+// weight version and the prompts.
+func (s *Service) loadRollout(deployment *core.Deployment, fence core.Fence) {
+	s.onLane(s.lanes.table, func(ctx context.Context) {
+		deliveryKey, _ := delivery.Keys(deployment.Name, 0)
+		rows, err := s.read(ctx, deliveryKey, weightKey(deployment.Name))
+		if err != nil {
+			return
+		}
+		body, err := s.ports.Objects.Get(ctx, deployment.Rollout.Prompts)
+		if err != nil {
+			s.log.Warn().Str("deployment", string(deployment.Name)).Str("object", string(deployment.Rollout.Prompts)).
+				Str("kind", string(errkind.Of(err))).Msg("prompts cannot be read")
+			return
+		}
+		if record, ok := rows[1].Record.(core.WeightRecord); ok {
+			s.weights.Learn(deployment.Name, record.Version)
+		}
+		s.rollouts.Load(deployment.Name, fence, rows[0], splitPrompts(body))
+	})
+}
+
+// splitPrompts returns the lines of a prompts object that are not blank.
+func splitPrompts(body []byte) []string {
+	var prompts []string
+	for line := range strings.Lines(string(body)) {
+		if prompt := strings.TrimSpace(line); prompt != "" {
+			prompts = append(prompts, prompt)
+		}
+	}
+	return prompts
+}
+
+// rolloutCaller is the name under which a deployment's samples are run. A
+// caller's token can't have it.
+func rolloutCaller(name core.DeploymentName) core.CallerName {
+	return core.CallerName("rollout:" + string(name))
+}
+
+// startSample runs one sample through the same path as callers' requests.
+func (s *Service) startSample(deployment *core.Deployment, fence core.Fence, work tables.Work) {
+	id := core.RequestID(fmt.Sprintf("%s.%d.%s", deployment.Name, fence, s.newAttempt()))
+	key := tables.AnswerKey{Caller: rolloutCaller(deployment.Name), ID: id}
+	c := &completion{
+		key: key,
+		request: core.CompletionRequest{
+			ID: id, Caller: key.Caller, Deployment: deployment.Name, Class: core.ClassRollout,
+			Prompt: work.Prompt, MaxTokens: deployment.Rollout.MaxTokens, Seed: sampleSeed(deployment.Name, work.ID),
+			Deadline: s.ports.Clock.Now().Add(deployment.Limits.RequestTimeout),
+		},
+		deployment: deployment,
+		oldest:     s.oldestUseful(deployment),
+	}
+	c.ended = func(err error) {
+		s.lifecycle.Exit()
+		s.sampleGenerated(c, fence, work, err)
+	}
+	if err := s.begin(c, nil); err != nil {
+		s.rollouts.Retry(deployment.Name, fence, work.ID)
+	}
+}
+
+// oldestUseful returns the oldest weights on which a sample may start: with
+// older ones it would be too old once the trainer holds the next version.
+func (s *Service) oldestUseful(deployment *core.Deployment) core.WeightVersion {
+	newest := s.weights.Newest(deployment.Name)
+	bound := core.WeightVersion(deployment.Rollout.StalenessBound)
+	if newest <= bound {
+		return 1
+	}
+	return newest - bound
+}
+
+// sampleSeed makes the samples of one group differ and a repeated sample equal.
+func sampleSeed(name core.DeploymentName, id core.SampleID) int64 {
+	hash := fnv.New64a()
+	_, _ = fmt.Fprintf(hash, "%s/%s", name, id)
+	return int64(hash.Sum64() >> 1)
+}
+
+// sampleGenerated takes a finished generation and has it scored.
+func (s *Service) sampleGenerated(c *completion, fence core.Fence, work tables.Work, err error) {
+	name := c.deployment.Name
+	if err != nil {
+		s.answers.Forget(c.key)
+		s.rollouts.Retry(name, fence, work.ID)
+		return
+	}
+	view, err := s.answers.Read(c.key, 0)
+	s.answers.Forget(c.key)
+	if err != nil {
+		s.rollouts.Retry(name, fence, work.ID)
+		return
+	}
+	sample := core.Sample{Deployment: name, ID: work.ID, Prompt: work.Prompt, Finish: view.Finish}
+	for _, chunk := range view.Chunks {
+		sample.Tokens = append(sample.Tokens, chunk.Tokens...)
+		sample.Spans = append(sample.Spans, core.Span{
+			From: chunk.Offset, To: chunk.Offset + len(chunk.Tokens), Version: chunk.Version,
+		})
+	}
+	s.scoreSample(c.deployment, fence, sample)
+}
--- /dev/null
+++ b/internal/app/scoring.go
@@ -0,0 +1,65 @@
+package app
+
+import (
+	"context"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/core/routing"
+)
+
+// scoreSample has a sample scored; a failed call makes the sample pending
+// again unless another try succeeds.
+func (s *Service) scoreSample(deployment *core.Deployment, fence core.Fence, sample core.Sample) {
+	if deployment.Rollout.Scorer == "" {
+		s.finishSample(fence, sample)
+		return
+	}
+	s.tryScore(deployment, fence, sample, 1)
+}
+
+// scoreAttempts bounds the calls to the scoring service for one sample before
+// it is generated again.
+const scoreAttempts = 5
+
+func (s *Service) tryScore(deployment *core.Deployment, fence core.Fence, sample core.Sample, number int) {
+	server, err := s.servers.Acquire(routing.Query{
+		Kind: core.KindScorer, Service: deployment.Rollout.Scorer, Class: core.ClassRollout, Tokens: 1,
+		Zone: s.options.Self.Zone, Region: s.options.Self.Region,
+	})
+	if err != nil {
+		s.scoreAgain(deployment, fence, sample, number)
+		return
+	}
+	err = s.lanes.calls.Go(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, deployment.Limits.RequestTimeout)
+		defer cancel()
+		score, err := s.ports.Scorer.Score(ctx, server, sample)
+		s.pool.MustEnqueue(core.ClassRollout, func() {
+			s.servers.Release(server.ID, 1)
+			if err != nil {
+				s.scoreAgain(deployment, fence, sample, number)
+				return
+			}
+			sample.Score = score
+			s.finishSample(fence, sample)
+		})
+	})
+	if err != nil {
+		s.servers.Release(server.ID, 1)
+		s.scoreAgain(deployment, fence, sample, number)
+	}
+}
+
+func (s *Service) scoreAgain(deployment *core.Deployment, fence core.Fence, sample core.Sample, number int) {
+	if number >= scoreAttempts {
+		s.rollouts.Retry(deployment.Name, fence, sample.ID)
+		return
+	}
+	delay := s.random.Duration(retryBaseDelay << number)
+	s.timers.After(delay, core.ClassRollout, func() { s.tryScore(deployment, fence, sample, number+1) })
+}
+
+func (s *Service) finishSample(fence core.Fence, sample core.Sample) {
+	s.metrics.SamplesFinished.Inc(1)
+	s.rollouts.Finish(fence, sample)
+}
--- a/internal/app/service.go
+++ b/internal/app/service.go
@@ -23,6 +23,7 @@
 	Engine  ports.Engine
 	Plain   ports.PlainService
 	Scorer  ports.Scorer
+	Bodies  ports.Bodies
 	Peers   ports.Peers
 	Clock   ports.Clock
 }
@@ -55,6 +56,7 @@
 	calls   *workers.Lane // plain services and scorers
 	control *workers.Lane // engines' status and orders
 	table   *workers.Lane // table service, object store and VM list
+	leases  *workers.Lane // leases' reads and commits, which must not wait for others
 	peers   *workers.Lane // other entry processes
 }
 
@@ -93,6 +95,7 @@
 	controlLaneLimit   = 32
 	controlLaneBacklog = 8192
 	peerLaneLimit      = 64
+	leaseLaneLimit     = 16
 	laneBacklogFactor  = 4
 )
 
@@ -113,6 +116,7 @@
 			calls:   workers.NewLane("calls", options.CallLimit, options.CallLimit*laneBacklogFactor),
 			control: workers.NewLane("control", controlLaneLimit, controlLaneBacklog),
 			table:   workers.NewLane("table", options.TableLimit, options.TableLimit*laneBacklogFactor),
+			leases:  workers.NewLane("leases", leaseLaneLimit, leaseLaneLimit*laneBacklogFactor),
 			peers:   workers.NewLane("peers", peerLaneLimit, peerLaneLimit*laneBacklogFactor),
 		},
 		lifecycle:     tables.NewLifecycle(),
--- a/internal/ports/ports.go
+++ b/internal/ports/ports.go
@@ -40,6 +40,14 @@
 	List(ctx context.Context, prefix, after core.ObjectKey, limit int) ([]core.ObjectKey, error)
 }
 
+// Bodies encodes what is kept in the object store.
+type Bodies interface {
+	EncodeConfiguration(core.Configuration) ([]byte, error)
+	DecodeConfiguration([]byte) (core.Configuration, error)
+	EncodeBatch(core.Batch) ([]byte, error)
+	DecodeBatch([]byte) (core.Batch, error)
+}
+
 // VMList is the platform's list of VMs, which lags.
 type VMList interface {
 	// VMs returns all live and leaving VMs. Errors: StoreUnavailable.
