Add the platform stand-in

Cause: tests, the demo and every process need a platform to run against: tables, objects, VM list and weights, with faults on order.

Ruled out: rules of its own for rows, objects and fault orders (it shares porttest/memstore and porttest/faults with the fakes); closing a connection without a byte to lose a reply, since net/http then repeats a GET on a reused connection by itself and the order's count is spent twice.

Change: standin/platform, one http.Handler with all state in memory; handlers decode, enqueue the effect on a worker pool, wait and encode; the subcommand "standin platform" prints "listening HOST:PORT". A control client for tests. docs/protocols/platform.md gives the protocol.

Broken once and seen to fail: no lag of the VM list, a weight bucket without its burst cap, a paced write that ignores its reader, drop_after without effect, unknown fields let through, an outage that never ends, no bound on bodies.

--- /dev/null
+++ b/standin/platform/client.go
@@ -0,0 +1,122 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/ports/porttest/faults"
+)
+
+// Client sends control calls to a platform. Its methods return an error when
+// the platform could not be reached or did not take the call.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// controlTimeout bounds one control call.
+const controlTimeout = 10 * time.Second
+
+// NewClient returns a client of the platform at a base URL such as
+// "http://127.0.0.1:8080".
+func NewClient(base string) *Client {
+	return &Client{base: base, http: &http.Client{Timeout: controlTimeout}}
+}
+
+// AddVM registers a VM or replaces it as a whole.
+func (c *Client) AddVM(ctx context.Context, vm core.VM) error {
+	return c.post(ctx, "/control/vms", vmMessage(vm), nil)
+}
+
+// SetVMState changes the state of a registered VM.
+func (c *Client) SetVMState(ctx context.Context, id core.ServerID, state core.VMState) error {
+	return c.post(ctx, "/control/vms/state", vmStateMessage{id, state}, nil)
+}
+
+// RemoveVM removes a VM; an unknown one is no error.
+func (c *Client) RemoveVM(ctx context.Context, id core.ServerID) error {
+	return c.post(ctx, "/control/vms/remove", vmRemovalMessage{id}, nil)
+}
+
+// SetVMListLag changes the delay of the VM list as served, to the millisecond.
+func (c *Client) SetVMListLag(ctx context.Context, lag time.Duration) error {
+	return c.post(ctx, "/control/vms/lag", vmLagMessage{lag.Milliseconds()}, nil)
+}
+
+// PutWeights publishes the weights of a version.
+func (c *Client) PutWeights(ctx context.Context, deployment core.DeploymentName, version core.WeightVersion, body []byte) error {
+	path := "/weights/" + url.PathEscape(string(deployment)) + "/" + strconv.FormatUint(uint64(version), 10)
+	return c.call(ctx, http.MethodPut, path, body, nil)
+}
+
+// Fault puts a fault order in force. Its times count to the millisecond.
+func (c *Client) Fault(ctx context.Context, order faults.Order) error {
+	message := faultMessage{
+		Operation: order.Operation,
+		Event:     order.Event,
+		Table:     order.Table,
+		Count:     order.Count,
+		DelayMS:   order.Delay.Milliseconds(),
+		ForMS:     order.Duration.Milliseconds(),
+	}
+	return c.post(ctx, "/control/faults", message, nil)
+}
+
+// ClearFaults removes all fault orders; held calls stay held.
+func (c *Client) ClearFaults(ctx context.Context) error {
+	return c.call(ctx, http.MethodDelete, "/control/faults", nil, nil)
+}
+
+// ReleaseHeld runs the effects of all held calls and returns their number.
+func (c *Client) ReleaseHeld(ctx context.Context) (int, error) {
+	var message releaseMessage
+	err := c.post(ctx, "/control/release", emptyMessage{}, &message)
+	return message.Released, err
+}
+
+// Counters returns the platform's counters.
+func (c *Client) Counters(ctx context.Context) (Counters, error) {
+	var counters Counters
+	err := c.call(ctx, http.MethodGet, "/control/counters", nil, &counters)
+	return counters, err
+}
+
+func (c *Client) post(ctx context.Context, path string, message, into any) error {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return err
+	}
+	return c.call(ctx, http.MethodPost, path, body, into)
+}
+
+// call sends one call and decodes its reply unless into is nil.
+func (c *Client) call(ctx context.Context, method, path string, body []byte, into any) error {
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, DefaultMaxTableBytes))
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("platform: %s %s: status %d: %s", method, path, response.StatusCode, answer)
+	}
+	if into == nil {
+		return nil
+	}
+	return json.Unmarshal(answer, into)
+}
