Add operators' files, settings and the configuration's decisions

Cause: nothing read an operators' file or the settings of an entry process, and no decision said whether a configuration is valid or joins the chain.

Ruled out: decoding into tagged structs with the library's strict mode, which stops at the first ill-typed value and knows nothing of missing keys; a table of keys beside the structs, which states each key twice; the head row alone as proof of a publish, because a later generation hides whether an attempt with a lost reply took effect.

Change: stricttoml builds a tree with lines from the library's parser, and readers ask it for keys; what is unknown, missing, repeated or ill-typed is collected, also after a syntax error. deploymenttoml and settings share it. core/configuration validates across files, shows differences, plans the commit of the next generation with one row a generation besides the head, and resolves lost replies from that row. configjson is the JSON form. Examples for both sites are checked by a test.

Two writes a publish instead of one, three once the kept history is full.

--- /dev/null
+++ b/internal/adapters/settings/sizes.go
@@ -0,0 +1,71 @@
+package settings
+
+import (
+	"time"
+
+	"fescuespar/internal/adapters/stricttoml"
+)
+
+// Bounds of sizes and times.
+const (
+	maxWorkers     = 1024
+	maxQueueLength = 1 << 20
+	maxInFlight    = 1 << 16
+	maxWaiting     = 1 << 20
+	minBodyBytes   = 1 << 10
+	maxBodyBytes   = 1 << 30
+	maxHeaderBytes = 1 << 20
+	minInterval    = time.Millisecond
+	maxInterval    = time.Minute
+	maxKeep        = time.Hour
+)
+
+func readWorkers(r *stricttoml.Reader, w *Workers) {
+	stricttoml.Integer(r, "count", &w.Count, stricttoml.Optional, stricttoml.Range[int]{Min: 1, Max: maxWorkers})
+	stricttoml.Integer(r, "queue_length", &w.QueueLength, stricttoml.Optional, stricttoml.Range[int]{Min: 1, Max: maxQueueLength})
+	r.Finish()
+}
+
+func readLanes(r *stricttoml.Reader, l *Lanes) {
+	readLane(r.Section("table"), &l.Table)
+	readLane(r.Section("objects"), &l.Objects)
+	readLane(r.Section("vm_list"), &l.VMList)
+	readLane(r.Section("engines"), &l.Engines)
+	readLane(r.Section("plain"), &l.Plain)
+	readLane(r.Section("scorers"), &l.Scorers)
+	readLane(r.Section("peers"), &l.Peers)
+	r.Finish()
+}
+
+func readLane(r *stricttoml.Reader, l *Lane) {
+	stricttoml.Integer(r, "in_flight", &l.InFlight, stricttoml.Optional, stricttoml.Range[int]{Min: 1, Max: maxInFlight})
+	stricttoml.Integer(r, "waiting", &l.Waiting, stricttoml.Optional, stricttoml.Range[int]{Min: 0, Max: maxWaiting})
+	r.Finish()
+}
+
+func readIntervals(r *stricttoml.Reader, i *Intervals) {
+	pace := stricttoml.Range[time.Duration]{Min: minInterval, Max: maxInterval}
+	keep := stricttoml.Range[time.Duration]{Min: minInterval, Max: maxKeep}
+	stricttoml.Duration(r, "heartbeat", &i.Heartbeat, stricttoml.Optional, pace)
+	stricttoml.Duration(r, "suspect_after", &i.SuspectAfter, stricttoml.Optional, pace)
+	stricttoml.Duration(r, "vm_list_poll", &i.VMListPoll, stricttoml.Optional, pace)
+	stricttoml.Duration(r, "engine_status_poll", &i.EngineStatusPoll, stricttoml.Optional, pace)
+	stricttoml.Duration(r, "configuration_poll", &i.ConfigurationPoll, stricttoml.Optional, pace)
+	stricttoml.Duration(r, "weight_poll", &i.WeightPoll, stricttoml.Optional, pace)
+	stricttoml.Duration(r, "lease_term", &i.LeaseTerm, stricttoml.Optional, pace)
+	stricttoml.Duration(r, "lease_renewal", &i.LeaseRenewal, stricttoml.Optional, pace)
+	stricttoml.Duration(r, "order_timeout", &i.OrderTimeout, stricttoml.Optional, pace)
+	stricttoml.Duration(r, "claim_delay", &i.ClaimDelay, stricttoml.Optional, pace)
+	stricttoml.Duration(r, "address_keep", &i.AddressKeep, stricttoml.Optional, keep)
+	stricttoml.Duration(r, "answer_keep", &i.AnswerKeep, stricttoml.Optional, keep)
+	r.Finish()
+}
+
+func readBodies(r *stricttoml.Reader, b *Bodies) {
+	body := stricttoml.Range[int64]{Min: minBodyBytes, Max: maxBodyBytes}
+	stricttoml.Size(r, "request", &b.Request, stricttoml.Optional, body)
+	stricttoml.Size(r, "header", &b.Header, stricttoml.Optional, stricttoml.Range[int64]{Min: minBodyBytes, Max: maxHeaderBytes})
+	stricttoml.Size(r, "configuration", &b.Configuration, stricttoml.Optional, body)
+	stricttoml.Size(r, "peer_message", &b.PeerMessage, stricttoml.Optional, body)
+	r.Finish()
+}
--- /dev/null
+++ b/internal/core/configuration/validate_test.go
@@ -0,0 +1,86 @@
+package configuration
+
+import (
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"fescuespar/internal/core"
+)
+
+func engineDeployment(name core.DeploymentName) core.Deployment {
+	return core.Deployment{
+		Name: name, Kind: core.KindEngine, Service: "model-" + string(name), Class: core.ClassPeople,
+		Callers: []core.CallerName{"portal"},
+		Limits:  core.Limits{Concurrent: 8, QueueLength: 16, QueueTimeout: time.Second, RequestTimeout: time.Minute},
+		Rollout: &core.Rollout{Trainer: "trainer", Scorer: "scorer", Prompts: "prompts", GroupSize: 8,
+			GroupsPerStep: 4, MaxTokens: 64, StalenessBound: 2, IdleWeight: 0.5},
+	}
+}
+
+func plainDeployment(name core.DeploymentName) core.Deployment {
+	d := engineDeployment(name)
+	d.Kind = core.KindPlain
+	d.Rollout = nil
+	d.Once = []core.OncePattern{{Method: "POST", PathPrefix: "/sponsorships"}}
+	return d
+}
+
+func TestValidateReportsEachMistake(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(model, other, plain *core.Deployment)
+		want   []Field
+	}{
+		{"none", func(_, _, _ *core.Deployment) {}, nil},
+		{"empty name", func(m, _, _ *core.Deployment) { m.Name = "" }, []Field{FieldName}},
+		{"name with a slash", func(m, _, _ *core.Deployment) { m.Name = "a/b" }, []Field{FieldName}},
+		{"one name twice", func(m, o, _ *core.Deployment) { o.Name = m.Name }, []Field{FieldName}},
+		{"unknown kind", func(m, _, _ *core.Deployment) { m.Kind = core.KindScorer }, []Field{FieldKind}},
+		{"control class", func(m, _, _ *core.Deployment) { m.Class = core.ClassControl }, []Field{FieldClass}},
+		{"class out of range", func(m, _, _ *core.Deployment) { m.Class = core.ClassCount }, []Field{FieldClass}},
+		{"no service", func(m, _, _ *core.Deployment) { m.Service = "" }, []Field{FieldService}},
+		{"nobody uses it", func(_, _, p *core.Deployment) { p.Callers = nil }, []Field{FieldCallers}},
+		{"caller twice", func(m, _, _ *core.Deployment) { m.Callers = []core.CallerName{"a", "a"} }, []Field{"callers[1]"}},
+		{"trainer as caller elsewhere", func(_, _, p *core.Deployment) { p.Callers = []core.CallerName{"trainer"} }, []Field{"callers[0]"}},
+		{"no concurrent requests", func(_, _, p *core.Deployment) { p.Limits.Concurrent = 0 }, []Field{FieldConcurrent}},
+		{"sum of concurrent requests", func(_, o, p *core.Deployment) {
+			o.Limits.Concurrent = MaxConcurrent - 10
+		}, []Field{FieldConcurrent}},
+		{"queue without time", func(m, _, _ *core.Deployment) { m.Limits.QueueTimeout = 0 }, []Field{FieldQueueTimeout}},
+		{"no queue", func(m, _, _ *core.Deployment) { m.Limits.QueueLength, m.Limits.QueueTimeout = 0, 0 }, nil},
+		{"queue outlasts request", func(m, _, _ *core.Deployment) { m.Limits.QueueTimeout = 2 * time.Minute }, []Field{FieldQueueTimeout}},
+		{"endless request", func(m, _, _ *core.Deployment) { m.Limits.RequestTimeout = math.MaxInt64 }, []Field{FieldRequestTimeout}},
+		{"group larger than limit", func(m, _, _ *core.Deployment) { m.Limits.Concurrent = 7 }, []Field{FieldConcurrent}},
+		{"empty group", func(m, _, _ *core.Deployment) { m.Rollout.GroupSize = 0 }, []Field{FieldGroupSize}},
+		{"huge step", func(m, _, _ *core.Deployment) { m.Rollout.GroupsPerStep = MaxSamplesPerStep }, []Field{FieldGroupsPerStep}},
+		{"idle weight not a number", func(m, _, _ *core.Deployment) { m.Rollout.IdleWeight = math.NaN() }, []Field{FieldIdleWeight}},
+		{"rollout on pinned weights", func(m, _, _ *core.Deployment) { m.Versions.Pinned = 3 }, []Field{FieldStalenessBound}},
+		{"pinned weights alone", func(m, _, _ *core.Deployment) { m.Versions.Pinned, m.Rollout = 3, nil }, nil},
+		{"once pattern of a model", func(m, _, p *core.Deployment) { m.Once = p.Once }, []Field{"once[0]"}},
+		{"plain with rollout", func(m, _, p *core.Deployment) { p.Rollout = m.Rollout }, []Field{FieldRollout}},
+		{"plain with pinned weights", func(_, _, p *core.Deployment) { p.Versions.Pinned = 3 }, []Field{FieldPinned}},
+		{"once pattern twice", func(_, _, p *core.Deployment) { p.Once = append(p.Once, p.Once[0]) }, []Field{"once[1]"}},
+		{"lower-case method", func(_, _, p *core.Deployment) { p.Once[0].Method = "post" }, []Field{"once[0].method"}},
+		{"relative path", func(_, _, p *core.Deployment) { p.Once[0].PathPrefix = "s" }, []Field{"once[0].path_prefix"}},
+		{"two rollouts of one model", func(m, o, _ *core.Deployment) { o.Service = m.Service }, []Field{FieldService}},
+		{"fencing differs", func(m, o, _ *core.Deployment) {
+			o.Service, o.Adapter, o.Fencing = m.Service, "notes", true
+		}, []Field{FieldFencing}},
+		{"two at once", func(m, _, p *core.Deployment) { m.Service, p.Once[0].Method = "", "" }, []Field{FieldService, "once[0].method"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			deployments := []core.Deployment{engineDeployment("model"), engineDeployment("other"), plainDeployment("plain")}
+			test.change(&deployments[0], &deployments[1], &deployments[2])
+			var got []Field
+			for _, p := range Validate(deployments) {
+				got = append(got, p.Field)
+			}
+			if !slices.Equal(got, test.want) {
+				t.Errorf("problems with %q, want %q", got, test.want)
+			}
+		})
+	}
+}
