--- a/internal/app/configuration.go
+++ b/internal/app/configuration.go
@@ -2,11 +2,159 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/configuration"
 	"fescuespar/internal/errkind"
+	"fescuespar/internal/tables"
 )
 
 // Configuration returns the configuration in force in this process.
 func (s *Service) Configuration() *core.Configuration { return s.configuration.InForce() }
+
+// Publish replaces the configuration of generation base by one commit.
+func (s *Service) Publish(ctx context.Context, operator string, base core.Generation, deployments []core.Deployment) (core.Generation, error) {
+	if problems := configuration.Validate(deployments); len(problems) > 0 {
+		return 0, invalid(problems)
+	}
+	next := configuration.Next(base, operator, deployments)
+	_, err := runOn(ctx, s.lanes.table, groupCommitTimeout, func(ctx context.Context) (struct{}, error) {
+		return struct{}{}, s.commitConfiguration(ctx, next)
+	})
+	if err != nil {
+		s.metrics.ConfigConflicts.Inc(1)
+		return 0, err
+	}
+	s.applyConfiguration(&next)
+	return next.Generation, nil
+}
+
+func invalid(problems []configuration.Problem) error {
+	texts := make([]string, len(problems))
+	for i, problem := range problems {
+		texts[i] = problem.String()
+	}
+	return errkind.New(errkind.InvalidConfig, "%s", strings.Join(texts, "; "))
+}
+
+func (s *Service) commitConfiguration(ctx context.Context, next core.Configuration) error {
+	id := s.newAttemptID()
+	rows, err := s.read(ctx, configuration.Head)
+	if err != nil {
+		return err
+	}
+	commit, err := configuration.PlanPublish(rows[0], next, id)
+	if err != nil {
+		return err
+	}
+	body, err := s.ports.Bodies.EncodeConfiguration(next)
+	if err != nil {
+		return err
+	}
+	if err := s.ports.Objects.Put(ctx, configuration.BodyKey(next.Generation, id), body); err != nil {
+		return err
+	}
+	result, err := s.commit(ctx, commit)
+	if err != nil || result.Applied {
+		return err
+	}
+	return s.lostPublish(ctx, next, id)
+}
+
+// lostPublish finds out which generation came before a publish that did not
+// take effect.
+func (s *Service) lostPublish(ctx context.Context, next core.Configuration, id core.AttemptID) error {
+	rows, err := s.read(ctx, configuration.Head, configuration.GenerationRow(next.Generation))
+	if err != nil {
+		return err
+	}
+	outcome, err := configuration.ResolvePublish(rows[0], rows[1], next, id)
+	if err == nil && outcome != configuration.PublishApplied {
+		return errkind.New(errkind.GenerationConflict, "the configuration changed while this one was published")
+	}
+	return err
+}
+
+// pollConfiguration reads the head of the configuration chain and fetches a
+// newer configuration. News from peers usually come first.
+func (s *Service) pollConfiguration() {
+	s.onLane(s.lanes.table, func(ctx context.Context) {
+		rows, err := s.read(ctx, configuration.Head)
+		if err != nil {
+			return
+		}
+		record, ok := rows[0].Record.(core.ConfigRecord)
+		if !ok || !configuration.Newer(s.configuration.InForce().Generation, record.Generation) {
+			return
+		}
+		body, err := s.ports.Objects.Get(ctx, record.Body)
+		if err != nil {
+			return
+		}
+		if offered, err := s.ports.Bodies.DecodeConfiguration(body); err == nil {
+			s.applyConfiguration(&offered)
+		}
+	})
+}
+
+// fetchConfiguration fetches a newer configuration from a peer, which also
+// works while the platform is out.
+func (s *Service) fetchConfiguration(address string) {
+	s.onLane(s.lanes.peers, func(ctx context.Context) {
+		offered, err := s.ports.Peers.Configuration(ctx, address)
+		if err == nil {
+			s.applyConfiguration(&offered)
+		}
+	})
+}
+
+func (s *Service) applyConfiguration(offered *core.Configuration) {
+	if !s.configuration.Apply(offered) {
+		return
+	}
+	s.members.SetGeneration(offered.Generation)
+	s.metrics.ConfigApplied.Inc(1)
+	s.log.Info().Uint64("generation", uint64(offered.Generation)).Str("operator", offered.Operator).Msg("configuration in force")
+}
+
+// HandleConfiguration gives a peer the configuration in force.
+func (s *Service) HandleConfiguration(context.Context) (core.Configuration, error) {
+	return *s.configuration.InForce(), nil
+}
+
+// Status returns what this process knows of the whole system.
+func (s *Service) Status() core.Status {
+	config := s.configuration.InForce()
+	status := core.Status{Generation: config.Generation, Members: s.members.All()}
+	steps := s.rollouts.State()
+	for i := range config.Deployments {
+		name := config.Deployments[i].Name
+		row := core.DeploymentStatus{Name: name, Version: s.weights.Newest(name)}
+		if owner, ok := s.leases.Owner(leaseName(name)); ok {
+			row.Owner = owner.Holder
+		}
+		if at := slices.IndexFunc(steps, func(state tables.RolloutState) bool { return state.Deployment == name }); at >= 0 {
+			row.Step = steps[at].LastStep
+			row.Queue = steps[at].Running
+		}
+		status.Deployments = append(status.Deployments, row)
+	}
+	status.Warnings = s.warnings(&status)
+	return status
+}
+
+// warnings names in plain words what an operator should look at.
+func (s *Service) warnings(status *core.Status) []string {
+	var warnings []string
+	for _, member := range status.Members {
+		if member.State == core.MemberSuspect {
+			warnings = append(warnings, "entry VM "+string(member.VM)+" does not answer heartbeats")
+		}
+		if member.State == core.MemberAlive && member.Generation < status.Generation {
+			warnings = append(warnings, "entry VM "+string(member.VM)+" runs an older configuration")
+		}
+	}
+	return warnings
+}
--- /dev/null
+++ b/internal/app/dump.go
@@ -0,0 +1,47 @@
+package app
+
+import (
+	"fescuespar/internal/core"
+	"fescuespar/internal/core/routing"
+	"fescuespar/internal/tables"
+	"fescuespar/internal/workers"
+)
+
+// State is the dump of one process's state.
+type State struct {
+	VM         core.VMID                    `json:"vm"`
+	Phase      string                       `json:"phase"`
+	InFlight   int                          `json:"in_flight"`
+	Generation core.Generation              `json:"generation"`
+	Members    []core.Member                `json:"members"`
+	Leases     []tables.LeaseState          `json:"leases"`
+	Servers    []routing.View               `json:"servers"`
+	Rollouts   []tables.RolloutState        `json:"rollouts"`
+	Weights    []core.WeightNews            `json:"weights"`
+	Answers    tables.AnswersState          `json:"answers"`
+	Commits    int                          `json:"commits_waiting"`
+	Pool       workers.PoolState            `json:"pool"`
+	Lanes      map[string]workers.LaneState `json:"lanes"`
+}
+
+// State returns the dump of this process's state, ready for JSON.
+func (s *Service) State() any {
+	phase, inFlight := s.lifecycle.Phase()
+	return State{
+		VM: s.options.Self.VM, Phase: phase.String(), InFlight: inFlight,
+		Generation: s.configuration.InForce().Generation,
+		Members:    s.members.All(),
+		Leases:     s.leases.State(s.ports.Clock.Now()),
+		Servers:    s.servers.Views(),
+		Rollouts:   s.rollouts.State(),
+		Weights:    s.weights.News(),
+		Answers:    s.answers.State(),
+		Commits:    s.claims.Waiting(),
+		Pool:       s.pool.State(),
+		Lanes: map[string]workers.LaneState{
+			"streams": s.lanes.streams.State(), "calls": s.lanes.calls.State(),
+			"control": s.lanes.control.State(), "table": s.lanes.table.State(),
+			"leases": s.lanes.leases.State(), "peers": s.lanes.peers.State(),
+		},
+	}
+}
--- a/internal/ports/porttest/fakes_test.go
+++ b/internal/ports/porttest/fakes_test.go
@@ -49,7 +49,7 @@
 func TestStoredRecordsAreCopies(t *testing.T) {
 	fake := porttest.NewTables()
 	key := core.RowKey{Table: core.TableStep, ID: "x"}
-	groups := []core.GroupID{{Step: 1}}
+	groups := []core.GroupRange{{Step: 1}}
 	write := core.Write{Key: key, Record: core.StepRecord{Groups: groups}}
 	if _, err := fake.Commit(context.Background(), core.Commit{Writes: []core.Write{write}}); err != nil {
 		t.Fatal(err)
--- a/internal/ports/porttest/tablesuite.go
+++ b/internal/ports/porttest/tablesuite.go
@@ -75,9 +75,9 @@
 		Fingerprint: 1<<64 - 1, Owner: "vm-3", Incarnation: 9, State: core.ClaimDone,
 		Response: &core.PlainResponse{Status: 201, Header: map[string]string{"A": "b"}, Body: []byte{0, 255, '"'}},
 	},
-	core.TableStep: core.StepRecord{Version: 4, Groups: []core.GroupID{{Step: 3, Index: 1}, {Step: 4, Index: 0}}, Body: "batch/4"},
+	core.TableStep: core.StepRecord{Version: 4, Oldest: 3, Groups: []core.GroupRange{{Step: 3, From: 1, To: 3}, {Step: 4, From: 0, To: 1}}, Body: "batch/4"},
 	core.TableDelivery: core.DeliveryRecord{
-		LastStep: 4, Closed: 2, Delivered: []core.GroupID{{Step: 2, Index: 5}},
+		LastStep: 4, LastVersion: 9, Closed: 2, Delivered: []core.GroupRange{{Step: 2, From: 5, To: 6}},
 	},
 	core.TableConfig: core.ConfigRecord{Generation: 6, Parent: 5, Operator: "ops", Body: "config/6"},
 	core.TableWeight: core.WeightRecord{Version: 1<<63 + 1},
