--- /dev/null
+++ b/cmd/fescuespar/entry.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rs/zerolog"
+
+	"fescuespar/internal/adapters/settings"
+	"fescuespar/internal/app"
+	"fescuespar/internal/core"
+	"fescuespar/internal/errkind"
+)
+
+// entryCommand runs the service on an entry VM.
+type entryCommand struct {
+	Settings flags.Filename `long:"settings" required:"yes" value-name:"FILE" description:"TOML settings of this entry process"`
+}
+
+func init() {
+	register("entry", "Run the service on an entry VM until SIGTERM. Example: fescuespar entry --settings entry.toml", &entryCommand{})
+}
+
+const (
+	headerTimeout = 10 * time.Second // to read a request's headers
+	idleTimeout   = 2 * time.Minute  // of callers' connections between requests
+	closeTimeout  = 5 * time.Second  // to close connections after the shutdown
+)
+
+// Execute runs until a signal asks for the shutdown.
+func (c *entryCommand) Execute([]string) error {
+	loaded, err := settings.Load(string(c.Settings))
+	if err != nil {
+		return err
+	}
+	log := newLogger(loaded)
+	parts, err := wire(loaded, log)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{
+		Handler: parts.handler, ReadHeaderTimeout: headerTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: int(loaded.Bodies.Header),
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(parts.listener) }()
+	parts.service.Start()
+	log.Info().Str("callers", parts.self.CallAddress).Str("peers", parts.self.PeerAddress).Msg("serving")
+	return c.untilSignal(loaded, parts, server, failed, log)
+}
+
+func (c *entryCommand) untilSignal(loaded *settings.Settings, parts *entryParts, server *http.Server, failed <-chan error, log zerolog.Logger) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	for {
+		select {
+		case err := <-failed:
+			return errkind.Wrap(errkind.Internal, err, "serving callers")
+		case received := <-signals:
+			if received == syscall.SIGUSR1 {
+				dumpState(parts.service, log)
+				continue
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), loaded.Intervals.AddressKeep+drainTimeout)
+			defer cancel()
+			parts.service.Shutdown(ctx)
+			closeCtx, closeCancel := context.WithTimeout(context.Background(), closeTimeout)
+			defer closeCancel()
+			_ = server.Shutdown(closeCtx)
+			parts.peers.Shutdown(closeCtx)
+			return nil
+		}
+	}
+}
+
+// drainTimeout bounds the wait for requests in flight at a shutdown.
+const drainTimeout = 10 * time.Minute
+
+func newLogger(loaded *settings.Settings) zerolog.Logger {
+	level, err := zerolog.ParseLevel(string(loaded.LogLevel))
+	if err != nil {
+		level = zerolog.InfoLevel
+	}
+	return zerolog.New(os.Stdout).Level(level).With().Timestamp().Str("vm", string(loaded.VM)).Logger()
+}
+
+func dumpState(service *app.Service, log zerolog.Logger) {
+	encoded, err := json.Marshal(service.State())
+	if err != nil {
+		log.Error().Err(err).Msg("state dump failed")
+		return
+	}
+	log.Info().RawJSON("state", encoded).Msg("state dump")
+}
+
+// advertised returns the address told to others: the configured one, or the
+// one that the listener is bound to.
+func advertised(configured string, bound net.Addr) string {
+	if configured != "" {
+		return configured
+	}
+	return bound.String()
+}
+
+// newIncarnation numbers this start of the process: later starts have larger
+// numbers as long as the VM's clock does not go back between them.
+func newIncarnation() core.Incarnation {
+	return core.Incarnation(time.Now().UnixMilli())
+}
--- /dev/null
+++ b/cmd/fescuespar/wire.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fescuespar/internal/adapters/auth"
+	"fescuespar/internal/adapters/bodycodec"
+	"fescuespar/internal/adapters/callerhttp"
+	"fescuespar/internal/adapters/enginehttp"
+	"fescuespar/internal/adapters/httpfront"
+	"fescuespar/internal/adapters/keys"
+	"fescuespar/internal/adapters/objecthttp"
+	"fescuespar/internal/adapters/operatorhttp"
+	"fescuespar/internal/adapters/peerquic"
+	"fescuespar/internal/adapters/plainhttp"
+	"fescuespar/internal/adapters/scorerhttp"
+	"fescuespar/internal/adapters/settings"
+	"fescuespar/internal/adapters/tablehttp"
+	"fescuespar/internal/adapters/trainerhttp"
+	"fescuespar/internal/adapters/vmlisthttp"
+	"fescuespar/internal/app"
+	"fescuespar/internal/core"
+)
+
+// platformTimeout bounds one call to the platform; backendTimeout one short
+// call to a backend server's control interface.
+const (
+	platformTimeout = 3 * time.Second
+	backendTimeout  = 3 * time.Second
+)
+
+// entryParts are the parts of a running entry process.
+type entryParts struct {
+	service  *app.Service
+	peers    *peerquic.Node
+	self     core.Member
+	listener net.Listener
+	handler  http.Handler
+}
+
+// systemClock implements ports.Clock.
+type systemClock struct{}
+
+func (systemClock) Now() time.Time { return time.Now() }
+
+// wire connects the adapters to the ports.
+func wire(loaded *settings.Settings, log zerolog.Logger) (*entryParts, error) {
+	identity, err := keys.Load(keys.Files{
+		Authority: loaded.TLS.Authority, Certificate: loaded.TLS.Certificate, Key: loaded.TLS.Key,
+	})
+	if err != nil {
+		return nil, err
+	}
+	node, err := peerquic.Listen(loaded.Listen.Peers, identity)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", loaded.Listen.Callers)
+	if err != nil {
+		return nil, err
+	}
+	self := core.Member{
+		VM: loaded.VM, Incarnation: newIncarnation(), Zone: loaded.Zone, Region: loaded.Region,
+		CallAddress: advertised(loaded.Advertise.Callers, listener.Addr()),
+		PeerAddress: loaded.Advertise.Peers,
+	}
+	if self.PeerAddress == "" {
+		self.PeerAddress = node.Address()
+	}
+	service := app.New(options(loaded, self), outside(loaded, node), log)
+	if err := node.Serve(service); err != nil {
+		return nil, err
+	}
+	handler, err := fronts(loaded, service)
+	if err != nil {
+		return nil, err
+	}
+	return &entryParts{service: service, peers: node, self: self, listener: listener, handler: handler}, nil
+}
+
+func outside(loaded *settings.Settings, node *peerquic.Node) app.Ports {
+	return app.Ports{
+		Tables:  tablehttp.New(loaded.Platform.Table, platformTimeout),
+		Objects: objecthttp.New(loaded.Platform.Objects, platformTimeout),
+		VMs:     vmlisthttp.New(loaded.Platform.VMList, platformTimeout),
+		Engine:  enginehttp.New(backendTimeout),
+		Plain:   plainhttp.New(backendTimeout),
+		Scorer:  scorerhttp.New(backendTimeout),
+		Bodies:  bodycodec.Codec{},
+		Peers:   node,
+		Clock:   systemClock{},
+	}
+}
+
+func options(loaded *settings.Settings, self core.Member) app.Options {
+	return app.Options{
+		Self: self, Seeds: loaded.Seeds, Seed: uint64(self.Incarnation),
+		Workers: loaded.Workers.Count, QueueLength: loaded.Workers.QueueLength,
+		Streams:       lane(loaded.Lanes.Engines),
+		PlainCalls:    lane(loaded.Lanes.Plain),
+		Scoring:       lane(loaded.Lanes.Scorers),
+		Table:         lane(loaded.Lanes.Table),
+		Peers:         lane(loaded.Lanes.Peers),
+		AnswerKeep:    loaded.Intervals.AnswerKeep,
+		AddressKeep:   loaded.Intervals.AddressKeep,
+		VMListEvery:   loaded.Intervals.VMListPoll,
+		StatusEvery:   loaded.Intervals.EngineStatusPoll,
+		ConfigEvery:   loaded.Intervals.ConfigurationPoll,
+		HeartbeatTick: loaded.Intervals.Heartbeat,
+		LeaseTerm:     loaded.Intervals.LeaseTerm,
+		LeaseRenewal:  loaded.Intervals.LeaseRenewal,
+		OrderTimeout:  loaded.Intervals.OrderTimeout,
+	}
+}
+
+func lane(l settings.Lane) app.LaneOptions {
+	return app.LaneOptions{InFlight: l.InFlight, Waiting: l.Waiting}
+}
+
+func fronts(loaded *settings.Settings, service *app.Service) (http.Handler, error) {
+	front := httpfront.New(auth.New(tokens(loaded.Tokens)), loaded.Bodies.Request)
+	callerhttp.Register(front, service)
+	trainerhttp.Register(front, service)
+	operatorhttp.Register(front, service, service.Metrics().Registry)
+	return front.Handler()
+}
+
+func tokens(loaded []settings.Token) []auth.Token {
+	var accepted []auth.Token
+	for _, token := range loaded {
+		accepted = append(accepted, auth.Token{
+			Identity: auth.Identity{Role: auth.Role(token.Role), Name: string(token.Name)},
+			Secret:   string(token.Value),
+		})
+	}
+	return accepted
+}
--- a/internal/app/coordinator.go
+++ b/internal/app/coordinator.go
@@ -41,7 +41,7 @@
 		return
 	}
 	s.orderWeights(deployment, holding)
-	limit := s.options.StreamLimit / 2
+	limit := s.options.Streams.InFlight / 2
 	for _, work := range s.rollouts.Plan(deployment.Name, holding.Fence, planPolicy(deployment.Rollout), limit) {
 		s.startSample(deployment, holding.Fence, work)
 	}
--- a/internal/app/dump.go
+++ b/internal/app/dump.go
@@ -40,6 +40,7 @@
 		Pool:       s.pool.State(),
 		Lanes: map[string]workers.LaneState{
 			"streams": s.lanes.streams.State(), "calls": s.lanes.calls.State(),
+			"scoring": s.lanes.scoring.State(),
 			"control": s.lanes.control.State(), "table": s.lanes.table.State(),
 			"leases": s.lanes.leases.State(), "peers": s.lanes.peers.State(),
 		},
--- a/internal/app/leases.go
+++ b/internal/app/leases.go
@@ -15,6 +15,24 @@
 // reads at the table service do not grow with the number of processes.
 const leaseCandidates = 3
 
+// leaseTicksPerRenewal is how often in a renewal interval leases are looked at.
+const leaseTicksPerRenewal = 8
+
+// leaseMarginFraction is the part of the term kept as margin for clocks that
+// run at different rates.
+const leaseMarginFraction = 10
+
+func leaseSelf(self core.Member) lease.Self {
+	return lease.Self{VM: self.VM, Incarnation: self.Incarnation, Address: self.PeerAddress}
+}
+
+func leaseTiming(options Options) lease.Timing {
+	return lease.Timing{
+		Term: options.LeaseTerm, RenewEvery: options.LeaseRenewal,
+		Margin: options.LeaseTerm / leaseMarginFraction, LongestOrder: options.OrderTimeout,
+	}
+}
+
 // leaseName returns the name of the lease on coordinating a deployment.
 func leaseName(deployment core.DeploymentName) string { return "deployment/" + string(deployment) }
 
--- a/internal/app/scoring.go
+++ b/internal/app/scoring.go
@@ -30,7 +30,7 @@
 		s.scoreAgain(deployment, fence, sample, number)
 		return
 	}
-	err = s.lanes.calls.Go(func(ctx context.Context) {
+	err = s.lanes.scoring.Go(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, deployment.Limits.RequestTimeout)
 		defer cancel()
 		score, err := s.ports.Scorer.Score(ctx, server, sample)
--- a/internal/app/service.go
+++ b/internal/app/service.go
@@ -28,32 +28,45 @@
 	Clock   ports.Clock
 }
 
+// LaneOptions bounds the calls to one kind of outside thing.
+type LaneOptions struct {
+	InFlight int
+	Waiting  int
+}
+
 // Options are the settings of one entry process.
 type Options struct {
-	Self          core.Member
-	Seeds         []string // peer addresses known from settings
-	Workers       int      // workers of the pool
-	QueueLength   int      // steps waiting in each class
-	StreamLimit   int      // streams to engines in flight
-	CallLimit     int      // calls to plain services and scorers in flight
-	TableLimit    int      // calls to the platform in flight
-	AnswerLimit   int      // answers in progress or kept
-	AnswerKeep    time.Duration
+	Self        core.Member
+	Seeds       []string // peer addresses known from settings
+	Seed        uint64   // of the random source
+	Workers     int      // workers of the pool
+	QueueLength int      // steps waiting in each class
+
+	Streams    LaneOptions // streams to engines
+	PlainCalls LaneOptions // calls to plain services
+	Scoring    LaneOptions // calls to scoring services
+	Table      LaneOptions // calls to the platform
+	Peers      LaneOptions // messages to other entry processes
+
+	AnswerKeep    time.Duration // how long a finished answer can be asked for again
 	AddressKeep   time.Duration // how long callers may keep the entry addresses
 	VMListEvery   time.Duration
 	StatusEvery   time.Duration
 	ConfigEvery   time.Duration
 	HeartbeatTick time.Duration
-	LeaseTick     time.Duration
 	LeaseTerm     time.Duration
-	DrainTimeout  time.Duration
-	Seed          uint64 // of the random source
+	LeaseRenewal  time.Duration
+	OrderTimeout  time.Duration // longest order to an engine, until its last effect
 }
 
+// answerLimit bounds the answers in progress and kept in one process.
+const answerLimit = 65536
+
 // lanes bound the calls in flight to each kind of outside thing.
 type lanes struct {
 	streams *workers.Lane // engines' streams
-	calls   *workers.Lane // plain services and scorers
+	calls   *workers.Lane // plain services
+	scoring *workers.Lane // scoring services
 	control *workers.Lane // engines' status and orders
 	table   *workers.Lane // table service, object store and VM list
 	leases  *workers.Lane // leases' reads and commits, which must not wait for others
@@ -92,13 +105,16 @@
 	retryBaseDelay = 50 * time.Millisecond
 	retryMaxDelay  = 2 * time.Second
 
-	controlLaneLimit   = 32
-	controlLaneBacklog = 8192
-	peerLaneLimit      = 64
-	leaseLaneLimit     = 16
-	laneBacklogFactor  = 4
+	controlInFlight = 32
+	controlWaiting  = 8192
+	leaseInFlight   = 16
+	leaseWaiting    = 256
 )
 
+func newLane(name string, bounds LaneOptions) *workers.Lane {
+	return workers.NewLane(name, bounds.InFlight, bounds.Waiting)
+}
+
 // New returns a service that is not yet running.
 func New(options Options, outside Ports, log zerolog.Logger) *Service {
 	random := rand.New(rand.NewPCG(options.Seed, uint64(options.Self.Incarnation)))
@@ -112,22 +128,23 @@
 		pool:    pool,
 		timers:  workers.NewTimers(pool),
 		lanes: lanes{
-			streams: workers.NewLane("streams", options.StreamLimit, options.StreamLimit*laneBacklogFactor),
-			calls:   workers.NewLane("calls", options.CallLimit, options.CallLimit*laneBacklogFactor),
-			control: workers.NewLane("control", controlLaneLimit, controlLaneBacklog),
-			table:   workers.NewLane("table", options.TableLimit, options.TableLimit*laneBacklogFactor),
-			leases:  workers.NewLane("leases", leaseLaneLimit, leaseLaneLimit*laneBacklogFactor),
-			peers:   workers.NewLane("peers", peerLaneLimit, peerLaneLimit*laneBacklogFactor),
+			streams: newLane("streams", options.Streams),
+			calls:   newLane("calls", options.PlainCalls),
+			scoring: newLane("scoring", options.Scoring),
+			control: newLane("control", LaneOptions{controlInFlight, controlWaiting}),
+			table:   newLane("table", options.Table),
+			leases:  newLane("leases", LaneOptions{leaseInFlight, leaseWaiting}),
+			peers:   newLane("peers", options.Peers),
 		},
 		lifecycle:     tables.NewLifecycle(),
 		configuration: tables.NewConfiguration(),
 		members:       tables.NewMembers(options.Self, options.Seeds, rand.New(rand.NewPCG(random.Uint64(), 1))),
-		leases:        tables.NewLeases(),
+		leases:        tables.NewLeases(leaseSelf(options.Self), leaseTiming(options)),
 		servers:       tables.NewServers(rand.New(rand.NewPCG(random.Uint64(), 2))),
 		rollouts:      tables.NewRollouts(),
 		weights:       tables.NewWeights(),
 		claims:        tables.NewCommits(),
-		answers:       tables.NewAnswers(options.AnswerLimit),
+		answers:       tables.NewAnswers(answerLimit),
 		random:        tables.NewRandom(random),
 	}
 }
@@ -141,7 +158,7 @@
 	s.every(s.options.StatusEvery, s.pollStatus)
 	s.every(s.options.ConfigEvery, s.pollConfiguration)
 	s.every(s.options.HeartbeatTick, s.heartbeat)
-	s.every(s.options.LeaseTick, s.tendLeases)
+	s.every(s.options.LeaseRenewal/leaseTicksPerRenewal, s.tendLeases)
 	s.every(s.options.AnswerKeep/4, s.expireAnswers)
 }
 
--- a/internal/app/shutdown.go
+++ b/internal/app/shutdown.go
@@ -51,6 +51,7 @@
 func (s *Service) stopWork() {
 	s.lanes.streams.Stop()
 	s.lanes.calls.Stop()
+	s.lanes.scoring.Stop()
 	s.lanes.control.Stop()
 	s.lanes.table.Stop()
 	s.lanes.leases.Stop()
