Add the engine stand-in, its adapter, contract suite and fake

Cause: the application needs a port to model engines, and tests need engines that fail on order.

Ruled out: a separate set of message types in the stand-in, which would state the protocol twice; timed tests of swaps in mid-stream, which would depend on the machine's speed (a fault order holds a stream at a token instead); an allowance for all of internal/ports in the layout test, which would let the interfaces themselves import locks.

Change: enginehttp implements ports.Engine; serverhttp holds what the adapters for backend servers share; standin/engine serves the same protocol; ports/backendtest has the contract suite and an in-memory fake that passes it. Locks of fakes and stand-ins have the lowest rank, so that a call to a port under any lock panics in test builds. core.PrefixHashes fixes the meaning of CacheEvent.PrefixHash. The layout test gets a rule for each folder of fakes, and refuses product code that imports one.

--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -21,7 +21,8 @@
 	"strings": true, "time": true, "unicode": true, "unicode/utf8": true,
 }
 
-// rule says which of the module's packages a folder may import.
+// rule says which of the module's packages a folder may import. A folder below
+// it with a rule of its own keeps to that one.
 type rule struct {
 	folder  string
 	allowed []string
@@ -30,6 +31,10 @@
 var rules = []rule{
 	{"internal/core", []string{"internal/core", "internal/errkind"}},
 	{"internal/ports", []string{"internal/core"}},
+	{"internal/ports/backendtest", []string{"internal/core", "internal/errkind", "internal/lockrank",
+		"internal/ports"}},
+	{"internal/ports/porttest", []string{"internal/core", "internal/errkind", "internal/lockrank",
+		"internal/ports"}},
 	{"internal/errkind", nil},
 	{"internal/lockrank", nil},
 	{"internal/workers", []string{"internal/core", "internal/errkind", "internal/lockrank"}},
@@ -79,9 +84,23 @@
 	return false
 }
 
+// governs reports whether no rule for a folder below r's holds for the file.
+func governs(r rule, path string) bool {
+	for _, other := range rules {
+		nested := strings.HasPrefix(other.folder, r.folder+"/")
+		if nested && strings.Contains(filepath.ToSlash(path), "/"+other.folder+"/") {
+			return false
+		}
+	}
+	return true
+}
+
 func violations(files []goFile, r rule) []string {
 	var found []string
 	for _, file := range files {
+		if !governs(r, file.path) {
+			continue
+		}
 		for _, name := range file.imports {
 			if strings.HasPrefix(name, module) && !allowedBy(r, name) {
 				found = append(found, file.path+" imports "+name)
@@ -102,11 +121,17 @@
 	}
 }
 
+// testOnly reports whether a path is of the fakes and contract suites.
+func testOnly(path string) bool {
+	return strings.Contains(path, "internal/ports/porttest") || strings.Contains(path, "internal/ports/backendtest")
+}
+
 func TestProductStartsNoProcessAndNeedsNoStandin(t *testing.T) {
 	for _, folder := range []string{"internal", "cmd/fescuespar"} {
 		for _, file := range readFiles(t, "../..", folder) {
 			for _, name := range file.imports {
-				if name == "os/exec" || strings.HasPrefix(name, module+"standin") {
+				fake := testOnly(name) && !testOnly(file.path)
+				if name == "os/exec" || strings.HasPrefix(name, module+"standin") || fake {
 					t.Errorf("%s imports %s", file.path, name)
 				}
 			}
--- /dev/null
+++ b/standin/engine/orders.go
@@ -0,0 +1,127 @@
+package engine
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"fescuespar/internal/adapters/enginehttp"
+	"fescuespar/internal/adapters/serverhttp"
+	"fescuespar/internal/core"
+)
+
+// refusal is a negative answer to a request.
+type refusal struct {
+	status  int
+	kind    serverhttp.Refusal
+	message string
+}
+
+func notRun(message string) *refusal {
+	return &refusal{http.StatusServiceUnavailable, serverhttp.RefusalNotRun, message}
+}
+
+func badRequest(message string) *refusal {
+	return &refusal{http.StatusBadRequest, serverhttp.RefusalBadRequest, message}
+}
+
+// takeOrder obeys or refuses an order, and says whether the reply is dropped.
+func (e *Engine) takeOrder(order enginehttp.OrderBody) (refused *refusal, drop bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case e.faults.Refuse || e.dead:
+		return notRun("engine refuses orders"), false
+	case e.options.Fencing == FencingChecks && order.Fence < e.fence:
+		return &refusal{http.StatusConflict, serverhttp.RefusalFenced, "order carries an old fencing number"}, false
+	}
+	if refused := e.obey(order); refused != nil {
+		return refused, false
+	}
+	e.fence = max(e.fence, order.Fence)
+	e.counts.Orders++
+	drop = e.faults.DropOrderReply
+	e.faults.DropOrderReply = false
+	return nil, drop
+}
+
+// obey begins what an order asks. The caller holds the lock.
+func (e *Engine) obey(order enginehttp.OrderBody) *refusal {
+	switch order.Kind {
+	case core.OrderLoadVersion:
+		target := load{model: e.model, adapter: e.adapter, version: order.Version}
+		e.begin(target)
+	case core.OrderLoadModel:
+		target := load{
+			model: core.ModelName(order.Model), adapter: core.AdapterName(order.Adapter), version: order.Version,
+		}
+		e.begin(target)
+	case core.OrderSetRole:
+		e.role = order.Role
+	default:
+		return badRequest("unknown kind of order")
+	}
+	return nil
+}
+
+// load is what the engine runs once the load has taken effect.
+type load struct {
+	model   core.ModelName
+	adapter core.AdapterName
+	version core.WeightVersion
+}
+
+// begin starts a load in place of an earlier one. The caller holds the lock.
+func (e *Engine) begin(target load) {
+	e.loads++
+	e.loading = target.version
+	number := e.loads
+	e.done.Add(1)
+	go func() {
+		defer e.done.Done()
+		e.finish(number, target, e.prepare(target.version))
+	}()
+}
+
+// prepare fetches the weights and waits for the time that loading takes.
+func (e *Engine) prepare(version core.WeightVersion) error {
+	ctx, cancel := context.WithCancel(e.ctx)
+	defer cancel()
+	if e.options.Fetch != nil {
+		if err := e.options.Fetch(ctx, version); err != nil {
+			return err
+		}
+	}
+	return sleep(ctx, e.options.LoadTime)
+}
+
+// finish makes a load take effect unless it failed or was replaced.
+func (e *Engine) finish(number uint64, target load, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if number != e.loads {
+		return
+	}
+	e.loading = 0
+	if err == nil && !e.faults.FailNextSwap {
+		e.model, e.adapter, e.version = target.model, target.adapter, target.version
+		e.counts.Swaps++
+	}
+	e.faults.FailNextSwap = false
+	e.notify()
+}
+
+// sleep waits for a duration or the end of the context.
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/standin/engine/weights.go
@@ -0,0 +1,34 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"fescuespar/internal/core"
+)
+
+// FetchFrom returns a function for Options.Fetch that gets the weights of a
+// deployment from the weight store at a base URL.
+func FetchFrom(base string, deployment core.DeploymentName) func(context.Context, core.WeightVersion) error {
+	return func(ctx context.Context, version core.WeightVersion) error {
+		target := base + "/weights/" + url.PathEscape(string(deployment)) + "/" + strconv.FormatUint(uint64(version), 10)
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+		if err != nil {
+			return err
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			return err
+		}
+		defer response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			return fmt.Errorf("weight store answered %s", response.Status)
+		}
+		_, err = io.Copy(io.Discard, response.Body)
+		return err
+	}
+}
