Add the operators' subcommands

Cause: operators could not check, publish or look at a running service.

Ruled out: a publish that trusts a lost reply either way. Left as an error it makes the operator publish twice and meet a conflict with himself; taken for success it hides a refusal. Also ruled out: one exit code for all errors, with which a script cannot tell a refusal from a service that does not answer.

Conclusion: complete against a fake of the interface; not yet run against the service itself.

--- a/cmd/fescuespar/main.go
+++ b/cmd/fescuespar/main.go
@@ -2,7 +2,6 @@
 package main
 
 import (
-	"errors"
 	"os"
 
 	"github.com/jessevdk/go-flags"
@@ -24,15 +23,18 @@
 func main() {
 	parser := flags.NewParser(&struct{}{}, flags.Default)
 	for _, c := range registered {
-		if _, err := parser.AddCommand(c.name, c.short, c.short, c.data); err != nil {
+		if _, err := parser.AddCommand(c.name, c.short, longDescription(c), c.data); err != nil {
 			panic(err)
 		}
 	}
-	if _, err := parser.Parse(); err != nil {
-		var flagsErr *flags.Error
-		if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
-			return
-		}
-		os.Exit(1)
+	_, err := parser.Parse()
+	os.Exit(exitCode(err))
+}
+
+// longDescription returns a command's help text, or its short description.
+func longDescription(c command) string {
+	if described, ok := c.data.(interface{ LongDescription() string }); ok {
+		return described.LongDescription()
 	}
+	return c.short
 }
--- /dev/null
+++ b/cmd/fescuespar/status.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"fescuespar/internal/adapters/configjson"
+	"fescuespar/internal/adapters/operatorclient"
+)
+
+func init() {
+	register("status", "Show processes, deployments and warnings", &statusCommand{})
+}
+
+// statusCommand shows the service's status.
+type statusCommand struct {
+	outputOption
+	serviceOptions
+}
+
+// memberOutput is an entry process in JSON output.
+type memberOutput configjson.MemberStatus
+
+// LongDescription returns the command's help.
+func (*statusCommand) LongDescription() string {
+	return `Shows the generation in force, each entry process with its state, each deployment with its weight version, step, queue and owner, and warnings.
+
+Example: fescuespar status --address 192.0.2.7:8080 --token-file operator.token` + exitCodesHelp
+}
+
+// Execute runs the command.
+func (c *statusCommand) Execute([]string) error {
+	status, err := fetch(c.serviceOptions, (*operatorclient.Client).Status)
+	if err != nil {
+		return err
+	}
+	return c.print(status, func(w io.Writer) { writeStatus(w, status) })
+}
+
+func writeStatus(w io.Writer, status configjson.Status) {
+	const minWidth, tabWidth, padding = 0, 0, 2
+	fmt.Fprintf(w, "generation %d in force\n\n", status.Generation)
+	t := tabwriter.NewWriter(w, minWidth, tabWidth, padding, ' ', 0)
+	fmt.Fprintln(t, "VM\tSTATE\tGENERATION\tADDRESS")
+	for _, m := range status.Members {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%s\n", m.VM, m.State, m.Generation, m.Address)
+	}
+	fmt.Fprintln(t, "\nDEPLOYMENT\tVERSION\tSTEP\tQUEUE\tOWNER")
+	for _, d := range status.Deployments {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%s\n", d.Name, d.Version, d.Step, d.Queue, d.Owner)
+	}
+	t.Flush()
+	for _, warning := range status.Warnings {
+		fmt.Fprintln(w, "\nwarning:", warning)
+	}
+}
--- /dev/null
+++ b/internal/adapters/operatorclient/client.go
@@ -0,0 +1,145 @@
+// Package operatorclient is the operators' side of the service's HTTP interface.
+package operatorclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+
+	"fescuespar/internal/adapters/configjson"
+	"fescuespar/internal/core"
+	"fescuespar/internal/errkind"
+)
+
+const maxAnswerBytes = 64 << 20
+
+// Client talks to one entry process. Its methods return PeerUnreachable when
+// the process cannot be reached, and otherwise the kind that it answered with.
+type Client struct {
+	base  string
+	token string
+	http  *http.Client
+}
+
+// New returns a client of the entry process at an address, host:port or a URL,
+// that authenticates with the token.
+func New(address, token string, client *http.Client) *Client {
+	if !strings.Contains(address, "://") {
+		address = "http://" + address
+	}
+	return &Client{strings.TrimSuffix(address, "/"), token, client}
+}
+
+// Configuration returns the configuration in force.
+func (c *Client) Configuration(ctx context.Context) (core.Configuration, error) {
+	body, err := c.call(ctx, http.MethodGet, "/v1/configuration", nil)
+	if err != nil {
+		return core.Configuration{}, err
+	}
+	return configjson.DecodeConfiguration(body)
+}
+
+// Publish publishes a configuration and returns its generation. Errors besides
+// the usual: GenerationConflict, and OutcomeUnknown when the reply was lost.
+func (c *Client) Publish(ctx context.Context, request configjson.PublishRequest) (core.Generation, error) {
+	body, err := configjson.EncodePublish(request)
+	if err != nil {
+		return 0, err
+	}
+	var published configjson.Published
+	err = c.decode(ctx, http.MethodPost, "/v1/configuration", body, &published)
+	return core.Generation(published.Generation), err
+}
+
+// Status returns the service's status as the process sees it.
+func (c *Client) Status(ctx context.Context) (configjson.Status, error) {
+	var status configjson.Status
+	err := c.decode(ctx, http.MethodGet, "/v1/status", nil, &status)
+	return status, err
+}
+
+// Addresses returns the addresses that callers should use.
+func (c *Client) Addresses(ctx context.Context) (configjson.Addresses, error) {
+	var addresses configjson.Addresses
+	err := c.decode(ctx, http.MethodGet, "/v1/addresses", nil, &addresses)
+	return addresses, err
+}
+
+// Dump returns the process's state as JSON.
+func (c *Client) Dump(ctx context.Context) ([]byte, error) {
+	return c.call(ctx, http.MethodGet, "/debug/state", nil)
+}
+
+func (c *Client) decode(ctx context.Context, method, path string, body []byte, into any) error {
+	answer, err := c.call(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(answer, into); err != nil {
+		return errkind.Wrap(lostAnswer(method), err, "%s %s: decode the answer", method, path)
+	}
+	return nil
+}
+
+// call sends one request and returns the body of a successful answer.
+func (c *Client) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errkind.Wrap(errkind.BadRequest, err, "address %q", c.base)
+	}
+	request.Header.Set("Authorization", "Bearer "+c.token)
+	if body != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, errkind.Wrap(transportKind(method, err), err, "reach the service")
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err != nil || len(answer) > maxAnswerBytes {
+		return nil, errkind.New(lostAnswer(method), "%s %s: the answer was cut off or is too large", method, path)
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, refusal(method, response.StatusCode, answer)
+	}
+	return answer, nil
+}
+
+// transportKind returns the kind of an error without an answer: a connection
+// that was never made cannot have changed anything.
+func transportKind(method string, err error) errkind.Kind {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return errkind.PeerUnreachable
+	}
+	return lostAnswer(method)
+}
+
+// lostAnswer returns the kind for a request that was sent but whose answer
+// cannot be read.
+func lostAnswer(method string) errkind.Kind {
+	if method == http.MethodGet {
+		return errkind.PeerUnreachable
+	}
+	return errkind.OutcomeUnknown
+}
+
+// refusal returns the error of an answer with an error status.
+func refusal(method string, status int, body []byte) error {
+	var answer configjson.ErrorAnswer
+	kind := lostAnswer(method)
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return errkind.New(kind, "status %d without an error that can be read", status)
+	}
+	if named := errkind.Kind(answer.Error.Kind); slices.Contains(errkind.Kinds(), named) {
+		kind = named
+	}
+	return errkind.New(kind, "%s (request %s)", answer.Error.Message, answer.RequestID)
+}
