--- a/internal/adapters/deploymenttoml/collect_test.go
+++ b/internal/adapters/deploymenttoml/collect_test.go
@@ -184,3 +184,24 @@
 		configuration.Validate([]core.Deployment{d})
 	})
 }
+
+func TestFilesOfThePageAreValid(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/operators-files.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	blocks := strings.Split(string(page), "```toml\n")[1:]
+	for _, block := range blocks {
+		body, _, _ := strings.Cut(block, "```")
+		d, file := ReadFile("operators-files.md", []byte(body))
+		if problems := file.Problems(); len(problems) > 0 {
+			t.Error(stricttoml.Join(problems))
+		}
+		for _, p := range configuration.Validate([]core.Deployment{d}) {
+			t.Error(p)
+		}
+	}
+	if len(blocks) == 0 {
+		t.Error("the page shows no file")
+	}
+}
--- a/internal/adapters/settings/settings_test.go
+++ b/internal/adapters/settings/settings_test.go
@@ -3,6 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"os"
+	"reflect"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
@@ -125,3 +128,28 @@
 		}
 	})
 }
+
+// The example shows each optional key in a comment, with its default.
+func TestExampleShowsTheDefaults(t *testing.T) {
+	body, err := os.ReadFile("../../../examples/entry/settings.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	readable := func(path string) ([]byte, error) { return []byte("token-of-" + path), nil }
+	asGiven, problems := Read("settings.toml", body, readable)
+	if len(problems) > 0 {
+		t.Fatal(stricttoml.Join(problems))
+	}
+	commented := regexp.MustCompile(`(?m)^# (\[[a-z_]+\]|[a-z_]+ *=)`)
+	uncommented, problems := Read("settings.toml", commented.ReplaceAll(body, []byte("$1")), readable)
+	if len(problems) > 0 {
+		t.Fatal(stricttoml.Join(problems))
+	}
+	if asGiven.Advertise != (Endpoints{}) || uncommented.Advertise == (Endpoints{}) {
+		t.Errorf("advertise is %v, and %v without comment signs", asGiven.Advertise, uncommented.Advertise)
+	}
+	uncommented.Advertise = Endpoints{}
+	if !reflect.DeepEqual(asGiven, uncommented) {
+		t.Errorf("the example shows %+v, the defaults are %+v", uncommented, asGiven)
+	}
+}
