Let trainers and operators ask for the entry addresses

Cause: a trainer finds its entry VM as a caller does, and the addresses subcommand runs with an operator's token. Change: routes name the roles that may use them; examples for the demo. Conclusion: one check of roles serves all fronts.

--- a/internal/adapters/auth/auth.go
+++ b/internal/adapters/auth/auth.go
@@ -4,6 +4,7 @@
 import (
 	"crypto/sha256"
 	"crypto/subtle"
+	"slices"
 	"strings"
 
 	"fescuespar/internal/errkind"
@@ -72,14 +73,15 @@
 	return t.entries[found].identity, nil
 }
 
-// Require returns the identity if it has the role. Errors: Unauthenticated, Forbidden.
-func (t *Tokens) Require(header string, role Role) (Identity, error) {
+// Require returns the identity if it has one of the roles. Errors:
+// Unauthenticated, Forbidden.
+func (t *Tokens) Require(header string, roles ...Role) (Identity, error) {
 	identity, err := t.Identify(header)
 	if err != nil {
 		return Identity{}, err
 	}
-	if identity.Role != role {
-		return Identity{}, errkind.New(errkind.Forbidden, "this call needs a token of role %s", role)
+	if !slices.Contains(roles, identity.Role) {
+		return Identity{}, errkind.New(errkind.Forbidden, "this call needs a token of role %v", roles)
 	}
 	return identity, nil
 }
--- a/internal/adapters/callerhttp/callerhttp.go
+++ b/internal/adapters/callerhttp/callerhttp.go
@@ -22,12 +22,12 @@
 // Register adds the callers' routes to a front.
 func Register(front *httpfront.Front, callers ports.Callers) {
 	h := &handlers{callers: callers}
-	forCaller := func(handle httpfront.HandlerFunc) iris.Handler { return front.For(auth.RoleCaller, handle) }
+	forCaller := func(handle httpfront.HandlerFunc) iris.Handler { return front.For(handle, auth.RoleCaller) }
 	front.App.Post("/v1/completions", forCaller(h.completions))
 	front.App.Post("/v1/chat/completions", forCaller(h.chatCompletions))
 	front.App.Get("/v1/requests/{id}", forCaller(h.request))
 	front.App.Any("/v1/services/{deployment}/{path:path}", forCaller(h.service))
-	front.App.Get("/v1/addresses", forCaller(h.addresses))
+	front.App.Get("/v1/addresses", front.For(h.addresses, auth.RoleCaller, auth.RoleTrainer, auth.RoleOperator))
 }
 
 // requestIDLimit bounds the length of a request id in bytes.
--- a/internal/adapters/httpfront/httpfront.go
+++ b/internal/adapters/httpfront/httpfront.go
@@ -48,11 +48,11 @@
 // HandlerFunc handles a request of an authenticated sender.
 type HandlerFunc func(ctx iris.Context, sender auth.Identity) error
 
-// For wraps a handler: it checks the sender's role, bounds the body and writes
-// the error that the handler returns.
-func (f *Front) For(role auth.Role, handle HandlerFunc) iris.Handler {
+// For wraps a handler: it checks that the sender has one of the roles, bounds
+// the body and writes the error that the handler returns.
+func (f *Front) For(handle HandlerFunc, roles ...auth.Role) iris.Handler {
 	return func(ctx iris.Context) {
-		sender, err := f.Tokens.Require(ctx.GetHeader("Authorization"), role)
+		sender, err := f.Tokens.Require(ctx.GetHeader("Authorization"), roles...)
 		if err != nil {
 			WriteError(ctx, err)
 			return
--- a/internal/adapters/operatorhttp/operatorhttp.go
+++ b/internal/adapters/operatorhttp/operatorhttp.go
@@ -25,7 +25,7 @@
 // Register adds the operators' routes to a front.
 func Register(front *httpfront.Front, operators ports.Operators, registry gometrics.Registry) {
 	h := &handlers{operators: operators, registry: registry}
-	forOperator := func(handle httpfront.HandlerFunc) iris.Handler { return front.For(auth.RoleOperator, handle) }
+	forOperator := func(handle httpfront.HandlerFunc) iris.Handler { return front.For(handle, auth.RoleOperator) }
 	front.App.Get("/v1/configuration", forOperator(h.configuration))
 	front.App.Post("/v1/configuration", forOperator(h.publish))
 	front.App.Get("/v1/status", forOperator(h.status))
--- a/internal/adapters/trainerhttp/trainerhttp.go
+++ b/internal/adapters/trainerhttp/trainerhttp.go
@@ -22,8 +22,8 @@
 // Register adds the trainers' routes to a front.
 func Register(front *httpfront.Front, trainers ports.Trainers) {
 	h := &handlers{trainers: trainers}
-	front.App.Post("/v1/trainers/{deployment}/weights", front.For(auth.RoleTrainer, h.weights))
-	front.App.Post("/v1/trainers/{deployment}/batch", front.For(auth.RoleTrainer, h.batch))
+	front.App.Post("/v1/trainers/{deployment}/weights", front.For(h.weights, auth.RoleTrainer))
+	front.App.Post("/v1/trainers/{deployment}/batch", front.For(h.batch, auth.RoleTrainer))
 }
 
 type weightsBody struct {
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -20,9 +20,9 @@
 
 // Tokens that a site's entry processes accept.
 const (
-	OperatorToken = "operator-token"
-	CallerToken   = "caller-token"
-	TrainerToken  = "trainer-token"
+	OperatorToken = "operator-token-0001"
+	CallerToken   = "caller-token-0001"
+	TrainerToken  = "trainer-token-0001"
 )
 
 // Names that the tokens stand for.
