Add the adapters of tables, objects and VM list

Cause: the service reaches the platform through ports; each needs an adapter that tells truly whether a failed call may have had an effect.

Records are CBOR. Ids and object keys that are not UTF-8 are refused by adapters and fakes alike, as two such ids could meet in one row. The fakes return a claim's time in UTC without its monotonic reading, as a store does.

Tests: the suites' delayed calls were ended by a 300 ms timeout, which a busy machine could reach before the call had arrived. They now wait until the effect is held (AwaitHeld, also a control call of the stand-in) and cancel then; kinds and effects asked for are the same. platformtest starts a stand-in for a test.

--- /dev/null
+++ b/internal/adapters/tablehttp/records.go
@@ -0,0 +1,79 @@
+package tablehttp
+
+import (
+	"unicode/utf8"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/errkind"
+)
+
+// codec encodes the records of one table.
+type codec struct {
+	encode func(core.Record) ([]byte, error)
+	decode func([]byte) (core.Record, error)
+}
+
+var codecs = map[core.TableName]codec{
+	core.TableLease:    codecFor[core.LeaseRecord](),
+	core.TableFence:    codecFor[core.FenceRecord](),
+	core.TableClaim:    codecFor[core.ClaimRecord](),
+	core.TableStep:     codecFor[core.StepRecord](),
+	core.TableDelivery: codecFor[core.DeliveryRecord](),
+	core.TableConfig:   codecFor[core.ConfigRecord](),
+	core.TableWeight:   codecFor[core.WeightRecord](),
+}
+
+// Header values of answers may hold any bytes, so text is not checked for
+// UTF-8. Unknown fields are ignored: a newer process may have written them.
+// Times are kept to the nanosecond, in UTC.
+var (
+	encMode = must(cbor.EncOptions{Time: cbor.TimeRFC3339NanoUTC}.EncMode())
+	decMode = must(cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode())
+)
+
+func must[M any](mode M, err error) M {
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func codecFor[R core.Record]() codec {
+	return codec{encode: encodeAs[R], decode: decodeAs[R]}
+}
+
+func encodeAs[R core.Record](record core.Record) ([]byte, error) {
+	typed, ok := record.(R)
+	if !ok {
+		return nil, errkind.New(errkind.BadRequest, "a row of this table does not hold %T", record)
+	}
+	value, err := encMode.Marshal(typed)
+	return value, errkind.Wrap(errkind.BadRequest, err, "encode %T", record)
+}
+
+func decodeAs[R core.Record](value []byte) (core.Record, error) {
+	var record R
+	if err := decMode.Unmarshal(value, &record); err != nil {
+		return nil, errkind.Wrap(errkind.Internal, err, "decode %T", record)
+	}
+	return record, nil
+}
+
+// codecOf returns the table's codec. Errors: BadRequest.
+func codecOf(table core.TableName) (codec, error) {
+	c, known := codecs[table]
+	if !known {
+		return codec{}, errkind.New(errkind.BadRequest, "unknown table %q", table)
+	}
+	return c, nil
+}
+
+// checkText refuses text that JSON cannot carry unchanged.
+func checkText(text string) error {
+	if !utf8.ValidString(text) {
+		return errkind.New(errkind.BadRequest, "%q is not UTF-8", text)
+	}
+	return nil
+}
--- a/internal/ports/porttest/faults/holder.go
+++ b/internal/ports/porttest/faults/holder.go
@@ -1,6 +1,7 @@
 package faults
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"time"
@@ -16,14 +17,20 @@
 	after After
 
 	// mu guards the fields below.
-	mu   lockrank.Mutex
-	next uint64
-	held map[uint64]func()
+	mu    lockrank.Mutex
+	next  uint64
+	held  map[uint64]func()
+	added chan struct{} // closed and replaced when an effect is added
 }
 
 // NewHolder returns an empty holder that uses after for effects with a delay.
 func NewHolder(after After) *Holder {
-	return &Holder{after: after, mu: lockrank.New(rankFaults), held: make(map[uint64]func())}
+	return &Holder{
+		after: after,
+		mu:    lockrank.New(rankFaults),
+		held:  make(map[uint64]func()),
+		added: make(chan struct{}),
+	}
 }
 
 // Hold keeps an effect. It runs after the delay, or at Release, whichever
@@ -33,6 +40,8 @@
 	h.next++
 	id := h.next
 	h.held[id] = effect
+	close(h.added)
+	h.added = make(chan struct{})
 	h.mu.Unlock()
 	if delay > 0 {
 		h.after(delay, func() { h.run(id) })
@@ -64,7 +73,28 @@
 
 // Count returns the number of held effects.
 func (h *Holder) Count() int {
+	count, _ := h.state()
+	return count
+}
+
+// Await waits until at least count effects are held. It returns the context's
+// error when that ends first.
+func (h *Holder) Await(ctx context.Context, count int) error {
+	for {
+		held, added := h.state()
+		if held >= count {
+			return nil
+		}
+		select {
+		case <-added:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (h *Holder) state() (held int, added <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return len(h.held)
+	return len(h.held), h.added
 }
--- a/internal/ports/porttest/objects.go
+++ b/internal/ports/porttest/objects.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"unicode/utf8"
 
 	"fescuespar/internal/core"
 	"fescuespar/internal/errkind"
@@ -29,6 +30,9 @@
 
 // Put implements ports.ObjectStore.
 func (o *Objects) Put(ctx context.Context, key core.ObjectKey, body []byte) error {
+	if err := checkKey(key); err != nil {
+		return err
+	}
 	body = bytes.Clone(body)
 	var same bool
 	effect := func() { same = o.stored.Put(key, body) }
@@ -43,6 +47,9 @@
 
 // Get implements ports.ObjectStore.
 func (o *Objects) Get(ctx context.Context, key core.ObjectKey) ([]byte, error) {
+	if err := checkKey(key); err != nil {
+		return nil, err
+	}
 	var body []byte
 	var found bool
 	effect := func() { body, found = o.stored.Get(key) }
@@ -57,11 +64,17 @@
 
 // Delete implements ports.ObjectStore.
 func (o *Objects) Delete(ctx context.Context, key core.ObjectKey) error {
+	if err := checkKey(key); err != nil {
+		return err
+	}
 	return o.perform(ctx, faults.ObjectWrite, func() { o.stored.Delete(key) })
 }
 
 // List implements ports.ObjectStore.
 func (o *Objects) List(ctx context.Context, prefix, after core.ObjectKey, limit int) ([]core.ObjectKey, error) {
+	if err := checkKey(prefix + after); err != nil {
+		return nil, err
+	}
 	var keys []core.ObjectKey
 	effect := func() { keys = o.stored.List(prefix, after, limit) }
 	if err := o.perform(ctx, faults.ObjectRead, effect); err != nil {
@@ -69,3 +82,10 @@
 	}
 	return keys, nil
 }
+
+func checkKey(key core.ObjectKey) error {
+	if !utf8.ValidString(string(key)) {
+		return errkind.New(errkind.BadRequest, "object key %q is not UTF-8", key)
+	}
+	return nil
+}
--- a/internal/ports/porttest/objectsuite.go
+++ b/internal/ports/porttest/objectsuite.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"reflect"
 	"testing"
 
@@ -67,25 +68,34 @@
 }
 
 func faultyPut(t *testing.T, h ObjectHarness, c faultCase) {
-	h.Control.Inject(c.order())
-	c.checkKind(t, "Put", h.Store.Put(faultContext(t), "key", []byte("body")))
+	err := c.call(t, h.Control, func(ctx context.Context) error {
+		return h.Store.Put(ctx, "key", []byte("body"))
+	})
+	c.checkKind(t, "Put", err)
 	c.checkEffect(t, h.Control, func() bool { return hasObject(t, h, "key") })
 }
 
 func faultyDelete(t *testing.T, h ObjectHarness, c faultCase) {
 	mustPut(t, h, "key", []byte("body"))
-	h.Control.Inject(c.order())
-	c.checkKind(t, "Delete", h.Store.Delete(faultContext(t), "key"))
+	err := c.call(t, h.Control, func(ctx context.Context) error {
+		return h.Store.Delete(ctx, "key")
+	})
+	c.checkKind(t, "Delete", err)
 	c.checkEffect(t, h.Control, func() bool { return !hasObject(t, h, "key") })
 }
 
 func faultyObjectReads(t *testing.T, h ObjectHarness, c faultCase) {
 	mustPut(t, h, "key", []byte("body"))
-	h.Control.Inject(c.order())
-	_, err := h.Store.Get(faultContext(t), "key")
+	err := c.call(t, h.Control, func(ctx context.Context) error {
+		_, err := h.Store.Get(ctx, "key")
+		return err
+	})
 	c.checkKind(t, "Get", err)
-	h.Control.Inject(c.order())
-	_, err = h.Store.List(faultContext(t), "", "", 1)
+	h.Control.ReleaseHeld()
+	err = c.call(t, h.Control, func(ctx context.Context) error {
+		_, err := h.Store.List(ctx, "", "", 1)
+		return err
+	})
 	c.checkKind(t, "List", err)
 	h.Control.ReleaseHeld()
 	if !hasObject(t, h, "key") {
@@ -111,6 +121,9 @@
 	if err := h.Store.Put(callContext(t), "binary", []byte("other")); !errkind.Is(err, errkind.BadRequest) {
 		t.Errorf("Put of another body: error %v, want %s", err, errkind.BadRequest)
 	}
+	if err := h.Store.Put(callContext(t), "\xff", nil); !errkind.Is(err, errkind.BadRequest) {
+		t.Errorf("Put under a key that is not UTF-8: error %v, want %s", err, errkind.BadRequest)
+	}
 	for range 2 {
 		if err := h.Store.Delete(callContext(t), "binary"); err != nil {
 			t.Errorf("Delete: %v", err)
--- a/internal/ports/porttest/records.go
+++ b/internal/ports/porttest/records.go
@@ -53,6 +53,7 @@
 func flat[R core.Record](record R) R { return record }
 
 func copyClaim(record core.ClaimRecord) core.ClaimRecord {
+	record.TakenAt = record.TakenAt.Round(0).UTC() // without its monotonic reading
 	if record.Response == nil {
 		return record
 	}
--- a/internal/ports/porttest/script.go
+++ b/internal/ports/porttest/script.go
@@ -19,6 +19,9 @@
 	Inject(order faults.Order)
 	// ClearFaults removes all orders; held calls stay held.
 	ClearFaults()
+	// AwaitHeld waits until the effects of at least count calls are held, or
+	// the context ends.
+	AwaitHeld(ctx context.Context, count int) error
 	// ReleaseHeld runs the effects of all held calls and returns their number.
 	ReleaseHeld() int
 }
@@ -47,6 +50,12 @@
 // ReleaseHeld runs the effects of all held calls and returns their number.
 func (s *Script) ReleaseHeld() int { return s.holder.Release() }
 
+// AwaitHeld waits until the effects of at least count calls are held. It
+// returns the context's error when that ends first.
+func (s *Script) AwaitHeld(ctx context.Context, count int) error {
+	return s.holder.Await(ctx, count)
+}
+
 // HeldCount returns the number of calls whose effect is held.
 func (s *Script) HeldCount() int { return s.holder.Count() }
 
--- a/internal/ports/porttest/tablefaults.go
+++ b/internal/ports/porttest/tablefaults.go
@@ -3,17 +3,12 @@
 import (
 	"context"
 	"testing"
-	"time"
 
 	"fescuespar/internal/core"
 	"fescuespar/internal/errkind"
 	"fescuespar/internal/ports/porttest/faults"
 )
 
-// delayedCallTimeout ends calls that a fault order holds. It only has to be
-// long enough for a call to reach the service.
-const delayedCallTimeout = 300 * time.Millisecond
-
 // faultCase says what a call meets under an event, and whether its effect is
 // there when it returns and after held calls were released.
 type faultCase struct {
@@ -42,6 +37,25 @@
 	return faults.Order{Operation: c.operation, Event: c.event, Count: 1}
 }
 
+// call makes one call under the case's event. A held call is canceled once its
+// effect is held.
+func (c faultCase) call(t *testing.T, control Control, call func(context.Context) error) error {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	control.Inject(c.order())
+	if c.event != faults.Delay {
+		return call(ctx)
+	}
+	done := make(chan error, 1)
+	go func() { done <- call(ctx) }()
+	if err := control.AwaitHeld(ctx, 1); err != nil {
+		t.Fatalf("%s: the call was not held: %v", c.event, err)
+	}
+	cancel()
+	return <-done
+}
+
 // checkKind reports an error of another kind than the case expects.
 func (c faultCase) checkKind(t *testing.T, call string, err error) {
 	t.Helper()
@@ -63,26 +77,14 @@
 	}
 }
 
-func faultContext(t *testing.T) context.Context {
-	ctx, cancel := context.WithTimeout(context.Background(), delayedCallTimeout)
-	t.Cleanup(cancel)
-	return ctx
-}
-
 func tableFaults(t *testing.T, factory TableFactory) {
 	for _, c := range tableFaultCases {
 		t.Run(c.name(), func(t *testing.T) {
 			h := factory(t)
-			h.Control.Inject(c.order())
 			if c.operation == faults.Commit {
-				_, err := h.Service.Commit(faultContext(t), putWeight("a", "row", 1))
-				c.checkKind(t, "Commit", err)
+				faultyCommit(t, h, c)
 			} else {
-				_, err := h.Service.Read(faultContext(t), []core.RowKey{weightKey("row")})
-				c.checkKind(t, "Read", err)
-				h.Control.Inject(c.order())
-				_, err = h.Service.Scan(faultContext(t), core.TableWeight, "", "", 1)
-				c.checkKind(t, "Scan", err)
+				faultyTableReads(t, h, c)
 			}
 			c.checkEffect(t, h.Control, func() bool {
 				return mustRead(t, h, weightKey("row"))[0].Attempt == "a"
@@ -94,6 +96,28 @@
 	t.Run("late_loses", func(t *testing.T) { lateCommitLoses(t, factory(t)) })
 }
 
+func faultyCommit(t *testing.T, h TableHarness, c faultCase) {
+	err := c.call(t, h.Control, func(ctx context.Context) error {
+		_, err := h.Service.Commit(ctx, putWeight("a", "row", 1))
+		return err
+	})
+	c.checkKind(t, "Commit", err)
+}
+
+func faultyTableReads(t *testing.T, h TableHarness, c faultCase) {
+	err := c.call(t, h.Control, func(ctx context.Context) error {
+		_, err := h.Service.Read(ctx, []core.RowKey{weightKey("row")})
+		return err
+	})
+	c.checkKind(t, "Read", err)
+	h.Control.ReleaseHeld()
+	err = c.call(t, h.Control, func(ctx context.Context) error {
+		_, err := h.Service.Scan(ctx, core.TableWeight, "", "", 1)
+		return err
+	})
+	c.checkKind(t, "Scan", err)
+}
+
 func faultCount(t *testing.T, h TableHarness) {
 	h.Control.Inject(faults.Order{Operation: faults.Commit, Event: faults.Refuse, Count: 2})
 	for i, want := range []errkind.Kind{errkind.StoreUnavailable, errkind.StoreUnavailable, ""} {
--- a/internal/ports/porttest/tables.go
+++ b/internal/ports/porttest/tables.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"unicode/utf8"
 
 	"fescuespar/internal/core"
 	"fescuespar/internal/errkind"
@@ -42,7 +43,7 @@
 
 // Scan implements ports.TableService.
 func (t *Tables) Scan(ctx context.Context, table core.TableName, prefix, after string, limit int) ([]core.Row, error) {
-	if _, err := knownTables([]core.RowKey{{Table: table}}); err != nil {
+	if _, err := knownTables([]core.RowKey{{Table: table, ID: prefix + after}}); err != nil {
 		return nil, err
 	}
 	var rows []core.Row
@@ -67,12 +68,17 @@
 	return result, nil
 }
 
+// knownTables returns the tables of the keys. Errors: BadRequest for an unknown
+// table or an id that is not UTF-8.
 func knownTables(keys []core.RowKey) ([]core.TableName, error) {
 	tables := make([]core.TableName, len(keys))
 	for i, key := range keys {
 		if copiers[key.Table] == nil {
 			return nil, errkind.New(errkind.BadRequest, "unknown table %q", key.Table)
 		}
+		if !utf8.ValidString(key.ID) {
+			return nil, errkind.New(errkind.BadRequest, "id %q is not UTF-8", key.ID)
+		}
 		tables[i] = key.Table
 	}
 	return tables, nil
--- a/internal/ports/porttest/tablesuite.go
+++ b/internal/ports/porttest/tablesuite.go
@@ -73,7 +73,8 @@
 	core.TableFence: core.FenceRecord{Number: 12, Holder: "vm-2", Incarnation: 8},
 	core.TableClaim: core.ClaimRecord{
 		Fingerprint: 1<<64 - 1, Owner: "vm-3", Incarnation: 9, State: core.ClaimDone,
-		Response: &core.PlainResponse{Status: 201, Header: map[string]string{"A": "b"}, Body: []byte{0, 255, '"'}},
+		TakenAt:  time.Unix(1000, 123456789).UTC(),
+		Response: &core.PlainResponse{Status: 201, Header: map[string]string{"A": "not UTF-8: \xff"}, Body: []byte{0, 255, '"'}},
 	},
 	core.TableStep: core.StepRecord{Version: 4, Oldest: 3, Groups: []core.GroupRange{{Step: 3, From: 1, To: 3}, {Step: 4, From: 0, To: 1}}, Body: "batch/4"},
 	core.TableDelivery: core.DeliveryRecord{
@@ -105,6 +106,7 @@
 		{"unknown table", core.RowKey{Table: "nosuch", ID: "x"}, core.WeightRecord{Version: 1}},
 		{"delete in unknown table", core.RowKey{Table: "nosuch", ID: "x"}, nil},
 		{"record of another table", weightKey("x"), core.FenceRecord{Number: 1}},
+		{"id that is not UTF-8", weightKey("\xff"), core.WeightRecord{Version: 1}},
 		{"pointer record", weightKey("x"), &core.WeightRecord{Version: 1}},
 	}
 	for _, c := range cases {
--- a/internal/ports/porttest/vmsuite.go
+++ b/internal/ports/porttest/vmsuite.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"reflect"
 	"slices"
 	"testing"
@@ -34,8 +35,10 @@
 	for _, c := range vmFaultCases {
 		t.Run(c.name(), func(t *testing.T) {
 			h := factory(t)
-			h.Control.Inject(c.order())
-			_, err := h.List.VMs(faultContext(t))
+			err := c.call(t, h.Control, func(ctx context.Context) error {
+				_, err := h.List.VMs(ctx)
+				return err
+			})
 			c.checkKind(t, "VMs", err)
 			h.Control.ReleaseHeld()
 			checkVMs(t, h, nil)
--- a/standin/platform/client.go
+++ b/standin/platform/client.go
@@ -75,6 +75,11 @@
 	return c.call(ctx, http.MethodDelete, "/control/faults", nil, nil)
 }
 
+// AwaitHeld waits until the effects of at least count calls are held.
+func (c *Client) AwaitHeld(ctx context.Context, count int) error {
+	return c.post(ctx, "/control/await", awaitMessage{count}, nil)
+}
+
 // ReleaseHeld runs the effects of all held calls and returns their number.
 func (c *Client) ReleaseHeld(ctx context.Context) (int, error) {
 	var message releaseMessage
--- a/standin/platform/control.go
+++ b/standin/platform/control.go
@@ -28,6 +28,10 @@
 	ForMS     int64            `json:"for_ms"`
 }
 
+type awaitMessage struct {
+	Held int `json:"held"`
+}
+
 type releaseMessage struct {
 	Released int `json:"released"`
 }
@@ -47,6 +51,7 @@
 	p.mux.HandleFunc("POST /control/faults", p.controlFault)
 	p.mux.HandleFunc("DELETE /control/faults", p.controlClearFaults)
 	p.mux.HandleFunc("POST /control/release", p.controlRelease)
+	p.mux.HandleFunc("POST /control/await", p.controlAwait)
 	p.mux.HandleFunc("GET /control/counters", p.controlCounters)
 }
 
@@ -74,6 +79,18 @@
 	p.send(w, r, success(emptyMessage{}))
 }
 
+// controlAwait answers once enough effects are held; a caller that goes away
+// ends the wait.
+func (p *Platform) controlAwait(w http.ResponseWriter, r *http.Request) {
+	message, ok := readMessage[awaitMessage](p, w, r)
+	if !ok {
+		return
+	}
+	if p.holder.Await(r.Context(), message.Held) == nil {
+		p.send(w, r, success(emptyMessage{}))
+	}
+}
+
 func (p *Platform) controlRelease(w http.ResponseWriter, r *http.Request) {
 	p.send(w, r, p.run(func() reply { return success(releaseMessage{p.holder.Release()}) }))
 }
