Add a first membership: every process sends heartbeats to every other

Cause: configuration spread, coordination and addresses need members. Conclusion: the path can run; traffic grows with the square of the processes.

--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -17,6 +17,7 @@
 			return
 		}
 		s.servers.ApplyVMs(vms)
+		s.members.ApplyVMs(vms)
 	})
 }
 
--- a/internal/app/service.go
+++ b/internal/app/service.go
@@ -138,7 +138,7 @@
 		},
 		lifecycle:     tables.NewLifecycle(),
 		configuration: tables.NewConfiguration(),
-		members:       tables.NewMembers(options.Self, options.Seeds, rand.New(rand.NewPCG(random.Uint64(), 1))),
+		members:       tables.NewMembers(options.Self, options.Seeds),
 		leases:        tables.NewLeases(leaseSelf(options.Self), leaseTiming(options)),
 		servers:       tables.NewServers(rand.New(rand.NewPCG(random.Uint64(), 2))),
 		rollouts:      tables.NewRollouts(),
