Log missing prompts once, refuse idempotency keys that are not ASCII

Cause: a coordinator whose prompts object is missing wrote a log line at every try; the table service's adapter refuses row ids that are not UTF-8, which a header may hold. Change: the problem is kept with the rollout, logged when it changes and shown in the status; keys must be printable ASCII, which is told to the caller. Ruled out: escaping keys (two spellings of one key would be two claims). Conclusion: log lines are changes of state.

--- a/internal/adapters/callerhttp/service.go
+++ b/internal/adapters/callerhttp/service.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/kataras/iris/v12"
 
@@ -30,14 +31,23 @@
 	return passed
 }
 
+// checkIdempotencyKey lets through what can be part of a row's id.
+func checkIdempotencyKey(key string) error {
+	notPrintable := func(r rune) bool { return r < ' ' || r > '~' }
+	if len(key) > idempotencyKeyLimit || strings.ContainsFunc(key, notPrintable) {
+		return errkind.New(errkind.BadRequest, "an idempotency key has at most %d printable ASCII characters", idempotencyKeyLimit)
+	}
+	return nil
+}
+
 func (h *handlers) service(ctx iris.Context, sender auth.Identity) error {
 	id, err := h.requestID(ctx)
 	if err != nil {
 		return err
 	}
 	key := ctx.GetHeader(idempotencyKeyHeader)
-	if len(key) > idempotencyKeyLimit {
-		return errkind.New(errkind.BadRequest, "an idempotency key has at most %d bytes", idempotencyKeyLimit)
+	if err := checkIdempotencyKey(key); err != nil {
+		return err
 	}
 	body, err := io.ReadAll(ctx.Request().Body)
 	if err := httpfront.BodyError(err); err != nil {
--- a/internal/app/configuration.go
+++ b/internal/app/configuration.go
@@ -141,13 +141,18 @@
 		}
 		status.Deployments = append(status.Deployments, row)
 	}
-	status.Warnings = s.warnings(&status)
+	status.Warnings = warnings(&status, steps)
 	return status
 }
 
 // warnings names in plain words what an operator should look at.
-func (s *Service) warnings(status *core.Status) []string {
+func warnings(status *core.Status, rollouts []tables.RolloutState) []string {
 	var warnings []string
+	for _, rollout := range rollouts {
+		if rollout.Problem != "" {
+			warnings = append(warnings, rollout.Problem)
+		}
+	}
 	for _, member := range status.Members {
 		if member.State == core.MemberSuspect {
 			warnings = append(warnings, "entry VM "+string(member.VM)+" does not answer heartbeats")
--- a/internal/app/coordinator.go
+++ b/internal/app/coordinator.go
@@ -64,8 +64,7 @@
 		}
 		body, err := s.ports.Objects.Get(ctx, deployment.Rollout.Prompts)
 		if err != nil {
-			s.log.Warn().Str("deployment", string(deployment.Name)).Str("object", string(deployment.Rollout.Prompts)).
-				Str("kind", string(errkind.Of(err))).Msg("prompts cannot be read")
+			s.promptsMissing(deployment, fence, err)
 			return
 		}
 		if record, ok := rows[1].Record.(core.WeightRecord); ok {
@@ -75,6 +74,13 @@
 	})
 }
 
+func (s *Service) promptsMissing(deployment *core.Deployment, fence core.Fence, err error) {
+	problem := fmt.Sprintf("prompts %s of deployment %s cannot be read (%s)", deployment.Rollout.Prompts, deployment.Name, errkind.Of(err))
+	if s.rollouts.SetProblem(deployment.Name, fence, problem) {
+		s.log.Warn().Msg(problem)
+	}
+}
+
 // splitPrompts returns the lines of a prompts object that are not blank.
 func splitPrompts(body []byte) []string {
 	var prompts []string
--- a/internal/tables/rollouts.go
+++ b/internal/tables/rollouts.go
@@ -29,7 +29,8 @@
 	delivery core.Row
 	prompts  []string
 	groups   map[core.GroupID]*groupRow
-	busy     bool // a batch is being fixed
+	busy     bool   // a batch is being fixed
+	problem  string // why the work can't start, for operators
 	changed  chan struct{}
 }
 
@@ -82,10 +83,24 @@
 		row.delivery = deliveryRow
 		row.prompts = prompts
 		row.loaded = true
+		row.problem = ""
 		row.notify()
 	}
 }
 
+// SetProblem records why a deployment's work can't start. It returns true when
+// that is news.
+func (t *Rollouts) SetProblem(name core.DeploymentName, fence core.Fence, problem string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row := t.at(name, fence)
+	if row == nil || row.problem == problem {
+		return false
+	}
+	row.problem = problem
+	return true
+}
+
 // Work is one sample to be run.
 type Work struct {
 	ID     core.SampleID
@@ -264,6 +279,7 @@
 	Groups     int                 `json:"groups"`
 	Running    int                 `json:"samples_running"`
 	Done       int                 `json:"samples_done"`
+	Problem    string              `json:"problem,omitempty"`
 }
 
 // State counts every deployment's work.
@@ -273,7 +289,7 @@
 	var states []RolloutState
 	for name, row := range t.rows {
 		record, _ := row.delivery.Record.(core.DeliveryRecord)
-		state := RolloutState{Deployment: name, Fence: row.fence, LastStep: record.LastStep, Groups: len(row.groups)}
+		state := RolloutState{Deployment: name, Fence: row.fence, LastStep: record.LastStep, Groups: len(row.groups), Problem: row.problem}
 		for _, group := range row.groups {
 			state.Done += group.done
 			for _, s := range group.states {
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"fescuespar/internal/adapters/keys"
+	"fescuespar/internal/adapters/objecthttp"
 	"fescuespar/internal/core"
 	"fescuespar/standin/platform"
 )
@@ -92,6 +93,16 @@
 	_ = os.RemoveAll(s.directory)
 }
 
+// PutObject puts an object into the platform's object store.
+func (s *Site) PutObject(ctx context.Context, key core.ObjectKey, body []byte) error {
+	client := objecthttp.New(s.PlatformURL(), platformTimeout)
+	defer client.Close()
+	return client.Put(ctx, key, body)
+}
+
+// platformTimeout bounds one call to the platform.
+const platformTimeout = 5 * time.Second
+
 // Server says where a backend server runs.
 type Server struct {
 	ID      string
