--- a/internal/ports/backendtest/tokens/tokens.go
+++ b/internal/ports/backendtest/tokens/tokens.go
@@ -60,3 +60,11 @@
 func Text(prompt string, seed int64, limit int) string {
 	return strings.Join(Answer(prompt, seed, limit), "")
 }
+
+// scoreSteps is the number of different scores.
+const scoreSteps = 1000
+
+// Score returns the score of an answer, from 0 up to but not including 1.
+func Score(prompt string, answer []string) float64 {
+	return float64(hashOf(prompt+strings.Join(answer, ""), 0, 0)%scoreSteps) / scoreSteps
+}
--- a/internal/ports/backendtest/wait.go
+++ b/internal/ports/backendtest/wait.go
@@ -32,3 +32,7 @@
 func cutBy(server core.VM) error {
 	return errkind.New(errkind.ServerFailed, "%s cut the connection", server.ID)
 }
+
+func timeoutOf(server core.VM, err error) error {
+	return errkind.Wrap(errkind.Timeout, err, "%s did not answer in time", server.ID)
+}
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -25,7 +25,7 @@
 		Stream: id, Model: "model", Prompt: prompt, Priority: priority, MaxTokens: maxTokens,
 	})
 	if refused != nil {
-		t.Fatal(refused.message)
+		t.Fatal(refused.Message)
 	}
 	return s
 }
@@ -137,7 +137,7 @@
 	e := newStopped(t, Options{LoadTime: time.Hour})
 	for version := core.WeightVersion(2); version <= 3; version++ {
 		if refused, _ := e.takeOrder(enginehttp.OrderBody{Kind: core.OrderLoadVersion, Version: version}); refused != nil {
-			t.Fatal(refused.message)
+			t.Fatal(refused.Message)
 		}
 	}
 	e.finish(2, load{model: "model", version: 3}, nil)
--- a/standin/engine/handlers.go
+++ b/standin/engine/handlers.go
@@ -1,13 +1,13 @@
 package engine
 
 import (
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
 
 	"fescuespar/internal/adapters/enginehttp"
 	"fescuespar/internal/adapters/serverhttp"
+	"fescuespar/standin/httpjson"
 )
 
 // Paths of the fault orders.
@@ -17,9 +17,6 @@
 	CountsPath = "/control/counts" // GET Counts
 )
 
-// maxRequestBytes bounds a request body.
-const maxRequestBytes = 4 << 20
-
 func (e *Engine) routes() *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+enginehttp.GeneratePath, e.faulty(e.serveGenerate))
@@ -29,7 +26,7 @@
 	mux.HandleFunc("POST "+enginehttp.OrderPath, e.faulty(e.serveOrder))
 	mux.HandleFunc("POST "+FaultsPath, e.serveFaults)
 	mux.HandleFunc("POST "+RevivePath, func(http.ResponseWriter, *http.Request) { e.Revive() })
-	mux.HandleFunc("GET "+CountsPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Counts()) })
+	mux.HandleFunc("GET "+CountsPath, func(w http.ResponseWriter, _ *http.Request) { httpjson.Write(w, e.Counts()) })
 	return mux
 }
 
@@ -41,10 +38,10 @@
 		}
 		dead, delay := e.state()
 		if dead {
-			writeRefusal(w, notRun("engine is down"))
+			httpjson.Refuse(w, httpjson.NotRun("engine is down"))
 			return
 		}
-		if sleep(r.Context(), delay) == nil {
+		if httpjson.Sleep(r.Context(), delay) == nil {
 			next(w, r)
 		}
 	}
@@ -58,12 +55,12 @@
 
 func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
 	var body enginehttp.GenerateBody
-	if !readJSON(w, r, &body) {
+	if !httpjson.Read(w, r, &body) {
 		return
 	}
 	s, refused := e.accept(body)
 	if refused != nil {
-		writeRefusal(w, refused)
+		httpjson.Refuse(w, refused)
 		return
 	}
 	defer e.detach(s)
@@ -71,20 +68,20 @@
 }
 
 // accept queues a new stream with one reader.
-func (e *Engine) accept(body enginehttp.GenerateBody) (*stream, *refusal) {
+func (e *Engine) accept(body enginehttp.GenerateBody) (*stream, *httpjson.Refusal) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
 	case body.Stream == "" || body.MaxTokens <= 0:
-		return nil, badRequest("stream id and max_tokens are required")
+		return nil, httpjson.BadRequest("stream id and max_tokens are required")
 	case e.faults.Refuse || e.dead:
-		return nil, notRun("engine refuses streams")
+		return nil, httpjson.NotRun("engine refuses streams")
 	case body.Model != string(e.model) || body.Adapter != string(e.adapter):
-		return nil, notRun("engine does not hold that model and adapter")
+		return nil, httpjson.NotRun("engine does not hold that model and adapter")
 	case e.streams[body.Stream] != nil:
-		return nil, notRun("stream id is in use")
+		return nil, httpjson.NotRun("stream id is in use")
 	case len(e.queued) >= e.options.MaxQueued:
-		return nil, notRun("queue is full")
+		return nil, httpjson.NotRun("queue is full")
 	}
 	e.arrivals++
 	s := newStream(body, e.arrivals)
@@ -99,12 +96,12 @@
 func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
 	offset, err := strconv.Atoi(r.URL.Query().Get("offset"))
 	if err != nil {
-		writeRefusal(w, badRequest("offset is not a number"))
+		httpjson.Refuse(w, httpjson.BadRequest("offset is not a number"))
 		return
 	}
 	s, refused := e.find(r.PathValue("id"), offset)
 	if refused != nil {
-		writeRefusal(w, refused)
+		httpjson.Refuse(w, refused)
 		return
 	}
 	defer e.detach(s)
@@ -112,15 +109,15 @@
 }
 
 // find returns a stream with one more reader.
-func (e *Engine) find(id string, offset int) (*stream, *refusal) {
+func (e *Engine) find(id string, offset int) (*stream, *httpjson.Refusal) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := e.streams[id]
 	if s == nil {
-		return nil, &refusal{http.StatusNotFound, serverhttp.RefusalUnknownStream, "no such stream"}
+		return nil, unknownStream()
 	}
 	if offset < s.base || offset > s.length {
-		return nil, badRequest("offset outside of the stream")
+		return nil, httpjson.BadRequest("offset outside of the stream")
 	}
 	e.attach(s)
 	return s, nil
@@ -135,7 +132,7 @@
 	}
 	e.mu.Unlock()
 	if s == nil {
-		writeRefusal(w, &refusal{http.StatusNotFound, serverhttp.RefusalUnknownStream, "no such stream"})
+		httpjson.Refuse(w, unknownStream())
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
@@ -143,7 +140,7 @@
 
 func (e *Engine) serveStatus(w http.ResponseWriter, r *http.Request) {
 	cursor, _ := strconv.ParseUint(r.URL.Query().Get("cursor"), 10, 64)
-	writeJSON(w, e.statusSince(cursor))
+	httpjson.Write(w, e.statusSince(cursor))
 }
 
 func (e *Engine) statusSince(cursor uint64) enginehttp.StatusBody {
@@ -159,12 +156,12 @@
 
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var order enginehttp.OrderBody
-	if !readJSON(w, r, &order) {
+	if !httpjson.Read(w, r, &order) {
 		return
 	}
 	refused, drop := e.takeOrder(order)
 	if refused != nil {
-		writeRefusal(w, refused)
+		httpjson.Refuse(w, refused)
 		return
 	}
 	if drop {
@@ -175,26 +172,13 @@
 
 func (e *Engine) serveFaults(w http.ResponseWriter, r *http.Request) {
 	var faults Faults
-	if readJSON(w, r, &faults) {
+	if httpjson.Read(w, r, &faults) {
 		e.SetFaults(faults)
 	}
 }
 
-// readJSON decodes a request body, or refuses the request.
-func readJSON(w http.ResponseWriter, r *http.Request, out any) bool {
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes))
-	if err := decoder.Decode(out); err != nil {
-		writeRefusal(w, badRequest(err.Error()))
-		return false
+func unknownStream() *httpjson.Refusal {
+	return &httpjson.Refusal{
+		Status: http.StatusNotFound, Kind: serverhttp.RefusalUnknownStream, Message: "no such stream",
 	}
-	return true
-}
-
-func writeJSON(w http.ResponseWriter, out any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(out)
-}
-
-func writeRefusal(w http.ResponseWriter, r *refusal) {
-	serverhttp.WriteRefusal(w, r.status, r.kind, r.message)
 }
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -3,37 +3,24 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"fescuespar/internal/adapters/enginehttp"
 	"fescuespar/internal/adapters/serverhttp"
 	"fescuespar/internal/core"
+	"fescuespar/standin/httpjson"
 )
 
-// refusal is a negative answer to a request.
-type refusal struct {
-	status  int
-	kind    serverhttp.Refusal
-	message string
-}
-
-func notRun(message string) *refusal {
-	return &refusal{http.StatusServiceUnavailable, serverhttp.RefusalNotRun, message}
-}
-
-func badRequest(message string) *refusal {
-	return &refusal{http.StatusBadRequest, serverhttp.RefusalBadRequest, message}
-}
-
 // takeOrder obeys or refuses an order, and says whether the reply is dropped.
-func (e *Engine) takeOrder(order enginehttp.OrderBody) (refused *refusal, drop bool) {
+func (e *Engine) takeOrder(order enginehttp.OrderBody) (refused *httpjson.Refusal, drop bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
 	case e.faults.Refuse || e.dead:
-		return notRun("engine refuses orders"), false
+		return httpjson.NotRun("engine refuses orders"), false
 	case e.options.Fencing == FencingChecks && order.Fence < e.fence:
-		return &refusal{http.StatusConflict, serverhttp.RefusalFenced, "order carries an old fencing number"}, false
+		return &httpjson.Refusal{
+			Status: http.StatusConflict, Kind: serverhttp.RefusalFenced, Message: "order carries an old fencing number",
+		}, false
 	}
 	if refused := e.obey(order); refused != nil {
 		return refused, false
@@ -46,7 +33,7 @@
 }
 
 // obey begins what an order asks. The caller holds the lock.
-func (e *Engine) obey(order enginehttp.OrderBody) *refusal {
+func (e *Engine) obey(order enginehttp.OrderBody) *httpjson.Refusal {
 	switch order.Kind {
 	case core.OrderLoadVersion:
 		target := load{model: e.model, adapter: e.adapter, version: order.Version}
@@ -59,7 +46,7 @@
 	case core.OrderSetRole:
 		e.role = order.Role
 	default:
-		return badRequest("unknown kind of order")
+		return httpjson.BadRequest("unknown kind of order")
 	}
 	return nil
 }
@@ -92,7 +79,7 @@
 			return err
 		}
 	}
-	return sleep(ctx, e.options.LoadTime)
+	return httpjson.Sleep(ctx, e.options.LoadTime)
 }
 
 // finish makes a load take effect unless it failed or was replaced.
@@ -110,18 +97,3 @@
 	e.faults.FailNextSwap = false
 	e.notify()
 }
-
-// sleep waits for a duration or the end of the context.
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- /dev/null
+++ b/standin/httpjson/httpjson.go
@@ -0,0 +1,68 @@
+// Package httpjson holds what the stand-ins for backend servers share: JSON
+// bodies, refusals and waits.
+package httpjson
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"fescuespar/internal/adapters/serverhttp"
+)
+
+// MaxRequestBytes bounds a request body.
+const MaxRequestBytes = 4 << 20
+
+// Refusal is a negative answer to a request.
+type Refusal struct {
+	Status  int // HTTP status code
+	Kind    serverhttp.Refusal
+	Message string
+}
+
+// NotRun returns the refusal of a request that was not run.
+func NotRun(message string) *Refusal {
+	return &Refusal{http.StatusServiceUnavailable, serverhttp.RefusalNotRun, message}
+}
+
+// BadRequest returns the refusal of a request that can run nowhere.
+func BadRequest(message string) *Refusal {
+	return &Refusal{http.StatusBadRequest, serverhttp.RefusalBadRequest, message}
+}
+
+// Read decodes a request body, or refuses the request and returns false.
+func Read(w http.ResponseWriter, r *http.Request, out any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxRequestBytes))
+	if err := decoder.Decode(out); err != nil {
+		Refuse(w, BadRequest(err.Error()))
+		return false
+	}
+	return true
+}
+
+// Write writes a JSON answer.
+func Write(w http.ResponseWriter, out any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(out)
+}
+
+// Refuse writes a refusal.
+func Refuse(w http.ResponseWriter, r *Refusal) {
+	serverhttp.WriteRefusal(w, r.Status, r.Kind, r.Message)
+}
+
+// Sleep waits for a duration or the end of the context.
+func Sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
