--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -5,13 +5,16 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
 	"time"
 
+	"fescuespar/internal/adapters/configjson"
 	"fescuespar/internal/adapters/keys"
 	"fescuespar/internal/adapters/objecthttp"
+	"fescuespar/internal/adapters/operatorclient"
 	"fescuespar/internal/core"
 	"fescuespar/standin/platform"
 )
@@ -215,3 +218,24 @@
 	path := filepath.Join(directory, "entry.toml")
 	return path, os.WriteFile(path, []byte(body+s.options.Settings), 0o600)
 }
+
+// Status asks an entry process for its status.
+func (s *Site) Status(ctx context.Context, entry *Entry) (configjson.Status, error) {
+	return operatorclient.New(entry.Address, OperatorToken, http.DefaultClient).Status(ctx)
+}
+
+// InFlight returns the requests in flight at an entry process, from its state
+// dump, or -1 when it does not answer.
+func (s *Site) InFlight(ctx context.Context, entry *Entry) int {
+	dump, err := operatorclient.New(entry.Address, OperatorToken, http.DefaultClient).Dump(ctx)
+	if err != nil {
+		return -1
+	}
+	var state struct {
+		InFlight int `json:"in_flight"`
+	}
+	if json.Unmarshal(dump, &state) != nil {
+		return -1
+	}
+	return state.InFlight
+}
