--- a/standin/cmd/standin/backend.go
+++ b/standin/cmd/standin/backend.go
@@ -1,9 +1,7 @@
 package main
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -13,11 +11,12 @@
 	"time"
 
 	"fescuespar/internal/core"
+	"fescuespar/standin/httpjson"
+	"fescuespar/standin/platform"
 )
 
 // Bounds of a stand-in server's life.
 const (
-	platformTimeout = 10 * time.Second // of one call to the platform
 	shutdownTimeout = 10 * time.Second // for requests in flight
 	idleTimeout     = 2 * time.Minute  // of kept connections; clients drop them earlier
 )
@@ -32,17 +31,6 @@
 	Leave    time.Duration `long:"vm-leave" description:"time between being marked as leaving and stopping"`
 }
 
-// vmRow is a VM as the platform takes it.
-type vmRow struct {
-	ID      string          `json:"id"`
-	Kind    core.ServerKind `json:"kind"`
-	Service string          `json:"service"`
-	Address string          `json:"address"`
-	Zone    string          `json:"zone"`
-	Region  string          `json:"region"`
-	State   core.VMState    `json:"state"`
-}
-
 // backend is a stand-in that serves HTTP and is listed as a VM.
 type backend struct {
 	kind   core.ServerKind
@@ -77,44 +65,25 @@
 
 func (b backend) leave(server *http.Server, address string) error {
 	listed := b.register(address, core.VMLeaving)
-	time.Sleep(b.vm.Leave)
+	waited := httpjson.Sleep(context.Background(), b.vm.Leave)
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
-	return errors.Join(listed, server.Shutdown(ctx), b.remove())
+	return errors.Join(listed, waited, server.Shutdown(ctx), b.remove())
 }
 
 func (b backend) register(address string, state core.VMState) error {
-	raw, err := json.Marshal(vmRow{
-		ID: b.vm.ID, Kind: b.kind, Service: b.vm.Service, Address: address,
-		Zone: b.vm.Zone, Region: b.vm.Region, State: state,
-	})
-	if err != nil {
-		return err
+	if b.vm.Platform == "" {
+		return nil
 	}
-	return b.callPlatform(http.MethodPost, "/control/vms", raw)
+	return platform.NewClient(b.vm.Platform).AddVM(context.Background(), core.VM{
+		ID: core.ServerID(b.vm.ID), Kind: b.kind, Service: b.vm.Service, Address: address,
+		Zone: core.ZoneName(b.vm.Zone), Region: core.RegionName(b.vm.Region), State: state,
+	})
 }
 
 func (b backend) remove() error {
-	return b.callPlatform(http.MethodDelete, "/control/vms/"+b.vm.ID, nil)
-}
-
-func (b backend) callPlatform(method, path string, body []byte) error {
 	if b.vm.Platform == "" {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, b.vm.Platform+path, bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	if response.StatusCode/100 != 2 {
-		return fmt.Errorf("platform answered %s to %s %s", response.Status, method, path)
-	}
-	return nil
+	return platform.NewClient(b.vm.Platform).RemoveVM(context.Background(), core.ServerID(b.vm.ID))
 }
--- a/standin/cmd/standin/engine.go
+++ b/standin/cmd/standin/engine.go
@@ -48,7 +48,7 @@
 		Exit: func() { os.Exit(crashStatus) },
 	}
 	if c.Weights != "" {
-		options.Fetch = engine.FetchFrom(c.Weights, core.DeploymentName(c.Deployment))
+		options.Fetch = engine.FetchFrom(c.Weights, core.RegionName(c.VM.Region), core.DeploymentName(c.Deployment))
 	}
 	standin := engine.New(options)
 	defer standin.Close()
--- a/standin/engine/weights.go
+++ b/standin/engine/weights.go
@@ -9,17 +9,19 @@
 	"strconv"
 
 	"fescuespar/internal/core"
+	"fescuespar/standin/platform"
 )
 
 // FetchFrom returns a function for Options.Fetch that gets the weights of a
-// deployment from the weight store at a base URL.
-func FetchFrom(base string, deployment core.DeploymentName) func(context.Context, core.WeightVersion) error {
+// deployment from the weight store at a base URL, as a reader in the region.
+func FetchFrom(base string, region core.RegionName, deployment core.DeploymentName) func(context.Context, core.WeightVersion) error {
 	return func(ctx context.Context, version core.WeightVersion) error {
 		target := base + "/weights/" + url.PathEscape(string(deployment)) + "/" + strconv.FormatUint(uint64(version), 10)
 		request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 		if err != nil {
 			return err
 		}
+		request.Header.Set(platform.RegionHeader, string(region))
 		response, err := http.DefaultClient.Do(request)
 		if err != nil {
 			return err
--- /dev/null
+++ b/standin/entryclient/entryclient.go
@@ -0,0 +1,184 @@
+// Package entryclient is what the stand-ins for callers and trainers share: a
+// client of the entry VMs that keeps and renews the list of their addresses
+// and moves to the next address when one fails.
+package entryclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"fescuespar/internal/errkind"
+	"fescuespar/internal/lockrank"
+	"fescuespar/standin/httpjson"
+)
+
+// Bounds of the client.
+const (
+	dialAndHeaderTimeout = 30 * time.Second
+	addressesTimeout     = 2 * time.Second
+	maxBodyBytes         = 64 << 20
+	firstDelay           = 50 * time.Millisecond // between tries
+	lastDelay            = time.Second
+)
+
+// Header names of the entry interface.
+const (
+	RequestIDHeader   = "X-Request-Id"
+	LastEventIDHeader = "Last-Event-ID"
+	KeyHeader         = "Idempotency-Key"
+)
+
+// Failure is an error answer of an entry VM.
+type Failure struct {
+	Status    int // HTTP status code, zero for a failure within a stream
+	Kind      errkind.Kind
+	Message   string
+	Ran       errkind.Ran
+	Retryable bool
+}
+
+// Error implements error.
+func (f *Failure) Error() string { return string(f.Kind) + ": " + f.Message }
+
+// FailureBody is the JSON of a failure.
+type FailureBody struct {
+	Error *struct {
+		Kind      errkind.Kind `json:"kind"`
+		Message   string       `json:"message"`
+		Ran       errkind.Ran  `json:"ran"`
+		Retryable bool         `json:"retryable"`
+	} `json:"error"`
+}
+
+// Failure returns the failure that the body tells, or nil.
+func (b *FailureBody) Failure(status int) *Failure {
+	if b.Error == nil {
+		return nil
+	}
+	e := b.Error
+	return &Failure{Status: status, Kind: e.Kind, Message: e.Message, Ran: e.Ran, Retryable: e.Retryable}
+}
+
+// Client talks to the entry VMs on behalf of one caller or trainer.
+type Client struct {
+	token string
+	http  *http.Client
+
+	// mu guards all fields below.
+	mu        lockrank.Mutex
+	addresses []string // the one in use first
+	keepUntil time.Time
+}
+
+// New returns a client that starts with the given addresses, host:port each.
+func New(addresses []string, token string) *Client {
+	transport := &http.Transport{ResponseHeaderTimeout: dialAndHeaderTimeout}
+	return &Client{
+		token: token, http: &http.Client{Transport: transport},
+		mu: lockrank.New(lockrank.RankOutside), addresses: slices.Clone(addresses),
+	}
+}
+
+// Request is one request to an entry VM.
+type Request struct {
+	Method string
+	Path   string
+	Header http.Header
+	Body   []byte
+}
+
+// Send sends a request to the address in use, renewing the list first if it is
+// due. The caller closes the response's body. Errors: *Failure for an error
+// answer; any other error means that no answer came, and the next request goes
+// to the next address.
+func (c *Client) Send(ctx context.Context, request Request) (*http.Response, error) {
+	c.renewIfDue(ctx)
+	address := c.address()
+	response, err := c.sendTo(ctx, address, request)
+	if err != nil {
+		c.Leave(address)
+		return nil, err
+	}
+	if response.StatusCode/100 == 2 {
+		return response, nil
+	}
+	defer response.Body.Close()
+	failure := readFailure(response)
+	if failure.Retryable {
+		c.Leave(address)
+	}
+	return nil, failure
+}
+
+// SendJSON sends a request and returns the whole body of its answer.
+func (c *Client) SendJSON(ctx context.Context, request Request) ([]byte, error) {
+	response, err := c.Send(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	return io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
+}
+
+// Leave moves an address to the end of the list if it is the one in use.
+func (c *Client) Leave(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.addresses) > 1 && c.addresses[0] == address {
+		c.addresses = append(c.addresses[1:], address)
+	}
+}
+
+// LeaveCurrent moves on from the address in use.
+func (c *Client) LeaveCurrent() { c.Leave(c.address()) }
+
+func (c *Client) address() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.addresses) == 0 {
+		return ""
+	}
+	return c.addresses[0]
+}
+
+func (c *Client) sendTo(ctx context.Context, address string, request Request) (*http.Response, error) {
+	out, err := http.NewRequestWithContext(ctx, request.Method, "http://"+address+request.Path, bytes.NewReader(request.Body))
+	if err != nil {
+		return nil, err
+	}
+	if request.Header != nil {
+		out.Header = request.Header.Clone()
+	}
+	out.Header.Set("Authorization", "Bearer "+c.token)
+	if len(request.Body) > 0 && out.Header.Get("Content-Type") == "" {
+		out.Header.Set("Content-Type", "application/json")
+	}
+	return c.http.Do(out)
+}
+
+func readFailure(response *http.Response) *Failure {
+	raw, _ := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
+	var body FailureBody
+	if json.Unmarshal(raw, &body) == nil {
+		if failure := body.Failure(response.StatusCode); failure != nil {
+			return failure
+		}
+	}
+	return &Failure{Status: response.StatusCode, Kind: errkind.Internal, Message: string(raw), Ran: errkind.Maybe}
+}
+
+// Backoff waits between tries, longer after each.
+type Backoff struct {
+	delay time.Duration
+}
+
+// Wait waits for the next delay or the end of the context.
+func (b *Backoff) Wait(ctx context.Context) error {
+	b.delay = min(max(firstDelay, 2*b.delay), lastDelay)
+	return httpjson.Sleep(ctx, b.delay)
+}
