Add keys: a site's certificate authority and entry VM certificates

Cause: entry processes authenticate each other by mutual TLS; a site needs its own authority without further tools, and new certificates without a restart.

An authority is never replaced. Rank 220 is for state inside one adapter.

--- /dev/null
+++ b/cmd/fescuespar/keys.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"time"
+
+	"fescuespar/internal/adapters/keys"
+	"fescuespar/internal/core"
+	"fescuespar/internal/errkind"
+)
+
+func init() {
+	register("keys", "Make the keys and certificates of entry VMs", &keysCommand{})
+}
+
+// keysCommand groups the subcommands that make keys.
+type keysCommand struct {
+	Authority authorityCommand `command:"authority" description:"Make the site's certificate authority" long-description:"Makes the site's certificate authority. Keep its key off the entry VMs.\n\nExample:\n  fescuespar keys authority --out authority"`
+	Issue     issueCommand     `command:"issue" description:"Make the certificate of one entry VM" long-description:"Makes the certificate of one entry VM. A running entry process takes up replaced files at its next handshake.\n\nExample:\n  fescuespar keys issue --authority authority --vm entry-1 --address 192.0.2.10 --out keys/entry-1"`
+}
+
+// Execute is never reached: go-flags demands one of the subcommands.
+func (*keysCommand) Execute([]string) error { return nil }
+
+type authorityCommand struct {
+	Out  string `long:"out" value-name:"DIR" required:"true" description:"directory to write to"`
+	Site string `long:"site" value-name:"NAME" default:"fescuespar" description:"site named in the certificate"`
+}
+
+// Execute makes the authority.
+func (c *authorityCommand) Execute([]string) error {
+	if err := keys.CreateAuthority(c.Out, c.Site, time.Now()); err != nil {
+		return err
+	}
+	fmt.Printf("wrote %s and %s to %s\n", keys.AuthorityFile, keys.AuthorityKeyFile, c.Out)
+	return nil
+}
+
+type issueCommand struct {
+	Authority string   `long:"authority" value-name:"DIR" required:"true" description:"directory of the authority"`
+	VM        string   `long:"vm" value-name:"NAME" required:"true" description:"name of the VM in the platform's VM list"`
+	Address   []string `long:"address" value-name:"IP" required:"true" description:"IP number at which peers reach the VM; may be repeated"`
+	Days      int      `long:"days" value-name:"N" default:"365" description:"days for which the certificate is valid"`
+	Out       string   `long:"out" value-name:"DIR" required:"true" description:"directory to write to"`
+}
+
+const day = 24 * time.Hour
+
+// Execute makes the VM's certificate.
+func (c *issueCommand) Execute([]string) error {
+	request := keys.IssueRequest{
+		Authority: c.Authority,
+		VM:        core.VMID(c.VM),
+		Lifetime:  time.Duration(c.Days) * day,
+		Directory: c.Out,
+	}
+	for _, text := range c.Address {
+		address := net.ParseIP(text)
+		if address == nil {
+			return errkind.New(errkind.BadRequest, "--address %q is no IP number", text)
+		}
+		request.Addresses = append(request.Addresses, address)
+	}
+	if err := keys.Issue(request, time.Now()); err != nil {
+		return err
+	}
+	fmt.Printf("wrote %s, %s and %s to %s\n", keys.CertificateFile, keys.KeyFile, keys.AuthorityFile, c.Out)
+	return nil
+}
--- /dev/null
+++ b/internal/adapters/keys/files.go
@@ -0,0 +1,90 @@
+package keys
+
+import (
+	"crypto/ecdsa"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/pem"
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"fescuespar/internal/errkind"
+)
+
+const (
+	fileMode      fs.FileMode = 0o600
+	directoryMode fs.FileMode = 0o700
+)
+
+// writeMode says what happens to a file that exists already.
+type writeMode int
+
+const (
+	createOnly writeMode = iota
+	replace
+)
+
+// pair is a certificate to be signed and written with its key.
+type pair struct {
+	certificatePath, keyPath string
+	template, parent         *x509.Certificate
+	key, signer              *ecdsa.PrivateKey
+}
+
+func writePair(p pair, mode writeMode) error {
+	signed, err := x509.CreateCertificate(rand.Reader, p.template, p.parent, &p.key.PublicKey, p.signer)
+	if err != nil {
+		return errkind.Wrap(errkind.Internal, err, "sign a certificate")
+	}
+	keyBytes, err := x509.MarshalPKCS8PrivateKey(p.key)
+	if err != nil {
+		return errkind.Wrap(errkind.Internal, err, "encode a key")
+	}
+	key := pem.EncodeToMemory(&pem.Block{Type: pemKey, Bytes: keyBytes})
+	if err := writeFile(p.keyPath, key, mode); err != nil {
+		return err
+	}
+	certificate := pem.EncodeToMemory(&pem.Block{Type: pemCertificate, Bytes: signed})
+	return writeFile(p.certificatePath, certificate, mode)
+}
+
+// writeFile writes a private file whole: readers see the old content or the
+// new one.
+func writeFile(path string, content []byte, mode writeMode) error {
+	if err := os.MkdirAll(filepath.Dir(path), directoryMode); err != nil {
+		return errkind.Wrap(errkind.Internal, err, "create the directory of %s", path)
+	}
+	temporary, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*")
+	if err != nil {
+		return errkind.Wrap(errkind.Internal, err, "create %s", path)
+	}
+	defer os.Remove(temporary.Name())
+	_, err = temporary.Write(content)
+	err = errors.Join(err, temporary.Chmod(fileMode), temporary.Close())
+	if err != nil {
+		return errkind.Wrap(errkind.Internal, err, "write %s", path)
+	}
+	if mode == replace {
+		err = os.Rename(temporary.Name(), path)
+	} else {
+		err = os.Link(temporary.Name(), path)
+	}
+	if errors.Is(err, fs.ErrExist) {
+		return errkind.Wrap(errkind.BadRequest, err, "%s exists and is not replaced", path)
+	}
+	return errkind.Wrap(errkind.Internal, err, "write %s", path)
+}
+
+func readBlock(path, blockType string) ([]byte, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errkind.Wrap(errkind.BadRequest, err, "read %s", path)
+	}
+	block, _ := pem.Decode(content)
+	if block == nil || block.Type != blockType {
+		return nil, errkind.New(errkind.BadRequest, "%s holds no PEM block of type %s", path, blockType)
+	}
+	return block.Bytes, nil
+}
--- a/internal/lockrank/lockrank.go
+++ b/internal/lockrank/lockrank.go
@@ -24,6 +24,7 @@
 	RankAnswers       Rank = 110
 	RankQueue         Rank = 200
 	RankTimers        Rank = 210
+	RankAdapter       Rank = 220
 )
 
 // Mutex is a mutual exclusion lock with a rank.
