Add peerquic: messages between entry processes over QUIC

Cause: heartbeats, configurations, batches and answers have to pass between entry processes with mutual authentication and bounded memory.

Ruled out: half-closing the stream after the request. The client now closes its side once it has the reply, and the server counts the message as handled until then.

Change: one connection to each peer, one stream for each message, a length prefix and CBOR with integer keys. Unknown or duplicate keys, unknown types, oversize and truncated frames get bad_request or too_large. Streams, handlers, connections and message sizes are bounded. A heartbeat must name the VM of its sender's certificate. Error kinds cross the wire; everything else is peer_unreachable.

--- /dev/null
+++ b/internal/adapters/peerquic/convert.go
@@ -0,0 +1,187 @@
+package peerquic
+
+import (
+	"encoding/binary"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/errkind"
+)
+
+const tagBytes = 4
+
+// convert maps every element of a slice; an empty slice becomes nil.
+func convert[A, B any](from []A, one func(A) B) []B {
+	if len(from) == 0 {
+		return nil
+	}
+	to := make([]B, len(from))
+	for i := range from {
+		to[i] = one(from[i])
+	}
+	return to
+}
+
+func toWireMember(m core.Member) wireMember   { return wireMember(m) }
+func fromWireMember(m wireMember) core.Member { return core.Member(m) }
+
+func toWireHeartbeat(b core.Heartbeat) wireHeartbeat {
+	tags := make([]byte, 0, tagBytes*len(b.Applied))
+	for _, tag := range b.Applied {
+		tags = binary.BigEndian.AppendUint32(tags, uint32(tag))
+	}
+	return wireHeartbeat{
+		Sender:    wireMember(b.Sender),
+		Known:     b.Known,
+		Members:   convert(b.Members, toWireMember),
+		Unreached: b.Unreached,
+		Newest:    b.Newest,
+		Applied:   tags,
+		Weights:   convert(b.Weights, func(w core.WeightNews) wireWeightNews { return wireWeightNews(w) }),
+	}
+}
+
+// fromWireHeartbeat checks what the encoding alone does not. Errors: BadRequest.
+func fromWireHeartbeat(b wireHeartbeat) (core.Heartbeat, error) {
+	for _, m := range append([]wireMember{b.Sender}, b.Members...) {
+		if m.VM == "" || m.State < core.MemberAlive || m.State > core.MemberGone {
+			return core.Heartbeat{}, errkind.New(errkind.BadRequest, "member %q in unknown state %d", m.VM, int(m.State))
+		}
+	}
+	if len(b.Applied)%tagBytes != 0 {
+		return core.Heartbeat{}, errkind.New(errkind.BadRequest, "%d bytes of member tags", len(b.Applied))
+	}
+	var tags []core.MemberTag
+	for at := 0; at < len(b.Applied); at += tagBytes {
+		tags = append(tags, core.MemberTag(binary.BigEndian.Uint32(b.Applied[at:])))
+	}
+	return core.Heartbeat{
+		Sender:    core.Member(b.Sender),
+		Known:     b.Known,
+		Members:   convert(b.Members, fromWireMember),
+		Unreached: b.Unreached,
+		Newest:    b.Newest,
+		Applied:   tags,
+		Weights:   convert(b.Weights, func(w wireWeightNews) core.WeightNews { return core.WeightNews(w) }),
+	}, nil
+}
+
+func toWireConfiguration(c core.Configuration) wireConfiguration {
+	return wireConfiguration{
+		Generation:  c.Generation,
+		Parent:      c.Parent,
+		Operator:    c.Operator,
+		Deployments: convert(c.Deployments, toWireDeployment),
+	}
+}
+
+func fromWireConfiguration(c wireConfiguration) core.Configuration {
+	return core.Configuration{
+		Generation:  c.Generation,
+		Parent:      c.Parent,
+		Operator:    c.Operator,
+		Deployments: convert(c.Deployments, fromWireDeployment),
+	}
+}
+
+func toWireDeployment(d core.Deployment) wireDeployment {
+	return wireDeployment{
+		Name:     d.Name,
+		Kind:     d.Kind,
+		Service:  d.Service,
+		Adapter:  d.Adapter,
+		Class:    d.Class,
+		Callers:  d.Callers,
+		Limits:   wireLimits(d.Limits),
+		Once:     convert(d.Once, func(p core.OncePattern) wireOncePattern { return wireOncePattern(p) }),
+		Rollout:  (*wireRollout)(d.Rollout),
+		Fencing:  d.Fencing,
+		Versions: wireVersionPolicy(d.Versions),
+	}
+}
+
+func fromWireDeployment(d wireDeployment) core.Deployment {
+	return core.Deployment{
+		Name:     d.Name,
+		Kind:     d.Kind,
+		Service:  d.Service,
+		Adapter:  d.Adapter,
+		Class:    d.Class,
+		Callers:  d.Callers,
+		Limits:   core.Limits(d.Limits),
+		Once:     convert(d.Once, func(p wireOncePattern) core.OncePattern { return core.OncePattern(p) }),
+		Rollout:  (*core.Rollout)(d.Rollout),
+		Fencing:  d.Fencing,
+		Versions: core.VersionPolicy(d.Versions),
+	}
+}
+
+func toWireBatch(b core.Batch) wireBatch {
+	return wireBatch{
+		Deployment: b.Deployment,
+		Step:       b.Step,
+		Version:    b.Version,
+		Groups:     convert(b.Groups, toWireGroup),
+	}
+}
+
+func fromWireBatch(b wireBatch) core.Batch {
+	group := func(g wireGroup) core.Group { return fromWireGroup(b.Deployment, g) }
+	return core.Batch{
+		Deployment: b.Deployment,
+		Step:       b.Step,
+		Version:    b.Version,
+		Groups:     convert(b.Groups, group),
+	}
+}
+
+func toWireGroup(g core.Group) wireGroup {
+	return wireGroup{ID: wireGroupID(g.ID), Samples: convert(g.Samples, toWireSample)}
+}
+
+func fromWireGroup(deployment core.DeploymentName, g wireGroup) core.Group {
+	id := core.GroupID(g.ID)
+	sample := func(s wireSample) core.Sample {
+		return core.Sample{
+			Deployment: deployment,
+			ID:         core.SampleID{Group: id, Index: s.Index},
+			Prompt:     s.Prompt,
+			Tokens:     s.Tokens,
+			Spans:      convert(s.Spans, func(w wireSpan) core.Span { return core.Span(w) }),
+			Finish:     s.Finish,
+			Score:      s.Score,
+		}
+	}
+	return core.Group{ID: id, Samples: convert(g.Samples, sample)}
+}
+
+func toWireSample(s core.Sample) wireSample {
+	return wireSample{
+		Index:  s.ID.Index,
+		Prompt: s.Prompt,
+		Tokens: s.Tokens,
+		Spans:  convert(s.Spans, func(span core.Span) wireSpan { return wireSpan(span) }),
+		Finish: s.Finish,
+		Score:  s.Score,
+	}
+}
+
+func toWireAnswerPart(p core.AnswerPart) wireAnswerPart {
+	chunks := convert(p.Chunks, func(c core.Chunk) wireChunk { return wireChunk(c) })
+	return wireAnswerPart{Found: p.Found, Chunks: chunks, Finish: p.Finish}
+}
+
+func fromWireAnswerPart(p wireAnswerPart) core.AnswerPart {
+	chunks := convert(p.Chunks, func(c wireChunk) core.Chunk { return core.Chunk(c) })
+	return core.AnswerPart{Found: p.Found, Chunks: chunks, Finish: p.Finish}
+}
+
+// HeartbeatSize returns the bytes of a heartbeat's encoding with its frame and
+// envelope, without those of QUIC.
+func HeartbeatSize(b core.Heartbeat) (int, error) {
+	body, err := encode(toWireHeartbeat(b))
+	if err != nil {
+		return 0, err
+	}
+	envelope, err := encode(request{Type: typeHeartbeat, Body: body})
+	return lengthPrefixBytes + len(envelope), err
+}
--- a/internal/core/peer.go
+++ b/internal/core/peer.go
@@ -31,11 +31,19 @@
 	Load        uint32 // requests in flight
 }
 
+// MemberTag is a short hash of a member's VM and incarnation. Two members may
+// share a tag; a tag that is ambiguous is not used.
+type MemberTag uint32
+
 // Heartbeat is sent between entry processes and answered with the same type.
 type Heartbeat struct {
-	Sender  Member
-	Members []Member // a bounded part of the sender's view
-	Weights []WeightNews
+	Sender    Member
+	Known     uint32      // members that the sender knows
+	Members   []Member    // a bounded part of the sender's view
+	Unreached []VMID      // members that the sender itself fails to reach
+	Newest    Generation  // newest generation that the sender has heard of
+	Applied   []MemberTag // some of the members known to have applied Newest
+	Weights   []WeightNews
 }
 
 // WeightNews spreads a deployment's newest published weight version.
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -122,6 +122,12 @@
 	return kinds
 }
 
+// Known reports whether the kind is in the closed list.
+func Known(kind Kind) bool {
+	_, found := answers[kind]
+	return found
+}
+
 // New returns an error of the kind with a formatted message.
 func New(kind Kind, format string, args ...any) error {
 	return types[kind].New(format, args...)
