--- a/standin/demo/failures.go
+++ b/standin/demo/failures.go
@@ -48,13 +48,17 @@
 
 // killBusiest kills the entry process with the most requests in flight.
 func (d *demo) killBusiest(ctx context.Context) {
+	d.kill(d.busiest(ctx))
+}
+
+func (d *demo) busiest(ctx context.Context) int {
 	busiest, most := 0, -1
 	for at, entry := range d.entries {
 		if inFlight := d.site.InFlight(ctx, entry); inFlight > most {
 			busiest, most = at, inFlight
 		}
 	}
-	d.kill(busiest)
+	return busiest
 }
 
 func (d *demo) kill(at int) {
@@ -109,18 +113,21 @@
 	return ""
 }
 
-// shutDown asks an entry process to leave while it serves.
+// shutDown asks the entry process that serves most to leave.
 func (d *demo) shutDown(ctx context.Context) error {
 	options := d.callers("leave")
 	options.Deployment, options.Prompt, options.MaxTokens = "coach", "The kettle leaks. ", 120
 	options.Count, options.Concurrency = 6, 6
-	leaving := d.entries[len(d.entries)-1]
+	var leaving *site.Entry
 	ended := make(chan caller.Summary, 1)
 	go func() {
 		summary, _ := caller.Run(ctx, options)
 		ended <- summary
 	}()
-	during(func() { _ = leaving.Terminate() })
+	during(func() {
+		leaving = d.entries[d.busiest(ctx)]
+		_ = leaving.Terminate()
+	})
 	summary := <-ended
 	left := waitExit(ctx, leaving)
 	d.record(summary.Whole == options.Count && summary.Resumes == 0 && left, "planned stop cut off no answer",
