--- a/cmd/fescuespar/keys.go
+++ b/cmd/fescuespar/keys.go
@@ -20,6 +20,11 @@
 	Issue     issueCommand     `command:"issue" description:"Make the certificate of one entry VM" long-description:"Makes the certificate of one entry VM. A running entry process takes up replaced files at its next handshake.\n\nExample:\n  fescuespar keys issue --authority authority --vm entry-1 --address 192.0.2.10 --out keys/entry-1"`
 }
 
+// LongDescription returns the help text.
+func (*keysCommand) LongDescription() string {
+	return "Makes a site's own certificate authority, and certificates for its entry VMs.\n\nExample: fescuespar keys authority --out authority"
+}
+
 // Execute is never reached: go-flags demands one of the subcommands.
 func (*keysCommand) Execute([]string) error { return nil }
 
