Test the promises over the application with fakes; mend what they showed

Ruled out: a shorter wait at the trainer (it hides the lost wake-up); more attempts for each answer (a request that never progresses would get them too). Change: waiting is for a deployment's changes, whether it has work or not; attempts are counted since the last one that brought tokens; a publish without a clear result is resolved by its generation's row; servers that refused may be tried again when no other is left.

--- /dev/null
+++ b/internal/app/cluster_test.go
@@ -0,0 +1,266 @@
+package app_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fescuespar/internal/adapters/bodycodec"
+	"fescuespar/internal/app"
+	"fescuespar/internal/core"
+	"fescuespar/internal/errkind"
+	"fescuespar/internal/ports"
+	"fescuespar/internal/ports/backendtest"
+	"fescuespar/internal/ports/porttest"
+)
+
+// Names used by all tests of the application.
+const (
+	donor   core.CallerName     = "donor"
+	family  core.CallerName     = "family"
+	coach   core.CallerName     = "coach-trainer"
+	desk    core.DeploymentName = "desk"
+	model   core.DeploymentName = "coach"
+	testMax                     = 30 * time.Second // bound of one test
+)
+
+// cluster is some services in one process that share fakes of the outside.
+type cluster struct {
+	t        *testing.T
+	ctx      context.Context
+	tables   *porttest.Tables
+	objects  *porttest.Objects
+	vms      *porttest.VMs
+	engine   *backendtest.Engine
+	plain    *backendtest.Plain
+	scorer   *backendtest.Scorer
+	network  *network
+	services []*app.Service
+}
+
+// backendServers is the VM list of every cluster.
+var backendServers = []core.VM{
+	{ID: "engine-1", Kind: core.KindEngine, Service: "coach-model", Address: "e1", Zone: "z1", Region: "r", State: core.VMLive},
+	{ID: "engine-2", Kind: core.KindEngine, Service: "coach-model", Address: "e2", Zone: "z1", Region: "r", State: core.VMLive},
+	{ID: "engine-3", Kind: core.KindEngine, Service: "coach-model", Address: "e3", Zone: "z2", Region: "r", State: core.VMLive},
+	{ID: "desk-1", Kind: core.KindPlain, Service: "desk", Address: "d1", Zone: "z1", Region: "r", State: core.VMLive},
+	{ID: "desk-2", Kind: core.KindPlain, Service: "desk", Address: "d2", Zone: "z2", Region: "r", State: core.VMLive},
+	{ID: "scorer-1", Kind: core.KindScorer, Service: "scorer", Address: "s1", Zone: "z1", Region: "r", State: core.VMLive},
+}
+
+var testDeployments = []core.Deployment{
+	{
+		Name: desk, Kind: core.KindPlain, Service: "desk", Class: core.ClassPeople, Callers: []core.CallerName{donor},
+		Limits: testLimits, Once: []core.OncePattern{{Method: "POST", PathPrefix: "/sponsorships"}},
+	},
+	{
+		Name: model, Kind: core.KindEngine, Service: "coach-model", Class: core.ClassPeople,
+		Callers: []core.CallerName{donor, family}, Limits: testLimits, Fencing: true,
+		Rollout: &core.Rollout{
+			Trainer: coach, Scorer: "scorer", Prompts: "prompts", GroupSize: 2, GroupsPerStep: 3,
+			MaxTokens: 12, StalenessBound: 2, IdleWeight: 0.5,
+		},
+	},
+}
+
+var testLimits = core.Limits{
+	Concurrent: 64, QueueLength: 64, QueueTimeout: 2 * time.Second, RequestTimeout: 3 * time.Second,
+}
+
+// newCluster starts services and publishes testDeployments.
+func newCluster(t *testing.T, size int) *cluster {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testMax)
+	c := &cluster{
+		t: t, ctx: ctx, tables: porttest.NewTables(), objects: porttest.NewObjects(),
+		vms:    porttest.NewVMs(backendServers...),
+		engine: backendtest.NewEngine(backendtest.EngineOptions{Model: "coach-model", Version: 1}),
+		plain:  backendtest.NewPlain(), scorer: backendtest.NewScorer(),
+		network: &network{handlers: make(map[string]ports.PeerHandler), cut: make(map[string]bool)},
+	}
+	t.Cleanup(func() {
+		cancel()
+		for _, s := range c.services {
+			s.Stop()
+		}
+	})
+	if err := c.objects.Put(ctx, "prompts", []byte("one\ntwo\nthree\n")); err != nil {
+		t.Fatal(err)
+	}
+	for range size {
+		c.add()
+	}
+	if _, err := c.services[0].Publish(ctx, "op", 0, testDeployments); err != nil {
+		t.Fatal(err)
+	}
+	c.await("generation 1 and servers everywhere", func() bool {
+		for _, s := range c.services {
+			if s.Configuration().Generation != 1 || len(s.State().(app.State).Servers) != len(backendServers) {
+				return false
+			}
+		}
+		return true
+	})
+	return c
+}
+
+// add starts one more service.
+func (c *cluster) add() *app.Service {
+	number := len(c.services) + 1
+	address := fmt.Sprintf("peer-%d", number)
+	var seeds []string
+	if number > 1 {
+		seeds = []string{"peer-1"}
+	}
+	lane := app.LaneOptions{InFlight: 64, Waiting: 256}
+	self := core.Member{
+		VM: core.VMID(fmt.Sprintf("entry-%d", number)), Incarnation: 1, Zone: "z1", Region: "r",
+		PeerAddress: address, CallAddress: fmt.Sprintf("call-%d", number),
+	}
+	s := app.New(app.Options{
+		Self: self, Seeds: seeds, Seed: uint64(number), Workers: 2, QueueLength: 1024,
+		Streams: lane, PlainCalls: lane, Scoring: lane, Table: lane, Peers: lane,
+		AnswerKeep: time.Minute, AddressKeep: 50 * time.Millisecond,
+		VMListEvery: 20 * time.Millisecond, StatusEvery: 20 * time.Millisecond, ConfigEvery: 50 * time.Millisecond,
+		HeartbeatTick: 20 * time.Millisecond, LeaseTerm: 600 * time.Millisecond, LeaseRenewal: 100 * time.Millisecond,
+		OrderTimeout: 100 * time.Millisecond,
+	}, app.Ports{
+		Tables: gate{c.tables, c.network, address}, Objects: c.objects, VMs: c.vms, Engine: c.engine, Plain: c.plain,
+		Scorer: c.scorer, Bodies: bodycodec.Codec{}, Peers: &endpoint{c.network, address}, Clock: wallClock{},
+	}, zerolog.New(io.Discard))
+	c.network.join(address, s)
+	s.Start()
+	c.services = append(c.services, s)
+	return s
+}
+
+// await waits until a condition holds; only the bound of the whole test ends it.
+func (c *cluster) await(what string, holds func() bool) {
+	c.t.Helper()
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	for !holds() {
+		select {
+		case <-ticker.C:
+		case <-c.ctx.Done():
+			c.t.Fatalf("never held: %s", what)
+		}
+	}
+}
+
+// owner returns the service that coordinates the model deployment.
+func (c *cluster) owner() (owner *app.Service, address string) {
+	c.t.Helper()
+	c.await("a coordinator", func() bool {
+		for i, s := range c.services {
+			for _, l := range s.State().(app.State).Leases {
+				if l.Held && !c.network.isCut(fmt.Sprintf("peer-%d", i+1)) {
+					owner, address = s, fmt.Sprintf("peer-%d", i+1)
+					return true
+				}
+			}
+		}
+		return false
+	})
+	return owner, address
+}
+
+type wallClock struct{}
+
+func (wallClock) Now() time.Time { return time.Now() }
+
+// network connects services and can cut one off, also from the table service.
+type network struct {
+	sync.Mutex
+	handlers map[string]ports.PeerHandler
+	cut      map[string]bool
+}
+
+func (n *network) join(address string, handler ports.PeerHandler) {
+	n.Lock()
+	defer n.Unlock()
+	n.handlers[address] = handler
+}
+
+func (n *network) setCut(address string, cut bool) {
+	n.Lock()
+	defer n.Unlock()
+	n.cut[address] = cut
+}
+
+func (n *network) isCut(address string) bool {
+	n.Lock()
+	defer n.Unlock()
+	return n.cut[address]
+}
+
+func (n *network) between(from, to string) (ports.PeerHandler, error) {
+	n.Lock()
+	defer n.Unlock()
+	if n.cut[from] || n.cut[to] || n.handlers[to] == nil {
+		return nil, errkind.New(errkind.PeerUnreachable, "%s does not reach %s", from, to)
+	}
+	return n.handlers[to], nil
+}
+
+// gate is a service's way to the table service.
+type gate struct {
+	ports.TableService
+	network *network
+	address string
+}
+
+func (g gate) Read(ctx context.Context, keys []core.RowKey) ([]core.Row, error) {
+	if g.network.isCut(g.address) {
+		return nil, errkind.New(errkind.StoreUnavailable, "cut off")
+	}
+	return g.TableService.Read(ctx, keys)
+}
+
+func (g gate) Commit(ctx context.Context, commit core.Commit) (core.CommitResult, error) {
+	if g.network.isCut(g.address) {
+		return core.CommitResult{}, errkind.New(errkind.StoreUnavailable, "cut off")
+	}
+	return g.TableService.Commit(ctx, commit)
+}
+
+// endpoint implements ports.Peers for one service.
+type endpoint struct {
+	network *network
+	address string
+}
+
+func deliver[Q, A any](e *endpoint, ctx context.Context, to string, request Q,
+	handle func(ports.PeerHandler, context.Context, Q) (A, error)) (A, error) {
+	handler, err := e.network.between(e.address, to)
+	if err != nil {
+		var none A
+		return none, err
+	}
+	return handle(handler, ctx, request)
+}
+
+func (e *endpoint) Heartbeat(ctx context.Context, to string, beat core.Heartbeat) (core.Heartbeat, error) {
+	return deliver(e, ctx, to, beat, ports.PeerHandler.HandleHeartbeat)
+}
+
+func (e *endpoint) Configuration(ctx context.Context, to string) (core.Configuration, error) {
+	handler, err := e.network.between(e.address, to)
+	if err != nil {
+		return core.Configuration{}, err
+	}
+	return handler.HandleConfiguration(ctx)
+}
+
+func (e *endpoint) Batch(ctx context.Context, to string, request core.BatchRequest) (core.Batch, error) {
+	return deliver(e, ctx, to, request, ports.PeerHandler.HandleBatch)
+}
+
+func (e *endpoint) Answer(ctx context.Context, to string, request core.AnswerRequest) (core.AnswerPart, error) {
+	return deliver(e, ctx, to, request, ports.PeerHandler.HandleAnswer)
+}
--- a/internal/app/completion.go
+++ b/internal/app/completion.go
@@ -20,7 +20,8 @@
 	request    core.CompletionRequest
 	deployment *core.Deployment
 	oldest     core.WeightVersion // oldest weights on which it may start, zero for any
-	attempt    int                // attempts started here
+	attempt    int                // attempts since the last one that brought tokens
+	held       int                // tokens held when the last attempt started
 	exclude    []core.ServerID
 	ended      func(error) // called once in a step; nil error when whole
 }
@@ -115,17 +116,17 @@
 		Class: c.request.Class, Tokens: expectedTokens(&c.request), Exclude: c.exclude,
 		Version: max(c.oldest, c.deployment.Versions.Pinned),
 	}
-	server, err := s.servers.Acquire(query)
+	server, err := s.acquire(query)
 	if err != nil {
 		return err
 	}
-	c.attempt++
 	source := core.AnswerSource{Server: server.ID, Attempt: s.newAttempt()}
 	prefix, _, err := s.answers.StartAttempt(c.key, source)
 	if err != nil {
 		s.servers.Release(server.ID, query.Tokens)
 		return err
 	}
+	c.countAttempt(len(prefix))
 	s.metrics.Attempts.Inc(1)
 	generate := c.generateRequest(source, prefix)
 	err = s.lanes.streams.Go(func(ctx context.Context) {
@@ -143,6 +144,16 @@
 	return err
 }
 
+// countAttempt counts an attempt that starts with the given tokens held.
+func (c *completion) countAttempt(held int) {
+	if held > c.held {
+		c.attempt = 0
+		c.exclude = nil
+	}
+	c.held = held
+	c.attempt++
+}
+
 // startResume takes up a stream that another entry process started. Its tokens
 // before the offset are not known here, so it can't move to another engine.
 func (s *Service) startResume(c *completion, resume *core.ResumePoint) {
@@ -210,15 +221,8 @@
 	s.timers.After(decision.Delay, c.request.Class, func() { s.retryAttempt(c, err) })
 }
 
-// retryAttempt starts a further attempt. When every server was tried, servers
-// that failed before may be tried again.
 func (s *Service) retryAttempt(c *completion, cause error) {
-	err := s.startAttempt(c)
-	if errkind.Is(err, errkind.NoServer) && len(c.exclude) > 0 {
-		c.exclude = nil
-		err = s.startAttempt(c)
-	}
-	if err != nil {
+	if err := s.startAttempt(c); err != nil {
 		s.fail(c, fmt.Errorf("%w; after: %v", err, cause))
 	}
 }
--- /dev/null
+++ b/internal/app/completion_test.go
@@ -0,0 +1,165 @@
+package app_test
+
+import (
+	"strings"
+	"testing"
+
+	"fescuespar/internal/app"
+	"fescuespar/internal/core"
+	"fescuespar/internal/errkind"
+	"fescuespar/internal/ports/backendtest"
+	"fescuespar/internal/ports/backendtest/tokens"
+)
+
+func completion(id core.RequestID) core.CompletionRequest {
+	return core.CompletionRequest{
+		ID: id, Caller: donor, Deployment: model, Class: core.ClassPeople,
+		Prompt: "how do I mend it", MaxTokens: 30, Seed: 7,
+	}
+}
+
+func (c *cluster) faultEngines(f backendtest.EngineFaults) {
+	for _, id := range []core.ServerID{"engine-1", "engine-2", "engine-3"} {
+		c.engine.Server(id).SetFaults(f)
+	}
+}
+
+// readAnswer reads an answer to its end and checks that chunks follow each other.
+func (c *cluster) readAnswer(s *app.Service, id core.RequestID, from int) (string, error) {
+	c.t.Helper()
+	var text strings.Builder
+	offset := from
+	for {
+		part, err := s.ReadAnswer(c.ctx, donor, id, offset)
+		if err != nil {
+			return text.String(), err
+		}
+		for _, chunk := range part.Chunks {
+			if chunk.Offset != offset {
+				c.t.Fatalf("chunk at %d after %d tokens", chunk.Offset, offset)
+			}
+			text.WriteString(strings.Join(chunk.Tokens, ""))
+			offset += len(chunk.Tokens)
+		}
+		if part.Finish != "" {
+			return text.String(), nil
+		}
+	}
+}
+
+// TestAnswersAreWholeUnderFaults cuts streams and crashes engines.
+func TestAnswersAreWholeUnderFaults(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault func(c *cluster)
+	}{
+		{"none", func(*cluster) {}},
+		{"every engine cuts a stream once", func(c *cluster) { c.faultEngines(backendtest.EngineFaults{CutAfter: 5}) }},
+		{"one engine refuses", func(c *cluster) {
+			c.engine.Server("engine-1").SetFaults(backendtest.EngineFaults{Refuse: true})
+		}},
+		{"two engines refuse", func(c *cluster) {
+			c.engine.Server("engine-1").SetFaults(backendtest.EngineFaults{Refuse: true})
+			c.engine.Server("engine-2").SetFaults(backendtest.EngineFaults{Refuse: true})
+		}},
+		{"one engine crashed", func(c *cluster) { c.engine.Server("engine-2").Crash() }},
+	}
+	request := completion("")
+	want := tokens.Text(request.Prompt, request.Seed, request.MaxTokens)
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			c := newCluster(t, 1)
+			for _, id := range []core.RequestID{"a", "b", "c", "d"} {
+				test.fault(c)
+				if err := c.services[0].Complete(c.ctx, completion(id), nil); err != nil {
+					t.Fatal(err)
+				}
+				got, err := c.readAnswer(c.services[0], id, 0)
+				if err != nil || got != want {
+					t.Errorf("request %s: %v, %q, want %q", id, err, got, want)
+				}
+			}
+		})
+	}
+}
+
+// TestAnswerIsFoundThroughPeers asks another entry process for an answer, from
+// its start and from the middle.
+func TestAnswerIsFoundThroughPeers(t *testing.T) {
+	c := newCluster(t, 2)
+	first, second := c.services[0], c.services[1]
+	id := first.NewRequestID()
+	if err := first.Complete(c.ctx, completion(id), nil); err != nil {
+		t.Fatal(err)
+	}
+	whole, err := c.readAnswer(first, id, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := second.FindAnswer(c.ctx, donor, id, &core.ResumePoint{Offset: 10}); err != nil {
+		t.Fatal(err)
+	}
+	rest, err := c.readAnswer(second, id, 10)
+	if err != nil || !strings.HasSuffix(whole, rest) || rest == "" || rest == whole {
+		t.Errorf("rest %q of %q: %v", rest, whole, err)
+	}
+	if err := second.FindAnswer(c.ctx, "another caller", id, nil); !errkind.Is(err, errkind.UnknownRequest) {
+		t.Errorf("another caller asking for the answer: %v", err)
+	}
+}
+
+// TestAnswerGoesOnAfterEntryProcessIsGone resumes a stream at the engine from
+// another entry process, while the first one can be reached by nobody.
+func TestAnswerGoesOnAfterEntryProcessIsGone(t *testing.T) {
+	c := newCluster(t, 2)
+	c.faultEngines(backendtest.EngineFaults{HoldAfter: 8})
+	id := c.services[0].NewRequestID()
+	if err := c.services[0].Complete(c.ctx, completion(id), nil); err != nil {
+		t.Fatal(err)
+	}
+	part, err := c.services[0].ReadAnswer(c.ctx, donor, id, 0)
+	if err != nil || len(part.Chunks) == 0 {
+		t.Fatal(err)
+	}
+	has := len(part.Chunks[0].Tokens)
+	c.network.setCut("peer-1", true)
+	resume := &core.ResumePoint{Offset: has, Source: part.Source}
+	if err := c.services[1].Complete(c.ctx, completion(id), resume); err != nil {
+		t.Fatal(err)
+	}
+	c.faultEngines(backendtest.EngineFaults{})
+	rest, err := c.readAnswer(c.services[1], id, has)
+	want := strings.Join(tokens.Answer("how do I mend it", 7, 30)[has:], "")
+	if err != nil || rest != want {
+		t.Errorf("rest %q, %v, want %q", rest, err, want)
+	}
+	foreign := completion(id)
+	foreign.Caller = family
+	if err := c.services[1].Complete(c.ctx, foreign, resume); err != nil {
+		t.Fatal(err)
+	}
+	part, err = c.services[1].ReadAnswer(c.ctx, family, id, has)
+	if !errkind.Is(err, errkind.AnswerIncomplete) {
+		t.Errorf("another caller resuming the stream got %+v, %v", part, err)
+	}
+}
+
+// TestRefusalsAreNotRun checks the kinds of refusals and that no engine ran them.
+func TestRefusalsAreNotRun(t *testing.T) {
+	c := newCluster(t, 1)
+	unknown, foreign := completion("x"), completion("y")
+	unknown.Deployment = "nobody"
+	foreign.Caller = "stranger"
+	for _, test := range []struct {
+		request core.CompletionRequest
+		want    errkind.Kind
+	}{{unknown, errkind.UnknownDeployment}, {foreign, errkind.Forbidden}} {
+		err := c.services[0].Complete(c.ctx, test.request, nil)
+		if !errkind.Is(err, test.want) || errkind.AnswerTo(err).Ran != errkind.NotRun {
+			t.Errorf("got %v, want %s", err, test.want)
+		}
+	}
+	if _, err := c.services[0].ReadAnswer(c.ctx, donor, "x", 0); !errkind.Is(err, errkind.UnknownRequest) {
+		t.Errorf("answer of a refused request: %v", err)
+	}
+}
--- a/internal/app/configuration.go
+++ b/internal/app/configuration.go
@@ -57,15 +57,15 @@
 		return err
 	}
 	result, err := s.commit(ctx, commit)
-	if err != nil || result.Applied {
+	if err == nil && result.Applied || errkind.Is(err, errkind.StoreUnavailable) {
 		return err
 	}
-	return s.lostPublish(ctx, next, id)
+	return s.resolvePublish(ctx, next, id)
 }
 
-// lostPublish finds out which generation came before a publish that did not
-// take effect.
-func (s *Service) lostPublish(ctx context.Context, next core.Configuration, id core.AttemptID) error {
+// resolvePublish finds out from the generation's own row which attempt made it,
+// when a commit did not take effect or its rows were changed since.
+func (s *Service) resolvePublish(ctx context.Context, next core.Configuration, id core.AttemptID) error {
 	rows, err := s.read(ctx, configuration.Head, configuration.GenerationRow(next.Generation))
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/app/configuration_test.go
@@ -0,0 +1,87 @@
+package app_test
+
+import (
+	"testing"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/errkind"
+	"fescuespar/internal/ports/porttest/faults"
+)
+
+func (c *cluster) awaitGeneration(generation core.Generation) {
+	c.t.Helper()
+	c.await("generation in force everywhere", func() bool {
+		for _, s := range c.services {
+			if s.Configuration().Generation < generation {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestRacingOperatorsHaveOneWinner publishes on the same base at every process
+// at once, with every reply to a commit lost in half of the rounds.
+func TestRacingOperatorsHaveOneWinner(t *testing.T) {
+	c := newCluster(t, 3)
+	for base := core.Generation(1); base <= 6; base++ {
+		if base%2 == 0 {
+			c.tables.Inject(faults.Order{Operation: faults.Commit, Event: faults.DropAfter, Table: core.TableConfig, Count: 2})
+		}
+		results := make(chan error)
+		for _, s := range c.services {
+			go func() {
+				_, err := s.Publish(c.ctx, "op", base, testDeployments)
+				results <- err
+			}()
+		}
+		won := 0
+		for range c.services {
+			err := <-results
+			if err == nil {
+				won++
+			} else if !errkind.Is(err, errkind.GenerationConflict) {
+				t.Errorf("base %d: %v", base, err)
+			}
+		}
+		if won != 1 {
+			t.Errorf("base %d: %d operators won", base, won)
+		}
+		c.tables.ClearFaults()
+		c.awaitGeneration(base + 1)
+	}
+}
+
+// TestConfigurationReachesARestartedProcessDuringAnOutage starts a process while
+// the platform is out: it learns the configuration from its peers, and a
+// process never goes back to an older one.
+func TestConfigurationReachesARestartedProcessDuringAnOutage(t *testing.T) {
+	c := newCluster(t, 2)
+	if _, err := c.services[0].Publish(c.ctx, "op", 1, testDeployments); err != nil {
+		t.Fatal(err)
+	}
+	c.awaitGeneration(2)
+	c.tables.Inject(faults.Order{Operation: faults.All, Event: faults.Refuse})
+	c.objects.Inject(faults.Order{Operation: faults.All, Event: faults.Refuse})
+	c.add()
+	c.awaitGeneration(2)
+	if _, err := c.services[2].Publish(c.ctx, "op", 2, testDeployments); !errkind.Is(err, errkind.StoreUnavailable) {
+		t.Errorf("publishing during the outage: %v", err)
+	}
+	for _, s := range c.services {
+		if got := s.Configuration().Generation; got != 2 {
+			t.Errorf("generation %d in force, want 2", got)
+		}
+	}
+}
+
+func TestInvalidConfigurationChangesNothing(t *testing.T) {
+	c := newCluster(t, 1)
+	twice := append([]core.Deployment{testDeployments[0]}, testDeployments...)
+	if _, err := c.services[0].Publish(c.ctx, "op", 1, twice); !errkind.Is(err, errkind.InvalidConfig) {
+		t.Errorf("got %v", err)
+	}
+	if got := c.services[0].Configuration().Generation; got != 1 {
+		t.Errorf("generation %d in force, want 1", got)
+	}
+}
--- /dev/null
+++ b/internal/app/once_test.go
@@ -0,0 +1,158 @@
+package app_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"fescuespar/internal/app"
+	"fescuespar/internal/core"
+	"fescuespar/internal/errkind"
+	"fescuespar/internal/ports/backendtest"
+	"fescuespar/internal/ports/porttest/faults"
+)
+
+func sponsorship(key string) core.PlainRequest {
+	return core.PlainRequest{
+		ID: core.RequestID("r-" + key), Caller: donor, Deployment: desk, Method: "POST", Path: "/sponsorships",
+		Body: []byte("Gaston"), Key: core.IdempotencyKey(key),
+	}
+}
+
+func (c *cluster) faultPlain(f backendtest.PlainFaults) {
+	c.plain.SetFaults("desk-1", f)
+	c.plain.SetFaults("desk-2", f)
+}
+
+// TestOnceUnderFaults sends a call that may run once at one entry process and
+// again, under the same key, at another one after the fault is over.
+func TestOnceUnderFaults(t *testing.T) {
+	answered := errkind.Kind("")
+	cases := []struct {
+		name          string
+		fault         func(c *cluster)
+		first, second errkind.Kind // empty: answered
+		runs          int
+	}{
+		{"none", func(*cluster) {}, answered, answered, 1},
+		{"reply of the server lost", func(c *cluster) { c.faultPlain(backendtest.PlainFaults{DropReply: true}) },
+			errkind.MayHaveRun, errkind.MayHaveRun, 1},
+		{"server crashes after the effect", func(c *cluster) { c.faultPlain(backendtest.PlainFaults{Crash: true}) },
+			errkind.MayHaveRun, errkind.MayHaveRun, 1},
+		{"servers refuse", func(c *cluster) { c.faultPlain(backendtest.PlainFaults{Refuse: true}) },
+			errkind.ServerRefused, answered, 1},
+		{"table service refuses", func(c *cluster) { c.tables.Inject(claimFault(faults.Refuse)) },
+			errkind.StoreUnavailable, answered, 1},
+		{"reply to the claim lost after its effect", func(c *cluster) { c.tables.Inject(claimFault(faults.DropAfter)) },
+			answered, answered, 1},
+		{"claim lost before its effect", func(c *cluster) { c.tables.Inject(claimFault(faults.DropBefore)) },
+			answered, answered, 1},
+		{"claim takes effect late", func(c *cluster) {
+			late := claimFault(faults.LateEffect)
+			late.Delay = 30 * time.Millisecond
+			c.tables.Inject(late)
+		}, answered, answered, 1},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			c := newCluster(t, 2)
+			test.fault(c)
+			c.checkCall(0, "k", test.first)
+			c.tables.ClearFaults()
+			c.faultPlain(backendtest.PlainFaults{})
+			c.plain.Revive("desk-1")
+			c.plain.Revive("desk-2")
+			c.checkCall(1, "k", test.second)
+			if runs := c.plain.Runs("k", "/sponsorships"); runs != test.runs {
+				t.Errorf("ran %d times, want %d", runs, test.runs)
+			}
+		})
+	}
+}
+
+func claimFault(event faults.Event) faults.Order {
+	return faults.Order{Operation: faults.Commit, Event: event, Table: core.TableClaim, Count: 1}
+}
+
+func (c *cluster) checkCall(service int, key string, want errkind.Kind) {
+	c.t.Helper()
+	_, err := c.services[service].Call(c.ctx, sponsorship(key))
+	if want == "" && err != nil || want != "" && !errkind.Is(err, want) {
+		c.t.Errorf("call at service %d: %v, want kind %q", service, err, want)
+	}
+	if ran := errkind.AnswerTo(err).Ran; err != nil && ran == errkind.NotRun && c.plain.Runs(core.IdempotencyKey(key), "/sponsorships") > 0 {
+		c.t.Errorf("refused as not run (%v) although it ran", err)
+	}
+}
+
+// TestClaimWithoutTableServiceIsRefusedTruthfully keeps the table service out
+// for the whole call.
+func TestClaimWithoutTableServiceIsRefusedTruthfully(t *testing.T) {
+	c := newCluster(t, 1)
+	c.tables.Inject(faults.Order{Operation: faults.All, Event: faults.Refuse})
+	c.checkCall(0, "k", errkind.StoreUnavailable)
+	if runs := c.plain.Runs("k", "/sponsorships"); runs != 0 {
+		t.Errorf("ran %d times without a claim", runs)
+	}
+}
+
+// TestRacingRepeatsRunOnce sends one key at every entry process at once.
+func TestRacingRepeatsRunOnce(t *testing.T) {
+	c := newCluster(t, 3)
+	results := make(chan error)
+	const repeats = 4
+	for _, s := range c.services {
+		for range repeats {
+			go func(s *app.Service) {
+				_, err := s.Call(c.ctx, sponsorship("k"))
+				results <- err
+			}(s)
+		}
+	}
+	for range repeats * len(c.services) {
+		if err := <-results; err != nil {
+			t.Errorf("a repeat got no answer: %v", err)
+		}
+	}
+	if runs := c.plain.Runs("k", "/sponsorships"); runs != 1 {
+		t.Errorf("ran %d times", runs)
+	}
+}
+
+// TestClaimsShareCommits counts the commits of many claims at once.
+func TestClaimsShareCommits(t *testing.T) {
+	c := newCluster(t, 1)
+	const calls = 60
+	before := c.services[0].Metrics().TableCommits.Count()
+	results := make(chan error)
+	for i := range calls {
+		go func() {
+			_, err := c.services[0].Call(c.ctx, sponsorship(fmt.Sprint("k", i)))
+			results <- err
+		}()
+	}
+	for range calls {
+		if err := <-results; err != nil {
+			t.Error(err)
+		}
+	}
+	commits := c.services[0].Metrics().TableCommits.Count() - before
+	t.Logf("%d commits for %d calls; one write each would be %d", commits, calls, 2*calls)
+	if commits >= 2*calls {
+		t.Errorf("%d commits for %d calls", commits, calls)
+	}
+}
+
+func TestOnceWithoutKeyIsRefused(t *testing.T) {
+	c := newCluster(t, 1)
+	request := sponsorship("")
+	if _, err := c.services[0].Call(c.ctx, request); !errkind.Is(err, errkind.KeyRequired) {
+		t.Errorf("got %v", err)
+	}
+	c.checkCall(0, "k", "")
+	other := sponsorship("k")
+	other.Body = []byte("Pepita")
+	if _, err := c.services[0].Call(c.ctx, other); !errkind.Is(err, errkind.KeyReused) {
+		t.Errorf("another body under the key: %v", err)
+	}
+}
--- a/internal/app/plaincall.go
+++ b/internal/app/plaincall.go
@@ -196,7 +196,7 @@
 
 // dispatchCall routes the call and sends it once.
 func (s *Service) dispatchCall(call *plainCall) {
-	server, err := s.servers.Acquire(routing.Query{
+	server, err := s.acquire(routing.Query{
 		Kind: core.KindPlain, Service: call.deployment.Service, Class: core.ClassPeople, Tokens: 1,
 		Zone: s.options.Self.Zone, Region: s.options.Self.Region, Exclude: call.exclude,
 	})
--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -4,9 +4,22 @@
 	"context"
 
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/routing"
+	"fescuespar/internal/errkind"
 	"fescuespar/internal/workers"
 )
 
+// acquire picks a server and counts the request as in flight on it. When every
+// server was tried, those that failed before may be tried again.
+func (s *Service) acquire(query routing.Query) (core.VM, error) {
+	server, err := s.servers.Acquire(query)
+	if errkind.Is(err, errkind.NoServer) && len(query.Exclude) > 0 {
+		query.Exclude = nil
+		return s.servers.Acquire(query)
+	}
+	return server, err
+}
+
 // pollVMs reads the platform's VM list. During an outage the last list stays in
 // use.
 func (s *Service) pollVMs() {
--- a/internal/app/shutdown.go
+++ b/internal/app/shutdown.go
@@ -29,8 +29,7 @@
 	case <-s.lifecycle.Idle():
 	case <-ctx.Done():
 	}
-	s.lifecycle.Advance(tables.PhaseStopped)
-	s.stopWork()
+	s.Stop()
 	s.log.Info().Str("phase", "stopped").Msg("shutdown")
 }
 
@@ -58,3 +57,9 @@
 	s.lanes.peers.Stop()
 	s.pool.Stop()
 }
+
+// Stop ends the process's work at once, without a graceful shutdown.
+func (s *Service) Stop() {
+	s.lifecycle.Advance(tables.PhaseStopped)
+	s.stopWork()
+}
--- a/internal/tables/rollouts.go
+++ b/internal/tables/rollouts.go
@@ -31,20 +31,24 @@
 	groups   map[core.GroupID]*groupRow
 	busy     bool   // a batch is being fixed
 	problem  string // why the work can't start, for operators
-	changed  chan struct{}
 }
 
 // Rollouts holds the groups in progress of the deployments that this process
 // coordinates.
 type Rollouts struct {
-	// mu guards rows.
-	mu   lockrank.Mutex
-	rows map[core.DeploymentName]*rolloutRow
+	// mu guards all fields below.
+	mu      lockrank.Mutex
+	rows    map[core.DeploymentName]*rolloutRow
+	changed map[core.DeploymentName]chan struct{} // closed and dropped at every change
 }
 
 // NewRollouts returns a table without deployments.
 func NewRollouts() *Rollouts {
-	return &Rollouts{mu: lockrank.New(lockrank.RankRollouts), rows: make(map[core.DeploymentName]*rolloutRow)}
+	return &Rollouts{
+		mu:      lockrank.New(lockrank.RankRollouts),
+		rows:    make(map[core.DeploymentName]*rolloutRow),
+		changed: make(map[core.DeploymentName]chan struct{}),
+	}
 }
 
 // Open starts a deployment's work under a fencing number. It returns true when
@@ -56,12 +60,8 @@
 	if row != nil && row.fence == fence {
 		return !row.loaded
 	}
-	if row != nil {
-		close(row.changed)
-	}
-	t.rows[name] = &rolloutRow{
-		fence: fence, groups: make(map[core.GroupID]*groupRow), changed: make(chan struct{}),
-	}
+	t.rows[name] = &rolloutRow{fence: fence, groups: make(map[core.GroupID]*groupRow)}
+	t.notify(name)
 	return true
 }
 
@@ -69,9 +69,9 @@
 func (t *Rollouts) Close(name core.DeploymentName) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if row := t.rows[name]; row != nil {
-		close(row.changed)
+	if t.rows[name] != nil {
 		delete(t.rows, name)
+		t.notify(name)
 	}
 }
 
@@ -84,7 +84,7 @@
 		row.prompts = prompts
 		row.loaded = true
 		row.problem = ""
-		row.notify()
+		t.notify(name)
 	}
 }
 
@@ -159,7 +159,7 @@
 func (t *Rollouts) Finish(fence core.Fence, sample core.Sample) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	row, group := t.running(sample.Deployment, fence, sample.ID)
+	group := t.running(sample.Deployment, fence, sample.ID)
 	if group == nil {
 		return
 	}
@@ -167,7 +167,7 @@
 	group.samples[sample.ID.Index] = sample
 	group.done++
 	if group.done == len(group.samples) {
-		row.notify()
+		t.notify(sample.Deployment)
 	}
 }
 
@@ -175,7 +175,7 @@
 func (t *Rollouts) Retry(name core.DeploymentName, fence core.Fence, id core.SampleID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if _, group := t.running(name, fence, id); group != nil {
+	if group := t.running(name, fence, id); group != nil {
 		group.states[id.Index] = samplePending
 	}
 }
@@ -230,7 +230,7 @@
 	for _, id := range tooOld {
 		delete(row.groups, id)
 	}
-	row.notify()
+	t.notify(name)
 }
 
 // Delivered takes the delivery row that a batch's commit wrote.
@@ -260,15 +260,15 @@
 	}
 }
 
-// Changed is closed when a group finishes or the work changes otherwise. It
-// returns nil when the deployment has no work here.
+// Changed is closed when a group of the deployment finishes or its work changes
+// otherwise.
 func (t *Rollouts) Changed(name core.DeploymentName) <-chan struct{} {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if row := t.rows[name]; row != nil {
-		return row.changed
+	if t.changed[name] == nil {
+		t.changed[name] = make(chan struct{})
 	}
-	return nil
+	return t.changed[name]
 }
 
 // RolloutState is one deployment's part of the state dump.
@@ -313,19 +313,22 @@
 }
 
 // running returns the group of a running sample. The lock is held.
-func (t *Rollouts) running(name core.DeploymentName, fence core.Fence, id core.SampleID) (*rolloutRow, *groupRow) {
+func (t *Rollouts) running(name core.DeploymentName, fence core.Fence, id core.SampleID) *groupRow {
 	row := t.at(name, fence)
 	if row == nil {
-		return nil, nil
+		return nil
 	}
 	group := row.groups[id.Group]
 	if group == nil || id.Index >= len(group.states) || group.states[id.Index] != sampleRunning {
-		return nil, nil
+		return nil
 	}
-	return row, group
+	return group
 }
 
-func (r *rolloutRow) notify() {
-	close(r.changed)
-	r.changed = make(chan struct{})
+// notify wakes those who wait for a deployment's work. The lock is held.
+func (t *Rollouts) notify(name core.DeploymentName) {
+	if changed := t.changed[name]; changed != nil {
+		close(changed)
+		delete(t.changed, name)
+	}
 }
