--- /dev/null
+++ b/internal/core/admission/gate_test.go
@@ -0,0 +1,249 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/errkind"
+)
+
+var start = time.Unix(1000, 0)
+
+func ask(caller string, class core.Class, payload int) *Request[int] {
+	return &Request[int]{
+		Caller: core.CallerName(caller), Class: class, Cost: 100,
+		Deadline: start.Add(time.Minute), Payload: payload,
+	}
+}
+
+func admitAll(t *testing.T, g *Gate[int], request *Request[int], count int) (started, refused int) {
+	t.Helper()
+	for range count {
+		ok, err := g.Admit(request, start)
+		if ok {
+			started++
+		}
+		if err != nil {
+			refused++
+		}
+	}
+	return started, refused
+}
+
+func TestGateRefusals(t *testing.T) {
+	bounds := Bounds{Concurrent: 2, QueueLength: 3, QueueTimeout: 10 * time.Second}
+	cases := []struct {
+		name     string
+		prepare  func(*Gate[int])
+		deadline time.Duration
+		want     errkind.Kind // empty when the request waits
+	}{
+		{"waits", func(*Gate[int]) {}, time.Minute, ""},
+		{"queue full", func(g *Gate[int]) { admitAll(t, g, ask("a", core.ClassPeople, 0), 3) }, time.Minute, errkind.Overloaded},
+		{"slow service, long queue", func(g *Gate[int]) {
+			g.hold[core.ClassPeople] = 6 * time.Second
+			admitAll(t, g, ask("a", core.ClassPeople, 0), 2)
+		}, time.Minute, errkind.DeadlineTooShort},
+		{"typical run exceeds what is left", func(g *Gate[int]) { g.hold[core.ClassPeople] = 6 * time.Second },
+			5 * time.Second, errkind.DeadlineTooShort},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewGate[int](bounds)
+			admitAll(t, g, ask("a", core.ClassPeople, 0), 2)
+			c.prepare(g)
+			request := ask("a", core.ClassPeople, 1)
+			request.Deadline = start.Add(c.deadline)
+			started, err := g.Admit(request, start)
+			if started || (c.want == "") != (err == nil) || (err != nil && !errkind.Is(err, c.want)) {
+				t.Errorf("started %v, error %v, want %q", started, err, c.want)
+			}
+			if err != nil && errkind.AnswerTo(err).Ran != errkind.NotRun {
+				t.Errorf("%v does not say that the request was not run", err)
+			}
+		})
+	}
+}
+
+func TestGateKeepsSharesOfTheClasses(t *testing.T) {
+	g := NewGate[int](Bounds{Concurrent: 10, QueueLength: 100, QueueTimeout: time.Minute})
+	rollouts, _ := admitAll(t, g, ask("trainer", core.ClassRollout, 0), 50)
+	if rollouts != 8 {
+		t.Errorf("%d rollouts started, want 8 with two places free for people", rollouts)
+	}
+	people, _ := admitAll(t, g, ask("library", core.ClassPeople, 1), 50)
+	if people != 2 {
+		t.Errorf("%d people's requests started, want 2", people)
+	}
+	for range 8 {
+		g.Release(core.ClassRollout, time.Second)
+		g.Dequeue(start)
+	}
+	if got := g.State().InFlight; got[core.ClassPeople] != 8 || got[core.ClassRollout] != 2 {
+		t.Errorf("in flight %v, want people at 8 and rollouts at their share of 2", got)
+	}
+}
+
+func TestGateServesCallersInTurn(t *testing.T) {
+	g := NewGate[int](Bounds{Concurrent: 1, QueueLength: 1000, QueueTimeout: time.Hour})
+	admitAll(t, g, ask("first", core.ClassPeople, 0), 1)
+	admitAll(t, g, ask("greedy", core.ClassPeople, 1), 500)
+	admitAll(t, g, ask("modest", core.ClassPeople, 2), 5)
+	modest := 0
+	for range 12 {
+		g.Release(core.ClassPeople, time.Millisecond)
+		if payload, _, ok := g.Dequeue(start); ok && payload == 2 {
+			modest++
+		}
+	}
+	if modest != 5 {
+		t.Errorf("%d of the modest caller's 5 requests among the first 12, want all", modest)
+	}
+}
+
+func TestGateWeighsCallersByCost(t *testing.T) {
+	g := NewGate[int](Bounds{Concurrent: 1, QueueLength: 1000, QueueTimeout: time.Hour})
+	admitAll(t, g, ask("first", core.ClassPeople, 0), 1)
+	long := ask("long", core.ClassPeople, 1)
+	long.Cost = 400
+	admitAll(t, g, long, 100)
+	admitAll(t, g, ask("short", core.ClassPeople, 2), 100)
+	count := [3]int{}
+	for range 50 {
+		g.Release(core.ClassPeople, time.Millisecond)
+		payload, _, _ := g.Dequeue(start)
+		count[payload]++
+	}
+	if ratio := float64(count[2]) / float64(count[1]); ratio < 3.5 || ratio > 4.5 {
+		t.Errorf("%d short and %d long requests served, want about 4 to 1", count[2], count[1])
+	}
+}
+
+// TestGateProperties drives a gate with random operations and checks that no
+// request is lost, started twice or started above the limit.
+func TestGateProperties(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(7)
+	parameters.MinSuccessfulTests = 300
+	properties := gopter.NewProperties(parameters)
+	properties.Property("every request ends once and limits hold", prop.ForAll(func(operations []int) bool {
+		return gateRunHolds(operations) == nil
+	}, gen.SliceOfN(400, gen.IntRange(0, 99))))
+	properties.TestingRun(t)
+}
+
+func gateRunHolds(operations []int) error {
+	const concurrent = 7
+	g := NewGate[int](Bounds{Concurrent: concurrent, QueueLength: 20, QueueTimeout: 3 * time.Second})
+	now := start
+	ended := make(map[int]int)
+	accepted := 0
+	var running [core.ClassCount]int
+	startNext := func() {
+		for payload, class, ok := g.Dequeue(now); ok; payload, class, ok = g.Dequeue(now) {
+			ended[payload]++
+			running[class]++
+		}
+	}
+	for number, operation := range operations {
+		class := core.ClassPeople + core.Class(operation%2)
+		switch {
+		case operation < 55:
+			request := ask(fmt.Sprint(operation%5), class, number)
+			request.Deadline = now.Add(time.Duration(operation) * 200 * time.Millisecond)
+			started, err := g.Admit(request, now)
+			if err == nil {
+				accepted++
+			}
+			if started {
+				ended[number]++
+				running[class]++
+			}
+		case operation < 85:
+			if running[class] > 0 {
+				running[class]--
+				g.Release(class, time.Duration(operation)*time.Millisecond)
+			}
+			startNext()
+		default:
+			now = now.Add(time.Duration(operation) * 5 * time.Millisecond)
+			for _, payload := range g.Expire(now, nil) {
+				ended[payload]++
+			}
+		}
+		if g.InUse() > concurrent || g.InUse() != running[1]+running[2] {
+			return fmt.Errorf("%d in flight", g.InUse())
+		}
+	}
+	for _, payload := range g.Expire(now.Add(time.Hour), nil) {
+		ended[payload]++
+	}
+	if len(ended) != accepted {
+		return fmt.Errorf("%d of %d accepted requests ended", len(ended), accepted)
+	}
+	for payload, times := range ended {
+		if times != 1 {
+			return fmt.Errorf("request %d ended %d times", payload, times)
+		}
+	}
+	return nil
+}
+
+func TestServerLimitFollowsLatency(t *testing.T) {
+	limit := NewServerLimit(start)
+	now := start
+	observe := func(latency time.Duration, count int) {
+		for range count {
+			for limit.Acquire(core.ClassPeople) {
+			}
+			limit.Release()
+			now = now.Add(10 * time.Millisecond)
+			limit.Observe(latency, now)
+		}
+	}
+	observe(20*time.Millisecond, 400)
+	high := limit.Limit()
+	if high <= serverLimitStart {
+		t.Errorf("limit %d at a steady latency, want more than %d", high, serverLimitStart)
+	}
+	observe(100*time.Millisecond, 400)
+	low := limit.Limit()
+	if low >= high/2 {
+		t.Errorf("limit %d at five times the latency, want less than half of %d", low, high)
+	}
+	for range 20 {
+		limit.Failed()
+	}
+	if got := limit.Limit(); got != serverLimitLeast {
+		t.Errorf("limit %d after failures, want %d", got, serverLimitLeast)
+	}
+}
+
+func BenchmarkAdmitRelease(b *testing.B) {
+	for _, callers := range []int{1, 100, 1000} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			g := NewGate[int](Bounds{Concurrent: 64, QueueLength: 4096, QueueTimeout: time.Hour})
+			requests := make([]*Request[int], callers)
+			for i := range requests {
+				requests[i] = ask(fmt.Sprint("caller-", i), core.ClassPeople, i)
+				requests[i].Deadline = start.Add(1000 * time.Hour)
+			}
+			for i := range 64 + 2*callers {
+				_, _ = g.Admit(requests[i%callers], start)
+			}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				_, _ = g.Admit(requests[i%callers], start)
+				g.Release(core.ClassPeople, time.Millisecond)
+				g.Dequeue(start)
+				i++
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/admission/peak.go
@@ -0,0 +1,26 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+// decayingPeak remembers the largest recent value; it halves every peakHalfLife.
+type decayingPeak struct {
+	value float64
+	since time.Time
+}
+
+func (p *decayingPeak) at(now time.Time) float64 {
+	if p.value == 0 {
+		return 0
+	}
+	return p.value * math.Exp2(-float64(now.Sub(p.since))/float64(peakHalfLife))
+}
+
+func (p *decayingPeak) raise(value float64, now time.Time) {
+	if value >= p.at(now) {
+		p.value = value
+		p.since = now
+	}
+}
