Recognise requests that crash servers by trials that all peers allow

Cause: a request that crashes each backend server running it was repeated like any other, by this process and by its caller's resends elsewhere.

Ruled out: a count of crashes for each fingerprint (a server's death cuts many streams, so innocents reach two as fast as the killer), a row in the table service for each suspect (suspects must wait while the store is down, which is when servers fail too), one process chosen by the fingerprint (a resend that has not heard of the suspicion does not ask it).

Change: package crash. Fingerprints in flight at a death become suspects. A suspect runs only as a trial that every live entry process has allowed, on a server without another suspect's trial. The exchange that spreads the suspicion asks for the permission too. A death under trial convicts one fingerprint and clears those that it explains; a clean finish or five seconds under trial clear; three servers that die within five seconds are an outage.

Seen to fail when broken: outage rule, spreading of convictions, rounds, permission of peers, one suspect a server.

--- a/internal/core/crash.go
+++ b/internal/core/crash.go
@@ -6,16 +6,26 @@
 
 // The states of a fingerprint.
 const (
-	CrashSuspect   CrashState = iota + 1 // ran on a server that died; runs only alone and under a trial
-	CrashCleared                         // a clean finish ended the suspicion
+	CrashSuspect   CrashState = iota + 1 // runs only as a trial
+	CrashCleared                         // not the cause of the death
 	CrashConvicted                       // refused with errkind.CrashesServers
 )
 
-// CrashNews spreads the state of one fingerprint.
+// String returns the state's name for dumps.
+func (s CrashState) String() string {
+	return [...]string{"none", "suspect", "cleared", "convicted"}[s]
+}
+
+// CrashNews spreads what the sender knows of one fingerprint. As an answer to
+// news with a Trial it also says whether the sender allows that trial.
 type CrashNews struct {
 	Fingerprint uint64
 	Round       uint32 // grows when a cleared fingerprint is suspected again
 	State       CrashState
-	Server      ServerID // the server that died first
-	InFlight    bool     // a copy runs at the sender without a trial
+	First       ServerID // server that died first
+	Second      ServerID // server that died next, empty when only one did
+	Age         uint32   // milliseconds since the newest death
+	Trial       VMID     // entry VM whose trial the sender allows; its own when it asks for one
+	TrialServer ServerID // server on which that trial runs alone among suspects
+	InFlight    bool     // a copy runs at the sender that began before the suspicion
 }
