Eject outlying servers, tell a sag from one bad server

Cause: routing had no notion of a server that fails or is slow. Ruled out: comparing within a fixed window of results (at the onset of a sag the first window to fill looks slow beside old ones, and it is the wrong server that goes); ejecting on a single slow request (lengths are heavy-tailed). Change: package outlier. Conclusion: not yet asked by routing.

--- /dev/null
+++ b/internal/core/outlier/pool.go
@@ -0,0 +1,133 @@
+package outlier
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Pool compares the servers that run the same work.
+type Pool struct {
+	policy  Policy
+	servers []*Server
+	ejected int
+	sagging bool
+	usual   medians // of long ago; zero until the first median
+	swept   time.Time
+	scratch []float64
+}
+
+// medians are a pool's medians over the servers with recent results.
+type medians struct {
+	success  float64
+	perToken float64 // seconds
+	ok       bool    // enough servers had results
+}
+
+// NewPool returns a pool without servers.
+func NewPool(policy Policy) *Pool { return &Pool{policy: policy} }
+
+// Add takes a server into the pool.
+func (p *Pool) Add(server *Server) { p.servers = append(p.servers, server) }
+
+// Remove takes a server out of the pool.
+func (p *Pool) Remove(server *Server) {
+	at := slices.Index(p.servers, server)
+	if at < 0 {
+		return
+	}
+	p.servers = slices.Delete(p.servers, at, at+1)
+	if server.ejected {
+		p.ejected--
+	}
+}
+
+// Ejected returns the number of servers that are ejected.
+func (p *Pool) Ejected() int { return p.ejected }
+
+// Sagging reports whether the whole pool was slow or failing at the last Sweep.
+func (p *Pool) Sagging() bool { return p.sagging }
+
+// Ramp returns the time over which a returning server regains its weight.
+func (p *Pool) Ramp() time.Duration { return p.policy.Ramp }
+
+// Record takes in one result in constant time. It returns true when the server
+// was ejected by it: only consecutive failures eject here, since a comparison
+// with the peers needs Sweep.
+func (p *Pool) Record(server *Server, result Result, now time.Time, random *rand.Rand) bool {
+	switch result.Outcome {
+	case Abandoned:
+		return false
+	case Killed:
+		server.excusedUntil = now.Add(p.policy.RestartGrace)
+		return false
+	}
+	if server.ejected {
+		return false
+	}
+	server.add(result, now)
+	if server.consecutive < p.policy.ConsecutiveFailures {
+		return false
+	}
+	return p.eject(server, now, random)
+}
+
+// Sweep ends the ejections that are due, looks for a sag and compares the
+// servers with the pool's medians. It takes time linear in the pool and is
+// called about once a second, apart from routing decisions.
+func (p *Pool) Sweep(now time.Time, random *rand.Rand) {
+	p.endEjections(now)
+	current := p.medians(now)
+	p.findSag(current, now)
+	p.learnUsual(current, now)
+	p.swept = now
+	if !current.ok || p.sagging {
+		return
+	}
+	for _, server := range p.servers {
+		if !server.ejected && p.isOutlier(server, current, now) {
+			p.eject(server, now, random)
+		}
+	}
+}
+
+func (p *Pool) endEjections(now time.Time) {
+	for _, server := range p.servers {
+		switch {
+		case server.ejected && !now.Before(server.until):
+			p.restore(server, now)
+		case !server.ejected:
+			server.forgive(p.policy.Forgive, now)
+		}
+	}
+}
+
+func (p *Pool) restore(server *Server, now time.Time) {
+	server.restore(now)
+	p.ejected--
+}
+
+// eject takes a server out unless the pool sags or too many are out already.
+func (p *Pool) eject(server *Server, now time.Time, random *rand.Rand) bool {
+	if p.sagging || p.ejected >= p.maxEjected() {
+		return false
+	}
+	server.eject(&p.policy, now, random)
+	p.ejected++
+	return true
+}
+
+// maxEjected is the bound on ejected servers; one server always stays.
+func (p *Pool) maxEjected() int {
+	bound := int(math.Ceil(p.policy.MaxEjectedShare * float64(len(p.servers))))
+	return min(bound, len(p.servers)-1)
+}
+
+func (p *Pool) isOutlier(server *Server, current medians, now time.Time) bool {
+	if server.results < p.policy.MinResults || now.Sub(server.lastResult) > p.policy.PeerWindow {
+		return false
+	}
+	return server.success < p.policy.SuccessFactor*current.success ||
+		server.perToken > p.policy.LatencyFactor*current.perToken
+}
