Route over bounded candidate sets with cache affinity and health

Cause: a decision listed every fitting server and saw neither caches nor adapters; reports were counted on top of our own requests. Change: cells by service, region, adapter and version; candidates are holders found through a set-associative prefix index, the prompt's home on a hash ring, and two drawn servers; filters, scorers and a picker in files of their own; load of our own requests corrected by lagging reports; share of the link between regions and its price; outlier ejection. core.EngineStatus gains Versions, one entry for each adapter held. Acquire and Release of the servers table take times and the result.

--- a/internal/app/completion.go
+++ b/internal/app/completion.go
@@ -113,17 +113,19 @@
 		Kind: core.KindEngine, Service: c.deployment.Service, Adapter: c.deployment.Adapter,
 		Zone: s.options.Self.Zone, Region: s.options.Self.Region,
 		Class: c.request.Class, Tokens: expectedTokens(&c.request), Exclude: c.exclude,
+		Prefix:  core.PrefixHashes(c.request.Prompt),
 		Version: max(c.oldest, c.deployment.Versions.Pinned),
 	}
-	server, err := s.servers.Acquire(query)
+	begun, err := s.servers.Acquire(query, s.ports.Clock.Now())
 	if err != nil {
 		return err
 	}
+	server := begun.VM
 	c.attempt++
 	source := core.AnswerSource{Server: server.ID, Attempt: s.newAttempt()}
 	prefix, _, err := s.answers.StartAttempt(c.key, source)
 	if err != nil {
-		s.servers.Release(server.ID, query.Tokens)
+		s.release(begun, 0, err)
 		return err
 	}
 	s.metrics.Attempts.Inc(1)
@@ -133,12 +135,12 @@
 			return s.ports.Engine.Generate(ctx, server, generate, sink)
 		})
 		s.pool.MustEnqueue(c.request.Class, func() {
-			s.servers.Release(server.ID, query.Tokens)
+			s.release(begun, end.Tokens, err)
 			s.attemptEnded(c, source, end, err)
 		})
 	})
 	if err != nil {
-		s.servers.Release(server.ID, query.Tokens)
+		s.release(begun, 0, err)
 	}
 	return err
 }
--- a/internal/app/plaincall.go
+++ b/internal/app/plaincall.go
@@ -196,10 +196,11 @@
 
 // dispatchCall routes the call and sends it once.
 func (s *Service) dispatchCall(call *plainCall) {
-	server, err := s.servers.Acquire(routing.Query{
+	begun, err := s.servers.Acquire(routing.Query{
 		Kind: core.KindPlain, Service: call.deployment.Service, Class: core.ClassPeople, Tokens: 1,
 		Zone: s.options.Self.Zone, Region: s.options.Self.Region, Exclude: call.exclude,
-	})
+		Bytes: len(call.request.Body),
+	}, s.ports.Clock.Now())
 	if err != nil {
 		s.callUnrun(call, err)
 		return
@@ -209,14 +210,14 @@
 	err = s.lanes.calls.Go(func(ctx context.Context) {
 		ctx, cancel := context.WithDeadline(ctx, call.request.Deadline)
 		defer cancel()
-		response, err := s.ports.Plain.Call(ctx, server, call.request)
+		response, err := s.ports.Plain.Call(ctx, begun.VM, call.request)
 		s.pool.MustEnqueue(core.ClassPeople, func() {
-			s.servers.Release(server.ID, 1)
-			s.callEnded(call, server.ID, response, err)
+			s.release(begun, 0, err)
+			s.callEnded(call, begun.VM.ID, response, err)
 		})
 	})
 	if err != nil {
-		s.servers.Release(server.ID, 1)
+		s.release(begun, 0, err)
 		s.callUnrun(call, err)
 	}
 }
--- a/internal/app/scoring.go
+++ b/internal/app/scoring.go
@@ -22,10 +22,10 @@
 const scoreAttempts = 5
 
 func (s *Service) tryScore(deployment *core.Deployment, fence core.Fence, sample core.Sample, number int) {
-	server, err := s.servers.Acquire(routing.Query{
+	begun, err := s.servers.Acquire(routing.Query{
 		Kind: core.KindScorer, Service: deployment.Rollout.Scorer, Class: core.ClassRollout, Tokens: 1,
 		Zone: s.options.Self.Zone, Region: s.options.Self.Region,
-	})
+	}, s.ports.Clock.Now())
 	if err != nil {
 		s.scoreAgain(deployment, fence, sample, number)
 		return
@@ -33,9 +33,9 @@
 	err = s.lanes.scoring.Go(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, deployment.Limits.RequestTimeout)
 		defer cancel()
-		score, err := s.ports.Scorer.Score(ctx, server, sample)
+		score, err := s.ports.Scorer.Score(ctx, begun.VM, sample)
 		s.pool.MustEnqueue(core.ClassRollout, func() {
-			s.servers.Release(server.ID, 1)
+			s.release(begun, 0, err)
 			if err != nil {
 				s.scoreAgain(deployment, fence, sample, number)
 				return
@@ -45,7 +45,7 @@
 		})
 	})
 	if err != nil {
-		s.servers.Release(server.ID, 1)
+		s.release(begun, 0, err)
 		s.scoreAgain(deployment, fence, sample, number)
 	}
 }
--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"time"
 
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/outlier"
+	"fescuespar/internal/core/routing"
+	"fescuespar/internal/errkind"
 	"fescuespar/internal/workers"
 )
 
@@ -30,6 +34,47 @@
 	})
 }
 
+// reportLag is the usual age of an engine's report when it is asked for it.
+const reportLag = 250 * time.Millisecond
+
+// sweepServers ejects outlying servers and tells routing how many entry
+// processes share the servers and the link.
+func (s *Service) sweepServers() {
+	all, inRegion := 0, 0
+	for _, member := range s.members.All() {
+		if member.State == core.MemberGone {
+			continue
+		}
+		all++
+		if member.Region == s.options.Self.Region {
+			inRegion++
+		}
+	}
+	s.servers.SetProcesses(all, inRegion)
+	s.servers.Sweep(s.ports.Clock.Now())
+}
+
+// release ends a dispatch that produced so many tokens, zero when that is not
+// known; err is how its attempt ended.
+func (s *Service) release(ended routing.Dispatch, tokens int, err error) {
+	s.servers.Release(ended, routing.Result{Outcome: outcomeOf(err), Tokens: tokens}, s.ports.Clock.Now())
+}
+
+// outcomeOf says what an attempt's end tells of the server.
+func outcomeOf(err error) outlier.Outcome {
+	if err == nil {
+		return outlier.Succeeded
+	}
+	switch errkind.Of(err) {
+	case errkind.CrashesServers:
+		return outlier.Killed
+	case errkind.ServerFailed, errkind.ServerRefused, errkind.AnswerIncomplete, errkind.Timeout:
+		return outlier.Failed
+	default:
+		return outlier.Abandoned
+	}
+}
+
 // pollStatus asks every engine for its report.
 func (s *Service) pollStatus() {
 	for _, view := range s.servers.Views() {
@@ -37,12 +82,13 @@
 			continue
 		}
 		s.onLane(s.lanes.control, func(ctx context.Context) {
+			asked := s.ports.Clock.Now()
 			status, err := s.ports.Engine.Status(ctx, view.VM, view.Status.NextEvent)
 			if err != nil {
 				return
 			}
 			status.Server = view.VM.ID
-			s.servers.ApplyStatus(status)
+			s.servers.ApplyStatus(status, asked.Add(-reportLag))
 		})
 	}
 }
--- a/internal/app/service.go
+++ b/internal/app/service.go
@@ -101,6 +101,8 @@
 }
 
 const (
+	sweepEvery = time.Second // of the backend servers' outliers
+
 	retryAttempts  = 3
 	retryBaseDelay = 50 * time.Millisecond
 	retryMaxDelay  = 2 * time.Second
@@ -156,6 +158,7 @@
 func (s *Service) Start() {
 	s.every(s.options.VMListEvery, s.pollVMs)
 	s.every(s.options.StatusEvery, s.pollStatus)
+	s.every(sweepEvery, s.sweepServers)
 	s.every(s.options.ConfigEvery, s.pollConfiguration)
 	s.every(s.options.HeartbeatTick, s.heartbeat)
 	s.every(s.options.LeaseRenewal/leaseTicksPerRenewal, s.tendLeases)
--- /dev/null
+++ b/internal/core/routing/cells.go
@@ -0,0 +1,162 @@
+package routing
+
+import (
+	"slices"
+
+	"fescuespar/internal/core"
+)
+
+// cell lists the servers of one region that hold one adapter at one version
+// and may get work.
+type cell struct {
+	version core.WeightVersion
+	members []*server
+}
+
+// placement is a server's place in a cell.
+type placement struct {
+	cell *cell
+	at   int
+}
+
+// adapterIndex holds the cells of one adapter, one for each version in use.
+type adapterIndex struct {
+	adapter core.AdapterName
+	cells   []*cell
+}
+
+// regionIndex holds the servers of one pool in one region.
+type regionIndex struct {
+	name     core.RegionName
+	adapters []*adapterIndex
+	unknown  cell // engines that have not reported yet
+	ring     ring
+}
+
+// add lists the server once.
+func (c *cell) add(row *server) {
+	if slices.ContainsFunc(row.placed, func(p placement) bool { return p.cell == c }) {
+		return
+	}
+	row.placed = append(row.placed, placement{cell: c, at: len(c.members)})
+	c.members = append(c.members, row)
+}
+
+// remove fills the place with the cell's last member.
+func (c *cell) remove(at int) {
+	last := len(c.members) - 1
+	moved := c.members[last]
+	c.members[at] = moved
+	c.members[last] = nil
+	c.members = c.members[:last]
+	for i := range moved.placed {
+		if moved.placed[i].cell == c {
+			moved.placed[i].at = at
+			return
+		}
+	}
+}
+
+// adapter returns the index of an adapter, or nil.
+func (r *regionIndex) adapter(name core.AdapterName) *adapterIndex {
+	for _, index := range r.adapters {
+		if index.adapter == name {
+			return index
+		}
+	}
+	return nil
+}
+
+// cellFor returns the cell of an adapter's version, making it when needed.
+func (r *regionIndex) cellFor(name core.AdapterName, version core.WeightVersion) *cell {
+	index := r.adapter(name)
+	if index == nil {
+		index = &adapterIndex{adapter: name}
+		r.adapters = append(r.adapters, index)
+	}
+	for _, c := range index.cells {
+		if c.version == version {
+			return c
+		}
+	}
+	c := &cell{version: version}
+	index.cells = append(index.cells, c)
+	return c
+}
+
+// prune drops empty cells and adapters, which old versions leave behind.
+func (r *regionIndex) prune() {
+	for _, index := range r.adapters {
+		index.cells = slices.DeleteFunc(index.cells, func(c *cell) bool { return len(c.members) == 0 })
+	}
+	r.adapters = slices.DeleteFunc(r.adapters, func(index *adapterIndex) bool { return len(index.cells) == 0 })
+}
+
+// place lists the server in the cells of what it holds, or in none while it
+// may get no work.
+func (r *regionIndex) place(row *server) {
+	r.unplace(row)
+	switch {
+	case !row.eligible():
+	case row.vm.Kind != core.KindEngine:
+		r.cellFor("", 0).add(row)
+	case !row.reported:
+		r.unknown.add(row)
+	case len(row.status.Versions) == 0:
+		r.cellFor(row.status.Adapter, row.status.Version).add(row)
+	default:
+		for _, held := range row.status.Versions {
+			r.cellFor(held.Adapter, held.Version).add(row)
+		}
+	}
+	r.prune()
+}
+
+func (r *regionIndex) unplace(row *server) {
+	for _, place := range row.placed {
+		place.cell.remove(place.at)
+	}
+	row.placed = row.placed[:0]
+}
+
+// choice is the servers of one region that fit a query's adapter and version.
+type choice struct {
+	index   *adapterIndex
+	unknown *cell // used alone when no reported engine holds the adapter
+	version core.WeightVersion
+	count   int
+}
+
+// choose returns the fitting servers without listing them.
+func (r *regionIndex) choose(query *Query) choice {
+	found := choice{index: r.adapter(query.Adapter), version: query.Version}
+	if found.index != nil {
+		for _, c := range found.index.cells {
+			if c.version >= query.Version {
+				found.count += len(c.members)
+			}
+		}
+	}
+	if found.count == 0 && query.Version == 0 {
+		found.unknown = &r.unknown
+		found.count = len(r.unknown.members)
+	}
+	return found
+}
+
+// at returns the i-th fitting server, 0 <= i < count.
+func (c *choice) at(i int) *server {
+	if c.unknown != nil {
+		return c.unknown.members[i]
+	}
+	for _, cell := range c.index.cells {
+		if cell.version < c.version {
+			continue
+		}
+		if i < len(cell.members) {
+			return cell.members[i]
+		}
+		i -= len(cell.members)
+	}
+	return nil
+}
--- a/internal/core/routing/decide.go
+++ b/internal/core/routing/decide.go
@@ -2,60 +2,138 @@
 
 import (
 	"math/rand/v2"
-	"slices"
+	"time"
 
 	"fescuespar/internal/core"
+	"fescuespar/internal/errkind"
 )
 
-// A filter reports whether a server may run the request.
-type filter func(row *server, query *Query) bool
-
-// filters are applied in order; a server must pass all of them.
-var filters = []filter{serves, isLive, notExcluded, freshEnough}
+// Bounds of one decision.
+const (
+	maxAffine     = 4  // servers found through the prefix index
+	maxHolders    = 16 // entries of the prefix index that are looked at
+	maxRegions    = 2  // other regions that are asked for candidates
+	maxCandidates = 32
+)
 
-func serves(row *server, query *Query) bool {
-	return row.vm.Kind == query.Kind && row.vm.Service == query.Service
+// decision is the scratch space of Pick, kept so that it allocates nothing.
+type decision struct {
+	query      Query
+	now        time.Time
+	pool       *pool
+	peers      float64
+	linkOpen   bool
+	holders    int // entries of the prefix index looked at
+	affine     int // of them, candidates
+	candidates [maxCandidates]Candidate
+	count      int
 }
 
-func isLive(row *server, _ *Query) bool { return row.vm.State == core.VMLive }
+// Pick chooses a server. It looks at a bounded number of servers and allocates
+// nothing unless it fails. Errors: NoServer when no listed server may run the
+// request, Overloaded when only the share of the link stands against it.
+func (s *State) Pick(query Query, now time.Time, random *rand.Rand) (core.VM, error) {
+	pool := s.pools[serviceKey{kind: query.Kind, service: query.Service}]
+	if pool == nil {
+		return core.VM{}, errkind.New(errkind.NoServer, "no server runs %q", query.Service)
+	}
+	s.begin(pool, &query, now)
+	s.gatherLocal(random)
+	if s.crossingPays() {
+		s.gatherRemote(random)
+	}
+	d := &s.decision
+	if d.count == 0 {
+		return core.VM{}, s.refuse(pool, &query)
+	}
+	return *d.candidates[s.picker.Pick(d.candidates[:d.count], random)].VM, nil
+}
 
-func notExcluded(row *server, query *Query) bool {
-	return !slices.Contains(query.Exclude, row.vm.ID)
+func (s *State) begin(pool *pool, query *Query, now time.Time) {
+	d := &s.decision
+	d.query, d.now, d.pool = *query, now, pool
+	d.count, d.holders, d.affine = 0, 0, 0
+	d.peers = pool.peers(s.processes)
+	d.linkOpen = pool.isOnlyIn(query.Region) || s.link.open(query.Class, query.linkBytes(), now)
 }
 
-func freshEnough(row *server, query *Query) bool {
-	return query.Version == 0 || row.status.Version >= query.Version
+// refuse tells why no candidate passed.
+func (s *State) refuse(pool *pool, query *Query) error {
+	if !s.decision.linkOpen {
+		for _, region := range pool.regions {
+			if fit := region.choose(query); region.name != query.Region && fit.count > 0 {
+				return errkind.New(errkind.Overloaded, "this process's share of the link to region %s is used up", region.name)
+			}
+		}
+	}
+	return errkind.New(errkind.NoServer, "no live server of %q can take the request", query.Service)
 }
 
-func passes(row *server, query *Query) bool {
-	for _, f := range filters {
-		if !f(row, query) {
+// offer adds a candidate unless a filter drops it, and returns whether it is
+// among the candidates. Cached is what is known of the prompt at the server.
+func (s *State) offer(row *server, cached float64) bool {
+	d := &s.decision
+	for i := range d.count {
+		if known := &d.candidates[i]; known.server == row {
+			if cached > known.Cached {
+				known.Cached = cached
+				known.cost = s.cost(known)
+			}
+			return true
+		}
+	}
+	if d.count == maxCandidates {
+		return false
+	}
+	candidate := &d.candidates[d.count]
+	s.describe(candidate, row, cached)
+	for _, filter := range s.filters {
+		if !filter.Keep(candidate, &d.query) {
 			return false
 		}
 	}
+	candidate.cost = s.cost(candidate)
+	d.count++
 	return true
 }
 
-// crossRegionCostTokens is what running in another region costs, expressed in
-// tokens of load that it equals.
-const crossRegionCostTokens = 4096
+// describe takes a candidate's snapshot of a server.
+func (s *State) describe(candidate *Candidate, row *server, cached float64) {
+	d := &s.decision
+	version, holds := row.holds(d.query.Adapter)
+	*candidate = Candidate{
+		VM: &row.vm, Holds: holds, Version: version, Lag: d.pool.lag(d.query.Adapter, version),
+		Ejected:  row.health.Ejected(),
+		Weight:   row.health.Weight(d.pool.detector.Ramp(), d.now),
+		Load:     row.load.estimate(d.peers, s.policy.ReportLife, d.now),
+		Rate:     d.pool.rate,
+		Cached:   cached,
+		Remote:   row.vm.Region != d.query.Region,
+		LinkOpen: d.linkOpen,
+		server:   row,
+	}
+}
 
-// cost rates a server; the smallest is best.
-func cost(row *server, query *Query) int {
-	total := row.inFlight + row.status.QueuedTokens
-	if row.vm.Region != query.Region {
-		total += crossRegionCostTokens
+func (s *State) cost(candidate *Candidate) float64 {
+	total := 0.0
+	for _, scorer := range s.scorers {
+		total += scorer.Score(candidate, &s.decision.query)
 	}
 	return total
 }
 
-// pick draws two servers and takes the cheaper one, so that many entry VMs with
-// the same late reports do not all choose the server that looked idle.
-func pick(fit []*server, query *Query, random *rand.Rand) *server {
-	first := fit[random.IntN(len(fit))]
-	second := fit[random.IntN(len(fit))]
-	if cost(second, query) < cost(first, query) {
-		return second
+// crossingPays reports whether a server in another region could be cheaper
+// than the best candidate so far.
+func (s *State) crossingPays() bool {
+	d := &s.decision
+	if d.pool.isOnlyIn(d.query.Region) || !d.linkOpen {
+		return false
 	}
-	return first
+	away := LinkScorer{Policy: s.policy.Link}.Score(&Candidate{Remote: true}, &d.query)
+	for i := range d.count {
+		if d.candidates[i].cost <= away {
+			return false
+		}
+	}
+	return true
 }
--- /dev/null
+++ b/internal/core/routing/filter_test.go
@@ -0,0 +1,36 @@
+package routing
+
+import (
+	"testing"
+
+	"fescuespar/internal/core"
+)
+
+func TestFilters(t *testing.T) {
+	live := &core.VM{ID: "a", State: core.VMLive}
+	cases := []struct {
+		name      string
+		filter    Filter
+		candidate Candidate
+		query     Query
+		want      bool
+	}{
+		{"live", LiveFilter{}, Candidate{VM: live}, Query{}, true},
+		{"leaving", LiveFilter{}, Candidate{VM: &core.VM{State: core.VMLeaving}}, Query{}, false},
+		{"not excluded", ExcludeFilter{}, Candidate{VM: live}, Query{Exclude: []core.ServerID{"b"}}, true},
+		{"excluded", ExcludeFilter{}, Candidate{VM: live}, Query{Exclude: []core.ServerID{"b", "a"}}, false},
+		{"same version", VersionFilter{}, Candidate{Holds: true, Version: 3}, Query{Version: 3}, true},
+		{"older version", VersionFilter{}, Candidate{Holds: true, Version: 2}, Query{Version: 3}, false},
+		{"adapter not held", VersionFilter{}, Candidate{Version: 3}, Query{}, false},
+		{"well", HealthFilter{}, Candidate{}, Query{}, true},
+		{"ejected", HealthFilter{}, Candidate{Ejected: true}, Query{}, false},
+		{"same region, link used up", LinkFilter{}, Candidate{}, Query{}, true},
+		{"other region, link used up", LinkFilter{}, Candidate{Remote: true}, Query{}, false},
+		{"other region, link open", LinkFilter{}, Candidate{Remote: true, LinkOpen: true}, Query{}, true},
+	}
+	for _, c := range cases {
+		if got := c.filter.Keep(&c.candidate, &c.query); got != c.want {
+			t.Errorf("%s: kept %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/routing/gather.go
@@ -0,0 +1,118 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"slices"
+)
+
+// gatherLocal offers the prefix's home, the servers that hold the prefix, and
+// a few of the region's servers drawn at random.
+func (s *State) gatherLocal(random *rand.Rand) {
+	d := &s.decision
+	s.gatherAffine(random)
+	region := d.pool.region(d.query.Region)
+	if region == nil {
+		return
+	}
+	s.gatherHome(region)
+	s.draw(region, s.policy.Draws, random)
+}
+
+// gatherHome offers the server at which all entry processes expect the prompt.
+func (s *State) gatherHome(region *regionIndex) {
+	prefix := s.decision.query.Prefix
+	if len(prefix) == 0 {
+		return
+	}
+	if home := region.ring.home(prefix[len(prefix)-1]); home != nil {
+		s.offer(home, s.policy.HomeTrust*float64(len(prefix)*tokensPerBlock))
+	}
+}
+
+// gatherAffine offers servers that hold a part of the prompt, those with the
+// longest part first.
+func (s *State) gatherAffine(random *rand.Rand) {
+	prefix := s.decision.query.Prefix
+	if len(prefix) == 0 {
+		return
+	}
+	s.offerHolders(prefix, len(prefix)-1, random)
+	for i := checkpointsBelow(len(prefix)) - 1; i >= 0; i-- {
+		s.offerHolders(prefix, checkpoints[i], random)
+	}
+}
+
+// offerHolders offers the servers that hold the blocks up to one, from a random
+// way of the index's set on.
+func (s *State) offerHolders(prefix []uint64, block int, random *rand.Rand) {
+	d := &s.decision
+	set := s.prefixes.set(prefix[block])
+	now := d.now.UnixNano()
+	first := random.IntN(prefixWays)
+	for i := 0; i < prefixWays && d.affine < maxAffine && d.holders < maxHolders; i++ {
+		entry := &set[(first+i)%prefixWays]
+		if entry.hash != prefix[block] || !s.prefixes.usable(entry, now) {
+			continue
+		}
+		row := s.slots[entry.slot]
+		if row == nil || row.epoch != entry.epoch || row.pool != d.pool {
+			continue
+		}
+		cached := float64((block+1)*tokensPerBlock) * trust(entry, row)
+		d.holders++
+		if s.offer(row, cached) {
+			d.affine++
+		}
+	}
+}
+
+// gatherRemote draws from the other regions, starting with a random one.
+func (s *State) gatherRemote(random *rand.Rand) {
+	regions := s.decision.pool.regions
+	first := random.IntN(len(regions))
+	asked := 0
+	for i := 0; i < len(regions) && asked < maxRegions; i++ {
+		region := regions[(first+i)%len(regions)]
+		if region.name != s.decision.query.Region {
+			s.draw(region, s.policy.Draws, random)
+			asked++
+		}
+	}
+}
+
+// draw offers a number of different servers drawn at random. When the draws
+// meet only excluded servers it looks at one more server than the query
+// excludes, so that a server which fits is never missed.
+func (s *State) draw(region *regionIndex, number int, random *rand.Rand) {
+	excluded := s.decision.query.Exclude
+	fit := region.choose(&s.decision.query)
+	if fit.count <= number {
+		s.offerRun(&fit, 0, fit.count)
+		return
+	}
+	var drawn [2 * maxDraws]*server
+	kept := 0
+	for i := 0; i < len(drawn) && kept < min(number, maxDraws); i++ {
+		row := fit.at(random.IntN(fit.count))
+		if slices.Contains(drawn[:i], row) {
+			continue
+		}
+		drawn[i] = row
+		if s.offer(row, 0) {
+			kept++
+		}
+	}
+	if kept == 0 {
+		s.offerRun(&fit, random.IntN(fit.count), min(fit.count, len(excluded)+1))
+	}
+}
+
+// maxDraws bounds Policy.Draws.
+const maxDraws = 4
+
+// offerRun offers a run of servers, wrapping around at the end.
+func (s *State) offerRun(fit *choice, first, number int) {
+	for i := range number {
+		s.offer(fit.at((first+i)%fit.count), 0)
+	}
+}
--- /dev/null
+++ b/internal/core/routing/query.go
@@ -0,0 +1,56 @@
+package routing
+
+import (
+	"time"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/core/outlier"
+)
+
+// Query describes the request to be routed.
+type Query struct {
+	Kind    core.ServerKind
+	Service string // model, plain service or scoring service
+	Adapter core.AdapterName
+	Version core.WeightVersion // oldest weights that may serve it, zero for any
+	Zone    core.ZoneName      // of the asking entry VM
+	Region  core.RegionName    // of the asking entry VM
+	Class   core.Class
+	Tokens  int             // expected tokens of prompt and answer
+	Bytes   int             // expected bytes of prompt and answer; zero takes bytesPerToken for each token
+	Prefix  []uint64        // core.PrefixHashes of the prompt; nil when it has no whole block
+	LagCost time.Duration   // waiting that is as dear as one version behind the newest
+	Exclude []core.ServerID // servers that must not be chosen
+}
+
+// bytesPerToken converts between tokens and bytes of text.
+const bytesPerToken = 4
+
+// tokensPerBlock is the tokens of one block of a prompt.
+const tokensPerBlock = core.PrefixBlockBytes / bytesPerToken
+
+// linkBytes returns the bytes that the request sends over the link when it
+// runs in another region.
+func (q *Query) linkBytes() float64 {
+	if q.Bytes > 0 {
+		return float64(q.Bytes)
+	}
+	return float64(q.Tokens * bytesPerToken)
+}
+
+// Dispatch is a request counted as in flight on a server, from Begin to End.
+type Dispatch struct {
+	VM      core.VM
+	Tokens  int
+	Started time.Time
+	row     uint32  // number of the server's row, which may leave before the request ends
+	load    float64 // tokens of load that were there before the request
+	bytes   float64 // reserved on the link, zero within the region
+}
+
+// Result says how a dispatch ended.
+type Result struct {
+	Outcome outlier.Outcome
+	Tokens  int // tokens produced, zero when not known
+	Bytes   int // bytes that crossed the link if any did, zero when not known
+}
--- /dev/null
+++ b/internal/core/routing/scorer_test.go
@@ -0,0 +1,50 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"fescuespar/internal/core"
+)
+
+// Each case names two candidates of which the first must cost less.
+func TestScorers(t *testing.T) {
+	here := &core.VM{Zone: "z1"}
+	idle := Candidate{VM: here, Rate: 100, Weight: 1}
+	with := func(change func(*Candidate)) Candidate {
+		c := idle
+		change(&c)
+		return c
+	}
+	query := Query{Zone: "z1", Tokens: 50, LagCost: time.Second}
+	cases := []struct {
+		name          string
+		scorer        Scorer
+		better, worse Candidate
+	}{
+		{"less load", WaitScorer{}, idle, with(func(c *Candidate) { c.Load = 10 })},
+		{"cached prefix", WaitScorer{}, with(func(c *Candidate) { c.Cached = 10 }), idle},
+		{"full weight", WaitScorer{}, idle, with(func(c *Candidate) { c.Weight = 0.5 })},
+		{"own region", LinkScorer{Policy: DefaultPolicy().Link}, idle, with(func(c *Candidate) { c.Remote = true })},
+		{"own zone", ZoneScorer{Trip: time.Millisecond}, idle, with(func(c *Candidate) { c.VM = &core.VM{Zone: "z2"} })},
+		{"newest version", LagScorer{}, idle, with(func(c *Candidate) { c.Lag = 1 })},
+	}
+	for _, c := range cases {
+		if better, worse := c.scorer.Score(&c.better, &query), c.scorer.Score(&c.worse, &query); better >= worse {
+			t.Errorf("%s: costs %v and %v, want the first below the second", c.name, better, worse)
+		}
+	}
+}
+
+func TestLeastCostDrawsAmongEqualOnes(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	candidates := []Candidate{{cost: 2}, {cost: 1}, {cost: 1}, {cost: 3}}
+	var picks [4]int
+	for range 1000 {
+		picks[LeastCost{}.Pick(candidates, random)]++
+	}
+	if picks[0]+picks[3] != 0 || picks[1] < 400 || picks[2] < 400 {
+		t.Errorf("picks %v, want only the two cheapest, about as often", picks)
+	}
+}
--- /dev/null
+++ b/internal/core/routing/scorer_zone.go
@@ -0,0 +1,16 @@
+package routing
+
+import "time"
+
+// ZoneScorer costs the round trip to another availability zone of the region.
+type ZoneScorer struct {
+	Trip time.Duration
+}
+
+// Score implements Scorer.
+func (s ZoneScorer) Score(candidate *Candidate, query *Query) float64 {
+	if candidate.Remote || candidate.VM.Zone == query.Zone {
+		return 0
+	}
+	return s.Trip.Seconds()
+}
--- a/internal/core/routing/state.go
+++ b/internal/core/routing/state.go
@@ -1,86 +1,254 @@
-// Package routing decides which backend server runs a request. The decision is
-// made of filters, which drop servers that must not run it, scorers, which rate
-// the rest, and a picker.
 package routing
 
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
+	"time"
 
 	"fescuespar/internal/core"
-	"fescuespar/internal/errkind"
+	"fescuespar/internal/core/outlier"
 )
 
-// Query describes the request to be routed.
-type Query struct {
-	Kind    core.ServerKind
-	Service string // model, plain service or scoring service
-	Adapter core.AdapterName
-	Version core.WeightVersion // oldest weights that may serve it, zero for any
-	Zone    core.ZoneName      // of the asking entry VM
-	Region  core.RegionName    // of the asking entry VM
-	Class   core.Class
-	Tokens  int // expected tokens of prompt and answer
-	Exclude []core.ServerID
-}
+// State is what routing knows of the backend servers.
+type State struct {
+	policy    Policy
+	servers   map[core.ServerID]*server
+	rows      []*server // sorted by id, so that the same inputs give the same choices
+	pools     map[serviceKey]*pool
+	poolList  []*pool // in order of creation
+	slots     []*server
+	freeSlots []uint32
+	epochs    uint32 // last epoch given to a server's cache
+	numbers   uint32 // last number given to a server
 
-// server is one backend server as the routing state sees it.
-type server struct {
-	vm       core.VM
-	status   core.EngineStatus
-	inFlight int // tokens of our own requests that have not ended
-}
+	prefixes  prefixIndex
+	link      link
+	processes int // entry processes that route to the same servers
 
-// State is what routing knows of the backend servers. It is not safe for
-// concurrent use; a table guards it.
-type State struct {
-	servers map[core.ServerID]*server
-	order   []core.ServerID // sorted, so that the same inputs give the same choice
+	filters  []Filter
+	scorers  []Scorer
+	picker   Picker
+	decision decision
 }
 
 // NewState returns a state without servers.
-func NewState() *State {
-	return &State{servers: make(map[core.ServerID]*server)}
+func NewState(policy Policy) *State {
+	return &State{
+		policy:    policy,
+		servers:   make(map[core.ServerID]*server),
+		pools:     make(map[serviceKey]*pool),
+		prefixes:  newPrefixIndex(&policy),
+		link:      newLink(policy.Link),
+		processes: 1,
+		filters:   []Filter{LiveFilter{}, HealthFilter{}, VersionFilter{}, ExcludeFilter{}, LinkFilter{}},
+		scorers: []Scorer{
+			WaitScorer{}, LinkScorer{Policy: policy.Link}, ZoneScorer{Trip: policy.ZoneTrip}, LagScorer{},
+		},
+		picker: LeastCost{},
+	}
+}
+
+// SetProcesses tells how many entry processes route to the same servers, and
+// how many of them are in this one's region and share its link. Both count
+// this process.
+func (s *State) SetProcesses(all, inRegion int) {
+	s.processes = max(1, all)
+	s.link.divide(inRegion)
 }
 
-// ApplyVMs replaces the set of servers by the backend servers of a VM list.
+// ApplyVMs replaces the set of servers by the backend servers of a VM list. It
+// takes time linear in the list.
 func (s *State) ApplyVMs(vms []core.VM) {
 	listed := make(map[core.ServerID]*server, len(vms))
-	s.order = s.order[:0]
+	rows := make([]*server, 0, len(vms))
 	for _, vm := range vms {
-		if vm.Kind == core.KindEntry {
+		if vm.Kind == core.KindEntry || listed[vm.ID] != nil {
 			continue
 		}
 		row := s.servers[vm.ID]
 		if row == nil {
-			row = &server{}
+			row = s.newServer()
 		}
-		row.vm = vm
+		s.applyVM(row, vm)
 		listed[vm.ID] = row
-		s.order = append(s.order, vm.ID)
+		rows = append(rows, row)
 	}
-	s.servers = listed
-	slices.Sort(s.order)
+	for _, row := range s.rows {
+		if listed[row.vm.ID] == nil {
+			s.dropServer(row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b *server) int { return strings.Compare(string(a.vm.ID), string(b.vm.ID)) })
+	s.servers, s.rows = listed, rows
+	s.settleRings()
 }
 
-// ApplyStatus takes in an engine's report.
-func (s *State) ApplyStatus(status core.EngineStatus) {
-	if row := s.servers[status.Server]; row != nil {
-		row.status = status
+// newServer takes a slot; the epoch keeps apart what was learnt of an earlier
+// server in the same slot.
+func (s *State) newServer() *server {
+	s.numbers++
+	s.epochs++
+	row := &server{number: s.numbers, epoch: s.epochs}
+	if last := len(s.freeSlots) - 1; last >= 0 {
+		row.slot = s.freeSlots[last]
+		s.freeSlots = s.freeSlots[:last]
+		s.slots[row.slot] = row
+		return row
 	}
+	row.slot = uint32(len(s.slots))
+	s.slots = append(s.slots, row)
+	return row
+}
+
+func (s *State) dropServer(row *server) {
+	s.leavePool(row)
+	s.slots[row.slot] = nil
+	s.freeSlots = append(s.freeSlots, row.slot)
 }
 
-// Begin counts a request of the given tokens as in flight on a server.
-func (s *State) Begin(id core.ServerID, tokens int) {
-	if row := s.servers[id]; row != nil {
-		row.inFlight += tokens
+func (s *State) applyVM(row *server, vm core.VM) {
+	before := row.vm
+	row.vm = vm
+	moved := row.pool != nil && (before.Region != vm.Region || before.Kind != vm.Kind)
+	if moved {
+		s.leavePool(row)
+	}
+	s.joinPool(row)
+	if moved || before.State != vm.State {
+		row.region.place(row)
 	}
 }
 
-// End takes back what Begin counted.
-func (s *State) End(id core.ServerID, tokens int) {
-	if row := s.servers[id]; row != nil {
-		row.inFlight = max(0, row.inFlight-tokens)
+// joinPool moves a server to the pool of the service that it runs.
+func (s *State) joinPool(row *server) {
+	key := serviceKey{kind: row.vm.Kind, service: row.serviceOf()}
+	if row.pool != nil && row.pool.key == key {
+		return
+	}
+	s.leavePool(row)
+	target := s.pools[key]
+	if target == nil {
+		target = newPool(key, &s.policy)
+		s.pools[key] = target
+		s.poolList = append(s.poolList, target)
+	}
+	target.join(row)
+	row.region.place(row)
+}
+
+func (s *State) leavePool(row *server) {
+	left := row.pool
+	if left == nil {
+		return
+	}
+	left.leave(row)
+	if left.size == 0 {
+		delete(s.pools, left.key)
+		s.poolList = slices.DeleteFunc(s.poolList, func(p *pool) bool { return p == left })
+	}
+}
+
+func (s *State) settleRings() {
+	for _, pool := range s.poolList {
+		for _, region := range pool.regions {
+			region.ring.settle()
+		}
+	}
+}
+
+// ApplyStatus takes in an engine's report that was measured at a past time. A
+// report measured before the newest one known is dropped.
+func (s *State) ApplyStatus(status core.EngineStatus, measured time.Time) {
+	row := s.servers[status.Server]
+	if row == nil || measured.Before(row.load.reported) {
+		return
+	}
+	if row.reported {
+		s.swapWeights(row, &status)
+	}
+	s.learnEvents(row, &status, measured)
+	status.CacheEvents = nil
+	changed := !row.reported || !sameVersions(&row.status, &status)
+	row.status, row.reported = status, true
+	s.joinPool(row)
+	s.settleRings()
+	if changed {
+		row.region.place(row)
+		row.seeVersions()
+	}
+	row.pool.measureShare(row.streams(), row.load.at(measured).streams)
+	row.load.report(row.streams(), row.pool.tokensPerStream, measured)
+}
+
+func sameVersions(a, b *core.EngineStatus) bool {
+	return a.Adapter == b.Adapter && a.Version == b.Version && slices.Equal(a.Versions, b.Versions)
+}
+
+func (r *server) seeVersions() {
+	if len(r.status.Versions) == 0 {
+		r.pool.see(r.status.Adapter, r.status.Version)
+	}
+	for _, held := range r.status.Versions {
+		r.pool.see(held.Adapter, held.Version)
+	}
+}
+
+// Begin counts a request as in flight on a server, reserves its bytes on the
+// link when the server is in another region, and notes its prompt as cached
+// there. It takes constant time. A server that is not listed gives a Dispatch
+// without a server, which End ignores.
+func (s *State) Begin(id core.ServerID, query Query, now time.Time) Dispatch {
+	row := s.servers[id]
+	if row == nil {
+		return Dispatch{Started: now}
+	}
+	begun := Dispatch{VM: row.vm, Tokens: query.Tokens, Started: now, row: row.number}
+	begun.load = row.load.estimate(row.pool.peers(s.processes), s.policy.ReportLife, now)
+	if row.vm.Region != query.Region {
+		begun.bytes = query.linkBytes()
+		s.link.take(begun.bytes)
+	}
+	row.load.change(1, query.Tokens, now)
+	smooth(&row.pool.tokensPerStream, float64(query.Tokens))
+	s.learnDispatch(row, query.Prefix, now)
+	return begun
+}
+
+// End takes back what Begin counted and judges the server by the result. It
+// takes constant time.
+func (s *State) End(ended Dispatch, result Result, now time.Time, random *rand.Rand) {
+	if result.Bytes > 0 && ended.bytes > 0 {
+		s.link.refund(ended.bytes - float64(result.Bytes))
+	}
+	row := s.servers[ended.VM.ID]
+	if row == nil || row.number != ended.row {
+		return
+	}
+	row.load.change(-1, -ended.Tokens, now)
+	if result.Outcome == outlier.Succeeded {
+		row.pool.measureRate(&ended, now)
+	}
+	tokens := result.Tokens
+	if tokens == 0 {
+		tokens = ended.Tokens
+	}
+	judged := outlier.Result{Outcome: result.Outcome, Tokens: tokens, Took: now.Sub(ended.Started)}
+	if row.pool.detector.Record(&row.health, judged, now, random) {
+		row.region.place(row)
+	}
+}
+
+// Sweep ejects and returns servers as package outlier decides. It takes time
+// linear in the servers and is called about once a second.
+func (s *State) Sweep(now time.Time, random *rand.Rand) {
+	for _, pool := range s.poolList {
+		pool.detector.Sweep(now, random)
+	}
+	for _, row := range s.rows {
+		if row.eligible() != (len(row.placed) > 0) {
+			row.region.place(row)
+		}
 	}
 }
 
@@ -93,33 +261,11 @@
 	return row.vm, true
 }
 
-// View is one server in a snapshot.
-type View struct {
-	VM       core.VM           `json:"vm"`
-	Status   core.EngineStatus `json:"status"`
-	InFlight int               `json:"in_flight_tokens"`
-}
-
 // Views returns all servers, sorted by id.
 func (s *State) Views() []View {
-	views := make([]View, 0, len(s.order))
-	for _, id := range s.order {
-		row := s.servers[id]
-		views = append(views, View{VM: row.vm, Status: row.status, InFlight: row.inFlight})
+	views := make([]View, 0, len(s.rows))
+	for _, row := range s.rows {
+		views = append(views, row.view())
 	}
 	return views
 }
-
-// Pick chooses a server. Errors: NoServer when no server may run the request.
-func (s *State) Pick(query Query, random *rand.Rand) (core.VM, error) {
-	var fit []*server
-	for _, id := range s.order {
-		if row := s.servers[id]; passes(row, &query) {
-			fit = append(fit, row)
-		}
-	}
-	if len(fit) == 0 {
-		return core.VM{}, errkind.New(errkind.NoServer, "no live server of %q can take the request", query.Service)
-	}
-	return pick(fit, &query, random).vm, nil
-}
--- /dev/null
+++ b/internal/core/routing/state_test.go
@@ -0,0 +1,199 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/core/outlier"
+	"fescuespar/internal/errkind"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func engineVM(i int, region core.RegionName) core.VM {
+	return core.VM{
+		ID: core.ServerID(fmt.Sprintf("engine-%04d", i)), Kind: core.KindEngine, Service: "coach",
+		Zone: core.ZoneName(fmt.Sprintf("%s-%d", region, i%2)), Region: region, State: core.VMLive,
+	}
+}
+
+func engineVMs(number int) []core.VM {
+	vms := make([]core.VM, number)
+	for i := range vms {
+		vms[i] = engineVM(i, "east")
+	}
+	return vms
+}
+
+func stateOf(vms []core.VM) (*State, *rand.Rand) {
+	state := NewState(DefaultPolicy())
+	state.ApplyVMs(vms)
+	return state, rand.New(rand.NewPCG(7, 7))
+}
+
+func coachQuery() Query {
+	return Query{Kind: core.KindEngine, Service: "coach", Region: "east", Tokens: 100}
+}
+
+// picks counts the choices of many decisions.
+func picks(state *State, query Query, now time.Time, random *rand.Rand) map[core.ServerID]int {
+	counts := make(map[core.ServerID]int)
+	for range 400 {
+		vm, err := state.Pick(query, now, random)
+		if err != nil {
+			counts[core.ServerID(errkind.Of(err))]++
+			continue
+		}
+		counts[vm.ID]++
+	}
+	return counts
+}
+
+func TestServersThatMustNotBeChosen(t *testing.T) {
+	adapters := func(versions ...core.AdapterVersion) core.EngineStatus {
+		return core.EngineStatus{Model: "coach", Versions: versions}
+	}
+	cases := []struct {
+		name   string
+		change func(*State, []core.VM, *rand.Rand)
+		query  func(*Query)
+		want   []core.ServerID // exactly the servers chosen
+	}{
+		{"leaving server", func(s *State, vms []core.VM, _ *rand.Rand) {
+			vms[1].State = core.VMLeaving
+			s.ApplyVMs(vms)
+		}, nil, []core.ServerID{"engine-0000", "engine-0002"}},
+		{"server that left", func(s *State, vms []core.VM, _ *rand.Rand) { s.ApplyVMs(vms[:2]) },
+			nil, []core.ServerID{"engine-0000", "engine-0001"}},
+		{"all but one excluded", nil,
+			func(q *Query) { q.Exclude = []core.ServerID{"engine-0000", "engine-0002"} }, []core.ServerID{"engine-0001"}},
+		{"all excluded", nil,
+			func(q *Query) { q.Exclude = []core.ServerID{"engine-0000", "engine-0001", "engine-0002"} },
+			[]core.ServerID{"no_server"}},
+		{"version of the right adapter", func(s *State, vms []core.VM, _ *rand.Rand) {
+			for i, vm := range vms {
+				status := adapters(core.AdapterVersion{Adapter: "a", Version: core.WeightVersion(i)},
+					core.AdapterVersion{Adapter: "b", Version: 9})
+				status.Server = vm.ID
+				s.ApplyStatus(status, epoch)
+			}
+		}, func(q *Query) { q.Adapter, q.Version = "a", 2 }, []core.ServerID{"engine-0002"}},
+		{"adapter that no engine holds", func(s *State, vms []core.VM, _ *rand.Rand) {
+			for _, vm := range vms {
+				s.ApplyStatus(core.EngineStatus{Server: vm.ID, Model: "coach", Adapter: "a"}, epoch)
+			}
+		}, func(q *Query) { q.Adapter = "c" }, []core.ServerID{"no_server"}},
+		{"engine that took another model", func(s *State, vms []core.VM, _ *rand.Rand) {
+			s.ApplyStatus(core.EngineStatus{Server: vms[0].ID, Model: "other"}, epoch)
+		}, nil, []core.ServerID{"engine-0001", "engine-0002"}},
+		{"failing server", func(s *State, vms []core.VM, random *rand.Rand) {
+			for range 3 {
+				s.End(s.Begin(vms[0].ID, coachQuery(), epoch), Result{Outcome: outlier.Failed}, epoch, random)
+			}
+		}, nil, []core.ServerID{"engine-0001", "engine-0002"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			vms := engineVMs(3)
+			state, random := stateOf(vms)
+			if c.change != nil {
+				c.change(state, vms, random)
+			}
+			query := coachQuery()
+			if c.query != nil {
+				c.query(&query)
+			}
+			got := picks(state, query, epoch, random)
+			for _, id := range c.want {
+				if got[id] == 0 {
+					t.Errorf("%s was never chosen: %v", id, got)
+				}
+			}
+			if len(got) != len(c.want) {
+				t.Errorf("chosen %v, want only %v", got, c.want)
+			}
+		})
+	}
+}
+
+// An only server that is not excluded must be found in a pool of any size,
+// although few are drawn.
+func TestExclusionsNeverHideTheLastServer(t *testing.T) {
+	state, random := stateOf(engineVMs(40))
+	query := coachQuery()
+	for i := range 39 {
+		query.Exclude = append(query.Exclude, engineVM(i, "east").ID)
+	}
+	if got := picks(state, query, epoch, random); got["engine-0039"] != 400 {
+		t.Errorf("chosen %v, want the last server always", got)
+	}
+}
+
+func TestEjectedServerReturns(t *testing.T) {
+	state, random := stateOf(engineVMs(3))
+	for range 3 {
+		state.End(state.Begin("engine-0000", coachQuery(), epoch), Result{Outcome: outlier.Failed}, epoch, random)
+	}
+	state.Sweep(epoch.Add(time.Second), random)
+	if got := picks(state, coachQuery(), epoch, random); got["engine-0000"] != 0 {
+		t.Errorf("chosen %v while ejected", got)
+	}
+	state.Sweep(epoch.Add(time.Minute), random)
+	if got := picks(state, coachQuery(), epoch.Add(2*time.Minute), random); got["engine-0000"] == 0 {
+		t.Errorf("chosen %v, want the returned server among them", got)
+	}
+}
+
+// A report that counts our own streams must not add to what we count ourselves,
+// and a dispatch after the report must not be lost.
+func TestReportsAreNotCountedTwice(t *testing.T) {
+	cases := []struct {
+		name    string
+		before  int // streams begun before the report was measured
+		after   int // streams begun after it
+		others  int // streams of other processes in the report
+		want    float64
+		process int
+	}{
+		{"own streams in the report", 4, 0, 0, 400, 1},
+		{"own streams after the report", 4, 2, 0, 600, 1},
+		{"other processes' streams", 4, 0, 3, 700, 1},
+		{"nothing of our own", 0, 0, 3, 300, 1},
+		{"others send after the report as we do", 4, 2, 4, 600 + 400 + 200, 2},
+	}
+	for _, c := range cases {
+		state, _ := stateOf(engineVMs(1))
+		state.SetProcesses(c.process, c.process)
+		row := state.rows[0]
+		row.pool.tokensPerStream = 100
+		measured, now := epoch.Add(2*time.Second), epoch.Add(4*time.Second)
+		for range c.before {
+			state.Begin(row.vm.ID, coachQuery(), epoch)
+		}
+		for range c.after {
+			state.Begin(row.vm.ID, coachQuery(), now)
+		}
+		status := core.EngineStatus{Server: row.vm.ID, Model: "coach", RunningCount: c.before, QueuedCount: c.others}
+		state.ApplyStatus(status, measured)
+		got := row.load.estimate(row.pool.peers(state.processes), time.Minute, now)
+		if got != c.want {
+			t.Errorf("%s: load %v tokens, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+func TestDispatchOfAServerThatLeftAndCameBack(t *testing.T) {
+	vms := engineVMs(1)
+	state, random := stateOf(vms)
+	begun := state.Begin(vms[0].ID, coachQuery(), epoch)
+	state.ApplyVMs(nil)
+	state.ApplyVMs(vms)
+	state.Begin(vms[0].ID, coachQuery(), epoch)
+	state.End(begun, Result{}, epoch, random)
+	if got := state.Views()[0].InFlight; got != 100 {
+		t.Errorf("%d tokens in flight, want the 100 of the second dispatch", got)
+	}
+}
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -34,19 +34,44 @@
 // EngineStatus is an engine's own report. It lags by the engine's reporting
 // interval, and CacheEvents may have gaps: NextEvent is larger than the last
 // seen number plus the events' count when events were lost.
+//
+// Adapter, Version and Loading describe one adapter; an engine that holds
+// several lists them all in Versions.
 type EngineStatus struct {
 	Server       ServerID
 	Model        ModelName
 	Adapter      AdapterName
-	Version      WeightVersion // version that new streams start on
-	Loading      WeightVersion // version being loaded, zero when none is
-	RunningCount int           // streams in the running batch
-	QueuedCount  int           // streams waiting for the batch
-	QueuedTokens int           // tokens of prompts not yet processed
+	Version      WeightVersion    // version that new streams start on
+	Loading      WeightVersion    // version being loaded, zero when none is
+	Versions     []AdapterVersion // every adapter held; empty when Adapter is the only one
+	RunningCount int              // streams in the running batch
+	QueuedCount  int              // streams waiting for the batch
+	QueuedTokens int              // tokens of prompts not yet processed
 	CacheEvents  []CacheEvent
 	NextEvent    uint64 // cursor for the next status call
 }
 
+// AdapterVersion is the version of one adapter that an engine holds.
+type AdapterVersion struct {
+	Adapter AdapterName
+	Version WeightVersion // version that new streams start on
+	Loading WeightVersion // version being loaded, zero when none is
+}
+
+// Holds returns the version of an adapter, and false when the engine does not
+// hold that adapter.
+func (s *EngineStatus) Holds(adapter AdapterName) (AdapterVersion, bool) {
+	for _, held := range s.Versions {
+		if held.Adapter == adapter {
+			return held, true
+		}
+	}
+	if len(s.Versions) > 0 || s.Adapter != adapter {
+		return AdapterVersion{}, false
+	}
+	return AdapterVersion{Adapter: adapter, Version: s.Version, Loading: s.Loading}, true
+}
+
 // CacheEvent says that an engine stored or evicted a prompt prefix.
 type CacheEvent struct {
 	PrefixHash uint64
--- a/internal/tables/servers.go
+++ b/internal/tables/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/routing"
@@ -18,7 +19,7 @@
 
 // NewServers returns a table without servers.
 func NewServers(random *rand.Rand) *Servers {
-	return &Servers{mu: lockrank.New(lockrank.RankServers), state: routing.NewState(), random: random}
+	return &Servers{mu: lockrank.New(lockrank.RankServers), state: routing.NewState(routing.DefaultPolicy()), random: random}
 }
 
 // ApplyVMs replaces the set of servers by the backend servers of a VM list.
@@ -28,31 +29,45 @@
 	t.state.ApplyVMs(vms)
 }
 
-// ApplyStatus takes in an engine's report.
-func (t *Servers) ApplyStatus(status core.EngineStatus) {
+// SetProcesses tells how many entry processes there are in all and in this
+// one's region, itself included.
+func (t *Servers) SetProcesses(all, inRegion int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.state.ApplyStatus(status)
+	t.state.SetProcesses(all, inRegion)
+}
+
+// ApplyStatus takes in an engine's report that was measured at a past time.
+func (t *Servers) ApplyStatus(status core.EngineStatus, measured time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state.ApplyStatus(status, measured)
 }
 
 // Acquire picks a server and counts the request's tokens as in flight on it.
-// Errors: NoServer.
-func (t *Servers) Acquire(query routing.Query) (core.VM, error) {
+// Errors: NoServer, Overloaded.
+func (t *Servers) Acquire(query routing.Query, now time.Time) (routing.Dispatch, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	vm, err := t.state.Pick(query, t.random)
+	vm, err := t.state.Pick(query, now, t.random)
 	if err != nil {
-		return core.VM{}, err
+		return routing.Dispatch{}, err
 	}
-	t.state.Begin(vm.ID, query.Tokens)
-	return vm, nil
+	return t.state.Begin(vm.ID, query, now), nil
+}
+
+// Release takes back what Acquire counted and judges the server by the result.
+func (t *Servers) Release(ended routing.Dispatch, result routing.Result, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state.End(ended, result, now, t.random)
 }
 
-// Release takes back what Acquire counted.
-func (t *Servers) Release(id core.ServerID, tokens int) {
+// Sweep ejects outlying servers and returns those whose time is over.
+func (t *Servers) Sweep(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.state.End(id, tokens)
+	t.state.Sweep(now, t.random)
 }
 
 // Server returns a listed server.
