--- a/internal/app/batch.go
+++ b/internal/app/batch.go
@@ -38,17 +38,17 @@
 
 // HandleBatch answers a request that a peer relayed.
 func (s *Service) HandleBatch(ctx context.Context, request core.BatchRequest) (core.Batch, error) {
-	deployment := s.configuration.InForce().Find(request.Deployment)
-	if deployment == nil || deployment.Rollout == nil {
-		return core.Batch{}, errkind.New(errkind.UnknownDeployment, "no trained deployment is named %q", request.Deployment)
+	deployment, err := s.findTrained(request.Deployment)
+	if err != nil {
+		return core.Batch{}, err
 	}
 	return s.localBatch(ctx, deployment, request)
 }
 
 func (s *Service) trainedBy(trainer core.CallerName, name core.DeploymentName) (*core.Deployment, error) {
-	deployment := s.configuration.InForce().Find(name)
-	if deployment == nil || deployment.Rollout == nil {
-		return nil, errkind.New(errkind.UnknownDeployment, "no trained deployment is named %q", name)
+	deployment, err := s.findTrained(name)
+	if err != nil {
+		return nil, err
 	}
 	if deployment.Rollout.Trainer != trainer {
 		return nil, errkind.New(errkind.Forbidden, "deployment %q is not trained by %q", name, trainer)
@@ -56,6 +56,17 @@
 	return deployment, nil
 }
 
+func (s *Service) findTrained(name core.DeploymentName) (*core.Deployment, error) {
+	deployment, err := s.findDeployment(name)
+	if err != nil {
+		return nil, err
+	}
+	if deployment.Rollout == nil {
+		return nil, errkind.New(errkind.UnknownDeployment, "deployment %q has no trainer", name)
+	}
+	return deployment, nil
+}
+
 // relayBatch asks the coordinator of the deployment.
 func (s *Service) relayBatch(ctx context.Context, deployment *core.Deployment, request core.BatchRequest) (core.Batch, error) {
 	address, err := s.coordinatorAddress(ctx, deployment.Name)
--- a/internal/app/completion.go
+++ b/internal/app/completion.go
@@ -62,8 +62,11 @@
 
 // permitted finds a deployment of the kind that serves the caller.
 func (s *Service) permitted(name core.DeploymentName, caller core.CallerName, kind core.ServerKind) (*core.Deployment, error) {
-	deployment := s.configuration.InForce().Find(name)
-	if deployment == nil || deployment.Kind != kind {
+	deployment, err := s.findDeployment(name)
+	if err != nil {
+		return nil, err
+	}
+	if deployment.Kind != kind {
 		return nil, errkind.New(errkind.UnknownDeployment, "no %s deployment is named %q", kind, name)
 	}
 	if !slices.Contains(deployment.Callers, caller) {
@@ -72,6 +75,20 @@
 	return deployment, nil
 }
 
+// findDeployment looks a deployment up. A process that has no configuration yet
+// can't tell that a deployment is unknown. Errors: Starting, UnknownDeployment.
+func (s *Service) findDeployment(name core.DeploymentName) (*core.Deployment, error) {
+	config := s.configuration.InForce()
+	if config.Generation == 0 {
+		return nil, errkind.New(errkind.Starting, "this entry process has no configuration yet")
+	}
+	deployment := config.Find(name)
+	if deployment == nil {
+		return nil, errkind.New(errkind.UnknownDeployment, "no deployment is named %q", name)
+	}
+	return deployment, nil
+}
+
 // begin adds the answer and starts its first attempt, or joins one that is
 // already here.
 func (s *Service) begin(c *completion, resume *core.ResumePoint) error {
--- a/internal/app/configuration_test.go
+++ b/internal/app/configuration_test.go
@@ -63,7 +63,11 @@
 	c.awaitGeneration(2)
 	c.tables.Inject(faults.Order{Operation: faults.All, Event: faults.Refuse})
 	c.objects.Inject(faults.Order{Operation: faults.All, Event: faults.Refuse})
-	c.add()
+	late := c.add()
+	if err := late.Complete(c.ctx, completion("early"), nil); err != nil &&
+		(!errkind.Is(err, errkind.Starting) || !errkind.AnswerTo(err).Retryable) {
+		t.Errorf("a process without configuration answers %v", err)
+	}
 	c.awaitGeneration(2)
 	if _, err := c.services[2].Publish(c.ctx, "op", 2, testDeployments); !errkind.Is(err, errkind.StoreUnavailable) {
 		t.Errorf("publishing during the outage: %v", err)
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -44,6 +44,7 @@
 	StepConflict       Kind = "step_conflict"
 	BatchNotReady      Kind = "batch_not_ready"
 	PeerUnreachable    Kind = "peer_unreachable"
+	Starting           Kind = "starting"
 	ShuttingDown       Kind = "shutting_down"
 	NotFound           Kind = "not_found"
 	Internal           Kind = "internal"
@@ -95,6 +96,7 @@
 	StepConflict:       {http.StatusConflict, NotRun, false},
 	BatchNotReady:      {http.StatusServiceUnavailable, NotRun, true},
 	PeerUnreachable:    {http.StatusServiceUnavailable, Maybe, true},
+	Starting:           {http.StatusServiceUnavailable, NotRun, true},
 	ShuttingDown:       {http.StatusServiceUnavailable, NotRun, true},
 	NotFound:           {http.StatusNotFound, NotRun, false},
 	Internal:           {http.StatusInternalServerError, Maybe, false},
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"time"
 
@@ -138,9 +139,23 @@
 
 // StartEntry starts a further entry process and registers it in the VM list.
 func (s *Site) StartEntry(ctx context.Context, zone, region string) (*Entry, error) {
+	entry, err := s.StartEntryUnlisted(ctx, zone, region)
+	if err != nil {
+		return nil, err
+	}
+	err = s.Platform.AddVM(ctx, core.VM{
+		ID: core.ServerID(entry.VM), Kind: core.KindEntry, Address: entry.Peer,
+		Zone: core.ZoneName(zone), Region: core.RegionName(region), State: core.VMLive,
+	})
+	return entry, err
+}
+
+// StartEntryUnlisted starts a further entry process that knows the seeds'
+// peer addresses; the VM list does not show it.
+func (s *Site) StartEntryUnlisted(ctx context.Context, zone, region string, seeds ...string) (*Entry, error) {
 	s.entries++
 	vm := core.VMID(fmt.Sprintf("entry-%d", s.entries))
-	settings, err := s.writeSettings(vm, zone, region)
+	settings, err := s.writeSettings(vm, zone, region, seeds)
 	if err != nil {
 		return nil, err
 	}
@@ -151,11 +166,7 @@
 		return nil, err
 	}
 	s.processes = append(s.processes, entry.Process)
-	err = s.Platform.AddVM(ctx, core.VM{
-		ID: core.ServerID(vm), Kind: core.KindEntry, Address: entry.Peer,
-		Zone: core.ZoneName(zone), Region: core.RegionName(region), State: core.VMLive,
-	})
-	return entry, err
+	return entry, nil
 }
 
 // readServing takes the addresses from the log line that says that the process
@@ -178,14 +189,15 @@
 peers = "127.0.0.1:0"
 
 [peers]
+seeds = [%s]
 authority = %q
 certificate = %q
 key = %q
 
 [platform]
-table = %[7]q
-objects = %[7]q
-vm_list = %[7]q
+table = %[8]q
+objects = %[8]q
+vm_list = %[8]q
 
 [[tokens]]
 role = "operator"
@@ -204,7 +216,7 @@
 
 `
 
-func (s *Site) writeSettings(vm core.VMID, zone, region string) (string, error) {
+func (s *Site) writeSettings(vm core.VMID, zone, region string, seeds []string) (string, error) {
 	directory := s.path(string(vm))
 	err := keys.Issue(keys.IssueRequest{
 		Authority: s.path("authority"), VM: vm, Addresses: []net.IP{net.IPv4(127, 0, 0, 1)},
@@ -214,7 +226,11 @@
 		return "", err
 	}
 	files := keys.InDirectory(directory)
-	body := fmt.Sprintf(settingsTemplate, vm, zone, region, files.Authority, files.Certificate, files.Key, s.PlatformURL())
+	quoted := make([]string, len(seeds))
+	for i, seed := range seeds {
+		quoted[i] = strconv.Quote(seed)
+	}
+	body := fmt.Sprintf(settingsTemplate, vm, zone, region, strings.Join(quoted, ", "), files.Authority, files.Certificate, files.Key, s.PlatformURL())
 	path := filepath.Join(directory, "entry.toml")
 	return path, os.WriteFile(path, []byte(body+s.options.Settings), 0o600)
 }
