--- a/internal/core/invariants/figures_test.go
+++ b/internal/core/invariants/figures_test.go
@@ -168,7 +168,7 @@
 	repeated := claimGroups(requests, groupSize, 100)
 	t.Logf("%d non-idempotent requests: one by one %v; in groups of %d: %v; with 1%% sent twice: %v",
 		requests, each, groupSize, grouped, repeated)
-	if grouped.commits != 2*requests/groupSize || repeated.commits*10 > each.commits {
+	if grouped.commits != 2*requests/groupSize || repeated.commits*10 > each.commits || repeated.rows != each.rows {
 		t.Errorf("claims in groups cost %v, with repeats %v", grouped, repeated)
 	}
 	batches, ranges := deliverSteps()
