--- /dev/null
+++ b/internal/tables/members_test.go
@@ -0,0 +1,36 @@
+package tables
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"fescuespar/internal/core"
+)
+
+func TestMembersTakesHeartbeatsConcurrently(t *testing.T) {
+	const senders = 20
+	table := NewMembers(core.Member{VM: "self", Incarnation: 1}, nil)
+	now := time.Unix(1e9, 0)
+	var all sync.WaitGroup
+	for i := range senders {
+		all.Go(func() {
+			vm := core.VMID(fmt.Sprintf("entry-%02d", i))
+			sender := core.Member{VM: vm, Incarnation: 1, PeerAddress: "10.0.0.1:1", Generation: core.Generation(i)}
+			table.Receive(now, core.Heartbeat{Sender: sender})
+			table.Round(now, rand.New(rand.NewPCG(uint64(i), 1)))
+			table.State()
+		})
+	}
+	all.Wait()
+	state := table.State()
+	if len(state.Members) != senders+1 || state.Newest != senders-1 {
+		t.Errorf("%d members, newest %d", len(state.Members), state.Newest)
+	}
+	if _, err := json.Marshal(state); err != nil {
+		t.Error(err)
+	}
+}
