--- a/internal/adapters/settings/settings.go
+++ b/internal/adapters/settings/settings.go
@@ -104,8 +104,6 @@
 // Lanes holds the bounds for each kind of outside thing.
 type Lanes struct {
 	Table   Lane
-	Objects Lane
-	VMList  Lane
 	Engines Lane
 	Plain   Lane
 	Scorers Lane
@@ -114,26 +112,20 @@
 
 // Intervals holds the times that pace the process.
 type Intervals struct {
-	Heartbeat         time.Duration // between heartbeats to one peer
-	SuspectAfter      time.Duration // silence after which a peer is suspected
 	VMListPoll        time.Duration
 	EngineStatusPoll  time.Duration
 	ConfigurationPoll time.Duration
-	WeightPoll        time.Duration
 	LeaseTerm         time.Duration
 	LeaseRenewal      time.Duration
 	OrderTimeout      time.Duration // longest order to an engine
-	ClaimDelay        time.Duration // longest wait of a claim for its group commit
 	AddressKeep       time.Duration // for which a caller may keep addresses
 	AnswerKeep        time.Duration // for which a finished answer can be fetched again
 }
 
 // Bodies bounds what is read into memory, in bytes.
 type Bodies struct {
-	Request       int64
-	Header        int64
-	Configuration int64
-	PeerMessage   int64
+	Request int64
+	Header  int64
 }
 
 // Defaults returns the settings that hold for every key that is absent.
@@ -143,8 +135,6 @@
 		Workers:  Workers{Count: defaultWorkers, QueueLength: defaultQueueLength},
 		Lanes: Lanes{
 			Table:   Lane{InFlight: 16, Waiting: 1024},
-			Objects: Lane{InFlight: 16, Waiting: 1024},
-			VMList:  Lane{InFlight: 1, Waiting: 4},
 			Engines: Lane{InFlight: 2048, Waiting: 8192},
 			Plain:   Lane{InFlight: 512, Waiting: 2048},
 			Scorers: Lane{InFlight: 64, Waiting: 8192},
@@ -152,34 +142,26 @@
 		},
 		Intervals: defaultIntervals,
 		Bodies: Bodies{
-			Request:       defaultRequestBytes,
-			Header:        defaultHeaderBytes,
-			Configuration: defaultConfigurationBytes,
-			PeerMessage:   defaultPeerMessageBytes,
+			Request: defaultRequestBytes,
+			Header:  defaultHeaderBytes,
 		},
 	}
 }
 
 const (
-	defaultWorkers            = 4
-	defaultQueueLength        = 4096
-	defaultRequestBytes       = 4 << 20
-	defaultHeaderBytes        = 64 << 10
-	defaultConfigurationBytes = 8 << 20
-	defaultPeerMessageBytes   = 64 << 20
+	defaultWorkers      = 4
+	defaultQueueLength  = 4096
+	defaultRequestBytes = 4 << 20
+	defaultHeaderBytes  = 64 << 10
 )
 
 var defaultIntervals = Intervals{
-	Heartbeat:         500 * time.Millisecond,
-	SuspectAfter:      3 * time.Second,
 	VMListPoll:        time.Second,
 	EngineStatusPoll:  500 * time.Millisecond,
 	ConfigurationPoll: time.Second,
-	WeightPoll:        time.Second,
 	LeaseTerm:         6 * time.Second,
 	LeaseRenewal:      2 * time.Second,
 	OrderTimeout:      2 * time.Second,
-	ClaimDelay:        2 * time.Millisecond,
 	AddressKeep:       15 * time.Second,
 	AnswerKeep:        time.Minute,
 }
--- a/internal/adapters/settings/settings_test.go
+++ b/internal/adapters/settings/settings_test.go
@@ -40,7 +40,7 @@
 [lanes.engines]
 in_flight = 7
 [intervals]
-heartbeat = "250ms"
+vm_list_poll = "250ms"
 [body_limits]
 request = "64KiB"
 `
@@ -61,7 +61,7 @@
 		t.Fatal(stricttoml.Join(problems))
 	}
 	got := fmt.Sprintln(s.VM, s.Zone, s.Region, s.Listen, s.Advertise, s.Seeds, s.TLS, s.Platform, s.Lanes.Engines,
-		s.Intervals.Heartbeat, s.Bodies.Request, s.Intervals.LeaseTerm == 6*time.Second, s.LogLevel)
+		s.Intervals.VMListPoll, s.Bodies.Request, s.Intervals.LeaseTerm == 6*time.Second, s.LogLevel)
 	want := "entry-1 qc-est-a qc-est {192.0.2.7:8080 192.0.2.7:8081} { } [192.0.2.8:8081] " +
 		"{/etc/ca.pem /keys/entry.pem /keys/entry.key} " +
 		"{http://192.0.2.1:9000 http://192.0.2.1:9001 http://192.0.2.1:9002/vms} {7 8192} 250ms 65536 true info\n"
@@ -96,9 +96,9 @@
 		{"one token for two names", `token_file = "portal.token"`, `token = "0123456789abcdef"`, "20 tokens[1]"},
 		{"name twice", "role = \"caller\"\nname = \"portal\"", "role = \"operator\"\nname = \"vera\"", "22 tokens[1].name"},
 		{"unknown lane", "[lanes.engines]", "[lanes.engine]", "24 lanes.engine"},
-		{"heartbeat without unit", `"250ms"`, "250", "27 intervals.heartbeat"},
-		{"slow heartbeat", `"250ms"`, `"2s"`, "27 intervals.heartbeat"},
-		{"slow renewal", `heartbeat = "250ms"`, `lease_renewal = "4s"`, "27 intervals.lease_renewal"},
+		{"interval without unit", `"250ms"`, "250", "27 intervals.vm_list_poll"},
+		{"slow poll", `"250ms"`, `"2m"`, "27 intervals.vm_list_poll"},
+		{"slow renewal", `vm_list_poll = "250ms"`, `lease_renewal = "4s"`, "27 intervals.lease_renewal"},
 		{"size without unit", `"64KiB"`, "65536", "29 body_limits.request"},
 	}
 	for _, test := range tests {
--- a/internal/app/cluster_test.go
+++ b/internal/app/cluster_test.go
@@ -127,7 +127,7 @@
 		Streams: lane, PlainCalls: lane, Scoring: lane, Table: lane, Peers: lane,
 		AnswerKeep: time.Minute, AddressKeep: 50 * time.Millisecond,
 		VMListEvery: 20 * time.Millisecond, StatusEvery: 20 * time.Millisecond, ConfigEvery: 50 * time.Millisecond,
-		HeartbeatTick: 20 * time.Millisecond, LeaseTerm: 600 * time.Millisecond, LeaseRenewal: 100 * time.Millisecond,
+		LeaseTerm: 600 * time.Millisecond, LeaseRenewal: 100 * time.Millisecond,
 		OrderTimeout: 100 * time.Millisecond,
 	}, app.Ports{
 		Tables: gate{c.tables, c.network, address}, Objects: c.objects, VMs: c.vms, Engine: c.engine, Plain: c.plain,
--- a/internal/app/dump.go
+++ b/internal/app/dump.go
@@ -13,7 +13,7 @@
 	Phase      string                       `json:"phase"`
 	InFlight   int                          `json:"in_flight"`
 	Generation core.Generation              `json:"generation"`
-	Members    []core.Member                `json:"members"`
+	Members    tables.MembersState          `json:"members"`
 	Leases     []tables.LeaseState          `json:"leases"`
 	Servers    []routing.View               `json:"servers"`
 	Rollouts   []tables.RolloutState        `json:"rollouts"`
@@ -30,7 +30,7 @@
 	return State{
 		VM: s.options.Self.VM, Phase: phase.String(), InFlight: inFlight,
 		Generation: s.configuration.InForce().Generation,
-		Members:    s.members.All(),
+		Members:    s.members.State(),
 		Leases:     s.leases.State(s.ports.Clock.Now()),
 		Servers:    s.servers.Views(),
 		Rollouts:   s.rollouts.State(),
--- a/internal/app/heartbeat.go
+++ b/internal/app/heartbeat.go
@@ -2,58 +2,78 @@
 
 import (
 	"context"
-	"time"
 
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/configuration"
+	"fescuespar/internal/core/membership"
 )
 
-// suspectAfter is how long a member may be silent before it is suspected.
-const suspectAfter = 3 * time.Second
-
-// heartbeat sends this process's news to its peers.
+// heartbeat sends a round of heartbeats when one is due.
 func (s *Service) heartbeat() {
-	s.members.Expire(s.ports.Clock.Now().Add(-suspectAfter))
-	beat := s.members.Beat(s.weights.News())
-	for _, address := range s.members.Targets() {
-		s.sendHeartbeat(address, beat)
+	now := s.ports.Clock.Now()
+	s.logMemberChanges()
+	if now.Before(s.members.NextRound()) {
+		return
+	}
+	_, inFlight := s.lifecycle.Phase()
+	s.members.SetLoad(uint32(max(inFlight, 0)))
+	sends, _ := s.members.Round(now)
+	for _, send := range sends {
+		s.sendHeartbeat(send)
 	}
 }
 
-func (s *Service) sendHeartbeat(address string, beat core.Heartbeat) {
+func (s *Service) sendHeartbeat(send membership.Send) {
 	s.onLane(s.lanes.peers, func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, membership.HeartbeatTimeout)
+		defer cancel()
 		s.metrics.HeartbeatsSent.Inc(1)
-		reply, err := s.ports.Peers.Heartbeat(ctx, address, beat)
+		answer, err := s.ports.Peers.Heartbeat(ctx, send.Address, send.Beat)
+		now := s.ports.Clock.Now()
 		if err != nil {
 			s.metrics.HeartbeatsMissed.Inc(1)
+			s.members.Missed(now, send.VM)
 			return
 		}
-		s.takeHeartbeat(reply)
+		s.takeNews(s.members.Answered(now, answer))
 	})
 }
 
-// HandleHeartbeat takes a peer's heartbeat and answers with this process's own.
+// HandleHeartbeat takes a peer's heartbeat and answers it.
 func (s *Service) HandleHeartbeat(_ context.Context, beat core.Heartbeat) (core.Heartbeat, error) {
-	s.takeHeartbeat(beat)
-	return s.members.Beat(s.weights.News()), nil
+	s.metrics.HeartbeatsReceived.Inc(1)
+	answer, news := s.members.Receive(s.ports.Clock.Now(), beat)
+	s.takeNews(news)
+	return answer, nil
 }
 
-func (s *Service) takeHeartbeat(beat core.Heartbeat) {
-	s.metrics.HeartbeatsReceived.Inc(1)
-	s.members.Merge(beat, s.ports.Clock.Now())
-	for _, news := range beat.Weights {
-		s.weights.Learn(news.Deployment, news.Version)
+func (s *Service) takeNews(news membership.News) {
+	for _, weights := range news.Weights {
+		s.weights.Learn(weights.Deployment, weights.Version)
 	}
-	if configuration.Newer(s.configuration.InForce().Generation, beat.Sender.Generation) {
-		s.fetchConfiguration(beat.Sender.PeerAddress)
+	if configuration.Newer(s.configuration.InForce().Generation, news.Generation) {
+		s.fetchConfiguration(news.From)
 	}
 }
 
-// Addresses returns the entry addresses that a caller is to use.
-func (s *Service) Addresses(core.CallerName) core.AddressList {
-	list := core.AddressList{Keep: s.options.AddressKeep}
-	for _, member := range s.members.Live() {
-		list.Addresses = append(list.Addresses, member.CallAddress)
+func (s *Service) logMemberChanges() {
+	for _, change := range s.members.TakeChanges() {
+		s.log.Info().Str("member", string(change.VM)).Str("from", change.From.String()).
+			Str("to", change.To.String()).Msg("member changed")
 	}
-	return list
+}
+
+// addressCount is how many entry addresses a caller is told.
+const addressCount = 8
+
+// Addresses returns the entry addresses that a caller is to use.
+func (s *Service) Addresses(caller core.CallerName) core.AddressList {
+	answer := s.members.Addresses(membership.AddressQuery{Caller: caller, Count: addressCount})
+	return core.AddressList{Addresses: answer.Addresses, Keep: min(answer.Keep, s.options.AddressKeep)}
+}
+
+// learnWeights takes in a published version and spreads it.
+func (s *Service) learnWeights(name core.DeploymentName, version core.WeightVersion) bool {
+	s.members.SetWeights(core.WeightNews{Deployment: name, Version: version})
+	return s.weights.Learn(name, version)
 }
--- a/internal/app/plaincall.go
+++ b/internal/app/plaincall.go
@@ -175,13 +175,15 @@
 	s.timers.After(outcomePollDelay, core.ClassPeople, func() { s.readClaim(call) })
 }
 
-// ownerMayRecord reports whether a claim's owner is not known to be gone.
+// ownerMayRecord reports whether a claim's owner is believed to be at work.
+// When it is not, the answer that the request may have run is true either way.
 func (s *Service) ownerMayRecord(owner claim.Owner) bool {
 	if owner.VM == s.options.Self.VM {
 		return owner.Incarnation == s.options.Self.Incarnation
 	}
 	member, ok := s.members.Member(owner.VM)
-	return !ok || (member.Incarnation <= owner.Incarnation && member.State != core.MemberGone)
+	serves := member.State == core.MemberAlive || member.State == core.MemberLeaving
+	return ok && serves && member.Incarnation == owner.Incarnation
 }
 
 // fingerprint tells requests under the same key apart.
--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -32,7 +32,7 @@
 			return
 		}
 		s.servers.ApplyVMs(vms)
-		s.members.ApplyVMs(vms)
+		s.members.ObserveVMs(s.ports.Clock.Now(), vms)
 	})
 }
 
--- a/internal/app/shutdown.go
+++ b/internal/app/shutdown.go
@@ -18,7 +18,7 @@
 // leases and tells its peers. The context bounds the whole.
 func (s *Service) Shutdown(ctx context.Context) {
 	s.lifecycle.Advance(tables.PhaseLeaving)
-	s.members.SetLeaving()
+	s.members.Leave()
 	s.log.Info().Str("phase", "leaving").Msg("shutdown")
 	s.heartbeat()
 	waitFor(ctx, s.options.AddressKeep)
--- a/internal/app/weights.go
+++ b/internal/app/weights.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return err
 	}
-	if s.weights.Learn(name, version) {
+	if s.learnWeights(name, version) {
 		s.log.Info().Str("deployment", string(name)).Uint64("version", uint64(version)).Msg("new weight version")
 	}
 	return nil
