--- a/internal/core/outlier/outlier_test.go
+++ b/internal/core/outlier/outlier_test.go
@@ -15,7 +15,7 @@
 type behaviour func(server, second int) Result
 
 func succeeds(took time.Duration) Result {
-	return Result{Outcome: Succeeded, Tokens: 100, Took: took}
+	return Result{Outcome: Succeeded, Work: 100, Took: took}
 }
 
 // run lets every server end 2 requests a second and returns, for each server,
@@ -101,7 +101,7 @@
 		}, func(_ []int, most int) bool { return most == 0 }},
 		{"callers leave one server", func(i, _ int) Result {
 			if i == 4 {
-				return Result{Outcome: Abandoned, Tokens: 1, Took: time.Hour}
+				return Result{Outcome: Abandoned, Work: 1, Took: time.Hour}
 			}
 			return succeeds(usualTook)
 		}, func(_ []int, most int) bool { return most == 0 }},
--- a/internal/core/outlier/server.go
+++ b/internal/core/outlier/server.go
@@ -20,7 +20,7 @@
 // Result is one attempt's end.
 type Result struct {
 	Outcome Outcome
-	Tokens  int           // tokens produced, or 1 for a call of a plain service
+	Work    float64       // tokens of work done, 1 for a call of a plain service
 	Took    time.Duration // from dispatch to end
 }
 
@@ -83,7 +83,7 @@
 	}
 	s.consecutive = 0
 	s.success += smoothing * (1 - s.success)
-	perToken := result.Took.Seconds() / float64(max(1, result.Tokens))
+	perToken := result.Took.Seconds() / max(1, result.Work)
 	if s.perToken == 0 {
 		s.perToken = perToken
 		return
--- a/internal/core/routing/bench_test.go
+++ b/internal/core/routing/bench_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fescuespar/internal/core"
+	"fescuespar/internal/errkind"
 )
 
 // sizes are the servers of today's deployments and of the fleet to come.
@@ -155,18 +156,18 @@
 	}
 }
 
-// The servers looked at must not grow with the pool.
+// The servers looked at must not grow with the pool, not even when all are dropped.
 func TestDecisionLooksAtABoundedNumberOfServers(t *testing.T) {
 	for _, servers := range sizes {
 		state, random := loadedState(servers)
 		query := loadedQuery(3)
 		tries := 2*maxDraws + len(query.Exclude) + 1
-		most := maxHolders + 1 + (1+maxRegions)*tries
-		looked := &countingFilter{}
+		most := maxHolders + 2*(1+maxRegions)*tries
+		looked := &refusingFilter{}
 		state.filters = append([]Filter{looked}, state.filters...)
 		for range 100 {
 			looked.count = 0
-			if _, err := state.Pick(query, epoch, random); err != nil {
+			if _, err := state.Pick(query, epoch, random); !errkind.Is(err, errkind.NoServer) {
 				t.Fatal(err)
 			}
 			if looked.count > most {
@@ -176,9 +177,10 @@
 	}
 }
 
-type countingFilter struct{ count int }
+// refusingFilter drops every candidate and counts them.
+type refusingFilter struct{ count int }
 
-func (f *countingFilter) Keep(*Candidate, *Query) bool {
+func (f *refusingFilter) Keep(*Candidate, *Query) bool {
 	f.count++
-	return true
+	return false
 }
--- a/internal/core/routing/cache.go
+++ b/internal/core/routing/cache.go
@@ -80,6 +80,22 @@
 	row.survival += math.Log(1 - float64(swapped)/float64(len(status.Versions)))
 }
 
+// cachedTokens returns the tokens of a prompt that a server is believed to hold.
+func (s *State) cachedTokens(row *server, prefix []uint64, now time.Time) float64 {
+	if len(prefix) == 0 {
+		return 0
+	}
+	if share := s.prefixes.believed(prefix[len(prefix)-1], row, now); share > 0 {
+		return share * float64(len(prefix)*tokensPerBlock)
+	}
+	for i := checkpointsBelow(len(prefix)) - 1; i >= 0; i-- {
+		if share := s.prefixes.believed(prefix[checkpoints[i]], row, now); share > 0 {
+			return share * float64((checkpoints[i]+1)*tokensPerBlock)
+		}
+	}
+	return 0
+}
+
 // learnDispatch notes that a server is about to hold a prompt's prefixes.
 func (s *State) learnDispatch(row *server, prefix []uint64, now time.Time) {
 	if len(prefix) == 0 {
--- a/internal/core/routing/candidate.go
+++ b/internal/core/routing/candidate.go
@@ -12,7 +12,8 @@
 	Ejected  bool
 	Weight   float64 // share of the usual work that it may get, above 0 and up to 1
 	Load     float64 // estimated tokens of prompts and answers before the request
-	Rate     float64 // tokens of load worked off in a second
+	Base     float64 // seconds for a token of work on an idle server
+	Slope    float64 // further seconds for each token of load
 	Cached   float64 // expected tokens of the prompt that are cached
 	Remote   bool    // in another region than the asking entry VM
 	LinkOpen bool    // the link's share has room for the request
--- a/internal/core/routing/cells.go
+++ b/internal/core/routing/cells.go
@@ -30,7 +30,7 @@
 	name     core.RegionName
 	adapters []*adapterIndex
 	unknown  cell // engines that have not reported yet
-	ring     ring
+	size     int  // servers of the region, also those that get no work
 }
 
 // add lists the server once.
@@ -105,11 +105,19 @@
 	case len(row.status.Versions) == 0:
 		r.cellFor(row.status.Adapter, row.status.Version).add(row)
 	default:
-		for _, held := range row.status.Versions {
+		r.placeAdapters(row)
+	}
+	r.prune()
+}
+
+// placeAdapters takes the first entry of an adapter that a report names twice,
+// as EngineStatus.Holds does.
+func (r *regionIndex) placeAdapters(row *server) {
+	for _, held := range row.status.Versions {
+		if first, _ := row.status.Holds(held.Adapter); first == held {
 			r.cellFor(held.Adapter, held.Version).add(row)
 		}
 	}
-	r.prune()
 }
 
 func (r *regionIndex) unplace(row *server) {
@@ -122,7 +130,7 @@
 // choice is the servers of one region that fit a query's adapter and version.
 type choice struct {
 	index   *adapterIndex
-	unknown *cell // used alone when no reported engine holds the adapter
+	unknown *cell // set for the engines that have not reported, which may hold any adapter
 	version core.WeightVersion
 	count   int
 }
@@ -137,13 +145,18 @@
 			}
 		}
 	}
-	if found.count == 0 && query.Version == 0 {
-		found.unknown = &r.unknown
-		found.count = len(r.unknown.members)
-	}
 	return found
 }
 
+// chooseUnknown returns the engines that have not reported. They fit a query
+// for any version only.
+func (r *regionIndex) chooseUnknown(query *Query) choice {
+	if query.Version > 0 {
+		return choice{}
+	}
+	return choice{unknown: &r.unknown, count: len(r.unknown.members)}
+}
+
 // at returns the i-th fitting server, 0 <= i < count.
 func (c *choice) at(i int) *server {
 	if c.unknown != nil {
--- a/internal/core/routing/decide.go
+++ b/internal/core/routing/decide.go
@@ -61,7 +61,8 @@
 func (s *State) refuse(pool *pool, query *Query) error {
 	if !s.decision.linkOpen {
 		for _, region := range pool.regions {
-			if fit := region.choose(query); region.name != query.Region && fit.count > 0 {
+			fit, unknown := region.choose(query), region.chooseUnknown(query)
+			if region.name != query.Region && fit.count+unknown.count > 0 {
 				return errkind.New(errkind.Overloaded, "this process's share of the link to region %s is used up", region.name)
 			}
 		}
@@ -106,7 +107,8 @@
 		Ejected:  row.health.Ejected(),
 		Weight:   row.health.Weight(d.pool.detector.Ramp(), d.now),
 		Load:     row.load.estimate(d.peers, s.policy.ReportLife, d.now),
-		Rate:     d.pool.rate,
+		Base:     d.pool.speed.base,
+		Slope:    d.pool.speed.slopeFor(d.pool.tokensPerStream),
 		Cached:   cached,
 		Remote:   row.vm.Region != d.query.Region,
 		LinkOpen: d.linkOpen,
--- a/internal/core/routing/gather.go
+++ b/internal/core/routing/gather.go
@@ -5,27 +5,13 @@
 	"slices"
 )
 
-// gatherLocal offers the prefix's home, the servers that hold the prefix, and
-// a few of the region's servers drawn at random.
+// gatherLocal offers the servers that hold the prefix and a few of the region's
+// servers drawn at random.
 func (s *State) gatherLocal(random *rand.Rand) {
 	d := &s.decision
 	s.gatherAffine(random)
-	region := d.pool.region(d.query.Region)
-	if region == nil {
-		return
-	}
-	s.gatherHome(region)
-	s.draw(region, s.policy.Draws, random)
-}
-
-// gatherHome offers the server at which all entry processes expect the prompt.
-func (s *State) gatherHome(region *regionIndex) {
-	prefix := s.decision.query.Prefix
-	if len(prefix) == 0 {
-		return
-	}
-	if home := region.ring.home(prefix[len(prefix)-1]); home != nil {
-		s.offer(home, s.policy.HomeTrust*float64(len(prefix)*tokensPerBlock))
+	if region := d.pool.region(d.query.Region); region != nil {
+		s.draw(region, s.policy.Draws, random)
 	}
 }
 
@@ -80,16 +66,23 @@
 	}
 }
 
-// draw offers a number of different servers drawn at random. When the draws
-// meet only excluded servers it looks at one more server than the query
-// excludes, so that a server which fits is never missed.
+// draw offers servers of a region drawn at random, engines that have not
+// reported only when no other fits.
 func (s *State) draw(region *regionIndex, number int, random *rand.Rand) {
-	excluded := s.decision.query.Exclude
-	fit := region.choose(&s.decision.query)
-	if fit.count <= number {
-		s.offerRun(&fit, 0, fit.count)
+	if fit := region.choose(&s.decision.query); s.drawFrom(&fit, number, random) {
 		return
 	}
+	unknown := region.chooseUnknown(&s.decision.query)
+	s.drawFrom(&unknown, number, random)
+}
+
+// drawFrom offers a number of different servers of a choice and returns whether
+// any is a candidate. When the draws meet only excluded servers it looks at one
+// more server than the query excludes, so that one that fits is never missed.
+func (s *State) drawFrom(fit *choice, number int, random *rand.Rand) bool {
+	if fit.count <= number {
+		return s.offerRun(fit, 0, fit.count)
+	}
 	var drawn [2 * maxDraws]*server
 	kept := 0
 	for i := 0; i < len(drawn) && kept < min(number, maxDraws); i++ {
@@ -102,17 +95,22 @@
 			kept++
 		}
 	}
-	if kept == 0 {
-		s.offerRun(&fit, random.IntN(fit.count), min(fit.count, len(excluded)+1))
+	if kept > 0 {
+		return true
 	}
+	return s.offerRun(fit, random.IntN(fit.count), min(fit.count, len(s.decision.query.Exclude)+1))
 }
 
 // maxDraws bounds Policy.Draws.
 const maxDraws = 4
 
-// offerRun offers a run of servers, wrapping around at the end.
-func (s *State) offerRun(fit *choice, first, number int) {
+// offerRun offers a run of servers, wrapping around at the end, and returns
+// whether any is a candidate.
+func (s *State) offerRun(fit *choice, first, number int) (found bool) {
 	for i := range number {
-		s.offer(fit.at((first+i)%fit.count), 0)
+		if s.offer(fit.at((first+i)%fit.count), 0) {
+			found = true
+		}
 	}
+	return found
 }
--- a/internal/core/routing/link_test.go
+++ b/internal/core/routing/link_test.go
@@ -10,25 +10,25 @@
 
 func TestWorkCrossesOnlyWhenWaitingIsDearer(t *testing.T) {
 	cases := []struct {
-		name      string
-		localLoad int // tokens in flight on each local server
-		bytes     int
-		crosses   bool
+		name    string
+		streams int // in flight on each local server
+		bytes   int
+		crosses bool
 	}{
 		{"idle at home", 0, 1000, false},
-		{"waiting cheaper than the link", 100, 100_000, false},
-		{"waiting dearer than the link", 100_000, 1000, true},
-		{"waiting dearer than a large volume", 100_000, 100_000, true},
-		{"volume dearer than long waiting", 100_000, 50_000_000, false},
+		{"waiting cheaper than the link", 5, 100_000, false},
+		{"waiting dearer than the link", 200, 1000, true},
+		{"waiting dearer than a large volume", 200, 1_000_000, true},
+		{"volume dearer than long waiting", 200, 50_000_000, false},
 	}
 	for _, c := range cases {
 		state, random := stateOf([]core.VM{engineVM(0, "east"), engineVM(1, "east"), engineVM(2, "west")})
 		query := coachQuery()
 		query.Bytes = c.bytes
-		loaded := coachQuery()
-		loaded.Tokens = c.localLoad
-		state.Begin("engine-0000", loaded, epoch)
-		state.Begin("engine-0001", loaded, epoch)
+		for range c.streams {
+			state.Begin("engine-0000", coachQuery(), epoch)
+			state.Begin("engine-0001", coachQuery(), epoch)
+		}
 		if got := picks(state, query, epoch, random)["engine-0002"] > 0; got != c.crosses {
 			t.Errorf("%s: crossed %v, want %v", c.name, got, c.crosses)
 		}
--- a/internal/core/routing/policy.go
+++ b/internal/core/routing/policy.go
@@ -9,14 +9,13 @@
 // Policy holds the constants of routing.
 type Policy struct {
 	Draws      int           // servers drawn at random from the caller's region
-	Rate       float64       // tokens of load a server works off in a second, until measured
+	Speed      float64       // tokens of work a second on an idle server, until measured
 	ZoneTrip   time.Duration // round trip to another availability zone of the region
 	ReportLife time.Duration // age from which an engine's report of load no longer counts
 
 	PrefixEntries  int           // bound of the prefix index; a power of two
 	DispatchMemory time.Duration // how long a dispatch is taken for a cached prefix
 	EventMemory    time.Duration // how long a cache event is believed
-	HomeTrust      float64       // share of a prompt taken as cached at its home, 0 to 1
 
 	Link    LinkPolicy
 	Outlier outlier.Policy
@@ -36,13 +35,12 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		Draws:          2,
-		Rate:           2000,
+		Speed:          50,
 		ZoneTrip:       3 * time.Millisecond,
 		ReportLife:     30 * time.Second,
 		PrefixEntries:  1 << 17,
 		DispatchMemory: 2 * time.Minute,
 		EventMemory:    10 * time.Minute,
-		HomeTrust:      0.5,
 		Link: LinkPolicy{
 			Capacity:      450e6 / 8,
 			Share:         0.5,
--- a/internal/core/routing/pool.go
+++ b/internal/core/routing/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/outlier"
@@ -22,7 +21,7 @@
 	size     int
 	newest   []core.AdapterVersion // newest version ever reported of each adapter
 
-	rate            float64 // smoothed tokens of load that a server works off in a second
+	speed           speed
 	tokensPerStream float64 // smoothed over this process's requests
 	reportedStreams float64 // smoothed streams in a report
 	ownStreams      float64 // smoothed streams of this process at the report's time
@@ -32,7 +31,7 @@
 const poolSmoothing = 0.05
 
 func newPool(key serviceKey, policy *Policy) *pool {
-	return &pool{key: key, rate: policy.Rate, detector: outlier.NewPool(policy.Outlier)}
+	return &pool{key: key, speed: speed{base: 1 / policy.Speed}, detector: outlier.NewPool(policy.Outlier)}
 }
 
 // region returns the index of a region, or nil.
@@ -58,7 +57,7 @@
 		p.regions = append(p.regions, region)
 	}
 	row.pool, row.region = p, region
-	region.ring.add(row)
+	region.size++
 	p.detector.Add(&row.health)
 	p.size++
 }
@@ -66,8 +65,8 @@
 // leave removes a server.
 func (p *pool) leave(row *server) {
 	row.region.unplace(row)
-	row.region.ring.remove(row)
-	if len(row.region.ring.points) == 0 {
+	row.region.size--
+	if row.region.size == 0 {
 		p.regions = slices.DeleteFunc(p.regions, func(r *regionIndex) bool { return r == row.region })
 	}
 	p.detector.Remove(&row.health)
@@ -119,11 +118,3 @@
 	}
 	return min(most, max(0, p.reportedStreams/p.ownStreams-1))
 }
-
-// measureRate learns how fast load is worked off.
-func (p *pool) measureRate(dispatch *Dispatch, now time.Time) {
-	took := now.Sub(dispatch.Started).Seconds()
-	if took > 0 {
-		smooth(&p.rate, (dispatch.load+float64(dispatch.Tokens))/took)
-	}
-}
--- a/internal/core/routing/prefix.go
+++ b/internal/core/routing/prefix.go
@@ -83,6 +83,20 @@
 	}
 }
 
+// believed returns the chance that a server holds a prefix, zero when nothing
+// is known.
+func (x *prefixIndex) believed(hash uint64, row *server, now time.Time) float64 {
+	set := x.set(hash)
+	for i := range set {
+		entry := &set[i]
+		same := entry.hash == hash && entry.slot == row.slot && entry.epoch == row.epoch
+		if same && x.usable(entry, now.UnixNano()) {
+			return trust(entry, row)
+		}
+	}
+	return 0
+}
+
 // trust returns the chance that a server still holds an entry, given the cache
 // events that were lost since.
 func trust(entry *prefixEntry, row *server) float64 {
--- /dev/null
+++ b/internal/core/routing/property_test.go
@@ -0,0 +1,108 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/core/outlier"
+	"fescuespar/internal/errkind"
+)
+
+// history applies random changes to a state and returns its dispatches.
+type history struct {
+	state  *State
+	random *rand.Rand
+	now    time.Time
+	open   []Dispatch
+	vms    []core.VM
+}
+
+// step applies one change chosen by a number.
+func (h *history) step(number int) {
+	h.now = h.now.Add(300 * time.Millisecond)
+	vm := &h.vms[h.random.IntN(len(h.vms))]
+	switch number % 6 {
+	case 0:
+		vm.State = []core.VMState{core.VMLive, core.VMLeaving}[h.random.IntN(2)]
+		listed := slices.Clone(h.vms)
+		h.random.Shuffle(len(listed), func(i, j int) { listed[i], listed[j] = listed[j], listed[i] })
+		h.state.ApplyVMs(listed[h.random.IntN(4):])
+	case 1, 2:
+		status := core.EngineStatus{Server: vm.ID, Model: "coach", RunningCount: h.random.IntN(5), NextEvent: 1}
+		for i, adapter := range []core.AdapterName{"a", "b", "a"}[:h.random.IntN(4)] {
+			status.Versions = append(status.Versions, core.AdapterVersion{Adapter: adapter, Version: core.WeightVersion(h.random.IntN(3) + i)})
+		}
+		h.state.ApplyStatus(status, h.now)
+	case 3:
+		h.open = append(h.open, h.state.Begin(vm.ID, coachQuery(), h.now))
+	case 4:
+		if len(h.open) > 0 {
+			result := Result{Outcome: outlier.Outcome(h.random.IntN(4))}
+			h.state.End(h.open[0], result, h.now, h.random)
+			h.open = h.open[1:]
+		}
+	case 5:
+		h.state.Sweep(h.now, h.random)
+	}
+}
+
+// query asks for a random adapter and version and excludes a few servers.
+func (h *history) query() Query {
+	query := coachQuery()
+	query.Adapter = []core.AdapterName{"a", "b", ""}[h.random.IntN(3)]
+	query.Version = core.WeightVersion(h.random.IntN(4))
+	for range h.random.IntN(4) {
+		query.Exclude = append(query.Exclude, h.vms[h.random.IntN(len(h.vms))].ID)
+	}
+	return query
+}
+
+// agrees reports whether Pick finds a server exactly when one of the listed
+// servers passes every filter, and then only such a one.
+func (h *history) agrees() bool {
+	query := h.query()
+	vm, err := h.state.Pick(query, h.now, h.random)
+	if h.state.pools[serviceKey{kind: query.Kind, service: query.Service}] == nil {
+		return errkind.Is(err, errkind.NoServer)
+	}
+	fit := make(map[core.ServerID]bool)
+	for _, row := range h.state.rows {
+		h.state.decision.count = 0
+		if h.state.offer(row, 0) {
+			fit[row.vm.ID] = true
+		}
+	}
+	if err != nil {
+		return len(fit) == 0 && errkind.Is(err, errkind.NoServer)
+	}
+	return fit[vm.ID]
+}
+
+func TestPickFindsAServerExactlyWhenOneFits(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(5)
+	parameters.MinSuccessfulTests = 200
+	properties := gopter.NewProperties(parameters)
+	properties.Property("after any history", prop.ForAll(func(seed uint64, steps []int) bool {
+		h := &history{random: rand.New(rand.NewPCG(seed, 1)), now: epoch}
+		h.vms = engineVMs(12)
+		for i := range 4 {
+			h.vms[i].Region = "west"
+		}
+		h.state, _ = stateOf(h.vms)
+		for _, number := range steps {
+			h.step(number)
+			if !h.agrees() {
+				return false
+			}
+		}
+		return true
+	}, gen.UInt64(), gen.SliceOfN(60, gen.IntRange(0, 5))))
+	properties.TestingRun(t)
+}
--- a/internal/core/routing/query.go
+++ b/internal/core/routing/query.go
@@ -38,6 +38,15 @@
 	return float64(q.Tokens * bytesPerToken)
 }
 
+// work returns the request's expected tokens of work at a server that has some
+// of its prompt cached: generated tokens, and the rest of the prompt's at
+// prefillCost.
+func (q *Query) work(cached float64) float64 {
+	prompt := float64(len(q.Prefix) * tokensPerBlock)
+	answer := max(0, float64(q.Tokens)-prompt)
+	return answer + prefillCost*max(0, prompt-cached)
+}
+
 // Dispatch is a request counted as in flight on a server, from Begin to End.
 type Dispatch struct {
 	VM      core.VM
@@ -45,6 +54,8 @@
 	Started time.Time
 	row     uint32  // number of the server's row, which may leave before the request ends
 	load    float64 // tokens of load that were there before the request
+	prefill float64 // expected tokens of work for the prompt
+	answer  float64 // expected tokens of the answer
 	bytes   float64 // reserved on the link, zero within the region
 }
 
--- a/internal/core/routing/scorer_test.go
+++ b/internal/core/routing/scorer_test.go
@@ -11,13 +11,13 @@
 // Each case names two candidates of which the first must cost less.
 func TestScorers(t *testing.T) {
 	here := &core.VM{Zone: "z1"}
-	idle := Candidate{VM: here, Rate: 100, Weight: 1}
+	idle := Candidate{VM: here, Base: 0.01, Slope: 0.0001, Weight: 1}
 	with := func(change func(*Candidate)) Candidate {
 		c := idle
 		change(&c)
 		return c
 	}
-	query := Query{Zone: "z1", Tokens: 50, LagCost: time.Second}
+	query := Query{Zone: "z1", Tokens: 50, Prefix: make([]uint64, 2), LagCost: time.Second}
 	cases := []struct {
 		name          string
 		scorer        Scorer
--- a/internal/core/routing/state.go
+++ b/internal/core/routing/state.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -81,7 +82,6 @@
 	}
 	slices.SortFunc(rows, func(a, b *server) int { return strings.Compare(string(a.vm.ID), string(b.vm.ID)) })
 	s.servers, s.rows = listed, rows
-	s.settleRings()
 }
 
 // newServer takes a slot; the epoch keeps apart what was learnt of an earlier
@@ -149,14 +149,6 @@
 	}
 }
 
-func (s *State) settleRings() {
-	for _, pool := range s.poolList {
-		for _, region := range pool.regions {
-			region.ring.settle()
-		}
-	}
-}
-
 // ApplyStatus takes in an engine's report that was measured at a past time. A
 // report measured before the newest one known is dropped.
 func (s *State) ApplyStatus(status core.EngineStatus, measured time.Time) {
@@ -172,7 +164,6 @@
 	changed := !row.reported || !sameVersions(&row.status, &status)
 	row.status, row.reported = status, true
 	s.joinPool(row)
-	s.settleRings()
 	if changed {
 		row.region.place(row)
 		row.seeVersions()
@@ -205,6 +196,8 @@
 	}
 	begun := Dispatch{VM: row.vm, Tokens: query.Tokens, Started: now, row: row.number}
 	begun.load = row.load.estimate(row.pool.peers(s.processes), s.policy.ReportLife, now)
+	begun.answer = query.work(math.MaxFloat64)
+	begun.prefill = query.work(s.cachedTokens(row, query.Prefix, now)) - begun.answer
 	if row.vm.Region != query.Region {
 		begun.bytes = query.linkBytes()
 		s.link.take(begun.bytes)
@@ -226,14 +219,15 @@
 		return
 	}
 	row.load.change(-1, -ended.Tokens, now)
-	if result.Outcome == outlier.Succeeded {
-		row.pool.measureRate(&ended, now)
+	work := ended.prefill + ended.answer
+	if result.Tokens > 0 {
+		work = ended.prefill + float64(result.Tokens)
 	}
-	tokens := result.Tokens
-	if tokens == 0 {
-		tokens = ended.Tokens
+	took := now.Sub(ended.Started)
+	if result.Outcome == outlier.Succeeded {
+		row.pool.speed.add(work, ended.load+float64(ended.Tokens), took)
 	}
-	judged := outlier.Result{Outcome: result.Outcome, Tokens: tokens, Took: now.Sub(ended.Started)}
+	judged := outlier.Result{Outcome: result.Outcome, Work: work, Took: took}
 	if row.pool.detector.Record(&row.health, judged, now, random) {
 		row.region.place(row)
 	}
