--- a/internal/app/plaincall.go
+++ b/internal/app/plaincall.go
@@ -196,11 +196,11 @@
 
 // dispatchCall routes the call and sends it once.
 func (s *Service) dispatchCall(call *plainCall) {
-	begun, err := s.servers.Acquire(routing.Query{
+	begun, err := s.acquire(routing.Query{
 		Kind: core.KindPlain, Service: call.deployment.Service, Class: core.ClassPeople, Tokens: 1,
 		Zone: s.options.Self.Zone, Region: s.options.Self.Region, Exclude: call.exclude,
 		Bytes: len(call.request.Body),
-	}, s.ports.Clock.Now())
+	})
 	if err != nil {
 		s.callUnrun(call, err)
 		return
--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -11,6 +11,17 @@
 	"fescuespar/internal/workers"
 )
 
+// acquire picks a server and counts the request as in flight on it. When every
+// server was tried, those that failed before may be tried again.
+func (s *Service) acquire(query routing.Query) (routing.Dispatch, error) {
+	begun, err := s.servers.Acquire(query, s.ports.Clock.Now())
+	if errkind.Is(err, errkind.NoServer) && len(query.Exclude) > 0 {
+		query.Exclude = nil
+		return s.servers.Acquire(query, s.ports.Clock.Now())
+	}
+	return begun, err
+}
+
 // pollVMs reads the platform's VM list. During an outage the last list stays in
 // use.
 func (s *Service) pollVMs() {
