--- a/internal/core/crash/crash_test.go
+++ b/internal/core/crash/crash_test.go
@@ -78,9 +78,9 @@
 			for seed := uint64(1); seed <= worldSeeds; seed++ {
 				w := newWorld(seed)
 				w.innocents(worldInnocents)
-				w.runUntil(2 * time.Second)
+				w.clock.RunUntil(2 * time.Second)
 				c.prepare(w)
-				w.runUntil(worldTime)
+				w.clock.RunUntil(worldTime)
 				worst = max(worst, w.dead)
 				if w.dead > c.lost || w.refused[killer] != c.refuses {
 					t.Errorf("seed %d: %d servers lost, want at most %d; refused %v", seed, w.dead, c.lost, w.refused[killer])
@@ -109,7 +109,7 @@
 		w.plain = true
 		w.innocents(worldInnocents)
 		w.resendKiller(resends)
-		w.runUntil(3 * time.Minute)
+		w.clock.RunUntil(3 * time.Minute)
 		least = min(least, w.dead)
 	}
 	t.Logf("without fingerprints at least %d servers lost", least)
@@ -144,6 +144,15 @@
 		}, Run},
 		{"two copies died on one server", func(k *Tracker) { die(k, "a", now); die(k, "a", now); k.Tick(calm) }, Hold},
 		{"two copies died on two servers", func(k *Tracker) { die(k, "a", now); die(k, "b", now); k.Tick(calm) }, Refuse},
+		{"two requests died on the same two servers", func(k *Tracker) {
+			die(k, "a", now)
+			die(k, "b", now)
+			for _, server := range []core.ServerID{"a", "b"} {
+				k.Begin(killer + 1)
+				k.End(killer+1, server, Died, now)
+			}
+			k.Tick(calm)
+		}, Hold},
 		{"convicted elsewhere", func(k *Tracker) {
 			k.Heard("x", []core.CrashNews{{Fingerprint: killer, Round: 1, State: core.CrashConvicted, First: "a", Second: "b"}}, now)
 		}, Refuse},
--- a/internal/core/crash/tracker.go
+++ b/internal/core/crash/tracker.go
@@ -27,6 +27,18 @@
 	keepSuspect = 10 * time.Minute
 )
 
+// trialMargin is how long a trial runs past the point of the earlier death.
+const trialMargin = 5 * time.Second
+
+// TrialTime is how long a trial must run to pass. Before is how long the run
+// at the death had lasted; a run that resumes where it was cut starts there.
+func TrialTime(before time.Duration, resumes bool) time.Duration {
+	if resumes {
+		return trialMargin
+	}
+	return before + trialMargin
+}
+
 // Verdict says what may be done with a request.
 type Verdict int
 
--- a/internal/core/crash/world_test.go
+++ b/internal/core/crash/world_test.go
@@ -1,43 +1,24 @@
 package crash
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"fescuespar/internal/core"
+	"fescuespar/internal/virtualtime"
 )
 
-// event is something that happens at a time of the virtual clock.
-type event struct {
-	at     time.Duration
-	number int
-	do     func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || (e[i].at == e[j].at && e[i].number < e[j].number)
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // job is one request at one entry process.
 type job struct {
 	fingerprint uint64
 	kills       bool
 	length      time.Duration
 	attempts    int
-	arrived     time.Duration
+	arrived     time.Duration // when it was cut last
+	began       time.Duration
+	ran         time.Duration // until it was cut last
 	done        func(refused bool)
 }
 
@@ -53,7 +34,6 @@
 	worldServers  = 11
 	serverRestart = 60 * time.Second
 	killAfter     = 300 * time.Millisecond
-	trialTime     = 5 * time.Second
 	pushEvery     = 500 * time.Millisecond
 	plainTries    = 3
 	killer        = uint64(1)
@@ -62,9 +42,7 @@
 // world runs trackers of several entry processes against servers that die.
 type world struct {
 	random   *rand.Rand
-	now      time.Duration
-	queue    events
-	number   int
+	clock    virtualtime.Clock
 	plain    bool // no fingerprints: three tries
 	loss     float64
 	lag      time.Duration
@@ -97,21 +75,8 @@
 func (w *world) server(i int) core.ServerID {
 	return core.ServerID(fmt.Sprintf("server-%02d", i))
 }
-func (w *world) time() time.Time { return time.Unix(0, 0).Add(w.now) }
-
-func (w *world) after(delay time.Duration, do func()) {
-	w.number++
-	heap.Push(&w.queue, event{w.now + delay, w.number, do})
-}
-
-func (w *world) runUntil(end time.Duration) {
-	for len(w.queue) > 0 && w.queue[0].at <= end {
-		next := heap.Pop(&w.queue).(event)
-		w.now = next.at
-		next.do()
-	}
-	w.now = end
-}
+func (w *world) time() time.Time                      { return w.clock.Time() }
+func (w *world) after(delay time.Duration, do func()) { w.clock.After(delay, do) }
 
 func (w *world) live() []core.VMID {
 	var live []core.VMID
@@ -164,12 +129,13 @@
 
 func (w *world) start(server int, r *run) {
 	r.job.attempts++
+	r.job.began = w.clock.Now()
 	if r.job.attempts > 1 && !r.job.kills {
-		w.delays = append(w.delays, w.now-r.job.arrived)
+		w.delays = append(w.delays, w.clock.Now()-r.job.arrived)
 	}
 	w.runs[server] = append(w.runs[server], r)
 	if r.trial {
-		w.after(trialTime, func() { w.pass(server, r) })
+		w.after(TrialTime(r.job.ran, false), func() { w.pass(server, r) })
 	}
 	if r.job.kills {
 		w.after(killAfter, func() {
@@ -222,7 +188,8 @@
 	lost := w.runs[server]
 	w.runs[server] = nil
 	for _, r := range lost {
-		r.job.arrived = w.now
+		r.job.arrived = w.clock.Now()
+		r.job.ran = w.clock.Now() - r.job.began
 		w.report(server, r, Died)
 	}
 	for _, r := range lost {
--- /dev/null
+++ b/internal/core/retry/budget.go
@@ -0,0 +1,53 @@
+package retry
+
+import "time"
+
+const (
+	// budgetShare is what each request adds, in repeats.
+	budgetShare = 0.06
+	// budgetPerSecond is added over time, for deployments with few requests.
+	budgetPerSecond = 0.02
+	// budgetStart is what a new budget holds.
+	budgetStart = 2
+	// budgetMost bounds what is saved up.
+	budgetMost = 4
+	// costLeast is the least that a repeat takes, for its prompt.
+	costLeast = 0.1
+)
+
+// Cost returns what a repeat takes out of the budget: one when it starts from
+// the beginning, less when it resumes after done of all tokens.
+func Cost(done, all int) float64 {
+	if all <= 0 {
+		return 1
+	}
+	return max(costLeast, float64(all-done)/float64(all))
+}
+
+// Budget bounds the repeats and hedges of one deployment.
+type Budget struct {
+	balance float64
+	last    time.Time
+}
+
+// NewBudget returns a budget for a deployment without requests.
+func NewBudget(now time.Time) *Budget { return &Budget{balance: budgetStart, last: now} }
+
+// Deposit counts a request's first attempt.
+func (b *Budget) Deposit() { b.balance = min(budgetMost, b.balance+budgetShare) }
+
+// Withdraw takes the cost of a repeat or hedge out of the budget, if it is there.
+func (b *Budget) Withdraw(cost float64, now time.Time) bool {
+	if passed := now.Sub(b.last); passed > 0 {
+		b.balance = min(budgetMost, b.balance+budgetPerSecond*passed.Seconds())
+		b.last = now
+	}
+	if b.balance < cost {
+		return false
+	}
+	b.balance -= cost
+	return true
+}
+
+// Balance returns the repeats that may start now.
+func (b *Budget) Balance() float64 { return b.balance }
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -1,4 +1,3 @@
-// Package retry decides whether a failed attempt is repeated, and when.
 package retry
 
 import (
@@ -18,8 +17,10 @@
 // Attempt describes an attempt that failed.
 type Attempt struct {
 	Number     int // from 1
+	Waits      int // delays since the failure after which the budget was empty
 	Kind       errkind.Kind
 	Idempotent bool // the request may run more than once
+	Overloaded bool // the deployment's queue is behind; nothing is repeated
 	Left       time.Duration
 }
 
@@ -30,12 +31,14 @@
 }
 
 // Decide returns the decision for a failed attempt. A request that is not
-// idempotent is repeated only when the attempt surely did not run.
+// idempotent is repeated only when the attempt surely did not run. The repeat
+// also needs a Withdraw from the budget when the delay has passed; while the
+// budget is empty Decide is asked again with one more wait.
 func (p Policy) Decide(failed Attempt, random *rand.Rand) Decision {
-	if failed.Number >= p.Attempts || !mayRepeat(failed) {
+	if failed.Number >= p.Attempts || failed.Overloaded || !mayRepeat(failed) {
 		return Decision{}
 	}
-	delay := p.delay(failed.Number, random)
+	delay := p.delay(failed.Number+failed.Waits, random)
 	if delay >= failed.Left {
 		return Decision{}
 	}
@@ -55,9 +58,12 @@
 
 // delay draws from zero up to an exponentially growing bound.
 func (p Policy) delay(number int, random *rand.Rand) time.Duration {
-	bound := p.Base << (number - 1)
-	if bound <= 0 || bound > p.Max {
-		bound = p.Max
+	bound := p.Max
+	if doublings := number - 1; doublings < maxDoublings && p.Base<<doublings < p.Max {
+		bound = p.Base << doublings
 	}
 	return time.Duration(random.Int64N(int64(bound) + 1))
 }
+
+// maxDoublings keeps the bound of a delay from overflowing.
+const maxDoublings = 20
