Hold limits and crash suspicions in shared tables

Change: tables Limits (rank limits) and Crashes (rank crashes), with calls to waiting requests outside the lock. The headroom of rollouts is people's peak plus one.

--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -29,8 +29,6 @@
 	trainingDivisor = 5
 	// headroomDivisor keeps at least one part in so many free of rollouts.
 	headroomDivisor = 8
-	// headroomFactor scales people's recent peak to the part kept free.
-	headroomFactor = 1.5
 	// peakHalfLife is the time in which a past peak loses half its weight.
 	peakHalfLife = 30 * time.Second
 	// holdWeight is a new observation's weight in the mean time in flight.
@@ -73,7 +71,7 @@
 		return false, errkind.New(errkind.Overloaded, "%d requests of class %s are waiting", queue.length, request.Class)
 	}
 	until := g.latestStart(request, now)
-	if wait := g.wait(request, now); now.Add(wait).After(until) {
+	if wait := g.wait(request); now.Add(wait).After(until) {
 		g.refused++
 		return false, errkind.New(errkind.DeadlineTooShort, "the request would wait about %s", wait.Round(time.Millisecond))
 	}
@@ -168,7 +166,7 @@
 // headroom is the concurrency that rollouts leave free for people.
 func (g *Gate[T]) headroom(now time.Time) int {
 	least := (g.bounds.Concurrent + headroomDivisor - 1) / headroomDivisor
-	wanted := int(headroomFactor*g.peak.at(now)) + 1
+	wanted := int(g.peak.at(now)) + 1
 	return min(max(least, wanted), g.bounds.Concurrent-g.training())
 }
 
@@ -207,7 +205,7 @@
 }
 
 // wait estimates a new request's wait from the observed service rate.
-func (g *Gate[T]) wait(request *Request[T], _ time.Time) time.Duration {
+func (g *Gate[T]) wait(request *Request[T]) time.Duration {
 	return g.waitBehind(request.Class, g.queues[request.Class].ahead(request.Caller))
 }
 
--- a/internal/core/admission/share.go
+++ b/internal/core/admission/share.go
@@ -49,6 +49,7 @@
 	limit     int
 	listed    []core.VMID // entry VMs in the platform's list, sorted
 	peers     map[core.VMID]*account
+	members   int // processes that share the limit, this one included
 	part      int // this process's own part
 	wanted    int // its part by the present members
 	wantedFor time.Time
@@ -136,6 +137,7 @@
 			count(vm)
 		}
 	}
+	s.members = members
 	part := s.limit / members
 	if before < s.limit%members {
 		part++
@@ -143,6 +145,9 @@
 	return part
 }
 
+// Members returns the number of processes that share the limit.
+func (s *Share) Members() int { return s.members }
+
 // Usable returns how many requests this process may have in flight. It is at
 // least one, so that no process is useless to its callers.
 func (s *Share) Usable(now time.Time) int {
--- a/internal/core/retry/outage_test.go
+++ b/internal/core/retry/outage_test.go
@@ -37,7 +37,6 @@
 	attempts int
 	waits    int
 	entry    int
-	ended    bool
 }
 
 type attemptRun struct {
--- /dev/null
+++ b/internal/tables/limits.go
@@ -0,0 +1,321 @@
+package tables
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/core/admission"
+	"fescuespar/internal/core/retry"
+	"fescuespar/internal/errkind"
+	"fescuespar/internal/lockrank"
+)
+
+// Ready is called once outside the lock when a waiting request may start, with
+// a nil error, or is refused.
+type Ready func(error)
+
+// limitRow is one deployment's state.
+type limitRow struct {
+	limits    core.Limits
+	gate      *admission.Gate[Ready]
+	share     *admission.Share
+	budget    *retry.Budget
+	latencies retry.Latencies
+}
+
+// Limits holds the admission state of every deployment and the adaptive
+// concurrency of every backend server.
+type Limits struct {
+	self        core.VMID
+	incarnation core.Incarnation
+	timing      admission.ShareTiming
+
+	// mu guards all fields below.
+	mu      lockrank.Mutex
+	rows    map[core.DeploymentName]*limitRow
+	servers map[core.ServerID]*admission.ServerLimit
+	listed  []core.VMID
+	cursor  core.DeploymentName // last deployment that News returned
+}
+
+// NewLimits returns a table that has seen no deployment.
+func NewLimits(self core.VMID, incarnation core.Incarnation, timing admission.ShareTiming) *Limits {
+	return &Limits{
+		self: self, incarnation: incarnation, timing: timing, mu: lockrank.New(lockrank.RankLimits),
+		rows: make(map[core.DeploymentName]*limitRow), servers: make(map[core.ServerID]*admission.ServerLimit),
+	}
+}
+
+// Admit starts a request, which returns true, or keeps it until its payload is
+// called. Release must follow once for a request that was started. Errors:
+// Overloaded, DeadlineTooShort.
+func (t *Limits) Admit(deployment *core.Deployment, request *admission.Request[Ready], now time.Time) (bool, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row := t.row(deployment, now)
+	started, err := row.gate.Admit(request, now)
+	if started {
+		row.budget.Deposit()
+	}
+	return started, err
+}
+
+// Release ends a request that was in flight for the given time and calls those
+// that may start in its place.
+func (t *Limits) Release(name core.DeploymentName, class core.Class, held time.Duration, now time.Time) {
+	for _, ready := range t.release(name, class, held, now) {
+		ready(nil)
+	}
+}
+
+func (t *Limits) release(name core.DeploymentName, class core.Class, held time.Duration, now time.Time) []Ready {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row := t.rows[name]
+	if row == nil {
+		return nil
+	}
+	row.gate.Release(class, held)
+	return row.dequeue(now)
+}
+
+// Expire refuses the waiting requests of a deployment whose time is over.
+func (t *Limits) Expire(name core.DeploymentName, now time.Time) {
+	for _, ready := range t.expire(name, now) {
+		ready(errkind.New(errkind.DeadlineTooShort, "the request waited too long and was not run"))
+	}
+}
+
+func (t *Limits) expire(name core.DeploymentName, now time.Time) []Ready {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row := t.rows[name]
+	if row == nil {
+		return nil
+	}
+	return row.gate.Expire(now, nil)
+}
+
+// Refresh adapts this process's shares and calls the requests that may start.
+func (t *Limits) Refresh(now time.Time) {
+	for _, ready := range t.refresh(now) {
+		ready(nil)
+	}
+}
+
+func (t *Limits) refresh(now time.Time) []Ready {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var ready []Ready
+	for _, row := range t.rows {
+		row.share.Tick(now)
+		row.adapt(now)
+		ready = append(ready, row.dequeue(now)...)
+	}
+	return ready
+}
+
+// Retain drops the deployments that a configuration no longer has and that
+// have nothing in flight or waiting.
+func (t *Limits) Retain(configuration *core.Configuration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, row := range t.rows {
+		if configuration.Find(name) == nil && row.gate.Demand() == 0 {
+			delete(t.rows, name)
+		}
+	}
+}
+
+// ApplyListed takes the entry VMs of the platform's list.
+func (t *Limits) ApplyListed(vms []core.VMID, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.listed = append(t.listed[:0], vms...)
+	for _, row := range t.rows {
+		row.share.ApplyListed(vms, now)
+	}
+}
+
+// News returns what a heartbeat to the peer carries, at most
+// core.HeartbeatLimits deployments in turn. Units that it gives away are no
+// longer usable here.
+func (t *Limits) News(peer core.VMID, now time.Time) []core.LimitNews {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	names := t.names()
+	from, _ := slices.BinarySearch(names, t.cursor+"\x00")
+	var news []core.LimitNews
+	for i := range min(len(names), core.HeartbeatLimits) {
+		t.cursor = names[(from+i)%len(names)]
+		row := t.rows[t.cursor]
+		news = append(news, row.share.News(t.cursor, peer, row.gate.Demand(), now))
+		row.adapt(now)
+	}
+	return news
+}
+
+// Heard takes the news of a peer's heartbeat or answer. Sent is when the
+// heartbeat that the peer answered was sent, zero for a heartbeat of its own.
+func (t *Limits) Heard(peer core.VMID, news []core.LimitNews, sent, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range news {
+		row := t.rows[news[i].Deployment]
+		if row == nil {
+			continue
+		}
+		row.share.Heard(peer, news[i], now)
+		if !sent.IsZero() {
+			row.share.Answered(peer, sent)
+		}
+		row.adapt(now)
+	}
+}
+
+// Withdraw takes the cost of a repeat or hedge out of a deployment's budget.
+func (t *Limits) Withdraw(name core.DeploymentName, cost float64, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row := t.rows[name]
+	return row != nil && row.budget.Withdraw(cost, now)
+}
+
+// Overloaded reports whether a deployment's queue of the class is behind.
+func (t *Limits) Overloaded(name core.DeploymentName, class core.Class) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row := t.rows[name]
+	return row != nil && row.gate.Overloaded(class)
+}
+
+// ObserveLatency takes the time of a rollout's run, for hedging.
+func (t *Limits) ObserveLatency(name core.DeploymentName, latency time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if row := t.rows[name]; row != nil {
+		row.latencies.Observe(latency)
+	}
+}
+
+// HedgeAfter returns when a copy of a deployment's straggler may start.
+func (t *Limits) HedgeAfter(name core.DeploymentName, straggler retry.Straggler) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row := t.rows[name]
+	if row == nil {
+		return 0, false
+	}
+	return retry.HedgeAfter(straggler, &row.latencies)
+}
+
+// AcquireServer takes a place at a backend server, if its latency allows one.
+func (t *Limits) AcquireServer(id core.ServerID, class core.Class, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	limit := t.servers[id]
+	if limit == nil {
+		limit = admission.NewServerLimit(now)
+		t.servers[id] = limit
+	}
+	return limit.Acquire(class)
+}
+
+// ReleaseServer gives a place back. Latency is of comparable work, such as the
+// time per token; zero when the run tells nothing.
+func (t *Limits) ReleaseServer(id core.ServerID, latency time.Duration, overloaded bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	limit := t.servers[id]
+	if limit == nil {
+		return
+	}
+	limit.Release()
+	if overloaded {
+		limit.Failed()
+	}
+	if latency > 0 {
+		limit.Observe(latency, now)
+	}
+}
+
+// ForgetServer drops a server that left the platform's list.
+func (t *Limits) ForgetServer(id core.ServerID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.servers, id)
+}
+
+// LimitState is one deployment's part of the state dump.
+type LimitState struct {
+	Deployment core.DeploymentName `json:"deployment"`
+	Gate       admission.GateState `json:"gate"`
+	Members    int                 `json:"members"`
+	Budget     float64             `json:"retry_budget"`
+}
+
+// State returns every deployment's state, sorted by name.
+func (t *Limits) State() []LimitState {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	states := make([]LimitState, 0, len(t.rows))
+	for _, name := range t.names() {
+		row := t.rows[name]
+		states = append(states, LimitState{
+			Deployment: name, Gate: row.gate.State(), Members: row.share.Members(), Budget: row.budget.Balance(),
+		})
+	}
+	return states
+}
+
+func (t *Limits) names() []core.DeploymentName {
+	names := make([]core.DeploymentName, 0, len(t.rows))
+	for name := range t.rows {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b core.DeploymentName) int { return strings.Compare(string(a), string(b)) })
+	return names
+}
+
+// row returns a deployment's row with its present limits. The lock is held.
+func (t *Limits) row(deployment *core.Deployment, now time.Time) *limitRow {
+	row := t.rows[deployment.Name]
+	if row == nil {
+		row = &limitRow{
+			limits: deployment.Limits,
+			gate:   admission.NewGate[Ready](admission.Bounds{}),
+			share:  admission.NewShare(t.self, t.incarnation, deployment.Limits.Concurrent, t.timing, now),
+			budget: retry.NewBudget(now),
+		}
+		row.share.ApplyListed(t.listed, now)
+		row.adapt(now)
+		t.rows[deployment.Name] = row
+	}
+	if row.limits != deployment.Limits {
+		row.limits = deployment.Limits
+		row.share.SetLimit(deployment.Limits.Concurrent, now)
+		row.adapt(now)
+	}
+	return row
+}
+
+// adapt sets the gate's bounds from this process's share.
+func (r *limitRow) adapt(now time.Time) {
+	members := r.share.Members()
+	r.gate.SetBounds(admission.Bounds{
+		Concurrent:   r.share.Usable(now),
+		QueueLength:  (r.limits.QueueLength + members - 1) / members,
+		QueueTimeout: r.limits.QueueTimeout,
+	})
+}
+
+func (r *limitRow) dequeue(now time.Time) []Ready {
+	var ready []Ready
+	for next, _, ok := r.gate.Dequeue(now); ok; next, _, ok = r.gate.Dequeue(now) {
+		r.budget.Deposit()
+		ready = append(ready, next)
+	}
+	return ready
+}
--- /dev/null
+++ b/internal/tables/limits_test.go
@@ -0,0 +1,94 @@
+package tables
+
+import (
+	"testing"
+	"time"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/core/admission"
+	"fescuespar/internal/core/crash"
+	"fescuespar/internal/errkind"
+)
+
+var (
+	tableNow    = time.Unix(1000, 0)
+	shareTiming = admission.ShareTiming{Borrowed: 3 * time.Second, Gone: 5 * time.Second, Settle: 2 * time.Second}
+)
+
+func limitedDeployment() *core.Deployment {
+	return &core.Deployment{Name: "d", Limits: core.Limits{
+		Concurrent: 4, QueueLength: 2, QueueTimeout: time.Second, RequestTimeout: time.Minute}}
+}
+
+func TestLimitsStartWaitAndRefuse(t *testing.T) {
+	table := NewLimits("self", 1, shareTiming)
+	deployment := limitedDeployment()
+	var outcomes []error
+	admit := func(now time.Time) (bool, error) {
+		return table.Admit(deployment, &admission.Request[Ready]{
+			Caller: "c", Class: core.ClassPeople, Cost: 1, Deadline: now.Add(time.Minute),
+			Payload: func(err error) { outcomes = append(outcomes, err) }}, now)
+	}
+	if started, err := admit(tableNow); !started || err != nil {
+		t.Fatalf("first: %v %v", started, err)
+	}
+	_, _ = admit(tableNow)
+	_, _ = admit(tableNow)
+	if _, err := admit(tableNow); !errkind.Is(err, errkind.Overloaded) {
+		t.Errorf("fourth: %v, want overloaded", err)
+	}
+	table.Release("d", core.ClassPeople, time.Millisecond, tableNow)
+	if len(outcomes) != 1 || outcomes[0] != nil {
+		t.Errorf("after a release %v, want one start", outcomes)
+	}
+	table.Expire("d", tableNow.Add(2*time.Second))
+	if len(outcomes) != 2 || !errkind.Is(outcomes[1], errkind.DeadlineTooShort) {
+		t.Errorf("after the queue timeout %v, want a refusal", outcomes)
+	}
+	_, _ = admit(tableNow.Add(2 * time.Second))
+	table.Refresh(tableNow.Add(3 * time.Second)) // alone since two seconds: the whole limit
+	if len(outcomes) != 3 || outcomes[2] != nil {
+		t.Errorf("after the share grew %v, want a start", outcomes)
+	}
+}
+
+func TestCrashesResumeHeldRequests(t *testing.T) {
+	const fingerprint = 7
+	cases := []struct {
+		name string
+		run  func(*Crashes)
+		want []core.ServerID // what the held request is resumed with
+	}{
+		{"cleared by news", func(c *Crashes) {
+			c.Heard("x", []core.CrashNews{{Fingerprint: fingerprint, Round: 1, State: core.CrashCleared}}, tableNow)
+		}, []core.ServerID{""}},
+		{"trial", func(c *Crashes) {
+			later := tableNow.Add(5 * time.Second)
+			if !c.Propose(func(*Held) core.ServerID { return "b" }, later) {
+				t.Error("the trial was not proposed")
+			}
+			c.Start([]core.VMID{"self"})
+			c.Start([]core.VMID{"self"})
+		}, []core.ServerID{"b"}},
+		{"a peer is silent", func(c *Crashes) {
+			c.Propose(func(*Held) core.ServerID { return "b" }, tableNow.Add(5*time.Second))
+			c.Start([]core.VMID{"self", "x"})
+		}, nil},
+	}
+	for _, c := range cases {
+		table := NewCrashes("self")
+		var resumed []core.ServerID
+		if verdict, _, _ := table.Begin(fingerprint, nil, tableNow); verdict != crash.Run {
+			t.Fatalf("%s: first verdict %d", c.name, verdict)
+		}
+		table.End(fingerprint, "a", crash.Died, tableNow)
+		resume := func(trial core.ServerID) { resumed = append(resumed, trial) }
+		if verdict, _, _ := table.Begin(fingerprint, resume, tableNow); verdict != crash.Hold {
+			t.Fatalf("%s: verdict after the death %d", c.name, verdict)
+		}
+		c.run(table)
+		if len(resumed) != len(c.want) || (len(resumed) == 1 && resumed[0] != c.want[0]) {
+			t.Errorf("%s: resumed with %q, want %q", c.name, resumed, c.want)
+		}
+	}
+}
