Admit requests within limits and repeat them within a budget

Cause: the application dispatched every request at once and repeated failed attempts three times, whatever the load.

Ruled out: a budget at any load. Five requests whose engines each cut once failed at their deadline (TestAnswersAreWholeUnderFaults); a process that uses at most a quarter of its part now repeats without a budget. The outage model applies the same rule.

Change: completions and plain calls enter their deployment's limits before dispatch and leave at their end; repeats wait for the budget; heartbeats carry the limits' news, one for each receiver, and the peers' adapter encodes them and the crash news.

Seen to fail when broken: TestAnswersAreWholeUnderFaults without the rule for spare room.

--- a/internal/adapters/peerquic/convert.go
+++ b/internal/adapters/peerquic/convert.go
@@ -37,6 +37,8 @@
 		Newest:    b.Newest,
 		Applied:   tags,
 		Weights:   convert(b.Weights, func(w core.WeightNews) wireWeightNews { return wireWeightNews(w) }),
+		Limits:    convert(b.Limits, toWireLimitNews),
+		Crashes:   convert(b.Crashes, func(c core.CrashNews) wireCrashNews { return wireCrashNews(c) }),
 	}
 }
 
@@ -47,6 +49,14 @@
 			return core.Heartbeat{}, errkind.New(errkind.BadRequest, "member %q in unknown state %d", m.VM, int(m.State))
 		}
 	}
+	if len(b.Limits) > core.HeartbeatLimits || len(b.Crashes) > core.HeartbeatCrashes {
+		return core.Heartbeat{}, errkind.New(errkind.BadRequest, "%d limits and %d crashes in a heartbeat", len(b.Limits), len(b.Crashes))
+	}
+	for _, c := range b.Crashes {
+		if c.State < core.CrashSuspect || c.State > core.CrashConvicted {
+			return core.Heartbeat{}, errkind.New(errkind.BadRequest, "fingerprint in unknown state %d", int(c.State))
+		}
+	}
 	if len(b.Applied)%tagBytes != 0 {
 		return core.Heartbeat{}, errkind.New(errkind.BadRequest, "%d bytes of member tags", len(b.Applied))
 	}
@@ -62,9 +72,25 @@
 		Newest:    b.Newest,
 		Applied:   tags,
 		Weights:   convert(b.Weights, func(w wireWeightNews) core.WeightNews { return core.WeightNews(w) }),
+		Limits:    convert(b.Limits, fromWireLimitNews),
+		Crashes:   convert(b.Crashes, func(c wireCrashNews) core.CrashNews { return core.CrashNews(c) }),
 	}, nil
 }
 
+func toWireLimitNews(n core.LimitNews) wireLimitNews {
+	return wireLimitNews{
+		Deployment: n.Deployment, Epoch: wireAccountEpoch(n.Epoch), Seen: wireAccountEpoch(n.Seen),
+		Given: n.Given, Demand: n.Demand, Held: n.Held,
+	}
+}
+
+func fromWireLimitNews(n wireLimitNews) core.LimitNews {
+	return core.LimitNews{
+		Deployment: n.Deployment, Epoch: core.AccountEpoch(n.Epoch), Seen: core.AccountEpoch(n.Seen),
+		Given: n.Given, Demand: n.Demand, Held: n.Held,
+	}
+}
+
 func toWireConfiguration(c core.Configuration) wireConfiguration {
 	return wireConfiguration{
 		Generation:  c.Generation,
--- a/internal/adapters/peerquic/wire.go
+++ b/internal/adapters/peerquic/wire.go
@@ -28,6 +28,32 @@
 	Version    core.WeightVersion  `cbor:"2,keyasint"`
 }
 
+type wireAccountEpoch struct {
+	Incarnation core.Incarnation `cbor:"1,keyasint,omitempty"`
+	Reset       uint32           `cbor:"2,keyasint,omitempty"`
+}
+
+type wireLimitNews struct {
+	Deployment core.DeploymentName `cbor:"1,keyasint"`
+	Epoch      wireAccountEpoch    `cbor:"2,keyasint"`
+	Seen       wireAccountEpoch    `cbor:"3,keyasint"`
+	Given      uint64              `cbor:"4,keyasint,omitempty"`
+	Demand     uint32              `cbor:"5,keyasint,omitempty"`
+	Held       uint32              `cbor:"6,keyasint,omitempty"`
+}
+
+type wireCrashNews struct {
+	Fingerprint uint64          `cbor:"1,keyasint"`
+	Round       uint32          `cbor:"2,keyasint"`
+	State       core.CrashState `cbor:"3,keyasint"`
+	First       core.ServerID   `cbor:"4,keyasint,omitempty"`
+	Second      core.ServerID   `cbor:"5,keyasint,omitempty"`
+	Age         uint32          `cbor:"6,keyasint,omitempty"`
+	Trial       core.VMID       `cbor:"7,keyasint,omitempty"`
+	TrialServer core.ServerID   `cbor:"8,keyasint,omitempty"`
+	InFlight    bool            `cbor:"9,keyasint,omitempty"`
+}
+
 type wireHeartbeat struct {
 	Sender    wireMember       `cbor:"1,keyasint"`
 	Known     uint32           `cbor:"2,keyasint,omitempty"`
@@ -36,6 +62,8 @@
 	Newest    core.Generation  `cbor:"5,keyasint,omitempty"`
 	Applied   []byte           `cbor:"6,keyasint,omitempty"` // four bytes a tag, big endian
 	Weights   []wireWeightNews `cbor:"7,keyasint,omitempty"`
+	Limits    []wireLimitNews  `cbor:"8,keyasint,omitempty"`
+	Crashes   []wireCrashNews  `cbor:"9,keyasint,omitempty"`
 }
 
 type wireLimits struct {
--- a/internal/app/completion.go
+++ b/internal/app/completion.go
@@ -93,7 +93,7 @@
 		s.startResume(c, resume)
 		return nil
 	}
-	return s.startFirst(c)
+	return s.enterCompletion(c)
 }
 
 // startFirst starts the first attempt; a refusal drops the answer again, since
@@ -210,17 +210,7 @@
 		c.ended(nil)
 		return
 	}
-	decision := s.decideRetry(retry.Attempt{
-		Number: c.attempt, Kind: errkind.Of(err), Idempotent: true,
-		Left: c.request.Deadline.Sub(s.ports.Clock.Now()),
-	})
-	if !decision.Again {
-		s.fail(c, err)
-		return
-	}
-	s.metrics.Retries.Inc(1)
-	c.exclude = append(c.exclude, source.Server)
-	s.timers.After(decision.Delay, c.request.Class, func() { s.retryAttempt(c, err) })
+	s.repeatCompletion(c, source.Server, err)
 }
 
 func (s *Service) retryAttempt(c *completion, cause error) {
--- a/internal/app/dump.go
+++ b/internal/app/dump.go
@@ -16,6 +16,7 @@
 	Members    []core.Member                `json:"members"`
 	Leases     []tables.LeaseState          `json:"leases"`
 	Servers    []routing.View               `json:"servers"`
+	Limits     []tables.LimitState          `json:"limits"`
 	Rollouts   []tables.RolloutState        `json:"rollouts"`
 	Weights    []core.WeightNews            `json:"weights"`
 	Answers    tables.AnswersState          `json:"answers"`
@@ -33,6 +34,7 @@
 		Members:    s.members.All(),
 		Leases:     s.leases.State(s.ports.Clock.Now()),
 		Servers:    s.servers.Views(),
+		Limits:     s.limits.State(),
 		Rollouts:   s.rollouts.State(),
 		Weights:    s.weights.News(),
 		Answers:    s.answers.State(),
--- a/internal/app/heartbeat.go
+++ b/internal/app/heartbeat.go
@@ -14,6 +14,7 @@
 // heartbeat sends this process's news to its peers.
 func (s *Service) heartbeat() {
 	s.members.Expire(s.ports.Clock.Now().Add(-suspectAfter))
+	s.limits.Refresh(s.ports.Clock.Now())
 	beat := s.members.Beat(s.weights.News())
 	for _, address := range s.members.Targets() {
 		s.sendHeartbeat(address, beat)
@@ -23,19 +24,25 @@
 func (s *Service) sendHeartbeat(address string, beat core.Heartbeat) {
 	s.onLane(s.lanes.peers, func(ctx context.Context) {
 		s.metrics.HeartbeatsSent.Inc(1)
+		sent := s.ports.Clock.Now()
+		beat.Limits = s.limitNews(address)
 		reply, err := s.ports.Peers.Heartbeat(ctx, address, beat)
 		if err != nil {
 			s.metrics.HeartbeatsMissed.Inc(1)
 			return
 		}
 		s.takeHeartbeat(reply)
+		s.takeLimitNews(&reply, sent)
 	})
 }
 
 // HandleHeartbeat takes a peer's heartbeat and answers with this process's own.
 func (s *Service) HandleHeartbeat(_ context.Context, beat core.Heartbeat) (core.Heartbeat, error) {
 	s.takeHeartbeat(beat)
-	return s.members.Beat(s.weights.News()), nil
+	s.takeLimitNews(&beat, time.Time{})
+	reply := s.members.Beat(s.weights.News())
+	reply.Limits = s.limits.News(beat.Sender.VM, s.ports.Clock.Now())
+	return reply, nil
 }
 
 func (s *Service) takeHeartbeat(beat core.Heartbeat) {
--- a/internal/app/plaincall.go
+++ b/internal/app/plaincall.go
@@ -58,6 +58,11 @@
 		return
 	}
 	s.metrics.RequestsAccepted.Inc(1)
+	s.enterCall(call)
+}
+
+// startCall claims a call that may run at most once, and dispatches any other.
+func (s *Service) startCall(call *plainCall) {
 	if call.once {
 		s.claimCall(call, core.Row{Key: call.claimKey})
 		return
@@ -227,16 +232,21 @@
 		s.recordOutcome(call, response)
 		return
 	}
-	decision := s.decideRetry(retry.Attempt{
-		Number: call.attempt, Kind: errkind.Of(err), Idempotent: !call.once && isSafe(call.request.Method),
-		Left: call.request.Deadline.Sub(s.ports.Clock.Now()),
+	s.repeatLater(repeat{
+		deployment: call.deployment.Name, class: core.ClassPeople, deadline: call.request.Deadline, cost: 1,
+		failed: retry.Attempt{
+			Number: call.attempt, Kind: errkind.Of(err), Idempotent: !call.once && isSafe(call.request.Method),
+		},
+		again: func() {
+			call.exclude = append(call.exclude, server)
+			s.dispatchCall(call)
+		},
+		giveUp: func() { s.callFailed(call, err) },
 	})
-	if decision.Again {
-		s.metrics.Retries.Inc(1)
-		call.exclude = append(call.exclude, server)
-		s.timers.After(decision.Delay, core.ClassPeople, func() { s.dispatchCall(call) })
-		return
-	}
+}
+
+// callFailed ends a call that is not repeated.
+func (s *Service) callFailed(call *plainCall, err error) {
 	if errkind.Is(err, errkind.ServerRefused) {
 		s.callUnrun(call, err)
 		return
--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -33,6 +33,7 @@
 		}
 		s.servers.ApplyVMs(vms)
 		s.members.ApplyVMs(vms)
+		s.listEntryVMs(vms)
 	})
 }
 
--- a/internal/app/service.go
+++ b/internal/app/service.go
@@ -90,6 +90,7 @@
 	members       *tables.Members
 	leases        *tables.Leases
 	servers       *tables.Servers
+	limits        *tables.Limits
 	rollouts      *tables.Rollouts
 	weights       *tables.Weights
 	claims        *tables.Commits
@@ -143,6 +144,7 @@
 		members:       tables.NewMembers(options.Self, options.Seeds),
 		leases:        tables.NewLeases(leaseSelf(options.Self), leaseTiming(options)),
 		servers:       tables.NewServers(rand.New(rand.NewPCG(random.Uint64(), 2))),
+		limits:        tables.NewLimits(options.Self.VM, options.Self.Incarnation, shareTiming),
 		rollouts:      tables.NewRollouts(),
 		weights:       tables.NewWeights(),
 		claims:        tables.NewCommits(),
--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -11,6 +11,9 @@
 	budgetStart = 2
 	// budgetMost bounds what is saved up.
 	budgetMost = 4
+	// spareDivisor: a process that uses at most one part in so many of its
+	// concurrency has room for every repeat, so that none is denied.
+	spareDivisor = 4
 	// costLeast is the least that a repeat takes, for its prompt.
 	costLeast = 0.1
 )
@@ -24,6 +27,10 @@
 	return max(costLeast, float64(all-done)/float64(all))
 }
 
+// Spare reports whether a process with so many requests of a deployment in
+// flight, out of its part of the limit, may repeat without a budget.
+func Spare(inFlight, part int) bool { return inFlight <= max(1, part/spareDivisor) }
+
 // Budget bounds the repeats and hedges of one deployment.
 type Budget struct {
 	balance float64
--- a/internal/core/retry/outage_test.go
+++ b/internal/core/retry/outage_test.go
@@ -198,7 +198,7 @@
 		return
 	}
 	o.clock.After(decision.Delay, func() {
-		if o.plain || o.budgets[request.entry].Withdraw(1, o.clock.Time()) {
+		if o.mayRepeat(request.entry) {
 			o.attempt(request)
 			return
 		}
@@ -207,6 +207,11 @@
 	})
 }
 
+func (o *outage) mayRepeat(entry int) bool {
+	return o.plain || Spare(o.gates[entry].InUse(), outageServers*outagePlaces/outageEntries) ||
+		o.budgets[entry].Withdraw(1, o.clock.Time())
+}
+
 func (o *outage) end(request *outageRequest, answered bool) {
 	if second := request.arrived / time.Second; answered && int(second) < len(o.answered) {
 		o.answered[second]++
--- a/internal/tables/limits.go
+++ b/internal/tables/limits.go
@@ -175,12 +175,17 @@
 	}
 }
 
-// Withdraw takes the cost of a repeat or hedge out of a deployment's budget.
+// Withdraw takes the cost of a repeat or hedge out of a deployment's budget,
+// unless so little is in flight that the repeat is free.
 func (t *Limits) Withdraw(name core.DeploymentName, cost float64, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row := t.rows[name]
-	return row != nil && row.budget.Withdraw(cost, now)
+	if row == nil {
+		return false
+	}
+	part := row.limits.Concurrent / row.share.Members()
+	return retry.Spare(row.gate.InUse(), part) || row.budget.Withdraw(cost, now)
 }
 
 // Overloaded reports whether a deployment's queue of the class is behind.
