--- a/internal/app/heartbeat.go
+++ b/internal/app/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/configuration"
@@ -12,6 +13,7 @@
 func (s *Service) heartbeat() {
 	now := s.ports.Clock.Now()
 	s.logMemberChanges()
+	s.limits.Refresh(now)
 	if now.Before(s.members.NextRound()) {
 		return
 	}
@@ -28,7 +30,10 @@
 		ctx, cancel := context.WithTimeout(ctx, membership.HeartbeatTimeout)
 		defer cancel()
 		s.metrics.HeartbeatsSent.Inc(1)
-		answer, err := s.ports.Peers.Heartbeat(ctx, send.Address, send.Beat)
+		sent := s.ports.Clock.Now()
+		beat := send.Beat
+		beat.Limits = s.limits.News(send.VM, sent)
+		answer, err := s.ports.Peers.Heartbeat(ctx, send.Address, beat)
 		now := s.ports.Clock.Now()
 		if err != nil {
 			s.metrics.HeartbeatsMissed.Inc(1)
@@ -36,14 +41,18 @@
 			return
 		}
 		s.takeNews(s.members.Answered(now, answer))
+		s.limits.Heard(answer.Sender.VM, answer.Limits, sent, now)
 	})
 }
 
 // HandleHeartbeat takes a peer's heartbeat and answers it.
 func (s *Service) HandleHeartbeat(_ context.Context, beat core.Heartbeat) (core.Heartbeat, error) {
 	s.metrics.HeartbeatsReceived.Inc(1)
-	answer, news := s.members.Receive(s.ports.Clock.Now(), beat)
+	now := s.ports.Clock.Now()
+	answer, news := s.members.Receive(now, beat)
 	s.takeNews(news)
+	s.limits.Heard(beat.Sender.VM, beat.Limits, time.Time{}, now)
+	answer.Limits = s.limits.News(beat.Sender.VM, now)
 	return answer, nil
 }
 
--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -33,6 +33,7 @@
 		}
 		s.servers.ApplyVMs(vms)
 		s.members.ObserveVMs(s.ports.Clock.Now(), vms)
+		s.listEntryVMs(vms)
 	})
 }
 
