Hold suspects of crashing servers until a trial is allowed

Cause: the application repeated a request that had crashed its server at once, on the next server.

Ruled out: taking every cut stream as a server's death. An engine that cuts one stream and lives would make suspects, and a second cut would convict; the engine is asked for its status first.

Change: a completion's attempts pass the crashes' table. Suspects are held, their news go out in a heartbeat out of turn, and they run as a trial once every live process has allowed it, or are refused as crashes_servers. A trial that passed ends as an ordinary run. Calls of plain services are not guarded: their port cannot tell whether a server lives.

--- a/internal/app/completion.go
+++ b/internal/app/completion.go
@@ -23,6 +23,7 @@
 	attempt    int                // attempts since the last one that brought tokens
 	held       int                // tokens held when the last attempt started
 	exclude    []core.ServerID
+	guard      guard
 	ended      func(error) // called once in a step; nil error when whole
 }
 
@@ -108,8 +109,8 @@
 	return err
 }
 
-// startAttempt routes the request and hands the stream to the lane.
-func (s *Service) startAttempt(c *completion) error {
+// dispatchAttempt routes the request and hands the stream to the lane.
+func (s *Service) dispatchAttempt(c *completion) error {
 	query := routing.Query{
 		Kind: core.KindEngine, Service: c.deployment.Service, Adapter: c.deployment.Adapter,
 		Zone: s.options.Self.Zone, Region: s.options.Self.Region,
@@ -117,7 +118,7 @@
 		Prefix:  core.PrefixHashes(c.request.Prompt),
 		Version: max(c.oldest, c.deployment.Versions.Pinned),
 	}
-	begun, err := s.acquire(query)
+	begun, err := s.acquireGuarded(c, query)
 	if err != nil {
 		return err
 	}
@@ -137,7 +138,7 @@
 		})
 		s.pool.MustEnqueue(c.request.Class, func() {
 			s.release(begun, end.Tokens, err)
-			s.attemptEnded(c, source, end, err)
+			s.judgeAttempt(c, server, err, func() { s.attemptEnded(c, source, end, err) })
 		})
 	})
 	if err != nil {
--- a/internal/app/dump.go
+++ b/internal/app/dump.go
@@ -17,6 +17,7 @@
 	Leases     []tables.LeaseState          `json:"leases"`
 	Servers    []routing.View               `json:"servers"`
 	Limits     []tables.LimitState          `json:"limits"`
+	Crashes    tables.CrashesState          `json:"crashes"`
 	Rollouts   []tables.RolloutState        `json:"rollouts"`
 	Weights    []core.WeightNews            `json:"weights"`
 	Answers    tables.AnswersState          `json:"answers"`
@@ -35,6 +36,7 @@
 		Leases:     s.leases.State(s.ports.Clock.Now()),
 		Servers:    s.servers.Views(),
 		Limits:     s.limits.State(),
+		Crashes:    s.crashes.State(),
 		Rollouts:   s.rollouts.State(),
 		Weights:    s.weights.News(),
 		Answers:    s.answers.State(),
--- a/internal/app/heartbeat.go
+++ b/internal/app/heartbeat.go
@@ -15,7 +15,13 @@
 func (s *Service) heartbeat() {
 	s.members.Expire(s.ports.Clock.Now().Add(-suspectAfter))
 	s.limits.Refresh(s.ports.Clock.Now())
+	s.tendCrashes()
+	s.sendHeartbeats()
+}
+
+func (s *Service) sendHeartbeats() {
 	beat := s.members.Beat(s.weights.News())
+	beat.Crashes = s.crashes.News(s.ports.Clock.Now())
 	for _, address := range s.members.Targets() {
 		s.sendHeartbeat(address, beat)
 	}
@@ -33,6 +39,7 @@
 		}
 		s.takeHeartbeat(reply)
 		s.takeLimitNews(&reply, sent)
+		s.takeCrashNews(&reply)
 	})
 }
 
@@ -41,6 +48,7 @@
 	s.takeHeartbeat(beat)
 	s.takeLimitNews(&beat, time.Time{})
 	reply := s.members.Beat(s.weights.News())
+	reply.Crashes = s.takeCrashNews(&beat)
 	reply.Limits = s.limits.News(beat.Sender.VM, s.ports.Clock.Now())
 	return reply, nil
 }
--- a/internal/app/service.go
+++ b/internal/app/service.go
@@ -91,6 +91,7 @@
 	leases        *tables.Leases
 	servers       *tables.Servers
 	limits        *tables.Limits
+	crashes       *tables.Crashes
 	rollouts      *tables.Rollouts
 	weights       *tables.Weights
 	claims        *tables.Commits
@@ -98,6 +99,7 @@
 	random        *tables.Random
 
 	requestCounter atomic.Uint64
+	crashPush      atomic.Bool // a heartbeat out of turn is due
 	attemptCounter atomic.Uint64
 }
 
@@ -145,6 +147,7 @@
 		leases:        tables.NewLeases(leaseSelf(options.Self), leaseTiming(options)),
 		servers:       tables.NewServers(rand.New(rand.NewPCG(random.Uint64(), 2))),
 		limits:        tables.NewLimits(options.Self.VM, options.Self.Incarnation, shareTiming),
+		crashes:       tables.NewCrashes(options.Self.VM),
 		rollouts:      tables.NewRollouts(),
 		weights:       tables.NewWeights(),
 		claims:        tables.NewCommits(),
--- a/internal/core/crash/crash_test.go
+++ b/internal/core/crash/crash_test.go
@@ -188,7 +188,8 @@
 		news := a.News(10, calm)
 		b.Heard("a", news, calm)
 		a.Heard("b", b.Answer(news, calm), calm)
-		return a.Start(killer, []core.VMID{"a", "b"})
+		_, ok := a.Start(killer, []core.VMID{"a", "b"})
+		return ok
 	}
 	if ask() {
 		t.Error("the trial began while a copy ran elsewhere")
--- a/internal/core/crash/tracker.go
+++ b/internal/core/crash/tracker.go
@@ -130,10 +130,12 @@
 	}
 }
 
-// EndTrial takes the outcome of a trial that Start began.
+// EndTrial takes the outcome of a trial that Start began. One that has passed
+// ends as a run that Begin counted.
 func (t *Tracker) EndTrial(fingerprint uint64, server core.ServerID, outcome Outcome, now time.Time) {
 	r := t.rows[fingerprint]
 	if r == nil || !r.running {
+		t.End(fingerprint, server, outcome, now)
 		return
 	}
 	r.endTrial()
--- a/internal/core/crash/trial.go
+++ b/internal/core/crash/trial.go
@@ -35,19 +35,19 @@
 }
 
 // Start begins a proposed trial if every live entry process has allowed it.
-// The request is then sent to the proposed server and EndTrial called once.
-func (t *Tracker) Start(fingerprint uint64, live []core.VMID) bool {
+// The request is then sent to the returned server and EndTrial called once.
+func (t *Tracker) Start(fingerprint uint64, live []core.VMID) (core.ServerID, bool) {
 	r := t.rows[fingerprint]
 	if r == nil || r.state != core.CrashSuspect || r.trial != t.self || r.running || r.second != "" {
-		return false
+		return "", false
 	}
 	for _, vm := range live {
 		if vm != t.self && !r.allowed[vm] {
-			return false
+			return "", false
 		}
 	}
 	r.running = true
-	return true
+	return r.trialServer, true
 }
 
 // Withdraw gives up a proposed trial that has not begun.
--- a/internal/core/crash/world_test.go
+++ b/internal/core/crash/world_test.go
@@ -278,11 +278,12 @@
 func (w *world) startTrials(i int) {
 	for _, j := range slices.Clone(w.held[i]) {
 		t := w.trackers[i]
-		if !t.Start(j.fingerprint, w.live()) {
+		id, ok := t.Start(j.fingerprint, w.live())
+		if !ok {
 			continue
 		}
 		var server int
-		_, _ = fmt.Sscanf(string(t.rows[j.fingerprint].trialServer), "server-%d", &server)
+		_, _ = fmt.Sscanf(string(id), "server-%d", &server)
 		w.held[i] = slices.DeleteFunc(w.held[i], func(other *job) bool { return other == j })
 		if !w.up[server] {
 			t.EndTrial(j.fingerprint, w.server(server), Other, w.time())
--- a/internal/tables/crashes.go
+++ b/internal/tables/crashes.go
@@ -17,7 +17,8 @@
 // its trial may begin.
 type Held struct {
 	Fingerprint uint64
-	Server      core.ServerID // proposed for the trial, empty when none is
+	Service     string // whose servers may run the trial
+	trial       core.ServerID
 	resume      func(trial core.ServerID)
 }
 
@@ -38,7 +39,7 @@
 // the request is kept until resume is called, once and outside the lock, with
 // the server of the trial to begin, or with an empty one when Begin is to be
 // asked again. Errors: Overloaded when too many requests are held.
-func (t *Crashes) Begin(fingerprint uint64, resume func(trial core.ServerID), now time.Time) (crash.Verdict, *Held, error) {
+func (t *Crashes) Begin(fingerprint uint64, service string, resume func(trial core.ServerID), now time.Time) (crash.Verdict, *Held, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	verdict := t.tracker.Check(fingerprint, now)
@@ -51,7 +52,7 @@
 	case len(t.held) >= maxHeld:
 		return verdict, nil, errkind.New(errkind.Overloaded, "%d requests wait for the trial of a suspect", len(t.held))
 	}
-	held := &Held{Fingerprint: fingerprint, resume: resume}
+	held := &Held{Fingerprint: fingerprint, Service: service, resume: resume}
 	t.held = append(t.held, held)
 	return verdict, held, nil
 }
@@ -95,7 +96,6 @@
 	for _, held := range t.held {
 		server := pick(held)
 		if server != "" && t.tracker.Propose(held.Fingerprint, server, now) {
-			held.Server = server
 			asked = true
 		}
 	}
@@ -105,7 +105,7 @@
 // Start resumes the held requests whose trials every live process allows.
 func (t *Crashes) Start(live []core.VMID) {
 	for _, held := range t.start(live) {
-		held.resume(held.Server)
+		held.resume(held.trial)
 	}
 }
 
@@ -115,11 +115,13 @@
 	var started []*Held
 	kept := t.held[:0]
 	for _, held := range t.held {
-		if held.Server != "" && t.tracker.Start(held.Fingerprint, live) {
-			started = append(started, held)
-		} else {
+		server, ok := t.tracker.Start(held.Fingerprint, live)
+		if !ok {
 			kept = append(kept, held)
+			continue
 		}
+		held.trial = server
+		started = append(started, held)
 	}
 	clear(t.held[len(kept):])
 	t.held = kept
--- a/internal/tables/limits_test.go
+++ b/internal/tables/limits_test.go
@@ -78,12 +78,12 @@
 	for _, c := range cases {
 		table := NewCrashes("self")
 		var resumed []core.ServerID
-		if verdict, _, _ := table.Begin(fingerprint, nil, tableNow); verdict != crash.Run {
+		if verdict, _, _ := table.Begin(fingerprint, "m", nil, tableNow); verdict != crash.Run {
 			t.Fatalf("%s: first verdict %d", c.name, verdict)
 		}
 		table.End(fingerprint, "a", crash.Died, tableNow)
 		resume := func(trial core.ServerID) { resumed = append(resumed, trial) }
-		if verdict, _, _ := table.Begin(fingerprint, resume, tableNow); verdict != crash.Hold {
+		if verdict, _, _ := table.Begin(fingerprint, "m", resume, tableNow); verdict != crash.Hold {
 			t.Fatalf("%s: verdict after the death %d", c.name, verdict)
 		}
 		c.run(table)
