Merge crash recognition in the application

Cause: a trial of a suspected request needs the leave of every live process, while heartbeats now go to few partners. Ruled out: spreading leave by gossip (a trial would wait for its slowest path).

--- a/internal/app/heartbeat.go
+++ b/internal/app/heartbeat.go
@@ -33,6 +33,7 @@
 		sent := s.ports.Clock.Now()
 		beat := send.Beat
 		beat.Limits = s.limits.News(send.VM, sent)
+		beat.Crashes = s.crashes.News(sent)
 		answer, err := s.ports.Peers.Heartbeat(ctx, send.Address, beat)
 		now := s.ports.Clock.Now()
 		if err != nil {
@@ -42,6 +43,7 @@
 		}
 		s.takeNews(s.members.Answered(now, answer))
 		s.limits.Heard(answer.Sender.VM, answer.Limits, sent, now)
+		s.takeCrashNews(&answer)
 	})
 }
 
@@ -53,6 +55,7 @@
 	s.takeNews(news)
 	s.limits.Heard(beat.Sender.VM, beat.Limits, time.Time{}, now)
 	answer.Limits = s.limits.News(beat.Sender.VM, now)
+	answer.Crashes = s.takeCrashNews(&beat)
 	return answer, nil
 }
 
--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -87,6 +88,9 @@
 	}
 }
 
+// Beat returns a heartbeat that may be sent out of turn to any member.
+func (v *View) Beat() core.Heartbeat { return v.beat(math.MaxInt) }
+
 // Self returns the process's own record.
 func (v *View) Self() core.Member { return v.self }
 
--- a/internal/tables/members.go
+++ b/internal/tables/members.go
@@ -51,6 +51,9 @@
 	return with(m, (*membership.View).NextRound)
 }
 
+// Beat returns a heartbeat that may be sent out of turn to any member.
+func (m *Members) Beat() core.Heartbeat { return with(m, (*membership.View).Beat) }
+
 // Receive takes a heartbeat and returns the answer to it.
 func (m *Members) Receive(now time.Time, beat core.Heartbeat) (answer core.Heartbeat, news membership.News) {
 	m.do(func(v *membership.View) { answer, news = v.Receive(now, beat) })
