--- a/internal/adapters/enginehttp/wire.go
+++ b/internal/adapters/enginehttp/wire.go
@@ -47,6 +47,7 @@
 	Role         string             `json:"role,omitempty"`
 	Version      core.WeightVersion `json:"weight_version"`
 	Loading      core.WeightVersion `json:"loading_version,omitempty"`
+	Versions     []AdapterVersion   `json:"versions,omitempty"` // of every loaded adapter; empty when only the one above is
 	Running      int                `json:"running"`
 	Queued       int                `json:"queued"`
 	QueuedTokens int                `json:"queued_tokens"`
@@ -54,6 +55,13 @@
 	NextEvent    uint64             `json:"next_event"`
 }
 
+// AdapterVersion is the version of one loaded adapter.
+type AdapterVersion struct {
+	Adapter string             `json:"adapter"`
+	Version core.WeightVersion `json:"weight_version"`
+	Loading core.WeightVersion `json:"loading_version,omitempty"`
+}
+
 // CacheEvent says that a prompt prefix was stored or evicted.
 type CacheEvent struct {
 	PrefixHash uint64 `json:"prefix_hash,string"`
@@ -89,9 +97,13 @@
 	for i, event := range b.CacheEvents {
 		events[i] = core.CacheEvent{PrefixHash: event.PrefixHash, Evicted: event.Evicted}
 	}
+	var versions []core.AdapterVersion
+	for _, v := range b.Versions {
+		versions = append(versions, core.AdapterVersion{Adapter: core.AdapterName(v.Adapter), Version: v.Version, Loading: v.Loading})
+	}
 	return core.EngineStatus{
 		Server: server, Model: core.ModelName(b.Model), Adapter: core.AdapterName(b.Adapter),
-		Version: b.Version, Loading: b.Loading,
+		Version: b.Version, Loading: b.Loading, Versions: versions,
 		RunningCount: b.Running, QueuedCount: b.Queued, QueuedTokens: b.QueuedTokens,
 		CacheEvents: events, NextEvent: b.NextEvent,
 	}
--- a/internal/app/completion.go
+++ b/internal/app/completion.go
@@ -134,6 +134,7 @@
 		Class: c.request.Class, Tokens: expectedTokens(&c.request), Exclude: c.exclude,
 		Prefix:  core.PrefixHashes(c.request.Prompt),
 		Version: max(c.oldest, c.deployment.Versions.Pinned),
+		LagCost: lagCost(c),
 	}
 	begun, err := s.acquireGuarded(c, query)
 	if err != nil {
@@ -164,6 +165,18 @@
 	return err
 }
 
+// fullLagCost is what a sample's start on weights one version old costs a
+// deployment that weighs staleness only, as waiting.
+const fullLagCost = 20 * time.Second
+
+// lagCost returns the waiting that is as dear as one version of staleness.
+func lagCost(c *completion) time.Duration {
+	if c.request.Class != core.ClassRollout || c.deployment.Rollout == nil {
+		return 0
+	}
+	return time.Duration((1 - c.deployment.Rollout.IdleWeight) * float64(fullLagCost))
+}
+
 // countAttempt counts an attempt that starts with the given tokens held.
 func (c *completion) countAttempt(held int) {
 	if held > c.held {
--- a/internal/app/configuration.go
+++ b/internal/app/configuration.go
@@ -115,6 +115,7 @@
 		return
 	}
 	s.members.SetGeneration(offered.Generation)
+	s.limits.Retain(offered)
 	s.metrics.ConfigApplied.Inc(1)
 	s.log.Info().Uint64("generation", uint64(offered.Generation)).Str("operator", offered.Operator).Msg("configuration in force")
 }
--- a/internal/app/crashes.go
+++ b/internal/app/crashes.go
@@ -112,7 +112,7 @@
 		return s.acquire(query)
 	}
 	query.Exclude = s.only(c.guard.trial)
-	return s.servers.Acquire(query, s.ports.Clock.Now())
+	return s.acquirePlace(query)
 }
 
 // only returns the servers that a trial must not run on: all but its own.
--- a/internal/app/plaincall.go
+++ b/internal/app/plaincall.go
@@ -180,15 +180,16 @@
 	s.timers.After(outcomePollDelay, core.ClassPeople, func() { s.readClaim(call) })
 }
 
-// ownerMayRecord reports whether a claim's owner is believed to be at work.
-// When it is not, the answer that the request may have run is true either way.
+// ownerMayRecord reports whether a claim's owner may be at work; one that is not
+// known here yet may be. When it is not, the answer that the request may have
+// run is true either way.
 func (s *Service) ownerMayRecord(owner claim.Owner) bool {
 	if owner.VM == s.options.Self.VM {
 		return owner.Incarnation == s.options.Self.Incarnation
 	}
 	member, ok := s.members.Member(owner.VM)
 	serves := member.State == core.MemberAlive || member.State == core.MemberLeaving
-	return ok && serves && member.Incarnation == owner.Incarnation
+	return !ok || serves && member.Incarnation == owner.Incarnation
 }
 
 // fingerprint tells requests under the same key apart.
--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"fescuespar/internal/core"
@@ -14,14 +15,32 @@
 // acquire picks a server and counts the request as in flight on it. When every
 // server was tried, those that failed before may be tried again.
 func (s *Service) acquire(query routing.Query) (routing.Dispatch, error) {
-	begun, err := s.servers.Acquire(query, s.ports.Clock.Now())
+	begun, err := s.acquirePlace(query)
 	if errkind.Is(err, errkind.NoServer) && len(query.Exclude) > 0 {
 		query.Exclude = nil
-		return s.servers.Acquire(query, s.ports.Clock.Now())
+		return s.acquirePlace(query)
 	}
 	return begun, err
 }
 
+// placeTries bounds the servers that are asked for a place for one request.
+const placeTries = 3
+
+// acquirePlace picks a server that has a place for the request. Errors:
+// NoServer, Overloaded.
+func (s *Service) acquirePlace(query routing.Query) (routing.Dispatch, error) {
+	now := s.ports.Clock.Now()
+	for range placeTries {
+		begun, err := s.servers.Acquire(query, now)
+		if err != nil || query.Kind != core.KindEngine || s.limits.AcquireServer(begun.VM.ID, query.Class, now) {
+			return begun, err
+		}
+		s.servers.Release(begun, routing.Result{Outcome: outlier.Abandoned}, now)
+		query.Exclude = append(slices.Clip(query.Exclude), begun.VM.ID)
+	}
+	return routing.Dispatch{}, errkind.New(errkind.Overloaded, "servers of %q have no place for rollouts", query.Service)
+}
+
 // pollVMs reads the platform's VM list. During an outage the last list stays in
 // use.
 func (s *Service) pollVMs() {
@@ -34,6 +53,7 @@
 		s.servers.ApplyVMs(vms)
 		s.members.ObserveVMs(s.ports.Clock.Now(), vms)
 		s.listEntryVMs(vms)
+		s.limits.RetainServers(vms)
 	})
 }
 
@@ -70,7 +90,17 @@
 // release ends a dispatch that produced so many tokens, zero when that is not
 // known; err is how its attempt ended.
 func (s *Service) release(ended routing.Dispatch, tokens int, err error) {
-	s.servers.Release(ended, routing.Result{Outcome: outcomeOf(err), Tokens: tokens}, s.ports.Clock.Now())
+	now := s.ports.Clock.Now()
+	s.servers.Release(ended, routing.Result{Outcome: outcomeOf(err), Tokens: tokens}, now)
+	if ended.VM.Kind != core.KindEngine {
+		return
+	}
+	var perToken time.Duration
+	if err == nil && tokens > 0 {
+		perToken = now.Sub(ended.Started) / time.Duration(tokens)
+	}
+	refused := errkind.Is(err, errkind.ServerRefused) || errkind.Is(err, errkind.ServerFailed)
+	s.limits.ReleaseServer(ended.VM.ID, perToken, refused, now)
 }
 
 // outcomeOf says what an attempt's end tells of the server.
--- a/internal/core/admission/server.go
+++ b/internal/core/admission/server.go
@@ -49,9 +49,14 @@
 	if l.inUse >= limit {
 		return false
 	}
+	l.Take()
+	return true
+}
+
+// Take takes a place whether there is one or not.
+func (l *ServerLimit) Take() {
 	l.inUse++
 	l.most = max(l.most, l.inUse)
-	return true
 }
 
 // Release gives a place back without an observation.
--- a/internal/tables/limits.go
+++ b/internal/tables/limits.go
@@ -216,7 +216,8 @@
 	return retry.HedgeAfter(straggler, &row.latencies)
 }
 
-// AcquireServer takes a place at a backend server, if its latency allows one.
+// AcquireServer takes a place at a backend server. Rollouts get one only if the
+// server's latency allows it; people always do, as servers run them first.
 func (t *Limits) AcquireServer(id core.ServerID, class core.Class, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -225,7 +226,11 @@
 		limit = admission.NewServerLimit(now)
 		t.servers[id] = limit
 	}
-	return limit.Acquire(class)
+	if class == core.ClassRollout {
+		return limit.Acquire(class)
+	}
+	limit.Take()
+	return true
 }
 
 // ReleaseServer gives a place back. Latency is of comparable work, such as the
@@ -246,11 +251,19 @@
 	}
 }
 
-// ForgetServer drops a server that left the platform's list.
-func (t *Limits) ForgetServer(id core.ServerID) {
+// RetainServers drops the limits of servers that left the platform's list.
+func (t *Limits) RetainServers(vms []core.VM) {
+	listed := make(map[core.ServerID]bool, len(vms))
+	for _, vm := range vms {
+		listed[vm.ID] = true
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.servers, id)
+	for id := range t.servers {
+		if !listed[id] {
+			delete(t.servers, id)
+		}
+	}
 }
 
 // LimitState is one deployment's part of the state dump.
--- a/internal/tables/limits_test.go
+++ b/internal/tables/limits_test.go
@@ -92,3 +92,28 @@
 		}
 	}
 }
+
+// TestServerPlacesBoundRolloutsOnly fills a server: rollouts are refused a
+// place, people are not, and a place given back is free again.
+func TestServerPlacesBoundRolloutsOnly(t *testing.T) {
+	limits := NewLimits("vm", 1, admission.ShareTiming{})
+	now := time.Unix(1e9, 0)
+	places := 0
+	for limits.AcquireServer("e", core.ClassRollout, now) {
+		if places++; places > 1000 {
+			t.Fatal("rollouts are not bounded")
+		}
+	}
+	if !limits.AcquireServer("e", core.ClassPeople, now) {
+		t.Error("people were refused a place")
+	}
+	limits.ReleaseServer("e", 0, false, now)
+	limits.ReleaseServer("e", 0, false, now)
+	if !limits.AcquireServer("e", core.ClassRollout, now) {
+		t.Error("a place given back is not free")
+	}
+	limits.RetainServers(nil)
+	if got := len(limits.servers); got != 0 {
+		t.Errorf("%d servers kept that left the list", got)
+	}
+}
