Decide how many groups are open and what becomes of stragglers

Cause: every step kept two steps of groups open whatever the tail, a slow engine held its group until the request timed out, samples beyond the staleness bound were found only when their group was whole, and a whole group was then run again. After that, a late result of the replaced run could be taken for the new one.

Ruled out: starting more samples than a group needs (biased to short ones), copies of running samples (cost the whole sample), running whole groups again (eight times the waste).

Change: internal/core/rollout holds the book of a deployment's groups, length and duration histograms, the number of open groups, the review of running samples, the margin to the bound and the skew of lengths. tables.Rollouts wraps it. A moved sample's stream is cancelled at its engine; the request's own retry goes on elsewhere after its prefix. Answers report progress.

--- a/internal/app/batch.go
+++ b/internal/app/batch.go
@@ -15,8 +15,10 @@
 	batchWait = 5 * time.Second
 	// batchCommitTimeout bounds fixing or fetching a batch.
 	batchCommitTimeout = 15 * time.Second
-	// lateSteps is for how many steps after its own a group may be delivered.
-	lateSteps = 2
+	// fewestLateSteps and mostLateSteps bound for how many steps after its own
+	// a group may be delivered; in between it is the staleness bound.
+	fewestLateSteps = 2
+	mostLateSteps   = 16
 )
 
 // Batch returns the batch of a step. A process that does not coordinate the
@@ -124,18 +126,18 @@
 	if !held {
 		return core.Batch{}, errkind.New(errkind.NotOwner, "this process does not coordinate %q", name)
 	}
-	deliveryRow, finished, ok := s.rollouts.BeginBatch(name, holding.Fence)
+	deliveryRow, finished, ok := s.rollouts.BeginBatch(name, holding.Fence, request.Step, s.ports.Clock.Now())
 	if !ok {
 		return core.Batch{}, notReady(name, "its rows are being read or another request is at work")
 	}
 	batch, err := runOn(ctx, s.lanes.table, batchCommitTimeout, func(ctx context.Context) (core.Batch, error) {
 		batch, tooOld, err := s.decideBatch(ctx, deployment, request, holding, deliveryRow, finished)
-		s.rollouts.EndBatch(name, holding.Fence, tooOld)
-		s.metrics.SamplesTooOld.Inc(int64(len(tooOld) * deployment.Rollout.GroupSize))
+		count := s.rollouts.EndBatch(name, holding.Fence, tooOld, request.Version, deployment.Rollout.StalenessBound)
+		s.metrics.SamplesTooOld.Inc(int64(count))
 		return batch, err
 	})
 	if errkind.Is(err, errkind.Overloaded) {
-		s.rollouts.EndBatch(name, holding.Fence, nil)
+		s.rollouts.EndBatch(name, holding.Fence, nil, 0, 0)
 	}
 	return batch, err
 }
@@ -172,7 +174,10 @@
 func batchPolicy(rollout *core.Rollout) delivery.Policy {
 	return delivery.Policy{
 		GroupsPerStep: rollout.GroupsPerStep, StalenessBound: rollout.StalenessBound,
-		Window: delivery.Window{Late: lateSteps, Ahead: stepsAhead},
+		Window: delivery.Window{
+			Late:  core.Step(min(max(rollout.StalenessBound, fewestLateSteps), mostLateSteps)),
+			Ahead: maxStepsAhead,
+		},
 	}
 }
 
@@ -212,7 +217,8 @@
 		s.rollouts.Reload(name, holding.Fence)
 		return core.Batch{}, notReady(name, "the coordinator has changed")
 	}
-	s.rollouts.Delivered(name, holding.Fence, writtenRow(decision.Commit, core.TableDelivery, result.Version))
+	written := writtenRow(decision.Commit, core.TableDelivery, result.Version)
+	s.cancelRuns(name, s.rollouts.Delivered(name, holding.Fence, written, s.ports.Clock.Now()))
 	s.metrics.StepsCommitted.Inc(1)
 	s.metrics.BatchesServed.Inc(1)
 	return batch, nil
--- a/internal/app/coordinator.go
+++ b/internal/app/coordinator.go
@@ -9,13 +9,13 @@
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/delivery"
 	"fescuespar/internal/core/lease"
+	"fescuespar/internal/core/rollout"
 	"fescuespar/internal/errkind"
 	"fescuespar/internal/tables"
 )
 
-// stepsAhead is for how many steps after the last fixed one groups are planned,
-// so that a trainer's next step is being made while it trains on this one.
-const stepsAhead = 2
+// maxStepsAhead bounds how many steps before its own a group may be delivered.
+const maxStepsAhead = rollout.MaxStepsAhead
 
 // coordinateAll does the coordinator's work for every deployment whose lease
 // this process holds, and drops the work for the others.
@@ -28,7 +28,7 @@
 		}
 		holding, held := s.leases.Held(leaseName(deployment.Name), s.ports.Clock.Now())
 		if !held {
-			s.rollouts.Close(deployment.Name)
+			s.cancelRuns(deployment.Name, s.rollouts.Close(deployment.Name))
 			continue
 		}
 		s.coordinate(deployment, holding)
@@ -41,15 +41,19 @@
 		return
 	}
 	s.orderWeights(deployment, holding)
+	s.reviewSamples(deployment, holding.Fence)
 	limit := s.options.Streams.InFlight / 2
-	for _, work := range s.rollouts.Plan(deployment.Name, holding.Fence, planPolicy(deployment.Rollout), limit) {
+	newest := s.weights.Newest(deployment.Name)
+	now := s.ports.Clock.Now()
+	for _, work := range s.rollouts.Start(deployment.Name, holding.Fence, rolloutPolicy(deployment.Rollout), newest, limit, now) {
 		s.startSample(deployment, holding.Fence, work)
 	}
 }
 
-func planPolicy(rollout *core.Rollout) tables.PlanPolicy {
-	return tables.PlanPolicy{
-		GroupsPerStep: rollout.GroupsPerStep, GroupSize: rollout.GroupSize, StepsAhead: stepsAhead,
+func rolloutPolicy(r *core.Rollout) rollout.Policy {
+	return rollout.Policy{
+		GroupsPerStep: r.GroupsPerStep, GroupSize: r.GroupSize, MaxTokens: r.MaxTokens,
+		Bound: r.StalenessBound, IdleWeight: r.IdleWeight,
 	}
 }
 
@@ -70,7 +74,8 @@
 		if record, ok := rows[1].Record.(core.WeightRecord); ok {
 			s.weights.Learn(deployment.Name, record.Version)
 		}
-		s.rollouts.Load(deployment.Name, fence, rows[0], splitPrompts(body))
+		closed := s.rollouts.Load(deployment.Name, fence, rows[0], splitPrompts(body))
+		s.cancelRuns(deployment.Name, closed)
 	})
 }
 
@@ -99,13 +104,12 @@
 }
 
 // startSample runs one sample through the same path as callers' requests.
-func (s *Service) startSample(deployment *core.Deployment, fence core.Fence, work tables.Work) {
-	id := core.RequestID(fmt.Sprintf("%s.%d.%s", deployment.Name, fence, s.newAttempt()))
-	key := tables.AnswerKey{Caller: rolloutCaller(deployment.Name), ID: id}
+func (s *Service) startSample(deployment *core.Deployment, fence core.Fence, work rollout.Work) {
+	key := sampleKey(deployment.Name, work)
 	c := &completion{
 		key: key,
 		request: core.CompletionRequest{
-			ID: id, Caller: key.Caller, Deployment: deployment.Name, Class: core.ClassRollout,
+			ID: key.ID, Caller: key.Caller, Deployment: deployment.Name, Class: core.ClassRollout,
 			Prompt: work.Prompt, MaxTokens: deployment.Rollout.MaxTokens, Seed: sampleSeed(deployment.Name, work.ID),
 			Deadline: s.ports.Clock.Now().Add(deployment.Limits.RequestTimeout),
 		},
@@ -117,10 +121,16 @@
 		s.sampleGenerated(c, fence, work, err)
 	}
 	if err := s.begin(c, nil); err != nil {
-		s.rollouts.Retry(deployment.Name, fence, work.ID)
+		s.rollouts.Retry(deployment.Name, fence, work)
 	}
 }
 
+// sampleKey names the answer of one run of a sample in this process.
+func sampleKey(name core.DeploymentName, work rollout.Work) tables.AnswerKey {
+	id := core.RequestID(fmt.Sprintf("%s.%s.%x", name, work.ID, work.Run))
+	return tables.AnswerKey{Caller: rolloutCaller(name), ID: id}
+}
+
 // oldestUseful returns the oldest weights on which a sample may start: with
 // older ones it would be too old once the trainer holds the next version.
 func (s *Service) oldestUseful(deployment *core.Deployment) core.WeightVersion {
@@ -140,17 +150,15 @@
 }
 
 // sampleGenerated takes a finished generation and has it scored.
-func (s *Service) sampleGenerated(c *completion, fence core.Fence, work tables.Work, err error) {
+func (s *Service) sampleGenerated(c *completion, fence core.Fence, work rollout.Work, err error) {
 	name := c.deployment.Name
-	if err != nil {
-		s.answers.Forget(c.key)
-		s.rollouts.Retry(name, fence, work.ID)
-		return
+	var view tables.AnswerView
+	if err == nil {
+		view, err = s.answers.Read(c.key, 0)
 	}
-	view, err := s.answers.Read(c.key, 0)
 	s.answers.Forget(c.key)
 	if err != nil {
-		s.rollouts.Retry(name, fence, work.ID)
+		s.rollouts.Retry(name, fence, work)
 		return
 	}
 	sample := core.Sample{Deployment: name, ID: work.ID, Prompt: work.Prompt, Finish: view.Finish}
@@ -160,5 +168,7 @@
 			From: chunk.Offset, To: chunk.Offset + len(chunk.Tokens), Version: chunk.Version,
 		})
 	}
-	s.scoreSample(c.deployment, fence, sample)
+	if s.rollouts.Generated(name, fence, work, len(sample.Tokens), s.ports.Clock.Now()) {
+		s.scoreSample(c.deployment, fence, work, sample)
+	}
 }
--- a/internal/app/scoring.go
+++ b/internal/app/scoring.go
@@ -4,30 +4,31 @@
 	"context"
 
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/rollout"
 	"fescuespar/internal/core/routing"
 )
 
 // scoreSample has a sample scored; a failed call makes the sample pending
 // again unless another try succeeds.
-func (s *Service) scoreSample(deployment *core.Deployment, fence core.Fence, sample core.Sample) {
+func (s *Service) scoreSample(deployment *core.Deployment, fence core.Fence, work rollout.Work, sample core.Sample) {
 	if deployment.Rollout.Scorer == "" {
-		s.finishSample(fence, sample)
+		s.finishSample(fence, work, sample)
 		return
 	}
-	s.tryScore(deployment, fence, sample, 1)
+	s.tryScore(deployment, fence, work, sample, 1)
 }
 
 // scoreAttempts bounds the calls to the scoring service for one sample before
 // it is generated again.
 const scoreAttempts = 5
 
-func (s *Service) tryScore(deployment *core.Deployment, fence core.Fence, sample core.Sample, number int) {
+func (s *Service) tryScore(deployment *core.Deployment, fence core.Fence, work rollout.Work, sample core.Sample, number int) {
 	server, err := s.servers.Acquire(routing.Query{
 		Kind: core.KindScorer, Service: deployment.Rollout.Scorer, Class: core.ClassRollout, Tokens: 1,
 		Zone: s.options.Self.Zone, Region: s.options.Self.Region,
 	})
 	if err != nil {
-		s.scoreAgain(deployment, fence, sample, number)
+		s.scoreAgain(deployment, fence, work, sample, number)
 		return
 	}
 	err = s.lanes.scoring.Go(func(ctx context.Context) {
@@ -37,29 +38,29 @@
 		s.pool.MustEnqueue(core.ClassRollout, func() {
 			s.servers.Release(server.ID, 1)
 			if err != nil {
-				s.scoreAgain(deployment, fence, sample, number)
+				s.scoreAgain(deployment, fence, work, sample, number)
 				return
 			}
 			sample.Score = score
-			s.finishSample(fence, sample)
+			s.finishSample(fence, work, sample)
 		})
 	})
 	if err != nil {
 		s.servers.Release(server.ID, 1)
-		s.scoreAgain(deployment, fence, sample, number)
+		s.scoreAgain(deployment, fence, work, sample, number)
 	}
 }
 
-func (s *Service) scoreAgain(deployment *core.Deployment, fence core.Fence, sample core.Sample, number int) {
+func (s *Service) scoreAgain(deployment *core.Deployment, fence core.Fence, work rollout.Work, sample core.Sample, number int) {
 	if number >= scoreAttempts {
-		s.rollouts.Retry(deployment.Name, fence, sample.ID)
+		s.rollouts.Retry(deployment.Name, fence, work)
 		return
 	}
 	delay := s.random.Duration(retryBaseDelay << number)
-	s.timers.After(delay, core.ClassRollout, func() { s.tryScore(deployment, fence, sample, number+1) })
+	s.timers.After(delay, core.ClassRollout, func() { s.tryScore(deployment, fence, work, sample, number+1) })
 }
 
-func (s *Service) finishSample(fence core.Fence, sample core.Sample) {
+func (s *Service) finishSample(fence core.Fence, work rollout.Work, sample core.Sample) {
 	s.metrics.SamplesFinished.Inc(1)
-	s.rollouts.Finish(fence, sample)
+	s.rollouts.Finish(fence, work, sample, s.ports.Clock.Now())
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -27,6 +27,8 @@
 	LeasesLost         gometrics.Counter
 	SamplesFinished    gometrics.Counter
 	SamplesTooOld      gometrics.Counter
+	SamplesMoved       gometrics.Counter
+	SamplesCanceled    gometrics.Counter
 	StepsCommitted     gometrics.Counter
 	BatchesServed      gometrics.Counter
 	WeightOrders       gometrics.Counter
@@ -67,6 +69,8 @@
 		"leases.lost":             &s.LeasesLost,
 		"samples.finished":        &s.SamplesFinished,
 		"samples.too_old":         &s.SamplesTooOld,
+		"samples.moved":           &s.SamplesMoved,
+		"samples.canceled":        &s.SamplesCanceled,
 		"steps.committed":         &s.StepsCommitted,
 		"batches.served":          &s.BatchesServed,
 		"weights.orders":          &s.WeightOrders,
--- a/internal/tables/answers.go
+++ b/internal/tables/answers.go
@@ -20,6 +20,7 @@
 	base     int // offset of the first token held
 	tokens   []string
 	versions []core.WeightVersion // one for each token
+	oldest   core.WeightVersion   // of versions, zero while there is no token
 	source   core.AnswerSource
 	finish   core.FinishReason
 	err      error
@@ -89,6 +90,9 @@
 	if skip >= len(chunk.Tokens) {
 		return nil
 	}
+	if len(row.versions) == 0 || chunk.Version < row.oldest {
+		row.oldest = chunk.Version
+	}
 	for _, token := range chunk.Tokens[skip:] {
 		row.tokens = append(row.tokens, token)
 		row.versions = append(row.versions, chunk.Version)
@@ -156,6 +160,27 @@
 	return view, nil
 }
 
+// AnswerProgress is how far an answer has come. It is zero for an answer that
+// is not in progress.
+type AnswerProgress struct {
+	Tokens int
+	Oldest core.WeightVersion // zero while there is no token
+	Source core.AnswerSource
+}
+
+// Progress returns how far the answers have come, in their order.
+func (t *Answers) Progress(keys []AnswerKey) []AnswerProgress {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	progress := make([]AnswerProgress, len(keys))
+	for i, key := range keys {
+		if row, err := t.open(key); err == nil {
+			progress[i] = AnswerProgress{Tokens: row.base + len(row.tokens), Oldest: row.oldest, Source: row.source}
+		}
+	}
+	return progress
+}
+
 // Forget drops an answer, in progress or not.
 func (t *Answers) Forget(key AnswerKey) {
 	t.mu.Lock()
--- a/internal/tables/rollouts.go
+++ b/internal/tables/rollouts.go
@@ -1,45 +1,35 @@
 package tables
 
 import (
+	"time"
+
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/delivery"
+	"fescuespar/internal/core/rollout"
 	"fescuespar/internal/lockrank"
 )
 
-// sampleState is where a sample of a planned group stands.
-type sampleState int
-
-const (
-	samplePending sampleState = iota
-	sampleRunning
-	sampleDone
-)
-
-type groupRow struct {
-	prompt  string
-	states  []sampleState
-	samples []core.Sample
-	done    int
-}
-
 // rolloutRow is the work of one deployment under one holding of its lease.
 type rolloutRow struct {
 	fence    core.Fence
 	loaded   bool
 	delivery core.Row
-	prompts  []string
-	groups   map[core.GroupID]*groupRow
+	book     *rollout.Book
 	busy     bool   // a batch is being fixed
 	problem  string // why the work can't start, for operators
 	changed  chan struct{}
 }
 
+// runsPerOpening is how many runs one opening of a deployment's work may have.
+const runsPerOpening = 1 << 32
+
 // Rollouts holds the groups in progress of the deployments that this process
 // coordinates.
 type Rollouts struct {
-	// mu guards rows.
-	mu   lockrank.Mutex
-	rows map[core.DeploymentName]*rolloutRow
+	// mu guards all fields below.
+	mu     lockrank.Mutex
+	rows   map[core.DeploymentName]*rolloutRow
+	opened uint64
 }
 
 // NewRollouts returns a table without deployments.
@@ -59,33 +49,41 @@
 	if row != nil {
 		close(row.changed)
 	}
+	t.opened++
 	t.rows[name] = &rolloutRow{
-		fence: fence, groups: make(map[core.GroupID]*groupRow), changed: make(chan struct{}),
+		fence: fence, book: rollout.NewBook(t.opened * runsPerOpening), changed: make(chan struct{}),
 	}
 	return true
 }
 
-// Close drops a deployment's work.
-func (t *Rollouts) Close(name core.DeploymentName) {
+// Close drops a deployment's work. It returns the runs under way.
+func (t *Rollouts) Close(name core.DeploymentName) []rollout.Work {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if row := t.rows[name]; row != nil {
-		close(row.changed)
-		delete(t.rows, name)
+	row := t.rows[name]
+	if row == nil {
+		return nil
 	}
+	close(row.changed)
+	delete(t.rows, name)
+	return row.book.Running()
 }
 
-// Load takes the delivery row and the prompts of a deployment.
-func (t *Rollouts) Load(name core.DeploymentName, fence core.Fence, deliveryRow core.Row, prompts []string) {
+// Load takes the delivery row and the prompts of a deployment. It returns the
+// runs of groups that can no longer be delivered.
+func (t *Rollouts) Load(name core.DeploymentName, fence core.Fence, deliveryRow core.Row, prompts []string) []rollout.Work {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if row := t.at(name, fence); row != nil {
-		row.delivery = deliveryRow
-		row.prompts = prompts
-		row.loaded = true
-		row.problem = ""
-		row.notify()
+	row := t.at(name, fence)
+	if row == nil {
+		return nil
 	}
+	record, _ := deliveryRow.Record.(core.DeliveryRecord)
+	row.delivery = deliveryRow
+	row.loaded = true
+	row.problem = ""
+	row.notify()
+	return row.book.Load(record, prompts)
 }
 
 // SetProblem records why a deployment's work can't start. It returns true when
@@ -101,88 +99,79 @@
 	return true
 }
 
-// Work is one sample to be run.
-type Work struct {
-	ID     core.SampleID
-	Prompt string
-}
-
-// Plan plans groups through the given step and returns up to limit samples
-// that are pending, marking them as running.
-func (t *Rollouts) Plan(name core.DeploymentName, fence core.Fence, policy PlanPolicy, limit int) []Work {
+// Start returns samples to be run, marking them as running, while fewer than
+// limit are being generated. Newest is the newest weight version known.
+func (t *Rollouts) Start(name core.DeploymentName, fence core.Fence, policy rollout.Policy,
+	newest core.WeightVersion, limit int, now time.Time) []rollout.Work {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row := t.at(name, fence)
-	if row == nil || !row.loaded || len(row.prompts) == 0 {
+	if row == nil || !row.loaded {
 		return nil
 	}
-	record, _ := row.delivery.Record.(core.DeliveryRecord)
-	through := record.LastStep + policy.StepsAhead
-	open := delivery.Open(record, through, policy.GroupsPerStep, policy.GroupsPerStep*int(policy.StepsAhead))
-	var work []Work
-	for _, id := range open {
-		group := row.group(id, policy)
-		for index := range group.states {
-			if group.states[index] != samplePending || len(work) >= limit {
-				continue
-			}
-			group.states[index] = sampleRunning
-			work = append(work, Work{ID: core.SampleID{Group: id, Index: index}, Prompt: group.prompt})
-		}
-	}
-	return work
+	row.book.Published(newest, now)
+	return row.book.Start(policy, limit, now)
 }
 
-// PlanPolicy says how many groups to plan.
-type PlanPolicy struct {
-	GroupsPerStep int
-	GroupSize     int
-	StepsAhead    core.Step // steps after the last fixed one
+// BeginReview returns the samples being generated when a review of them is due.
+func (t *Rollouts) BeginReview(name core.DeploymentName, fence core.Fence, now time.Time) ([]rollout.Work, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row := t.at(name, fence)
+	if row == nil || !row.loaded || !row.book.ReviewDue(now) {
+		return nil, false
+	}
+	return row.book.Running(), true
 }
 
-// group returns a planned group, adding it if it is new. The lock is held.
-func (r *rolloutRow) group(id core.GroupID, policy PlanPolicy) *groupRow {
-	group := r.groups[id]
-	if group == nil {
-		number := int(id.Step)*policy.GroupsPerStep + id.Index
-		group = &groupRow{
-			prompt:  r.prompts[number%len(r.prompts)],
-			states:  make([]sampleState, policy.GroupSize),
-			samples: make([]core.Sample, policy.GroupSize),
-		}
-		r.groups[id] = group
+// EndReview takes the progress of the samples that BeginReview returned, in
+// their order, and decides about them.
+func (t *Rollouts) EndReview(name core.DeploymentName, fence core.Fence, policy rollout.Policy,
+	running []rollout.Work, progress []rollout.Progress, now time.Time) rollout.Orders {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row := t.at(name, fence)
+	if row == nil {
+		return rollout.Orders{}
+	}
+	for i, work := range running {
+		row.book.Observe(work, progress[i], now)
 	}
-	return group
+	return row.book.Review(policy, now)
+}
+
+// Generated notes that a sample's last token has arrived. It returns false when
+// the run is no longer wanted.
+func (t *Rollouts) Generated(name core.DeploymentName, fence core.Fence, work rollout.Work, tokens int, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row := t.at(name, fence)
+	return row != nil && row.book.Generated(work, tokens, now)
 }
 
 // Finish stores a finished sample.
-func (t *Rollouts) Finish(fence core.Fence, sample core.Sample) {
+func (t *Rollouts) Finish(fence core.Fence, work rollout.Work, sample core.Sample, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	row, group := t.running(sample.Deployment, fence, sample.ID)
-	if group == nil {
-		return
-	}
-	group.states[sample.ID.Index] = sampleDone
-	group.samples[sample.ID.Index] = sample
-	group.done++
-	if group.done == len(group.samples) {
+	row := t.at(sample.Deployment, fence)
+	if row != nil && row.book.Finish(work, sample, now) {
 		row.notify()
 	}
 }
 
-// Retry makes a running sample pending again.
-func (t *Rollouts) Retry(name core.DeploymentName, fence core.Fence, id core.SampleID) {
+// Retry makes a sample pending again whose run has failed.
+func (t *Rollouts) Retry(name core.DeploymentName, fence core.Fence, work rollout.Work) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if _, group := t.running(name, fence, id); group != nil {
-		group.states[id.Index] = samplePending
+	if row := t.at(name, fence); row != nil {
+		row.book.Retry(work)
 	}
 }
 
-// BeginBatch returns what a batch decision needs. It returns false while the
-// rows are not loaded or another batch is being fixed.
-func (t *Rollouts) BeginBatch(name core.DeploymentName, fence core.Fence) (core.Row, []delivery.Finished, bool) {
+// BeginBatch notes that the trainer asks for a step and returns what the
+// decision needs. It returns false while the rows are not loaded or another
+// batch is being fixed.
+func (t *Rollouts) BeginBatch(name core.DeploymentName, fence core.Fence, step core.Step, now time.Time) (core.Row, []delivery.Finished, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row := t.at(name, fence)
@@ -190,17 +179,11 @@
 		return core.Row{}, nil, false
 	}
 	row.busy = true
-	var finished []delivery.Finished
-	for id, group := range row.groups {
-		if group.done == len(group.samples) {
-			whole := core.Group{Samples: group.samples}
-			finished = append(finished, delivery.Finished{ID: id, Oldest: whole.OldestVersion()})
-		}
-	}
-	return row.delivery, finished, true
+	row.book.Asked(step, now)
+	return row.delivery, row.book.Finished(), true
 }
 
-// Groups returns finished groups.
+// Groups returns whole groups.
 func (t *Rollouts) Groups(name core.DeploymentName, fence core.Fence, ids []core.GroupID) []core.Group {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -208,46 +191,38 @@
 	if row == nil {
 		return nil
 	}
-	var groups []core.Group
-	for _, id := range ids {
-		if group := row.groups[id]; group != nil {
-			groups = append(groups, core.Group{ID: id, Samples: group.samples})
-		}
-	}
-	return groups
+	return row.book.Groups(ids)
 }
 
-// EndBatch ends what BeginBatch began. Groups that are too old are planned
-// again under the same identity.
-func (t *Rollouts) EndBatch(name core.DeploymentName, fence core.Fence, tooOld []core.GroupID) {
+// EndBatch ends what BeginBatch began. In the groups listed, the samples that
+// are too old for the trainer's weights are run again under the same identity;
+// it returns their number.
+func (t *Rollouts) EndBatch(name core.DeploymentName, fence core.Fence, tooOld []core.GroupID,
+	trainer core.WeightVersion, bound uint64) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row := t.at(name, fence)
 	if row == nil {
-		return
+		return 0
 	}
 	row.busy = false
-	for _, id := range tooOld {
-		delete(row.groups, id)
-	}
+	count := row.book.TooOld(tooOld, trainer, bound)
 	row.notify()
+	return count
 }
 
-// Delivered takes the delivery row that a batch's commit wrote.
-func (t *Rollouts) Delivered(name core.DeploymentName, fence core.Fence, deliveryRow core.Row) {
+// Delivered takes the delivery row that a batch's commit wrote. It returns the
+// runs of groups that can no longer be delivered.
+func (t *Rollouts) Delivered(name core.DeploymentName, fence core.Fence, deliveryRow core.Row, now time.Time) []rollout.Work {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row := t.at(name, fence)
-	if row == nil {
-		return
+	record, ok := deliveryRow.Record.(core.DeliveryRecord)
+	if row == nil || !ok {
+		return nil
 	}
 	row.delivery = deliveryRow
-	record, _ := deliveryRow.Record.(core.DeliveryRecord)
-	for id := range row.groups {
-		if delivery.Delivered(record, id) {
-			delete(row.groups, id)
-		}
-	}
+	return row.book.Delivered(record, now)
 }
 
 // Reload makes the deployment's rows be loaded again, after a commit that did
@@ -275,30 +250,19 @@
 type RolloutState struct {
 	Deployment core.DeploymentName `json:"deployment"`
 	Fence      core.Fence          `json:"fence"`
-	LastStep   core.Step           `json:"last_step"`
-	Groups     int                 `json:"groups"`
-	Running    int                 `json:"samples_running"`
-	Done       int                 `json:"samples_done"`
 	Problem    string              `json:"problem,omitempty"`
+	rollout.Summary
 }
 
-// State counts every deployment's work.
+// State summarizes every deployment's work.
 func (t *Rollouts) State() []RolloutState {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var states []RolloutState
 	for name, row := range t.rows {
-		record, _ := row.delivery.Record.(core.DeliveryRecord)
-		state := RolloutState{Deployment: name, Fence: row.fence, LastStep: record.LastStep, Groups: len(row.groups), Problem: row.problem}
-		for _, group := range row.groups {
-			state.Done += group.done
-			for _, s := range group.states {
-				if s == sampleRunning {
-					state.Running++
-				}
-			}
-		}
-		states = append(states, state)
+		states = append(states, RolloutState{
+			Deployment: name, Fence: row.fence, Problem: row.problem, Summary: row.book.Summary(),
+		})
 	}
 	return states
 }
@@ -312,19 +276,6 @@
 	return row
 }
 
-// running returns the group of a running sample. The lock is held.
-func (t *Rollouts) running(name core.DeploymentName, fence core.Fence, id core.SampleID) (*rolloutRow, *groupRow) {
-	row := t.at(name, fence)
-	if row == nil {
-		return nil, nil
-	}
-	group := row.groups[id.Group]
-	if group == nil || id.Index >= len(group.states) || group.states[id.Index] != sampleRunning {
-		return nil, nil
-	}
-	return row, group
-}
-
 func (r *rolloutRow) notify() {
 	close(r.changed)
 	r.changed = make(chan struct{})
