Roll weight versions in waves and know failed swaps

Cause: every engine was ordered at once whatever the deployment weighs, a swap without effect was given again but never counted, without a backoff, and an order to an engine that ignores fencing could leave the lane after the time that the lease allows.

Ruled out: all at once always (takes all capacity together); one by one (misses 6 s at 6,100 engines); waiting for empty engines (staleness grows by the longest stream).

Change: internal/core/weights decides waves by availability zone from the idle weight and the measured load time, least busy engines first; a swap is done only when the status shows the version; failures are counted and retried with a backoff; orders past their time are withdrawn. The table holds one roll a deployment.

The status's lag and the service's ticks are left out. Adapters of two trainers on one engine are not told apart until the status lists a version for each; a region's store pace has no setting.

--- a/internal/app/coordinator.go
+++ b/internal/app/coordinator.go
@@ -29,6 +29,7 @@
 		holding, held := s.leases.Held(leaseName(deployment.Name), s.ports.Clock.Now())
 		if !held {
 			s.cancelRuns(deployment.Name, s.rollouts.Close(deployment.Name))
+			s.weights.StopRolling(deployment.Name)
 			continue
 		}
 		s.coordinate(deployment, holding)
--- a/internal/app/weights.go
+++ b/internal/app/weights.go
@@ -6,12 +6,19 @@
 
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/lease"
+	"fescuespar/internal/core/weights"
 	"fescuespar/internal/errkind"
 )
 
-// orderTimeout is how long an engine may take to load a version before the
-// order counts as failed.
-const orderTimeout = 30 * time.Second
+const (
+	// swapTarget is the time within which all engines shall serve a version.
+	swapTarget = 6 * time.Second
+	// swapTimeout is how long an engine may take to load a version before the
+	// swap counts as failed.
+	swapTimeout     = 30 * time.Second
+	swapBackoffBase = time.Second
+	swapBackoffMax  = 30 * time.Second
+)
 
 func weightKey(name core.DeploymentName) core.RowKey {
 	return core.RowKey{Table: core.TableWeight, ID: string(name)}
@@ -56,7 +63,7 @@
 	return errkind.Wrap(errkind.Timeout, ctx.Err(), "publishing weights")
 }
 
-// orderWeights orders the deployment's engines to load its newest version.
+// orderWeights rolls the deployment's newest version over its engines.
 func (s *Service) orderWeights(deployment *core.Deployment, holding lease.Holding) {
 	version := s.weights.Newest(deployment.Name)
 	if deployment.Versions.Pinned != 0 {
@@ -65,21 +72,44 @@
 	if version == 0 {
 		return
 	}
-	now := s.ports.Clock.Now()
+	engines, vms := s.enginesOf(deployment)
+	decision := s.weights.Roll(deployment.Name, engines, version, weightPolicy(deployment), s.ports.Clock.Now())
+	s.metrics.WeightSwapsFailed.Inc(int64(len(decision.Failed)))
+	order := s.loadOrder(deployment, holding, version)
+	for _, server := range decision.Orders {
+		s.giveOrder(deployment, vms[server], order)
+	}
+}
+
+// enginesOf returns the live engines that run a deployment's model.
+func (s *Service) enginesOf(deployment *core.Deployment) ([]weights.Engine, map[core.ServerID]core.VM) {
+	var engines []weights.Engine
+	vms := make(map[core.ServerID]core.VM)
 	for _, view := range s.servers.Views() {
 		vm := view.VM
-		if vm.Kind != core.KindEngine || vm.Service != deployment.Service || vm.State != core.VMLive ||
-			view.Status.Version >= version || view.Status.Loading >= version {
+		if vm.Kind != core.KindEngine || vm.Service != deployment.Service || vm.State != core.VMLive {
 			continue
 		}
-		if !deployment.Fencing {
-			if _, allowed := s.leases.StartOrder(leaseName(deployment.Name), now); !allowed {
-				continue
-			}
-		}
-		if s.weights.BeginOrder(vm.ID, version, now, now.Add(orderTimeout)) {
-			s.giveOrder(vm, s.loadOrder(deployment, holding, version))
-		}
+		serves, loading := versionsOf(&view.Status)
+		engines = append(engines, weights.Engine{
+			Server: vm.ID, Zone: vm.Zone, Region: vm.Region,
+			Version: serves, Loading: loading, InFlight: view.InFlight,
+		})
+		vms[vm.ID] = vm
+	}
+	return engines, vms
+}
+
+// versionsOf returns the version that an engine serves and the one it loads.
+func versionsOf(status *core.EngineStatus) (serves, loading core.WeightVersion) {
+	return status.Version, status.Loading
+}
+
+func weightPolicy(deployment *core.Deployment) weights.Policy {
+	return weights.Policy{
+		Target: swapTarget, SwapTimeout: swapTimeout,
+		BackoffBase: swapBackoffBase, BackoffMax: swapBackoffMax,
+		IdleWeight: deployment.Rollout.IdleWeight,
 	}
 }
 
@@ -90,12 +120,38 @@
 	}
 }
 
-func (s *Service) giveOrder(vm core.VM, order core.Order) {
+// giveOrder sends an order. One to an engine that ignores fencing numbers is
+// sent only while the lease is trusted.
+func (s *Service) giveOrder(deployment *core.Deployment, vm core.VM, order core.Order) {
+	name := deployment.Name
+	until, allowed := s.orderUntil(deployment)
+	if !allowed {
+		s.weights.WithdrawOrder(name, vm.ID)
+		return
+	}
 	s.metrics.WeightOrders.Inc(1)
-	s.onLane(s.lanes.control, func(ctx context.Context) {
+	err := s.lanes.control.Go(func(ctx context.Context) {
+		if !until.IsZero() && !s.ports.Clock.Now().Before(until) {
+			s.weights.WithdrawOrder(name, vm.ID)
+			return
+		}
+		ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+		defer cancel()
 		if err := s.ports.Engine.Order(ctx, vm, order); err != nil {
 			s.metrics.WeightSwapsFailed.Inc(1)
-			s.weights.EndOrder(vm.ID, order.Version)
+			s.weights.OrderRefused(name, vm.ID, order.Version, weightPolicy(deployment), s.ports.Clock.Now())
 		}
 	})
+	if err != nil {
+		s.weights.WithdrawOrder(name, vm.ID)
+	}
+}
+
+// orderUntil returns until when an order may be sent; zero sets no bound,
+// since the engine itself refuses an order that comes too late.
+func (s *Service) orderUntil(deployment *core.Deployment) (until time.Time, allowed bool) {
+	if deployment.Fencing {
+		return time.Time{}, true
+	}
+	return s.leases.StartOrder(leaseName(deployment.Name), s.ports.Clock.Now())
 }
--- a/internal/tables/weights.go
+++ b/internal/tables/weights.go
@@ -4,21 +4,17 @@
 	"time"
 
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/weights"
 	"fescuespar/internal/lockrank"
 )
 
-type orderRow struct {
-	version core.WeightVersion
-	until   time.Time // when the order counts as failed
-}
-
-// Weights holds the newest weight version of each deployment and the orders
-// to load one that are under way.
+// Weights holds the newest weight version of each deployment and how far it
+// has been rolled over the engines.
 type Weights struct {
 	// mu guards all fields below.
 	mu     lockrank.Mutex
 	newest map[core.DeploymentName]core.WeightVersion
-	orders map[core.ServerID]orderRow
+	rolls  map[core.DeploymentName]*weights.Roll
 }
 
 // NewWeights returns a table that knows no version.
@@ -26,7 +22,7 @@
 	return &Weights{
 		mu:     lockrank.New(lockrank.RankWeights),
 		newest: make(map[core.DeploymentName]core.WeightVersion),
-		orders: make(map[core.ServerID]orderRow),
+		rolls:  make(map[core.DeploymentName]*weights.Roll),
 	}
 }
 
@@ -59,24 +55,42 @@
 	return news
 }
 
-// BeginOrder notes an order to load a version. It returns false while one for
-// that version or a later one is under way.
-func (t *Weights) BeginOrder(server core.ServerID, version core.WeightVersion, now, until time.Time) bool {
+// Roll chooses the engines that are to be ordered next to load a version.
+func (t *Weights) Roll(name core.DeploymentName, engines []weights.Engine, version core.WeightVersion,
+	policy weights.Policy, now time.Time) weights.Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	order, ok := t.orders[server]
-	if ok && order.version >= version && now.Before(order.until) {
-		return false
+	roll := t.rolls[name]
+	if roll == nil {
+		roll = weights.NewRoll()
+		t.rolls[name] = roll
 	}
-	t.orders[server] = orderRow{version: version, until: until}
-	return true
+	return roll.Decide(engines, version, policy, now)
 }
 
-// EndOrder forgets an order that was refused, so that it can be given again.
-func (t *Weights) EndOrder(server core.ServerID, version core.WeightVersion) {
+// OrderRefused notes that an engine did not accept an order, or that its reply
+// was lost.
+func (t *Weights) OrderRefused(name core.DeploymentName, server core.ServerID, version core.WeightVersion,
+	policy weights.Policy, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.orders[server].version == version {
-		delete(t.orders, server)
+	if roll := t.rolls[name]; roll != nil {
+		roll.Refused(server, version, policy, now)
 	}
 }
+
+// WithdrawOrder takes back an order that was not sent.
+func (t *Weights) WithdrawOrder(name core.DeploymentName, server core.ServerID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if roll := t.rolls[name]; roll != nil {
+		roll.Withdraw(server)
+	}
+}
+
+// StopRolling forgets a deployment's orders, after its lease was lost.
+func (t *Weights) StopRolling(name core.DeploymentName) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.rolls, name)
+}
