--- a/internal/adapters/settings/check.go
+++ b/internal/adapters/settings/check.go
@@ -46,7 +46,6 @@
 	i := &s.Intervals
 	l.atMost("intervals.lease_renewal", i.LeaseRenewal, "intervals.lease_term", i.LeaseTerm, 2)
 	l.atMost("intervals.order_timeout", i.OrderTimeout, "intervals.lease_term", i.LeaseTerm, 1)
-	l.atMost("intervals.heartbeat", i.Heartbeat, "intervals.suspect_after", i.SuspectAfter, 2)
 }
 
 // advertised requires an address that others can connect to when the process
--- a/internal/app/coordinator.go
+++ b/internal/app/coordinator.go
@@ -73,7 +73,7 @@
 			return
 		}
 		if record, ok := rows[1].Record.(core.WeightRecord); ok {
-			s.weights.Learn(deployment.Name, record.Version)
+			s.learnWeights(deployment.Name, record.Version)
 		}
 		closed := s.rollouts.Load(deployment.Name, fence, rows[0], splitPrompts(body))
 		s.cancelRuns(deployment.Name, closed)
--- a/internal/app/dump.go
+++ b/internal/app/dump.go
@@ -13,9 +13,11 @@
 	Phase      string                       `json:"phase"`
 	InFlight   int                          `json:"in_flight"`
 	Generation core.Generation              `json:"generation"`
-	Members    []core.Member                `json:"members"`
+	Members    tables.MembersState          `json:"members"`
 	Leases     []tables.LeaseState          `json:"leases"`
 	Servers    []routing.View               `json:"servers"`
+	Limits     []tables.LimitState          `json:"limits"`
+	Crashes    tables.CrashesState          `json:"crashes"`
 	Rollouts   []tables.RolloutState        `json:"rollouts"`
 	Weights    []core.WeightNews            `json:"weights"`
 	Answers    tables.AnswersState          `json:"answers"`
@@ -30,9 +32,11 @@
 	return State{
 		VM: s.options.Self.VM, Phase: phase.String(), InFlight: inFlight,
 		Generation: s.configuration.InForce().Generation,
-		Members:    s.members.All(),
+		Members:    s.members.State(),
 		Leases:     s.leases.State(s.ports.Clock.Now()),
 		Servers:    s.servers.Views(),
+		Limits:     s.limits.State(),
+		Crashes:    s.crashes.State(),
 		Rollouts:   s.rollouts.State(),
 		Weights:    s.weights.News(),
 		Answers:    s.answers.State(),
--- a/internal/app/plaincall.go
+++ b/internal/app/plaincall.go
@@ -58,6 +58,11 @@
 		return
 	}
 	s.metrics.RequestsAccepted.Inc(1)
+	s.enterCall(call)
+}
+
+// startCall claims a call that may run at most once, and dispatches any other.
+func (s *Service) startCall(call *plainCall) {
 	if call.once {
 		s.claimCall(call, core.Row{Key: call.claimKey})
 		return
@@ -175,13 +180,15 @@
 	s.timers.After(outcomePollDelay, core.ClassPeople, func() { s.readClaim(call) })
 }
 
-// ownerMayRecord reports whether a claim's owner is not known to be gone.
+// ownerMayRecord reports whether a claim's owner is believed to be at work.
+// When it is not, the answer that the request may have run is true either way.
 func (s *Service) ownerMayRecord(owner claim.Owner) bool {
 	if owner.VM == s.options.Self.VM {
 		return owner.Incarnation == s.options.Self.Incarnation
 	}
 	member, ok := s.members.Member(owner.VM)
-	return !ok || (member.Incarnation <= owner.Incarnation && member.State != core.MemberGone)
+	serves := member.State == core.MemberAlive || member.State == core.MemberLeaving
+	return ok && serves && member.Incarnation == owner.Incarnation
 }
 
 // fingerprint tells requests under the same key apart.
@@ -196,9 +203,10 @@
 
 // dispatchCall routes the call and sends it once.
 func (s *Service) dispatchCall(call *plainCall) {
-	server, err := s.servers.Acquire(routing.Query{
+	begun, err := s.acquire(routing.Query{
 		Kind: core.KindPlain, Service: call.deployment.Service, Class: core.ClassPeople, Tokens: 1,
 		Zone: s.options.Self.Zone, Region: s.options.Self.Region, Exclude: call.exclude,
+		Bytes: len(call.request.Body),
 	})
 	if err != nil {
 		s.callUnrun(call, err)
@@ -209,14 +217,14 @@
 	err = s.lanes.calls.Go(func(ctx context.Context) {
 		ctx, cancel := context.WithDeadline(ctx, call.request.Deadline)
 		defer cancel()
-		response, err := s.ports.Plain.Call(ctx, server, call.request)
+		response, err := s.ports.Plain.Call(ctx, begun.VM, call.request)
 		s.pool.MustEnqueue(core.ClassPeople, func() {
-			s.servers.Release(server.ID, 1)
-			s.callEnded(call, server.ID, response, err)
+			s.release(begun, 0, err)
+			s.callEnded(call, begun.VM.ID, response, err)
 		})
 	})
 	if err != nil {
-		s.servers.Release(server.ID, 1)
+		s.release(begun, 0, err)
 		s.callUnrun(call, err)
 	}
 }
@@ -226,16 +234,21 @@
 		s.recordOutcome(call, response)
 		return
 	}
-	decision := s.decideRetry(retry.Attempt{
-		Number: call.attempt, Kind: errkind.Of(err), Idempotent: !call.once && isSafe(call.request.Method),
-		Left: call.request.Deadline.Sub(s.ports.Clock.Now()),
+	s.repeatLater(repeat{
+		deployment: call.deployment.Name, class: core.ClassPeople, deadline: call.request.Deadline, cost: 1,
+		failed: retry.Attempt{
+			Number: call.attempt, Kind: errkind.Of(err), Idempotent: !call.once && isSafe(call.request.Method),
+		},
+		again: func() {
+			call.exclude = append(call.exclude, server)
+			s.dispatchCall(call)
+		},
+		giveUp: func() { s.callFailed(call, err) },
 	})
-	if decision.Again {
-		s.metrics.Retries.Inc(1)
-		call.exclude = append(call.exclude, server)
-		s.timers.After(decision.Delay, core.ClassPeople, func() { s.dispatchCall(call) })
-		return
-	}
+}
+
+// callFailed ends a call that is not repeated.
+func (s *Service) callFailed(call *plainCall, err error) {
 	if errkind.Is(err, errkind.ServerRefused) {
 		s.callUnrun(call, err)
 		return
--- a/internal/app/service.go
+++ b/internal/app/service.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/membership"
 	"fescuespar/internal/core/retry"
 	"fescuespar/internal/metrics"
 	"fescuespar/internal/ports"
@@ -48,15 +49,14 @@
 	Table      LaneOptions // calls to the platform
 	Peers      LaneOptions // messages to other entry processes
 
-	AnswerKeep    time.Duration // how long a finished answer can be asked for again
-	AddressKeep   time.Duration // how long callers may keep the entry addresses
-	VMListEvery   time.Duration
-	StatusEvery   time.Duration
-	ConfigEvery   time.Duration
-	HeartbeatTick time.Duration
-	LeaseTerm     time.Duration
-	LeaseRenewal  time.Duration
-	OrderTimeout  time.Duration // longest order to an engine, until its last effect
+	AnswerKeep   time.Duration // how long a finished answer can be asked for again
+	AddressKeep  time.Duration // how long callers may keep the entry addresses
+	VMListEvery  time.Duration
+	StatusEvery  time.Duration
+	ConfigEvery  time.Duration
+	LeaseTerm    time.Duration
+	LeaseRenewal time.Duration
+	OrderTimeout time.Duration // longest order to an engine, until its last effect
 }
 
 // answerLimit bounds the answers in progress and kept in one process.
@@ -90,6 +90,8 @@
 	members       *tables.Members
 	leases        *tables.Leases
 	servers       *tables.Servers
+	limits        *tables.Limits
+	crashes       *tables.Crashes
 	rollouts      *tables.Rollouts
 	weights       *tables.Weights
 	claims        *tables.Commits
@@ -97,10 +99,13 @@
 	random        *tables.Random
 
 	requestCounter atomic.Uint64
+	crashPush      atomic.Bool // a heartbeat out of turn is due
 	attemptCounter atomic.Uint64
 }
 
 const (
+	sweepEvery = time.Second // of the backend servers' outliers
+
 	retryAttempts  = 3
 	retryBaseDelay = 50 * time.Millisecond
 	retryMaxDelay  = 2 * time.Second
@@ -138,9 +143,11 @@
 		},
 		lifecycle:     tables.NewLifecycle(),
 		configuration: tables.NewConfiguration(),
-		members:       tables.NewMembers(options.Self, options.Seeds),
+		members:       tables.NewMembers(options.Self, options.Seeds, rand.New(rand.NewPCG(random.Uint64(), 1))),
 		leases:        tables.NewLeases(leaseSelf(options.Self), leaseTiming(options)),
 		servers:       tables.NewServers(rand.New(rand.NewPCG(random.Uint64(), 2))),
+		limits:        tables.NewLimits(options.Self.VM, options.Self.Incarnation, shareTiming),
+		crashes:       tables.NewCrashes(options.Self.VM),
 		rollouts:      tables.NewRollouts(),
 		weights:       tables.NewWeights(),
 		claims:        tables.NewCommits(),
@@ -156,8 +163,10 @@
 func (s *Service) Start() {
 	s.every(s.options.VMListEvery, s.pollVMs)
 	s.every(s.options.StatusEvery, s.pollStatus)
+	s.every(sweepEvery, s.sweepServers)
 	s.every(s.options.ConfigEvery, s.pollConfiguration)
-	s.every(s.options.HeartbeatTick, s.heartbeat)
+	s.every(membership.UrgentInterval, s.heartbeat)
+	s.every(crashTick, s.tendCrashes)
 	s.every(s.options.LeaseRenewal/leaseTicksPerRenewal, s.tendLeases)
 	s.every(s.options.AnswerKeep/4, s.expireAnswers)
 }
--- a/internal/app/weights.go
+++ b/internal/app/weights.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return err
 	}
-	if s.weights.Learn(name, version) {
+	if s.learnWeights(name, version) {
 		s.log.Info().Str("deployment", string(name)).Uint64("version", uint64(version)).Msg("new weight version")
 	}
 	return nil
@@ -90,21 +90,16 @@
 		if vm.Kind != core.KindEngine || vm.Service != deployment.Service || vm.State != core.VMLive {
 			continue
 		}
-		serves, loading := versionsOf(&view.Status)
+		held, _ := view.Status.Holds(deployment.Adapter)
 		engines = append(engines, weights.Engine{
 			Server: vm.ID, Zone: vm.Zone, Region: vm.Region,
-			Version: serves, Loading: loading, InFlight: view.InFlight,
+			Version: held.Version, Loading: held.Loading, InFlight: view.InFlight,
 		})
 		vms[vm.ID] = vm
 	}
 	return engines, vms
 }
 
-// versionsOf returns the version that an engine serves and the one it loads.
-func versionsOf(status *core.EngineStatus) (serves, loading core.WeightVersion) {
-	return status.Version, status.Loading
-}
-
 func weightPolicy(deployment *core.Deployment) weights.Policy {
 	return weights.Policy{
 		Target: swapTarget, SwapTimeout: swapTimeout,
--- a/internal/core/peer.go
+++ b/internal/core/peer.go
@@ -44,6 +44,8 @@
 	Newest    Generation  // newest generation that the sender has heard of
 	Applied   []MemberTag // some of the members known to have applied Newest
 	Weights   []WeightNews
+	Limits    []LimitNews // at most HeartbeatLimits
+	Crashes   []CrashNews // at most HeartbeatCrashes
 }
 
 // WeightNews spreads a deployment's newest published weight version.
--- a/internal/tables/rollouts.go
+++ b/internal/tables/rollouts.go
@@ -17,7 +17,6 @@
 	book     *rollout.Book
 	busy     bool   // a batch is being fixed
 	problem  string // why the work can't start, for operators
-	changed  chan struct{}
 }
 
 // runsPerOpening is how many runs one opening of a deployment's work may have.
@@ -27,14 +26,18 @@
 // coordinates.
 type Rollouts struct {
 	// mu guards all fields below.
-	mu     lockrank.Mutex
-	rows   map[core.DeploymentName]*rolloutRow
-	opened uint64
+	mu      lockrank.Mutex
+	rows    map[core.DeploymentName]*rolloutRow
+	opened  uint64
+	changed map[core.DeploymentName]chan struct{} // closed and dropped at every change
 }
 
 // NewRollouts returns a table without deployments.
 func NewRollouts() *Rollouts {
-	return &Rollouts{mu: lockrank.New(lockrank.RankRollouts), rows: make(map[core.DeploymentName]*rolloutRow)}
+	return &Rollouts{
+		mu:   lockrank.New(lockrank.RankRollouts),
+		rows: make(map[core.DeploymentName]*rolloutRow), changed: make(map[core.DeploymentName]chan struct{}),
+	}
 }
 
 // Open starts a deployment's work under a fencing number. It returns true when
@@ -46,13 +49,9 @@
 	if row != nil && row.fence == fence {
 		return !row.loaded
 	}
-	if row != nil {
-		close(row.changed)
-	}
 	t.opened++
-	t.rows[name] = &rolloutRow{
-		fence: fence, book: rollout.NewBook(t.opened * runsPerOpening), changed: make(chan struct{}),
-	}
+	t.rows[name] = &rolloutRow{fence: fence, book: rollout.NewBook(t.opened * runsPerOpening)}
+	t.notify(name)
 	return true
 }
 
@@ -64,8 +63,8 @@
 	if row == nil {
 		return nil
 	}
-	close(row.changed)
 	delete(t.rows, name)
+	t.notify(name)
 	return row.book.Running()
 }
 
@@ -82,7 +81,7 @@
 	row.delivery = deliveryRow
 	row.loaded = true
 	row.problem = ""
-	row.notify()
+	t.notify(name)
 	return row.book.Load(record, prompts)
 }
 
@@ -155,7 +154,7 @@
 	defer t.mu.Unlock()
 	row := t.at(sample.Deployment, fence)
 	if row != nil && row.book.Finish(work, sample, now) {
-		row.notify()
+		t.notify(sample.Deployment)
 	}
 }
 
@@ -207,7 +206,7 @@
 	}
 	row.busy = false
 	count := row.book.TooOld(tooOld, trainer, bound)
-	row.notify()
+	t.notify(name)
 	return count
 }
 
@@ -235,15 +234,15 @@
 	}
 }
 
-// Changed is closed when a group finishes or the work changes otherwise. It
-// returns nil when the deployment has no work here.
+// Changed is closed when a group of the deployment finishes or its work changes
+// otherwise.
 func (t *Rollouts) Changed(name core.DeploymentName) <-chan struct{} {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if row := t.rows[name]; row != nil {
-		return row.changed
+	if t.changed[name] == nil {
+		t.changed[name] = make(chan struct{})
 	}
-	return nil
+	return t.changed[name]
 }
 
 // RolloutState is one deployment's part of the state dump.
@@ -276,7 +275,10 @@
 	return row
 }
 
-func (r *rolloutRow) notify() {
-	close(r.changed)
-	r.changed = make(chan struct{})
+// notify wakes those who wait for a deployment's work. The lock is held.
+func (t *Rollouts) notify(name core.DeploymentName) {
+	if changed := t.changed[name]; changed != nil {
+		close(changed)
+		delete(t.changed, name)
+	}
 }
