--- a/internal/core/rollout/book.go
+++ b/internal/core/rollout/book.go
@@ -194,7 +194,7 @@
 	}
 	row.tokens = progress.Tokens
 	row.oldest = progress.Oldest
-	if span := now.Sub(row.markAt); span >= rateWindow || row.rate == 0 {
+	if span := now.Sub(row.markAt); span >= settleTime || row.rate == 0 {
 		row.rate = float64(row.tokens-row.markTokens) / max(span.Seconds(), 1e-3)
 		if span >= rateWindow {
 			row.markAt = now
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -163,3 +163,28 @@
 		t.Errorf("%d samples too old, finished %v; want the one run again", count, book.Finished())
 	}
 }
+
+// BenchmarkBook gives the cost of one review and of one look for work at the
+// two-year size of one trainer: 8,192 samples being generated.
+func BenchmarkBook(b *testing.B) {
+	policy := Policy{GroupsPerStep: 1024, GroupSize: 8, MaxTokens: 4096, Bound: 4, IdleWeight: 0.5}
+	now := time.Unix(0, 0)
+	book := NewBook(0)
+	book.Load(core.DeliveryRecord{}, []string{"p"})
+	book.Published(1, now)
+	book.history = *observed(20)
+	for _, work := range book.Start(policy, 8192, now) {
+		book.Observe(work, Progress{Tokens: 100, Oldest: 1}, now.Add(5*time.Second))
+	}
+	now = now.Add(6 * time.Second)
+	b.Run("review", func(b *testing.B) {
+		for b.Loop() {
+			book.Review(policy, now)
+		}
+	})
+	b.Run("start", func(b *testing.B) {
+		for b.Loop() {
+			book.Start(policy, 8192, now)
+		}
+	})
+}
