Count the lengths of generated and delivered samples

Cause: the skew of lengths stood in the state dump only, not in /metrics.

Ruled out: a gauge, which /metrics does not print.

Change: four counters, samples and tokens of generated and of delivered samples; their means give the ratio for a process.

No test of their own.

--- a/internal/app/batch.go
+++ b/internal/app/batch.go
@@ -231,10 +231,22 @@
 	written := writtenRow(decision.Commit, core.TableDelivery, result.Version)
 	s.cancelRuns(name, s.rollouts.Delivered(name, holding.Fence, written, s.ports.Clock.Now()))
 	s.metrics.StepsCommitted.Inc(1)
+	s.countDelivered(&batch)
 	s.metrics.BatchesServed.Inc(1)
 	return batch, nil
 }
 
+// countDelivered counts a batch's samples and their lengths, to be compared
+// with those of all that were generated.
+func (s *Service) countDelivered(batch *core.Batch) {
+	for g := range batch.Groups {
+		for i := range batch.Groups[g].Samples {
+			s.metrics.SamplesDelivered.Inc(1)
+			s.metrics.TokensOfDelivered.Inc(int64(len(batch.Groups[g].Samples[i].Tokens)))
+		}
+	}
+}
+
 // writtenRow returns the row of a table as an applied commit wrote it.
 func writtenRow(commit core.Commit, table core.TableName, version core.RowVersion) core.Row {
 	for _, write := range commit.Writes {
--- a/internal/app/coordinator.go
+++ b/internal/app/coordinator.go
@@ -169,6 +169,8 @@
 			From: chunk.Offset, To: chunk.Offset + len(chunk.Tokens), Version: chunk.Version,
 		})
 	}
+	s.metrics.SamplesGenerated.Inc(1)
+	s.metrics.TokensOfGenerated.Inc(int64(len(sample.Tokens)))
 	if s.rollouts.Generated(name, fence, work, len(sample.Tokens), s.ports.Clock.Now()) {
 		s.scoreSample(c.deployment, fence, work, sample)
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -28,6 +28,10 @@
 	SamplesFinished    gometrics.Counter
 	SamplesTooOld      gometrics.Counter
 	SamplesMoved       gometrics.Counter
+	SamplesGenerated   gometrics.Counter
+	SamplesDelivered   gometrics.Counter
+	TokensOfGenerated  gometrics.Counter
+	TokensOfDelivered  gometrics.Counter
 	SamplesCanceled    gometrics.Counter
 	StepsCommitted     gometrics.Counter
 	BatchesServed      gometrics.Counter
@@ -50,34 +54,38 @@
 
 func (s *Set) counters() map[string]*gometrics.Counter {
 	return map[string]*gometrics.Counter{
-		"requests.accepted":       &s.RequestsAccepted,
-		"requests.refused":        &s.RequestsRefused,
-		"requests.failed":         &s.RequestsFailed,
-		"attempts":                &s.Attempts,
-		"retries":                 &s.Retries,
-		"tokens.delivered":        &s.TokensDelivered,
-		"answers.resumed":         &s.AnswersResumed,
-		"claims.taken":            &s.ClaimsTaken,
-		"claims.replayed":         &s.ClaimsReplayed,
-		"claims.unresolved":       &s.ClaimsUnresolved,
-		"table.reads":             &s.TableReads,
-		"table.commits":           &s.TableCommits,
-		"table.unknown":           &s.TableUnknown,
-		"configuration.applied":   &s.ConfigApplied,
-		"configuration.conflicts": &s.ConfigConflicts,
-		"leases.acquired":         &s.LeasesAcquired,
-		"leases.lost":             &s.LeasesLost,
-		"samples.finished":        &s.SamplesFinished,
-		"samples.too_old":         &s.SamplesTooOld,
-		"samples.moved":           &s.SamplesMoved,
-		"samples.canceled":        &s.SamplesCanceled,
-		"steps.committed":         &s.StepsCommitted,
-		"batches.served":          &s.BatchesServed,
-		"weights.orders":          &s.WeightOrders,
-		"weights.failed":          &s.WeightSwapsFailed,
-		"heartbeats.sent":         &s.HeartbeatsSent,
-		"heartbeats.received":     &s.HeartbeatsReceived,
-		"heartbeats.missed":       &s.HeartbeatsMissed,
-		"vm_list.failures":        &s.VMListFailures,
+		"requests.accepted":        &s.RequestsAccepted,
+		"requests.refused":         &s.RequestsRefused,
+		"requests.failed":          &s.RequestsFailed,
+		"attempts":                 &s.Attempts,
+		"retries":                  &s.Retries,
+		"tokens.delivered":         &s.TokensDelivered,
+		"answers.resumed":          &s.AnswersResumed,
+		"claims.taken":             &s.ClaimsTaken,
+		"claims.replayed":          &s.ClaimsReplayed,
+		"claims.unresolved":        &s.ClaimsUnresolved,
+		"table.reads":              &s.TableReads,
+		"table.commits":            &s.TableCommits,
+		"table.unknown":            &s.TableUnknown,
+		"configuration.applied":    &s.ConfigApplied,
+		"configuration.conflicts":  &s.ConfigConflicts,
+		"leases.acquired":          &s.LeasesAcquired,
+		"leases.lost":              &s.LeasesLost,
+		"samples.finished":         &s.SamplesFinished,
+		"samples.too_old":          &s.SamplesTooOld,
+		"samples.moved":            &s.SamplesMoved,
+		"samples.generated":        &s.SamplesGenerated,
+		"samples.delivered":        &s.SamplesDelivered,
+		"samples.generated_tokens": &s.TokensOfGenerated,
+		"samples.delivered_tokens": &s.TokensOfDelivered,
+		"samples.canceled":         &s.SamplesCanceled,
+		"steps.committed":          &s.StepsCommitted,
+		"batches.served":           &s.BatchesServed,
+		"weights.orders":           &s.WeightOrders,
+		"weights.failed":           &s.WeightSwapsFailed,
+		"heartbeats.sent":          &s.HeartbeatsSent,
+		"heartbeats.received":      &s.HeartbeatsReceived,
+		"heartbeats.missed":        &s.HeartbeatsMissed,
+		"vm_list.failures":         &s.VMListFailures,
 	}
 }
