Ignore readings of a deployment's rows that are stale

Cause: a coordinator whose commit was refused loads its rows again at every lease tick until they arrive; a reading that began before a step was fixed could arrive after it and set the delivery row back. Seen as a flaky TestStepsAreDeliveredOnceUnderFaults/step's_commit_refused: step_conflict, step 2 asked for, the next is 1 (1 of 5 runs). Ruled out: the commit itself (its conditions would have refused it). Change: a reading carries the number of the reload it answers; it is taken only if the rows are still missing and no reload came since.

--- a/internal/app/coordinator.go
+++ b/internal/app/coordinator.go
@@ -37,8 +37,8 @@
 }
 
 func (s *Service) coordinate(deployment *core.Deployment, holding lease.Holding) {
-	if s.rollouts.Open(deployment.Name, holding.Fence) {
-		s.loadRollout(deployment, holding.Fence)
+	if load, needed := s.rollouts.Open(deployment.Name, holding.Fence); needed {
+		s.loadRollout(deployment, load)
 		return
 	}
 	s.orderWeights(deployment, holding)
@@ -60,7 +60,7 @@
 
 // loadRollout reads what a new coordinator needs: the delivery row, the newest
 // weight version and the prompts.
-func (s *Service) loadRollout(deployment *core.Deployment, fence core.Fence) {
+func (s *Service) loadRollout(deployment *core.Deployment, load tables.RolloutLoad) {
 	s.onLane(s.lanes.table, func(ctx context.Context) {
 		deliveryKey, _ := delivery.Keys(deployment.Name, 0)
 		rows, err := s.read(ctx, deliveryKey, weightKey(deployment.Name))
@@ -69,13 +69,13 @@
 		}
 		body, err := s.ports.Objects.Get(ctx, deployment.Rollout.Prompts)
 		if err != nil {
-			s.promptsMissing(deployment, fence, err)
+			s.promptsMissing(deployment, load.Fence, err)
 			return
 		}
 		if record, ok := rows[1].Record.(core.WeightRecord); ok {
 			s.learnWeights(deployment.Name, record.Version)
 		}
-		closed := s.rollouts.Load(deployment.Name, fence, rows[0], splitPrompts(body))
+		closed := s.rollouts.Load(deployment.Name, load, rows[0], splitPrompts(body))
 		s.cancelRuns(deployment.Name, closed)
 	})
 }
--- a/internal/tables/rollouts.go
+++ b/internal/tables/rollouts.go
@@ -13,6 +13,7 @@
 type rolloutRow struct {
 	fence    core.Fence
 	loaded   bool
+	reload   int // counts the reloads; a read that began before the last one is stale
 	delivery core.Row
 	book     *rollout.Book
 	busy     bool   // a batch is being fixed
@@ -40,19 +41,26 @@
 	}
 }
 
+// RolloutLoad names one reading of a deployment's rows, so that a stale one is
+// not taken.
+type RolloutLoad struct {
+	Fence  core.Fence
+	Reload int
+}
+
 // Open starts a deployment's work under a fencing number. It returns true when
 // the rows must be loaded. Work under an older number is dropped.
-func (t *Rollouts) Open(name core.DeploymentName, fence core.Fence) (load bool) {
+func (t *Rollouts) Open(name core.DeploymentName, fence core.Fence) (load RolloutLoad, needed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row := t.rows[name]
 	if row != nil && row.fence == fence {
-		return !row.loaded
+		return RolloutLoad{fence, row.reload}, !row.loaded
 	}
 	t.opened++
 	t.rows[name] = &rolloutRow{fence: fence, book: rollout.NewBook(t.opened * runsPerOpening)}
 	t.notify(name)
-	return true
+	return RolloutLoad{Fence: fence}, true
 }
 
 // Close drops a deployment's work. It returns the runs under way.
@@ -68,13 +76,14 @@
 	return row.book.Running()
 }
 
-// Load takes the delivery row and the prompts of a deployment. It returns the
-// runs of groups that can no longer be delivered.
-func (t *Rollouts) Load(name core.DeploymentName, fence core.Fence, deliveryRow core.Row, prompts []string) []rollout.Work {
+// Load takes the delivery row and the prompts of a deployment, unless they were
+// loaded or asked for again since the reading began. It returns the runs of
+// groups that can no longer be delivered.
+func (t *Rollouts) Load(name core.DeploymentName, load RolloutLoad, deliveryRow core.Row, prompts []string) []rollout.Work {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	row := t.at(name, fence)
-	if row == nil {
+	row := t.at(name, load.Fence)
+	if row == nil || row.loaded || row.reload != load.Reload {
 		return nil
 	}
 	record, _ := deliveryRow.Record.(core.DeliveryRecord)
@@ -231,6 +240,7 @@
 	defer t.mu.Unlock()
 	if row := t.at(name, fence); row != nil {
 		row.loaded = false
+		row.reload++
 	}
 }
 
