Bound the configuration reads of a fleet

Cause: every process read the head of the configuration chain in every poll interval, one second by default: 610 reads a second at 610 processes, of a budget of about two thousand, while news comes by heartbeat anyway.

Ruled out: a longer interval for all, which would delay a small site whose publisher dies before it spreads the news; a fixed set of readers, which must be agreed on and is empty for a while when its processes are lost.

Change: beyond 32 live processes each reads with the probability that keeps the fleet at 32 reads an interval. Who sees a newer generation spreads it. A process without a configuration, and every process of a small fleet, reads as before; one that is cut off from the others sees fewer live members and reads more often.

Conclusion: reads no longer grow with the processes.

--- a/internal/app/configuration.go
+++ b/internal/app/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"strings"
 
@@ -77,9 +78,20 @@
 	return err
 }
 
-// pollConfiguration reads the head of the configuration chain and fetches a
-// newer configuration. News from peers usually come first.
+// pollConfiguration reads the head of the configuration chain, when it is this
+// process's turn, and fetches a newer configuration. News from peers usually
+// come first.
 func (s *Service) pollConfiguration() {
+	inForce, live := s.configuration.InForce().Generation, len(s.members.Live())
+	turn := false
+	s.random.With(func(random *rand.Rand) { turn = configuration.PollNow(inForce, live, random) })
+	if turn {
+		s.readConfiguration()
+	}
+}
+
+// readConfiguration reads the head of the chain and fetches a newer configuration.
+func (s *Service) readConfiguration() {
 	s.onLane(s.lanes.table, func(ctx context.Context) {
 		rows, err := s.read(ctx, configuration.Head)
 		if err != nil {
