--- /dev/null
+++ b/internal/core/routing/capacity_test.go
@@ -0,0 +1,36 @@
+package routing
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// BenchmarkFleetState reports the heap of one server in the routing state and
+// the time of what is done for all servers now and then.
+func BenchmarkFleetState(b *testing.B) {
+	for _, servers := range sizes {
+		before := heapBytes()
+		state, random := loadedState(servers)
+		perServer := (heapBytes() - before) / float64(servers)
+		b.Run(fmt.Sprintf("views/servers=%d", servers), func(b *testing.B) {
+			for range b.N {
+				state.Views()
+			}
+			b.ReportMetric(perServer, "heap-B/server")
+		})
+		b.Run(fmt.Sprintf("sweep/servers=%d", servers), func(b *testing.B) {
+			for range b.N {
+				state.Sweep(epoch.Add(time.Second), random)
+			}
+		})
+	}
+}
+
+func heapBytes() float64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
--- /dev/null
+++ b/internal/tables/capacity_test.go
@@ -0,0 +1,116 @@
+package tables
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/core/admission"
+	"fescuespar/internal/core/claim"
+)
+
+// The benchmarks of this file measure slopes of docs/CAPACITY.md.
+
+func heap() float64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
+// BenchmarkAnswerMemory reports the heap of one kept answer for its tokens and
+// for the number of answers.
+func BenchmarkAnswerMemory(b *testing.B) {
+	for _, c := range []struct{ answers, tokens int }{
+		{1000, 32}, {1000, 128}, {1000, 512}, {1000, 2048}, {4000, 295}, {16000, 295},
+	} {
+		b.Run(fmt.Sprintf("answers=%d/tokens=%d", c.answers, c.tokens), func(b *testing.B) {
+			before, table := heap(), NewAnswers(c.answers)
+			for i := range c.answers {
+				keepAnswer(b, table, AnswerKey{Caller: "family", ID: core.RequestID(fmt.Sprint("entry-1.1.", i))}, c.tokens)
+			}
+			b.ReportMetric((heap()-before)/float64(c.answers), "heap-B/answer")
+			runtime.KeepAlive(table)
+		})
+	}
+}
+
+func keepAnswer(b *testing.B, table *Answers, key AnswerKey, tokens int) {
+	source := core.AnswerSource{Server: "engine-1", Attempt: "entry-1.1.1"}
+	if _, err := table.Begin(key, 0); err != nil {
+		b.Fatal(err)
+	}
+	if _, _, err := table.StartAttempt(key, source); err != nil {
+		b.Fatal(err)
+	}
+	for offset := range tokens {
+		chunk := core.Chunk{Offset: offset, Tokens: []string{strings.Clone("token")}, Version: 1}
+		if err := table.Append(key, source, chunk); err != nil {
+			b.Fatal(err)
+		}
+	}
+	if err := table.Finish(key, source, core.StreamEnd{Finish: core.FinishStop, Tokens: tokens}, time.Now()); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// BenchmarkClaimMemory reports the heap of one claim that waits for a commit.
+func BenchmarkClaimMemory(b *testing.B) {
+	for _, claims := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprintf("claims=%d", claims), func(b *testing.B) {
+			before, table := heap(), NewCommits()
+			for i := range claims {
+				key := claim.Key("donor", "desk", core.IdempotencyKey(fmt.Sprintf("%036d", i)))
+				request := claim.Request{Key: key, Fingerprint: uint64(i), TakenAt: time.Now()}
+				owner := claim.Owner{VM: "entry-1", Incarnation: 1}
+				commit := claim.Plan(core.Row{Key: key}, request, owner, core.AttemptID(fmt.Sprint(i))).Commit
+				table.Enqueue(commit, func(CommitOutcome) {})
+			}
+			b.ReportMetric((heap()-before)/float64(claims), "heap-B/claim")
+			runtime.KeepAlive(table)
+		})
+	}
+}
+
+// BenchmarkLimitsFleet reports the heap of a deployment's limit and the time of
+// one refresh of nine deployments for the number of entry processes.
+func BenchmarkLimitsFleet(b *testing.B) {
+	const deployments = 9
+	timing := admission.ShareTiming{Borrowed: 30 * time.Second, Gone: 35 * time.Second, Settle: 2 * time.Second}
+	for _, members := range []int{10, 100, 610} {
+		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
+			now := time.Unix(1_000_000, 0)
+			before, table := heap(), NewLimits("entry-0", 1, timing)
+			fillLimits(b, table, deployments, members, now)
+			perDeployment := (heap() - before) / deployments
+			b.ResetTimer()
+			for range b.N {
+				table.Refresh(now)
+			}
+			b.ReportMetric(perDeployment, "heap-B/deployment")
+		})
+	}
+}
+
+func fillLimits(b *testing.B, table *Limits, deployments, members int, now time.Time) {
+	vms := make([]core.VMID, members)
+	for i := range vms {
+		vms[i] = core.VMID(fmt.Sprint("entry-", i))
+	}
+	table.ApplyListed(vms, now)
+	for i := range deployments {
+		deployment := &core.Deployment{
+			Name: core.DeploymentName(fmt.Sprint("coach-", i)), Limits: core.Limits{Concurrent: 20000, QueueLength: 20000},
+		}
+		request := &admission.Request[Ready]{Caller: "family", Class: core.ClassPeople, Cost: 1, Payload: func(error) {}}
+		if _, err := table.Admit(deployment, request, now); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for _, vm := range vms[1:] {
+		table.Heard(vm, table.News(vm, now), now, now)
+	}
+}
