Count listed processes once a list in a share of a limit

Cause: every refresh of a deployment's limit, ten a second, counted all entry VMs of the platform's list and looked each peer up in it.

Ruled out: fewer refreshes, which would delay requests that wait for a loan.

Change: ApplyListed counts the listed processes and marks which peers are listed; Tick visits the peers only. Decisions are unchanged; the existing tests of shares hold.

The rest still grows with the peers heard.

--- a/internal/core/admission/share.go
+++ b/internal/core/admission/share.go
@@ -33,6 +33,7 @@
 	held     int
 	heard    time.Time // when the peer's news came last
 	answered time.Time // when the newest heartbeat that the peer answered was sent
+	listed   bool      // the peer is in the platform's list
 }
 
 // net is what this process holds of the peer's part; negative when it lent.
@@ -48,6 +49,8 @@
 	timing    ShareTiming
 	limit     int
 	listed    []core.VMID // entry VMs in the platform's list, sorted
+	others    int         // listed ones but this process
+	before    int         // of the others, those that sort before this process
 	peers     map[core.VMID]*account
 	members   int // processes that share the limit, this one included
 	part      int // this process's own part
@@ -89,9 +92,23 @@
 func (s *Share) ApplyListed(vms []core.VMID, now time.Time) {
 	s.listed = append(s.listed[:0], vms...)
 	slices.Sort(s.listed)
+	at, found := slices.BinarySearch(s.listed, s.self)
+	s.before = at
+	s.others = len(s.listed)
+	if found {
+		s.others--
+	}
+	for vm, a := range s.peers {
+		a.listed = s.isListed(vm)
+	}
 	s.Tick(now)
 }
 
+func (s *Share) isListed(vm core.VMID) bool {
+	_, found := slices.BinarySearch(s.listed, vm)
+	return found
+}
+
 // Tick forgets peers that were silent for too long and adapts the own part: a
 // smaller one at once, a larger one when the members have stayed the same.
 func (s *Share) Tick(now time.Time) {
@@ -102,7 +119,7 @@
 		if a.given != 0 || a.received != 0 {
 			s.reset(a)
 		}
-		if _, listed := slices.BinarySearch(s.listed, vm); !listed {
+		if !a.listed {
 			delete(s.peers, vm)
 		}
 	}
@@ -119,24 +136,16 @@
 
 // ownPart divides the limit by the members; the first in order get the rest.
 func (s *Share) ownPart() int {
-	members := 1
-	before := 0
-	count := func(vm core.VMID) {
+	members, before := 1+s.others, s.before
+	for vm, a := range s.peers {
+		if a.listed {
+			continue
+		}
 		members++
 		if vm < s.self {
 			before++
 		}
 	}
-	for _, vm := range s.listed {
-		if vm != s.self {
-			count(vm)
-		}
-	}
-	for vm := range s.peers {
-		if _, listed := slices.BinarySearch(s.listed, vm); !listed {
-			count(vm)
-		}
-	}
 	s.members = members
 	part := s.limit / members
 	if before < s.limit%members {
@@ -169,7 +178,7 @@
 func (s *Share) Heard(peer core.VMID, news core.LimitNews, now time.Time) {
 	a := s.peers[peer]
 	if a == nil {
-		a = &account{theirs: news.Epoch}
+		a = &account{theirs: news.Epoch, listed: s.isListed(peer)}
 		s.reset(a)
 		s.peers[peer] = a
 	}
