Find lease candidates without sorting all members

Cause: four times a second and for each deployment every process copied and sorted all live members, hashing two names at each comparison.

Ruled out: a cache of the order, which needs its own invalidation.

Change: the live members are copied once a tick; a process is a candidate when fewer than three others come before it, and looks no further than the third. The candidates are the same.

--- a/internal/app/leases.go
+++ b/internal/app/leases.go
@@ -1,10 +1,8 @@
 package app
 
 import (
-	"cmp"
 	"context"
 	"hash/fnv"
-	"slices"
 
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/lease"
@@ -40,9 +38,10 @@
 // drops those that it no longer needs.
 func (s *Service) tendLeases() {
 	wanted := make(map[string]bool)
+	live := s.members.Live()
 	for _, deployment := range s.configuration.InForce().Deployments {
 		name := leaseName(deployment.Name)
-		if deployment.Rollout != nil && s.isCandidate(name) {
+		if deployment.Rollout != nil && s.isCandidate(name, live) {
 			wanted[name] = true
 			s.leases.Follow(name)
 		}
@@ -58,20 +57,20 @@
 
 // isCandidate reports whether this process is among the first live ones in the
 // lease's own order of all processes (rendezvous hashing).
-func (s *Service) isCandidate(name string) bool {
+func (s *Service) isCandidate(name string, live []core.Member) bool {
 	if !s.servesNewWork() {
 		return false
 	}
-	members := s.members.Live()
-	slices.SortFunc(members, func(a, b core.Member) int {
-		return cmp.Compare(rendezvous(name, a.VM), rendezvous(name, b.VM))
-	})
-	for i := range min(leaseCandidates, len(members)) {
-		if members[i].VM == s.options.Self.VM {
-			return true
+	own, ahead := rendezvous(name, s.options.Self.VM), 0
+	for i := range live {
+		if rendezvous(name, live[i].VM) < own {
+			ahead++
+		}
+		if ahead == leaseCandidates {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 func rendezvous(name string, vm core.VMID) uint64 {
