Measure an idle fleet, takeovers, changes and the cost of work

Cause: the capacity page needs the table service's reads and writes, processor time and memory over fleets of 10 to 610 instances, with baselines in the same run.

Change: benchmarks over instances in one process with the in-process ports of the application's tests, which take a size, deployments, intervals and wrapped ports. They run by name only, with -benchtime 1x.

--- /dev/null
+++ b/internal/app/capacity_test.go
@@ -0,0 +1,428 @@
+package app_test
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"fescuespar/internal/adapters/settings"
+	"fescuespar/internal/app"
+	"fescuespar/internal/core"
+	"fescuespar/internal/core/claim"
+	"fescuespar/internal/ports/porttest"
+)
+
+// The benchmarks of this file measure the slopes of docs/CAPACITY.md. They run
+// by name only, with -benchtime 1x, and take up to some minutes.
+
+// fleetSizes are the sizes over which slopes are measured.
+var fleetSizes = []int{10, 30, 100}
+
+// largeFleetSizes are those of the benchmarks that stay cheap for each
+// instance; the last is the two-year size.
+var largeFleetSizes = []int{10, 30, 100, 300, 610}
+
+// benchMax bounds one benchmark.
+const benchMax = 5 * time.Minute
+
+// productTiming sets the intervals that hold when the settings name none.
+func productTiming(options *app.Options) {
+	d := settings.Defaults().Intervals
+	options.VMListEvery, options.StatusEvery, options.ConfigEvery = d.VMListPoll, d.EngineStatusPoll, d.ConfigurationPoll
+	options.LeaseTerm, options.LeaseRenewal, options.OrderTimeout = d.LeaseTerm, d.LeaseRenewal, d.OrderTimeout
+	options.AddressKeep, options.AnswerKeep = d.AddressKeep, d.AnswerKeep
+}
+
+// quietTiming keeps all but the leases from asking the platform.
+func quietTiming(options *app.Options) {
+	productTiming(options)
+	options.VMListEvery, options.ConfigEvery = 10*time.Second, time.Hour
+	options.LeaseTerm, options.LeaseRenewal = time.Minute, time.Second
+}
+
+// blank is an object without prompts: its rollouts plan no samples.
+const blank core.ObjectKey = "blank"
+
+// idleRollouts returns deployments that have a lease each and plan no samples.
+func idleRollouts(number int) []core.Deployment {
+	deployments := make([]core.Deployment, number)
+	for i := range deployments {
+		deployments[i] = testDeployments[1]
+		deployments[i].Name = core.DeploymentName(fmt.Sprint("coach-", i))
+		deployments[i].Adapter = core.AdapterName(fmt.Sprint("adapter-", i))
+		rollout := *testDeployments[1].Rollout
+		rollout.Prompts = blank
+		deployments[i].Rollout = &rollout
+	}
+	return deployments
+}
+
+func measured(b *testing.B, size int, deployments []core.Deployment, timing func(*app.Options)) (*cluster, *ledger) {
+	l := &ledger{}
+	c := newSizedCluster(b, clusterOptions{
+		size: size, bound: benchMax, deployments: deployments, timing: timing, outside: l.wrap,
+	})
+	if err := c.objects.Put(c.ctx, blank, []byte("\n")); err != nil {
+		b.Fatal(err)
+	}
+	c.listEntries()
+	c.await("all members known everywhere", func() bool {
+		for _, s := range c.services {
+			if len(s.Status().Members) < size {
+				return false
+			}
+		}
+		return true
+	})
+	return c, l
+}
+
+// listEntries adds the entry VMs to the VM list.
+func (c *cluster) listEntries() {
+	list := slices.Clone(backendServers)
+	for i := range c.services {
+		list = append(list, core.VM{
+			ID: core.ServerID(fmt.Sprint("entry-", i+1)), Kind: core.KindEntry,
+			Address: fmt.Sprint("peer-", i+1), Zone: "z1", Region: "r", State: core.VMLive,
+		})
+	}
+	c.vms.Set(list...)
+}
+
+func heap() float64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		panic(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func heartbeats(c *cluster) (total float64) {
+	for _, s := range c.services {
+		total += float64(s.Metrics().HeartbeatsSent.Count())
+	}
+	return total
+}
+
+// idleWindow is for how long an idle fleet is watched.
+const idleWindow = 10 * time.Second
+
+// BenchmarkIdle reports what an idle fleet with nine leases asks of the
+// platform, and of the machine for each instance.
+func BenchmarkIdle(b *testing.B) {
+	for _, size := range largeFleetSizes {
+		b.Run(fmt.Sprintf("instances=%d", size), func(b *testing.B) {
+			heapBefore, goroutinesBefore := heap(), runtime.NumGoroutine()
+			c, l := measured(b, size, idleRollouts(9), productTiming)
+			c.owner()
+			b.ReportMetric((heap()-heapBefore)/float64(size), "heap-B/instance")
+			b.ReportMetric(float64(runtime.NumGoroutine()-goroutinesBefore)/float64(size), "goroutines/instance")
+			before, beats, used, start := l.figures(), heartbeats(c), processorTime(), time.Now()
+			<-time.After(idleWindow)
+			after, seconds := l.figures(), time.Since(start).Seconds()
+			b.ReportMetric((processorTime()-used).Seconds()/seconds/float64(size)*1e6, "cpu-us/s/instance")
+			b.ReportMetric((heartbeats(c)-beats)/seconds/float64(size), "heartbeats/s/instance")
+			b.ReportMetric((after.reads-before.reads)/seconds, "reads/s")
+			b.ReportMetric((after.configReads-before.configReads)/seconds, "config-reads/s")
+			b.ReportMetric((after.leaseReads-before.leaseReads)/seconds, "lease-reads/s")
+			b.ReportMetric((after.commits-before.commits)/seconds, "commits/s")
+			b.ReportMetric((after.vmLists-before.vmLists)/seconds, "vm-lists/s")
+			b.ReportMetric((after.statuses-before.statuses)/seconds, "statuses/s")
+		})
+	}
+}
+
+// BenchmarkLeases reports the reads and commits of leases for their number.
+func BenchmarkLeases(b *testing.B) {
+	for _, leases := range []int{1, 3, 9, 27} {
+		b.Run(fmt.Sprintf("leases=%d", leases), func(b *testing.B) {
+			_, l := measured(b, 10, idleRollouts(leases), productTiming)
+			<-time.After(2 * time.Second)
+			before, start := l.figures(), time.Now()
+			<-time.After(idleWindow)
+			after, seconds := l.figures(), time.Since(start).Seconds()
+			b.ReportMetric((after.leaseReads-before.leaseReads)/seconds/float64(leases), "reads/s/lease")
+			b.ReportMetric((after.leaseCommits-before.leaseCommits)/seconds/float64(leases), "commits/s/lease")
+		})
+	}
+}
+
+// BenchmarkConfigurationChange reports the time from publish to in force at
+// every instance and what a change asks of the platform. The baseline is that
+// each instance reads the row and the object of each change.
+func BenchmarkConfigurationChange(b *testing.B) {
+	const changes = 10
+	for _, size := range largeFleetSizes {
+		b.Run(fmt.Sprintf("instances=%d", size), func(b *testing.B) {
+			c, l := measured(b, size, idleRollouts(1), func(options *app.Options) {
+				productTiming(options)
+				options.ConfigEvery = time.Hour
+			})
+			before := l.figures()
+			var total, longest time.Duration
+			for change := range changes {
+				start := time.Now()
+				base := core.Generation(change + 1)
+				if _, err := c.services[change%size].Publish(c.ctx, "op", base, c.options.deployments); err != nil {
+					b.Fatal(err)
+				}
+				c.awaitGeneration(base + 1)
+				took := time.Since(start)
+				total, longest = total+took, max(longest, took)
+			}
+			after := l.figures()
+			b.ReportMetric(total.Seconds()/changes*1000, "mean-ms")
+			b.ReportMetric(longest.Seconds()*1000, "longest-ms")
+			b.ReportMetric((after.reads-before.reads-after.leaseReads+before.leaseReads)/changes, "reads/change")
+			b.ReportMetric((after.commits-before.commits-after.leaseCommits+before.leaseCommits)/changes, "commits/change")
+			b.ReportMetric((after.puts-before.puts+after.gets-before.gets)/changes, "objects/change")
+			b.ReportMetric((after.configFetches-before.configFetches)/changes, "peer-fetches/change")
+			b.ReportMetric(float64(2*size), "baseline-reads/change")
+		})
+	}
+}
+
+// BenchmarkStart reports the time in which one more instance has the
+// configuration and the servers, and what its start asks of the platform.
+func BenchmarkStart(b *testing.B) {
+	const starts = 5
+	for _, size := range fleetSizes {
+		b.Run(fmt.Sprintf("instances=%d", size), func(b *testing.B) {
+			c, l := measured(b, size, testDeployments[:1], func(options *app.Options) {
+				productTiming(options)
+				options.ConfigEvery = time.Hour
+			})
+			before, start := l.figures(), time.Now()
+			for range starts {
+				started := c.add()
+				c.await("a started instance that can serve", func() bool {
+					return started.Configuration().Generation > 0 && len(started.State().(app.State).Servers) > 0
+				})
+			}
+			after := l.figures()
+			b.ReportMetric(time.Since(start).Seconds()/starts*1000, "ms/start")
+			b.ReportMetric((after.reads-before.reads)/starts, "reads/start")
+			b.ReportMetric((after.commits-before.commits)/starts, "commits/start")
+			b.ReportMetric((after.gets-before.gets)/starts, "objects/start")
+			b.ReportMetric((after.configFetches-before.configFetches)/starts, "peer-fetches/start")
+		})
+	}
+}
+
+// BenchmarkTakeover reports the time from a cut of the coordinator to the lease
+// being held by another instance.
+func BenchmarkTakeover(b *testing.B) {
+	const cuts = 3
+	for _, size := range fleetSizes {
+		b.Run(fmt.Sprintf("instances=%d", size), func(b *testing.B) {
+			c, l := measured(b, size, idleRollouts(1), productTiming)
+			var total, longest time.Duration
+			var reads, commits float64
+			for range cuts {
+				_, address := c.owner()
+				before, start := l.figures(), time.Now()
+				c.network.setCut(address, true)
+				c.owner()
+				took, after := time.Since(start), l.figures()
+				total, longest = total+took, max(longest, took)
+				reads += after.leaseReads - before.leaseReads
+				commits += after.leaseCommits - before.leaseCommits
+				c.network.setCut(address, false)
+			}
+			b.ReportMetric(total.Seconds()/cuts, "mean-s")
+			b.ReportMetric(longest.Seconds(), "longest-s")
+			b.ReportMetric(reads/cuts, "reads/takeover")
+			b.ReportMetric(commits/cuts, "commits/takeover")
+		})
+	}
+}
+
+// held returns how many leases instances that are not cut off hold.
+func (c *cluster) held() int {
+	held := 0
+	for i, s := range c.services {
+		if c.network.isCut(fmt.Sprintf("peer-%d", i+1)) {
+			continue
+		}
+		for _, l := range s.State().(app.State).Leases {
+			if l.Held {
+				held++
+			}
+		}
+	}
+	return held
+}
+
+// BenchmarkZoneLoss cuts a third of twelve instances off at once and reports
+// the time until all leases are held by the rest, and the calls in that time.
+func BenchmarkZoneLoss(b *testing.B) {
+	const size, lost = 12, 4
+	for _, leases := range []int{3, 9, 27} {
+		b.Run(fmt.Sprintf("leases=%d", leases), func(b *testing.B) {
+			c, l := measured(b, size, idleRollouts(leases), productTiming)
+			c.await("all leases held", func() bool { return c.held() == leases })
+			for i := range lost {
+				c.network.setCut(fmt.Sprintf("peer-%d", i+1), true)
+			}
+			left := c.held()
+			before, start := l.figures(), time.Now()
+			c.await("all leases held again", func() bool { return c.held() == leases })
+			after, took := l.figures(), time.Since(start).Seconds()
+			b.ReportMetric(took, "s")
+			b.ReportMetric(float64(leases-left), "leases-lost")
+			b.ReportMetric((after.leaseReads-before.leaseReads)/took, "lease-reads/s")
+			b.ReportMetric((after.leaseCommits-before.leaseCommits)/took, "lease-commits/s")
+		})
+	}
+}
+
+// BenchmarkStepCost reports what a sample asks of the platform for the size of
+// its step, and the same for the baseline of one write for each sample.
+func BenchmarkStepCost(b *testing.B) {
+	const steps = 3
+	for _, groups := range []int{8, 64, 512} {
+		b.Run(fmt.Sprintf("samples=%d", 2*groups), func(b *testing.B) {
+			deployments := []core.Deployment{testDeployments[1]}
+			rollout := *testDeployments[1].Rollout
+			rollout.GroupsPerStep = groups
+			deployments[0].Rollout = &rollout
+			c, l := measured(b, 1, deployments, func(options *app.Options) {
+				quietTiming(options)
+				options.LeaseRenewal = 100 * time.Millisecond
+				options.Streams = app.LaneOptions{InFlight: 1024, Waiting: 8192}
+			})
+			tr := newTrainer(c)
+			tr.step(1)
+			before, start := l.figures(), time.Now()
+			for step := range core.Step(steps) {
+				tr.publish(core.WeightVersion(step + 2))
+				tr.fetch(step+2, core.WeightVersion(step+2))
+			}
+			after, samples := l.figures(), float64(steps*2*groups)
+			leases := after.leaseReads - before.leaseReads
+			renewals := after.leaseCommits - before.leaseCommits
+			b.ReportMetric(time.Since(start).Seconds()/steps, "s/step")
+			b.ReportMetric((after.reads-before.reads-leases)/steps, "reads/step")
+			b.ReportMetric((after.commits-before.commits-renewals)/steps, "commits/step")
+			b.ReportMetric((after.commits-before.commits-renewals)/samples, "commits/sample")
+			b.ReportMetric((after.puts-before.puts+after.gets-before.gets)/steps, "objects/step")
+			b.ReportMetric((after.putBytes-before.putBytes)/samples, "object-B/sample")
+			b.ReportMetric(writeEach(c.ctx, int(samples))/samples, "baseline-commits/sample")
+		})
+	}
+}
+
+// writeEach inserts a row for each sample and returns the commits counted.
+func writeEach(ctx context.Context, samples int) float64 {
+	tables := porttest.NewTables()
+	for i := range samples {
+		key := core.RowKey{Table: core.TableStep, ID: fmt.Sprint(i)}
+		commit := core.Commit{
+			Attempt: core.AttemptID(fmt.Sprint(i)), Conditions: []core.Condition{{Key: key}},
+			Writes: []core.Write{{Key: key, Record: core.StepRecord{}}},
+		}
+		if _, err := tables.Commit(ctx, commit); err != nil {
+			panic(err)
+		}
+	}
+	return float64(tables.Counters().CommitsApplied)
+}
+
+// commitTime is how long the table service takes for a commit in BenchmarkOnceCost.
+const commitTime = 5 * time.Millisecond
+
+// BenchmarkOnceCost reports what a non-idempotent request asks of the table
+// service for the number of requests in flight, and the same for the baseline
+// of a read, a claim and an outcome by themselves.
+func BenchmarkOnceCost(b *testing.B) {
+	for _, inFlight := range []int{1, 16, 64, 256} {
+		b.Run(fmt.Sprintf("in-flight=%d", inFlight), func(b *testing.B) {
+			deployments := []core.Deployment{testDeployments[0]}
+			deployments[0].Limits.Concurrent, deployments[0].Limits.QueueLength = 1024, 1024
+			c, l := measured(b, 1, deployments, func(options *app.Options) {
+				quietTiming(options)
+				options.PlainCalls = app.LaneOptions{InFlight: 1024, Waiting: 8192}
+			})
+			l.commitDelay = commitTime
+			requests := 16 * inFlight
+			before, start := l.figures(), time.Now()
+			c.callEach(b, inFlight, requests)
+			c.await("outcomes recorded", func() bool {
+				state := c.services[0].State().(app.State)
+				return state.InFlight == 0 && state.Commits == 0
+			})
+			after := l.figures()
+			b.ReportMetric((after.commits-before.commits)/float64(requests), "commits/request")
+			b.ReportMetric((after.reads-before.reads)/float64(requests), "reads/request")
+			b.ReportMetric(float64(requests)/time.Since(start).Seconds(), "requests/s")
+			reads, commits := claimEach(c.ctx, requests)
+			b.ReportMetric(commits/float64(requests), "baseline-commits/request")
+			b.ReportMetric(reads/float64(requests), "baseline-reads/request")
+		})
+	}
+}
+
+// callEach sends requests with distinct keys, so many at a time.
+func (c *cluster) callEach(b *testing.B, inFlight, requests int) {
+	next := make(chan int)
+	failed := make(chan error, inFlight)
+	for range inFlight {
+		go func() {
+			var first error
+			for i := range next {
+				if _, err := c.services[0].Call(c.ctx, sponsorship(fmt.Sprint("k", i))); err != nil && first == nil {
+					first = err
+				}
+			}
+			failed <- first
+		}()
+	}
+	for i := range requests {
+		next <- i
+	}
+	close(next)
+	for range inFlight {
+		if err := <-failed; err != nil {
+			b.Error(err)
+		}
+	}
+}
+
+// claimEach reads, claims and records each request by itself and returns the
+// reads and commits counted.
+func claimEach(ctx context.Context, requests int) (reads, commits float64) {
+	tables := porttest.NewTables()
+	owner := claim.Owner{VM: "vm", Incarnation: 1}
+	commit := func(c core.Commit) core.RowVersion {
+		result, err := tables.Commit(ctx, c)
+		if err != nil || !result.Applied {
+			panic(fmt.Sprint(err, result))
+		}
+		return result.Version
+	}
+	for i := range requests {
+		key := claim.Key(donor, desk, core.IdempotencyKey(fmt.Sprint(i)))
+		rows, err := tables.Read(ctx, []core.RowKey{key})
+		if err != nil {
+			panic(err)
+		}
+		insert := claim.Plan(rows[0], claim.Request{Key: key, TakenAt: time.Now()}, owner, core.AttemptID(fmt.Sprint("a", i))).Commit
+		version := commit(insert)
+		rowKey, record := claim.Taken(insert)
+		commit(claim.RecordOutcome(rowKey, version, record, core.PlainResponse{}, core.AttemptID(fmt.Sprint("b", i))))
+	}
+	counters := tables.Counters()
+	return float64(counters.ReadCalls), float64(counters.CommitsApplied)
+}
--- a/internal/app/cluster_test.go
+++ b/internal/app/cluster_test.go
@@ -31,8 +31,9 @@
 
 // cluster is some services in one process that share fakes of the outside.
 type cluster struct {
-	t        *testing.T
+	t        testing.TB
 	ctx      context.Context
+	options  clusterOptions
 	tables   *porttest.Tables
 	objects  *porttest.Objects
 	vms      *porttest.VMs
@@ -72,12 +73,27 @@
 	Concurrent: 64, QueueLength: 64, QueueTimeout: 2 * time.Second, RequestTimeout: 3 * time.Second,
 }
 
+// clusterOptions sizes a cluster; the hooks are optional.
+type clusterOptions struct {
+	size        int
+	bound       time.Duration // of the whole test
+	deployments []core.Deployment
+	timing      func(*app.Options) // changes the intervals of every service
+	outside     func(*app.Ports)   // wraps the fakes of the outside
+}
+
 // newCluster starts services and publishes testDeployments.
-func newCluster(t *testing.T, size int) *cluster {
+func newCluster(t testing.TB, size int) *cluster {
+	t.Helper()
+	return newSizedCluster(t, clusterOptions{size: size, bound: testMax, deployments: testDeployments})
+}
+
+// newSizedCluster starts services and publishes their deployments.
+func newSizedCluster(t testing.TB, options clusterOptions) *cluster {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), testMax)
+	ctx, cancel := context.WithTimeout(context.Background(), options.bound)
 	c := &cluster{
-		t: t, ctx: ctx, tables: porttest.NewTables(), objects: porttest.NewObjects(),
+		t: t, ctx: ctx, options: options, tables: porttest.NewTables(), objects: porttest.NewObjects(),
 		vms:    porttest.NewVMs(backendServers...),
 		engine: backendtest.NewEngine(backendtest.EngineOptions{Model: "coach-model", Version: 1}),
 		plain:  backendtest.NewPlain(), scorer: backendtest.NewScorer(),
@@ -92,10 +108,10 @@
 	if err := c.objects.Put(ctx, "prompts", []byte("one\ntwo\nthree\n")); err != nil {
 		t.Fatal(err)
 	}
-	for range size {
+	for range options.size {
 		c.add()
 	}
-	if _, err := c.services[0].Publish(ctx, "op", 0, testDeployments); err != nil {
+	if _, err := c.services[0].Publish(ctx, "op", 0, options.deployments); err != nil {
 		t.Fatal(err)
 	}
 	c.await("generation 1 and servers everywhere", func() bool {
@@ -122,17 +138,26 @@
 		VM: core.VMID(fmt.Sprintf("entry-%d", number)), Incarnation: 1, Zone: "z1", Region: "r",
 		PeerAddress: address, CallAddress: fmt.Sprintf("call-%d", number),
 	}
-	s := app.New(app.Options{
+	settings := app.Options{
 		Self: self, Seeds: seeds, Seed: uint64(number), Workers: 2, QueueLength: 1024,
 		Streams: lane, PlainCalls: lane, Scoring: lane, Table: lane, Peers: lane,
 		AnswerKeep: time.Minute, AddressKeep: 50 * time.Millisecond,
 		VMListEvery: 20 * time.Millisecond, StatusEvery: 20 * time.Millisecond, ConfigEvery: 50 * time.Millisecond,
 		LeaseTerm: 600 * time.Millisecond, LeaseRenewal: 100 * time.Millisecond,
 		OrderTimeout: 100 * time.Millisecond,
-	}, app.Ports{
-		Tables: gate{c.tables, c.network, address}, Objects: c.objects, VMs: c.vms, Engine: c.engine, Plain: c.plain,
+	}
+	outside := app.Ports{
+		Tables: c.tables, Objects: c.objects, VMs: c.vms, Engine: c.engine, Plain: c.plain,
 		Scorer: c.scorer, Bodies: bodycodec.Codec{}, Peers: &endpoint{c.network, address}, Clock: wallClock{},
-	}, zerolog.New(io.Discard))
+	}
+	if c.options.timing != nil {
+		c.options.timing(&settings)
+	}
+	if c.options.outside != nil {
+		c.options.outside(&outside)
+	}
+	outside.Tables = gate{outside.Tables, c.network, address}
+	s := app.New(settings, outside, zerolog.New(io.Discard))
 	c.network.join(address, s)
 	s.Start()
 	c.services = append(c.services, s)
