Measure engines, answers, whole steps and news of limits

Cause: the slopes of engine status polling, of callers' answers, of a step of 8,192 samples in its coordinator and of limits in heartbeats were missing.

Ruled out: extrapolating status polling from routing's own benchmark, which leaves out the calls, timers and lanes around it.

Change: benchmarks by name only. BenchmarkStepCost goes up to 8,192 samples.

--- /dev/null
+++ b/internal/adapters/peerquic/capacity_test.go
@@ -0,0 +1,40 @@
+package peerquic
+
+import (
+	"fmt"
+	"testing"
+
+	"fescuespar/internal/core"
+)
+
+// BenchmarkHeartbeatSize reports the bytes that news of deployments' limits add
+// to a heartbeat.
+func BenchmarkHeartbeatSize(b *testing.B) {
+	empty, err := HeartbeatSize(core.Heartbeat{Sender: fullMember("entry-1")})
+	if err != nil {
+		b.Fatal(err)
+	}
+	for _, deployments := range []int{1, 9, 20, 64} {
+		b.Run(fmt.Sprintf("deployments=%d", deployments), func(b *testing.B) {
+			beat := core.Heartbeat{Sender: fullMember("entry-1")}
+			for i := range deployments {
+				beat.Limits = append(beat.Limits, limitNews(i))
+			}
+			size := 0
+			for b.Loop() {
+				if size, err = HeartbeatSize(beat); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(size-empty)/float64(deployments), "B/deployment")
+		})
+	}
+}
+
+func limitNews(i int) core.LimitNews {
+	epoch := core.AccountEpoch{Incarnation: 1_764_838_000_000, Reset: 40}
+	return core.LimitNews{
+		Deployment: core.DeploymentName(fmt.Sprint("coach-", i)), Epoch: epoch, Seen: epoch,
+		Given: 300, Demand: 40, Held: 33,
+	}
+}
--- a/internal/app/capacity_test.go
+++ b/internal/app/capacity_test.go
@@ -288,11 +288,101 @@
 	}
 }
 
+// BenchmarkEngines reports what engines cost one instance that polls them, and
+// the time from a published weight version to all of them being seen to hold it.
+func BenchmarkEngines(b *testing.B) {
+	const name core.DeploymentName = "coach"
+	for _, engines := range []int{100, 1000, 6100} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			deployments := []core.Deployment{testDeployments[1]}
+			rollout := *testDeployments[1].Rollout
+			rollout.Prompts = blank
+			deployments[0].Rollout = &rollout
+			c, l := measured(b, 1, deployments, productTiming)
+			list := make([]core.VM, engines)
+			for i := range list {
+				list[i] = backendServers[0]
+				list[i].ID = core.ServerID(fmt.Sprint("engine-", i))
+			}
+			heapBefore := heap()
+			c.vms.Set(list...)
+			c.await("all engines report", func() bool { return c.enginesAt(1) == engines })
+			b.ReportMetric((heap()-heapBefore)/float64(engines), "heap-B/engine")
+			before, used, start := l.figures(), processorTime(), time.Now()
+			<-time.After(idleWindow)
+			after, seconds := l.figures(), time.Since(start).Seconds()
+			b.ReportMetric((processorTime()-used).Seconds()/seconds*1e6, "cpu-us/s")
+			b.ReportMetric((after.statuses-before.statuses)/seconds, "statuses/s")
+			start = time.Now()
+			if err := c.services[0].PublishWeights(c.ctx, coach, name, 2); err != nil {
+				b.Fatal(err)
+			}
+			c.await("the weights on all engines", func() bool { return c.enginesAt(2) == engines })
+			b.ReportMetric(time.Since(start).Seconds(), "rollout-s")
+			b.ReportMetric(float64(c.services[0].Metrics().WeightOrders.Count())/float64(engines), "orders/engine")
+		})
+	}
+}
+
+// enginesAt counts the engines that the first service has seen at a version.
+func (c *cluster) enginesAt(version core.WeightVersion) (count int) {
+	for _, view := range c.services[0].State().(app.State).Servers {
+		if view.Status.Version == version {
+			count++
+		}
+	}
+	return count
+}
+
+// BenchmarkCompletion reports the processor time of whole answers of one chunk
+// for each token, from the service to the fake engine and back, without HTTP.
+func BenchmarkCompletion(b *testing.B) {
+	const callers, answers = 16, 20
+	for _, tokens := range []int{32, 128, 512} {
+		b.Run(fmt.Sprintf("tokens=%d", tokens), func(b *testing.B) {
+			c, _ := measured(b, 1, testDeployments[1:], quietTiming)
+			used := processorTime()
+			ended := make(chan error)
+			for caller := range callers {
+				go func() { ended <- c.complete(caller, answers, tokens) }()
+			}
+			for range callers {
+				if err := <-ended; err != nil {
+					b.Error(err)
+				}
+			}
+			b.ReportMetric(float64((processorTime()-used).Microseconds())/(callers*answers), "cpu-us/answer")
+		})
+	}
+}
+
+// complete runs answers one after the other and reads each to its end.
+func (c *cluster) complete(caller, answers, tokens int) error {
+	for number := range answers {
+		request := completion(core.RequestID(fmt.Sprintf("r%d.%d", caller, number)))
+		request.MaxTokens, request.Class = tokens, core.ClassPeople
+		if err := c.services[0].Complete(c.ctx, request, nil); err != nil {
+			return err
+		}
+		for offset, whole := 0, false; !whole; {
+			part, err := c.services[0].ReadAnswer(c.ctx, donor, request.ID, offset)
+			if err != nil {
+				return err
+			}
+			for _, chunk := range part.Chunks {
+				offset += len(chunk.Tokens)
+			}
+			whole = part.Finish != ""
+		}
+	}
+	return nil
+}
+
 // BenchmarkStepCost reports what a sample asks of the platform for the size of
 // its step, and the same for the baseline of one write for each sample.
 func BenchmarkStepCost(b *testing.B) {
 	const steps = 3
-	for _, groups := range []int{8, 64, 512} {
+	for _, groups := range []int{8, 64, 512, 4096} {
 		b.Run(fmt.Sprintf("samples=%d", 2*groups), func(b *testing.B) {
 			deployments := []core.Deployment{testDeployments[1]}
 			rollout := *testDeployments[1].Rollout
--- a/internal/tables/capacity_test.go
+++ b/internal/tables/capacity_test.go
@@ -57,6 +57,33 @@
 	}
 }
 
+// BenchmarkRolloutMemory reports the heap of one finished sample of 295 tokens
+// that waits for its step, and the time of one plan of two steps.
+func BenchmarkRolloutMemory(b *testing.B) {
+	const groupSize, tokens, steps = 8, 295, 2
+	for _, perStep := range []int{128, 1024, 8192} {
+		b.Run(fmt.Sprintf("samples=%d", perStep), func(b *testing.B) {
+			before, table := heap(), NewRollouts()
+			policy := PlanPolicy{GroupsPerStep: perStep / groupSize, GroupSize: groupSize, StepsAhead: steps}
+			table.Open("coach", 1)
+			table.Load("coach", 1, core.Row{}, []string{"advise a family"})
+			for _, work := range table.Plan("coach", 1, policy, steps*perStep) {
+				sample := core.Sample{Deployment: "coach", ID: work.ID, Spans: []core.Span{{To: tokens, Version: 1}}}
+				for range tokens {
+					sample.Tokens = append(sample.Tokens, strings.Clone("token"))
+				}
+				table.Finish(1, sample)
+			}
+			perSample := (heap() - before) / float64(steps*perStep)
+			b.ResetTimer()
+			for range b.N {
+				table.Plan("coach", 1, policy, steps*perStep)
+			}
+			b.ReportMetric(perSample, "heap-B/sample")
+		})
+	}
+}
+
 // BenchmarkClaimMemory reports the heap of one claim that waits for a commit.
 func BenchmarkClaimMemory(b *testing.B) {
 	for _, claims := range []int{100, 1000, 10000} {
