Measure the loss of every holder and takeovers at 610

Ruled out: cutting off a zone by number, which by chance holds few leases.

Change: BenchmarkHoldersLoss cuts off all holders of 100 instances at once; BenchmarkTakeover runs up to 610.

--- a/internal/app/capacity_test.go
+++ b/internal/app/capacity_test.go
@@ -225,7 +225,7 @@
 // being held by another instance.
 func BenchmarkTakeover(b *testing.B) {
 	const cuts = 3
-	for _, size := range fleetSizes {
+	for _, size := range largeFleetSizes {
 		b.Run(fmt.Sprintf("instances=%d", size), func(b *testing.B) {
 			c, l := measured(b, size, idleRollouts(1), productTiming)
 			var total, longest time.Duration
@@ -249,43 +249,71 @@
 	}
 }
 
+// BenchmarkZoneLoss cuts a third of twelve instances off at once and reports
+// the time until all leases are held by the rest, and the calls in that time.
+func BenchmarkZoneLoss(b *testing.B) {
+	const size, lost = 12, 4
+	for _, leases := range []int{3, 9, 27} {
+		b.Run(fmt.Sprintf("leases=%d", leases), func(b *testing.B) {
+			reportLoss(b, size, leases, func(c *cluster) {
+				for i := range lost {
+					c.network.setCut(fmt.Sprintf("peer-%d", i+1), true)
+				}
+			})
+		})
+	}
+}
+
+// BenchmarkHoldersLoss cuts off at once every one of 100 instances that holds a
+// lease: the worst loss of an availability zone.
+func BenchmarkHoldersLoss(b *testing.B) {
+	for _, leases := range []int{3, 9, 27} {
+		b.Run(fmt.Sprintf("leases=%d", leases), func(b *testing.B) {
+			reportLoss(b, 100, leases, func(c *cluster) {
+				for i, s := range c.services {
+					if heldBy(s) > 0 {
+						c.network.setCut(fmt.Sprintf("peer-%d", i+1), true)
+					}
+				}
+			})
+		})
+	}
+}
+
+// reportLoss cuts instances off and reports what it takes until all leases are
+// held by the others.
+func reportLoss(b *testing.B, size, leases int, cut func(*cluster)) {
+	c, l := measured(b, size, idleRollouts(leases), productTiming)
+	c.await("all leases held", func() bool { return c.held() == leases })
+	cut(c)
+	left := c.held()
+	before, start := l.figures(), time.Now()
+	c.await("all leases held again", func() bool { return c.held() == leases })
+	after, took := l.figures(), time.Since(start).Seconds()
+	b.ReportMetric(took, "s")
+	b.ReportMetric(float64(leases-left), "leases-lost")
+	b.ReportMetric((after.leaseReads-before.leaseReads)/took, "lease-reads/s")
+	b.ReportMetric((after.leaseCommits-before.leaseCommits)/took, "lease-commits/s")
+}
+
 // held returns how many leases instances that are not cut off hold.
 func (c *cluster) held() int {
 	held := 0
 	for i, s := range c.services {
-		if c.network.isCut(fmt.Sprintf("peer-%d", i+1)) {
-			continue
-		}
-		for _, l := range s.State().(app.State).Leases {
-			if l.Held {
-				held++
-			}
+		if !c.network.isCut(fmt.Sprintf("peer-%d", i+1)) {
+			held += heldBy(s)
 		}
 	}
 	return held
 }
 
-// BenchmarkZoneLoss cuts a third of twelve instances off at once and reports
-// the time until all leases are held by the rest, and the calls in that time.
-func BenchmarkZoneLoss(b *testing.B) {
-	const size, lost = 12, 4
-	for _, leases := range []int{3, 9, 27} {
-		b.Run(fmt.Sprintf("leases=%d", leases), func(b *testing.B) {
-			c, l := measured(b, size, idleRollouts(leases), productTiming)
-			c.await("all leases held", func() bool { return c.held() == leases })
-			for i := range lost {
-				c.network.setCut(fmt.Sprintf("peer-%d", i+1), true)
-			}
-			left := c.held()
-			before, start := l.figures(), time.Now()
-			c.await("all leases held again", func() bool { return c.held() == leases })
-			after, took := l.figures(), time.Since(start).Seconds()
-			b.ReportMetric(took, "s")
-			b.ReportMetric(float64(leases-left), "leases-lost")
-			b.ReportMetric((after.leaseReads-before.leaseReads)/took, "lease-reads/s")
-			b.ReportMetric((after.leaseCommits-before.leaseCommits)/took, "lease-commits/s")
-		})
+func heldBy(s *app.Service) (held int) {
+	for _, l := range s.State().(app.State).Leases {
+		if l.Held {
+			held++
+		}
 	}
+	return held
 }
 
 // BenchmarkEngines reports what engines cost one instance that polls them, and
