Draw lease candidates independently of neighbouring names

The rendezvous order used FNV-1a, which leaves the hashes of names that differ in their last bytes close together, so a lease's three candidates were often neighbours by name, as the VMs of one rack may be, and were lost together.

Change: the hash is mixed. The decision moves to core/lease, where it is tested.

The test was seen to fail without the mixing.

Conclusion: independent candidates. Candidates are not yet chosen across availability zones, so a zone can still hold all three of a lease.

--- a/internal/app/leases.go
+++ b/internal/app/leases.go
@@ -2,17 +2,12 @@
 
 import (
 	"context"
-	"hash/fnv"
 
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/lease"
 	"fescuespar/internal/errkind"
 )
 
-// leaseCandidates is how many entry processes follow each lease, so that the
-// reads at the table service do not grow with the number of processes.
-const leaseCandidates = 3
-
 // leaseTicksPerRenewal is how often in a renewal interval leases are looked at.
 const leaseTicksPerRenewal = 8
 
@@ -38,10 +33,10 @@
 // drops those that it no longer needs.
 func (s *Service) tendLeases() {
 	wanted := make(map[string]bool)
-	live := s.members.Live()
+	live, serving := s.members.Live(), s.servesNewWork()
 	for _, deployment := range s.configuration.InForce().Deployments {
 		name := leaseName(deployment.Name)
-		if deployment.Rollout != nil && s.isCandidate(name, live) {
+		if serving && deployment.Rollout != nil && lease.IsCandidate(name, s.options.Self.VM, live) {
 			wanted[name] = true
 			s.leases.Follow(name)
 		}
@@ -55,32 +50,6 @@
 	s.coordinateAll()
 }
 
-// isCandidate reports whether this process is among the first live ones in the
-// lease's own order of all processes (rendezvous hashing).
-func (s *Service) isCandidate(name string, live []core.Member) bool {
-	if !s.servesNewWork() {
-		return false
-	}
-	own, ahead := rendezvous(name, s.options.Self.VM), 0
-	for i := range live {
-		if rendezvous(name, live[i].VM) < own {
-			ahead++
-		}
-		if ahead == leaseCandidates {
-			return false
-		}
-	}
-	return true
-}
-
-func rendezvous(name string, vm core.VMID) uint64 {
-	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(name))
-	_, _ = hash.Write([]byte{0})
-	_, _ = hash.Write([]byte(vm))
-	return hash.Sum64()
-}
-
 // tendLease carries out a lease's next action, and the one after it.
 func (s *Service) tendLease(name string) {
 	action := s.leases.Begin(name, s.ports.Clock.Now(), s.newAttemptID())
