Test the HTTP front ends by contract and mend what failed

Cause: the front ends had no tests. Written first, the contract tests and a reading of iris showed these faults: - iris replaced a plain service's own 404 with an empty body by this service's not_found, which says "not run"; - a wrong method was answered as not_found with 404; - data after the JSON body was accepted; - a panic cut the connection without an answer; - only callers' accepted requests carried X-Request-Id; - a path could be spelled in several ways (%61, //, ..), so that a call listed as not to be run twice could miss its path prefix; "a%3Fb" became a query; iris redirected a path with a slash at its end; - an event id without server or attempt was accepted.

Ruled out: errors in mid-stream (sent as an event, no [DONE]), truncated and oversize bodies (already refused), flushing (each event left at once).

Seen to fail, each with the mechanism broken once: trailing data, own 404, panic before and in mid-stream, unknown fields, body limit, path spelling, [DONE] after an error, no flush (times out), a role too wide, a token in an error's text.

--- a/cmd/fescuespar/wire.go
+++ b/cmd/fescuespar/wire.go
@@ -75,7 +75,7 @@
 	if err := node.Serve(service); err != nil {
 		return nil, err
 	}
-	handler, err := fronts(loaded, service)
+	handler, err := fronts(loaded, service, log)
 	if err != nil {
 		return nil, err
 	}
@@ -120,8 +120,14 @@
 	return app.LaneOptions{InFlight: l.InFlight, Waiting: l.Waiting}
 }
 
-func fronts(loaded *settings.Settings, service *app.Service) (http.Handler, error) {
-	front := httpfront.New(auth.New(tokens(loaded.Tokens)), loaded.Bodies.Request)
+func fronts(loaded *settings.Settings, service *app.Service, log zerolog.Logger) (http.Handler, error) {
+	front := httpfront.New(httpfront.Options{
+		Tokens: auth.New(tokens(loaded.Tokens)), BodyLimit: loaded.Bodies.Request,
+		NewRequestID: service.NewRequestID,
+		Panicked: func(value any, stack []byte) {
+			log.Error().Any("panic", value).Bytes("stack", stack).Msg("handler panicked")
+		},
+	})
 	callerhttp.Register(front, service)
 	trainerhttp.Register(front, service)
 	operatorhttp.Register(front, service, service.Metrics().Registry)
--- a/internal/adapters/callerhttp/completions.go
+++ b/internal/adapters/callerhttp/completions.go
@@ -64,10 +64,7 @@
 }
 
 func (h *handlers) complete(ctx iris.Context, sender auth.Identity, f format, promptOf func(*completionBody) (string, error)) error {
-	id, err := h.requestID(ctx)
-	if err != nil {
-		return err
-	}
+	id := httpfront.RequestID(ctx)
 	var body completionBody
 	if err := httpfront.ReadJSON(ctx, &body); err != nil {
 		return err
@@ -99,7 +96,7 @@
 
 func (h *handlers) request(ctx iris.Context, sender auth.Identity) error {
 	id := ctx.Params().Get("id")
-	if err := checkRequestID(id); err != nil {
+	if err := httpfront.CheckRequestID(id); err != nil {
 		return err
 	}
 	ctx.Header(httpfront.RequestIDHeader, id)
--- a/internal/adapters/callerhttp/eventid.go
+++ b/internal/adapters/callerhttp/eventid.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 
+	"fescuespar/internal/adapters/httpfront"
 	"fescuespar/internal/core"
 	"fescuespar/internal/errkind"
 )
@@ -27,10 +28,11 @@
 	number, rest, okAt := strings.Cut(id, "@")
 	server, attempt, okHash := strings.Cut(rest, "#")
 	offset, err := strconv.Atoi(number)
-	if !okAt || !okHash || err != nil || offset < 0 || offset > maxTokensLimit {
+	written := okAt && okHash && server != "" && attempt != ""
+	if !written || err != nil || offset < 0 || offset > maxTokensLimit {
 		return nil, errkind.New(errkind.BadRequest, "the %s header is not one that this service wrote", lastEventIDHeader)
 	}
-	if err := checkRequestID(attempt); err != nil {
+	if err := httpfront.CheckRequestID(attempt); err != nil {
 		return nil, err
 	}
 	return &core.ResumePoint{
--- a/internal/adapters/httpfront/httpfront.go
+++ b/internal/adapters/httpfront/httpfront.go
@@ -5,36 +5,59 @@
 import (
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
+	"runtime/debug"
 
 	"github.com/kataras/iris/v12"
 
 	"fescuespar/internal/adapters/auth"
+	"fescuespar/internal/core"
 	"fescuespar/internal/errkind"
 )
 
-// RequestIDHeader carries the id under which a request can be asked for again.
-const RequestIDHeader = "X-Request-Id"
-
 // Front is the HTTP application on which the front ends register their routes.
 type Front struct {
-	App    *iris.Application
+	App *iris.Application
+
+	options Options
+}
+
+// Options say whom a front serves and within what limits.
+type Options struct {
 	Tokens *auth.Tokens
 	// BodyLimit is the largest request body in bytes.
 	BodyLimit int64
+	// NewRequestID names a request that came without an id.
+	NewRequestID func() core.RequestID
+	// Panicked is told of a handler's panic and its stack; nil for nobody.
+	Panicked func(value any, stack []byte)
 }
 
 // New returns a front without routes.
-func New(tokens *auth.Tokens, bodyLimit int64) *Front {
-	app := iris.New()
+func New(options Options) *Front {
+	front := &Front{App: iris.New(), options: options}
+	app := front.App
 	app.Logger().SetLevel("disable")
-	app.OnErrorCode(http.StatusNotFound, func(ctx iris.Context) {
-		WriteError(ctx, errkind.New(errkind.NotFound, "no such path"))
-	})
-	app.OnErrorCode(http.StatusMethodNotAllowed, func(ctx iris.Context) {
-		WriteError(ctx, errkind.New(errkind.BadRequest, "the path does not take method %s", ctx.Method()))
-	})
-	return &Front{App: app, Tokens: tokens, BodyLimit: bodyLimit}
+	app.Configure(iris.WithoutPathCorrection, iris.WithFireMethodNotAllowed)
+	app.UseRouter(front.identify)
+	app.OnErrorCode(http.StatusNotFound, unrouted(errkind.New(errkind.NotFound, "no such path")))
+	app.OnErrorCode(http.StatusMethodNotAllowed,
+		unrouted(errkind.New(errkind.MethodNotAllowed, "the path does not take this method")))
+	return front
+}
+
+// routedKey marks a request that reached a handler in iris's request values.
+const routedKey = "fescuespar.routed"
+
+// unrouted writes the error of a request that reached no handler. Iris also
+// calls it after a handler whose answer has that status; such an answer stays.
+func unrouted(err error) iris.Handler {
+	return func(ctx iris.Context) {
+		if !ctx.Values().GetBoolDefault(routedKey, false) {
+			WriteError(ctx, err)
+		}
+	}
 }
 
 // Handler returns the finished application.
@@ -49,26 +72,58 @@
 type HandlerFunc func(ctx iris.Context, sender auth.Identity) error
 
 // For wraps a handler: it checks that the sender has one of the roles, bounds
-// the body and writes the error that the handler returns.
+// the body and writes the error that the handler returns. A panic is answered
+// as Internal or, when a part of the answer has left, by cutting the connection.
 func (f *Front) For(handle HandlerFunc, roles ...auth.Role) iris.Handler {
 	return func(ctx iris.Context) {
-		sender, err := f.Tokens.Require(ctx.GetHeader("Authorization"), roles...)
+		ctx.Values().Set(routedKey, true)
+		defer f.recover(ctx)
+		sender, err := f.options.Tokens.Require(ctx.GetHeader("Authorization"), roles...)
+		if err == nil {
+			err = CheckRequestID(ctx.GetHeader(RequestIDHeader))
+		}
 		if err != nil {
 			WriteError(ctx, err)
 			return
 		}
-		ctx.Request().Body = http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, f.BodyLimit)
+		ctx.Request().Body = http.MaxBytesReader(ctx.ResponseWriter().Naive(), ctx.Request().Body, f.options.BodyLimit)
 		if err := handle(ctx, sender); err != nil {
 			WriteError(ctx, err)
 		}
 	}
 }
 
-// ReadJSON decodes the body strictly. Errors: BadRequest, TooLarge.
+func (f *Front) recover(ctx iris.Context) {
+	value := recover()
+	if value == nil {
+		return
+	}
+	if f.options.Panicked != nil && value != http.ErrAbortHandler {
+		f.options.Panicked(value, debug.Stack())
+	}
+	if ctx.ResponseWriter().Written() > 0 || value == http.ErrAbortHandler {
+		panic(http.ErrAbortHandler)
+	}
+	WriteError(ctx, errkind.New(errkind.Internal, "the request could not be handled"))
+}
+
+// ReadJSON decodes the body strictly: unknown fields and data after the value
+// are refused. Errors: BadRequest, TooLarge.
 func ReadJSON(ctx iris.Context, into any) error {
 	decoder := json.NewDecoder(ctx.Request().Body)
 	decoder.DisallowUnknownFields()
-	return BodyError(decoder.Decode(into))
+	if err := BodyError(decoder.Decode(into)); err != nil {
+		return err
+	}
+	_, err := decoder.Token()
+	switch {
+	case err == io.EOF:
+		return nil
+	case err == nil:
+		return errkind.New(errkind.BadRequest, "the body goes on after its JSON value")
+	default:
+		return BodyError(err)
+	}
 }
 
 // BodyError gives an error of reading or decoding a body its kind.
@@ -95,39 +150,3 @@
 	_, _ = ctx.Write(encoded)
 	return nil
 }
-
-// ErrorBody is the body of every refusal.
-type ErrorBody struct {
-	Error     ErrorDetail `json:"error"`
-	RequestID string      `json:"request_id,omitempty"`
-}
-
-// ErrorDetail says what went wrong and whether the request was run.
-type ErrorDetail struct {
-	Kind      errkind.Kind `json:"kind"`
-	Message   string       `json:"message"`
-	Ran       errkind.Ran  `json:"ran"`
-	Retryable bool         `json:"retryable"`
-}
-
-// ErrorOf returns the body for an error.
-func ErrorOf(err error, requestID string) ErrorBody {
-	answer := errkind.AnswerTo(err)
-	return ErrorBody{
-		Error: ErrorDetail{
-			Kind: errkind.Of(err), Message: err.Error(),
-			Ran: answer.Ran, Retryable: answer.Retryable,
-		},
-		RequestID: requestID,
-	}
-}
-
-// WriteError writes an error's answer from the table of kinds.
-func WriteError(ctx iris.Context, err error) {
-	answer := errkind.AnswerTo(err)
-	if answer.Retryable {
-		ctx.Header("Retry-After", "1")
-	}
-	requestID := ctx.ResponseWriter().Header().Get(RequestIDHeader)
-	_ = WriteJSON(ctx, answer.Status, ErrorOf(err, requestID))
-}
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -47,6 +47,7 @@
 	Starting           Kind = "starting"
 	ShuttingDown       Kind = "shutting_down"
 	NotFound           Kind = "not_found"
+	MethodNotAllowed   Kind = "method_not_allowed"
 	Internal           Kind = "internal"
 )
 
@@ -99,6 +100,7 @@
 	Starting:           {http.StatusServiceUnavailable, NotRun, true},
 	ShuttingDown:       {http.StatusServiceUnavailable, NotRun, true},
 	NotFound:           {http.StatusNotFound, NotRun, false},
+	MethodNotAllowed:   {http.StatusMethodNotAllowed, NotRun, false},
 	Internal:           {http.StatusInternalServerError, Maybe, false},
 }
 
