Describe the metrics and add gauges of the present state

Cause: docs/METRICS.md was named but missing; /metrics had counters only; configuration.conflicts also counted outages of the platform.

Ruled out: counters that nothing increments. A search of internal/app found a place for each of the 27.

Change: 23 gauges fed from the tables' State on request, a page that lists each metric with unit and meaning, and tests that hold the page against the code and each metric against the code that feeds it. configuration.conflicts counts generation conflicts only.

Seen to fail: a row taken off the page, a counter no longer counted.

--- a/cmd/fescuespar/wire.go
+++ b/cmd/fescuespar/wire.go
@@ -130,7 +130,7 @@
 	})
 	callerhttp.Register(front, service)
 	trainerhttp.Register(front, service)
-	operatorhttp.Register(front, service, service.Metrics().Registry)
+	operatorhttp.Register(front, service, service.Metrics().Values)
 	return front.Handler()
 }
 
--- a/internal/adapters/httpfront/fakes_test.go
+++ b/internal/adapters/httpfront/fakes_test.go
@@ -164,7 +164,7 @@
 	front := httpfront.New(httpfront.Options{Tokens: auth.New(tokens), BodyLimit: bodyLimit, NewRequestID: s.NewRequestID})
 	callerhttp.Register(front, s)
 	trainerhttp.Register(front, s)
-	operatorhttp.Register(front, s, metrics.New().Registry)
+	operatorhttp.Register(front, s, metrics.New().Values)
 	return front
 }
 
--- a/internal/adapters/operatorhttp/operatorhttp.go
+++ b/internal/adapters/operatorhttp/operatorhttp.go
@@ -7,7 +7,6 @@
 	"net/http"
 
 	"github.com/kataras/iris/v12"
-	gometrics "github.com/rcrowley/go-metrics"
 
 	"fescuespar/internal/adapters/auth"
 	"fescuespar/internal/adapters/configjson"
@@ -19,12 +18,14 @@
 
 type handlers struct {
 	operators ports.Operators
-	registry  gometrics.Registry
+	// metricValues returns the present value of every metric.
+	metricValues func() map[string]int64
 }
 
-// Register adds the operators' routes to a front.
-func Register(front *httpfront.Front, operators ports.Operators, registry gometrics.Registry) {
-	h := &handlers{operators: operators, registry: registry}
+// Register adds the operators' routes to a front; metricValues returns the
+// present value of every metric by name.
+func Register(front *httpfront.Front, operators ports.Operators, metricValues func() map[string]int64) {
+	h := &handlers{operators: operators, metricValues: metricValues}
 	forOperator := func(handle httpfront.HandlerFunc) iris.Handler { return front.For(handle, auth.RoleOperator) }
 	front.App.Get("/v1/configuration", forOperator(h.configuration))
 	front.App.Post("/v1/configuration", forOperator(h.publish))
@@ -89,12 +90,7 @@
 }
 
 func (h *handlers) metrics(ctx iris.Context, _ auth.Identity) error {
-	values := make(map[string]int64)
-	h.registry.Each(func(name string, metric any) {
-		if counter, ok := metric.(gometrics.Counter); ok {
-			values[name] = counter.Count()
-		}
-	})
+	values := h.metricValues()
 	if len(values) == 0 {
 		return errkind.New(errkind.Internal, "no metrics are registered")
 	}
--- a/internal/app/configuration.go
+++ b/internal/app/configuration.go
@@ -23,8 +23,10 @@
 	_, err := runOn(ctx, s.lanes.table, groupCommitTimeout, func(ctx context.Context) (struct{}, error) {
 		return struct{}{}, s.commitConfiguration(ctx, next)
 	})
-	if err != nil {
+	if errkind.Is(err, errkind.GenerationConflict) {
 		s.metrics.ConfigConflicts.Inc(1)
+	}
+	if err != nil {
 		return 0, err
 	}
 	s.applyConfiguration(&next)
--- a/internal/app/service.go
+++ b/internal/app/service.go
@@ -122,7 +122,7 @@
 func New(options Options, outside Ports, log zerolog.Logger) *Service {
 	random := rand.New(rand.NewPCG(options.Seed, uint64(options.Self.Incarnation)))
 	pool := workers.NewPool(options.Workers, options.QueueLength)
-	return &Service{
+	s := &Service{
 		options: options,
 		ports:   outside,
 		log:     log,
@@ -151,9 +151,11 @@
 		answers:       tables.NewAnswers(answerLimit),
 		random:        tables.NewRandom(random),
 	}
+	s.metrics.Feed(s.gauges())
+	return s
 }
 
-// Metrics returns the process's counters.
+// Metrics returns the process's metrics.
 func (s *Service) Metrics() *metrics.Set { return s.metrics }
 
 // Start begins the periodic work.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -1,5 +1,5 @@
-// Package metrics holds the service's counters. Every metric is listed here
-// once; docs/METRICS.md describes each.
+// Package metrics holds the service's counters and gauges. Every metric is
+// listed here once; docs/METRICS.md describes each.
 package metrics
 
 import gometrics "github.com/rcrowley/go-metrics"
@@ -37,7 +37,8 @@
 	VMListFailures     gometrics.Counter
 }
 
-// New returns a set of zeroed metrics in a registry of their own.
+// New returns a set of zeroed counters in a registry of their own; Feed adds
+// the gauges.
 func New() *Set {
 	s := &Set{Registry: gometrics.NewRegistry()}
 	for name, counter := range s.counters() {
--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,77 @@
+package metrics
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// TestPageListsEveryMetricOnce holds docs/METRICS.md against the metrics.
+func TestPageListsEveryMetricOnce(t *testing.T) {
+	page, err := os.ReadFile("../../docs/METRICS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var listed, registered []string
+	for _, row := range regexp.MustCompile("(?m)^\\| `([a-z_.]+)` \\| [a-z]+ \\| .+ \\|$").FindAllSubmatch(page, -1) {
+		listed = append(listed, string(row[1]))
+	}
+	for name := range New().counters() {
+		registered = append(registered, name)
+	}
+	for name := range (Gauges{}).byName() {
+		registered = append(registered, name)
+	}
+	slices.Sort(listed)
+	slices.Sort(registered)
+	if !slices.Equal(listed, registered) {
+		t.Errorf("the page lists\n%v\nregistered are\n%v", listed, registered)
+	}
+}
+
+// TestEveryMetricIsFed looks for the code that counts or reads each metric.
+func TestEveryMetricIsFed(t *testing.T) {
+	source := readSource(t, "../app")
+	set := reflect.TypeFor[Set]()
+	for i := range set.NumField() {
+		if name := set.Field(i).Name; name != "Registry" && !strings.Contains(source, "metrics."+name+".Inc(") {
+			t.Errorf("nothing counts %s", name)
+		}
+	}
+	gauges := reflect.TypeFor[Gauges]()
+	for i := range gauges.NumField() {
+		if name := gauges.Field(i).Name; !regexp.MustCompile(`\b` + name + `:\s`).MatchString(source) {
+			t.Errorf("nothing reads %s", name)
+		}
+	}
+	if fields := set.NumField() - 1; fields != len(New().counters()) {
+		t.Errorf("%d counters, %d of them registered", fields, len(New().counters()))
+	}
+	if fields := gauges.NumField(); fields != len((Gauges{}).byName()) {
+		t.Errorf("%d gauges, %d of them registered", fields, len((Gauges{}).byName()))
+	}
+}
+
+func readSource(t *testing.T, folder string) string {
+	t.Helper()
+	paths, err := filepath.Glob(folder + "/*.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var source strings.Builder
+	for _, path := range paths {
+		if strings.HasSuffix(path, "_test.go") {
+			continue
+		}
+		content, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		source.Write(content)
+	}
+	return source.String()
+}
