--- a/cmd/fescuespar/commands_test.go
+++ b/cmd/fescuespar/commands_test.go
@@ -229,6 +229,7 @@
 		{"check without a directory", &checkCommand{}, nil, exitUsage, "DIR"},
 		{"check of an absent directory", &checkCommand{}, []string{"testdata/none"}, exitRefused, "not_found"},
 		{"status", &statusCommand{}, access, exitOK, "warning: entry-2 is suspected"},
+		{"status without a version", &statusCommand{}, access, exitOK, "matcher     -        -     0      entry-1"},
 		{"status as JSON", &statusCommand{}, append(access, "--output", "json"), exitOK, `"owner": "entry-1"`},
 		{"status without a token", &statusCommand{}, access[:2], exitUsage, "--token"},
 		{"status of nobody", &statusCommand{}, []string{"--address", closed.URL, "--token", token}, exitUnreachable, "peer_unreachable"},
--- a/cmd/fescuespar/status.go
+++ b/cmd/fescuespar/status.go
@@ -48,10 +48,21 @@
 	}
 	fmt.Fprintln(t, "\nDEPLOYMENT\tVERSION\tSTEP\tQUEUE\tOWNER")
 	for _, d := range status.Deployments {
-		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%s\n", d.Name, d.Version, d.Step, d.Queue, d.Owner)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\n", d.Name, orNone(d.Version), orNone(d.Step), d.Queue, orNone(d.Owner))
 	}
 	t.Flush()
 	for _, warning := range status.Warnings {
 		fmt.Fprintln(w, "\nwarning:", warning)
 	}
 }
+
+// none stands for what is not known or does not exist.
+const none = "-"
+
+func orNone[T comparable](value T) string {
+	var zero T
+	if value == zero {
+		return none
+	}
+	return fmt.Sprint(value)
+}
