Lend parts of a limit before any request has come

Cause: a process made its row of a deployment's limit when the first request of that deployment reached it, and ignored peers' news of limits without a row. A deployment that only its trainer uses is asked for at one process, its coordinator, so the others never lent: its rollouts had a tenth of the limit.

Change: the table takes the configuration in force and makes a row for each of its deployments. Retain, which dropped rows of deployments that are gone and which nothing called, is part of it.

Shown by: TestLimitsWithoutRequestsAreLent starts 8 of 16, the process's own part, with the row's creation taken out, and more with it.

--- a/internal/tables/limits.go
+++ b/internal/tables/limits.go
@@ -117,11 +117,15 @@
 	return ready
 }
 
-// Retain drops the deployments that a configuration no longer has and that
-// have nothing in flight or waiting.
-func (t *Limits) Retain(configuration *core.Configuration) {
+// ApplyConfiguration adds a row for every deployment of a configuration, so that
+// a process without requests lends its part too, and drops the deployments that
+// the configuration no longer has and that have nothing in flight or waiting.
+func (t *Limits) ApplyConfiguration(configuration *core.Configuration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for i := range configuration.Deployments {
+		t.row(&configuration.Deployments[i], now)
+	}
 	for name, row := range t.rows {
 		if configuration.Find(name) == nil && row.gate.Demand() == 0 {
 			delete(t.rows, name)
--- a/internal/tables/limits_test.go
+++ b/internal/tables/limits_test.go
@@ -52,6 +52,40 @@
 	}
 }
 
+// A process that never had a request of a deployment lends its part of the limit.
+func TestLimitsWithoutRequestsAreLent(t *testing.T) {
+	deployment := limitedDeployment()
+	deployment.Limits.Concurrent, deployment.Limits.QueueLength = 16, 64
+	configuration := &core.Configuration{Generation: 1, Deployments: []core.Deployment{*deployment}}
+	busy, idle := NewLimits("busy", 1, shareTiming), NewLimits("idle", 1, shareTiming)
+	for _, table := range []*Limits{busy, idle} {
+		table.ApplyListed([]core.VMID{"busy", "idle"}, tableNow)
+		table.ApplyConfiguration(configuration, tableNow)
+	}
+	started := 0
+	for range 16 {
+		request := &admission.Request[Ready]{Caller: "c", Class: core.ClassPeople, Cost: 1,
+			Deadline: tableNow.Add(time.Minute), Payload: func(err error) {
+				if err == nil {
+					started++
+				}
+			}}
+		if now, _ := busy.Admit(deployment, request, tableNow); now {
+			started++
+		}
+	}
+	for beat := range 24 {
+		now := tableNow.Add(time.Duration(beat) * time.Second / 4)
+		idle.Heard("busy", busy.News("idle", now), time.Time{}, now)
+		busy.Heard("idle", idle.News("busy", now), now, now)
+		idle.Refresh(now)
+		busy.Refresh(now)
+	}
+	if started <= 8 {
+		t.Errorf("%d requests started, want more than the process's own 8 of 16", started)
+	}
+}
+
 func TestCrashesResumeHeldRequests(t *testing.T) {
 	const fingerprint = 7
 	cases := []struct {
