Measure the decisions together on a virtual clock

Ruled out: the packages' own models as the source of rows, since they know neither both deployments nor each other.

--- /dev/null
+++ b/bench/main.go
@@ -0,0 +1,47 @@
+// Command bench runs the decisions of internal/core on a virtual clock against
+// fakes of the backend servers, beside simpler policies on the same load, and
+// prints one table. The same seed gives the same table.
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"sync"
+
+	"github.com/jessevdk/go-flags"
+)
+
+type options struct {
+	Seed     uint64 `long:"seed" default:"1" description:"seed of the workload and of all random choices"`
+	Examples string `long:"examples" default:"examples" description:"directory with the sites' operators' files"`
+}
+
+func main() {
+	var opts options
+	if _, err := flags.Parse(&opts); err != nil {
+		os.Exit(2)
+	}
+	if err := run(os.Stdout, opts); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(out io.Writer, opts options) error {
+	found, err := loadSites(opts.Examples)
+	if err != nil {
+		return err
+	}
+	tables := make([][]row, len(found))
+	var running sync.WaitGroup
+	for i, s := range found {
+		running.Go(func() { tables[i] = table(s, opts.Seed) })
+	}
+	running.Wait()
+	for i, s := range found {
+		fmt.Fprintf(out, "\n%s, seed %d\n\n", s.name, opts.Seed)
+		print(out, tables[i])
+	}
+	return nil
+}
