--- a/internal/app/configuration.go
+++ b/internal/app/configuration.go
@@ -128,6 +128,7 @@
 	if !s.configuration.Apply(offered) {
 		return
 	}
+	s.limits.ApplyConfiguration(offered, s.ports.Clock.Now())
 	s.members.SetGeneration(offered.Generation)
 	s.limits.Retain(offered)
 	s.metrics.ConfigApplied.Inc(1)
