--- a/internal/app/configuration.go
+++ b/internal/app/configuration.go
@@ -128,9 +128,8 @@
 	if !s.configuration.Apply(offered) {
 		return
 	}
-	s.limits.ApplyConfiguration(offered, s.ports.Clock.Now())
+	s.limits.ApplyConfiguration(s.configuration.InForce(), s.ports.Clock.Now())
 	s.members.SetGeneration(offered.Generation)
-	s.limits.Retain(offered)
 	s.metrics.ConfigApplied.Inc(1)
 	s.log.Info().Uint64("generation", uint64(offered.Generation)).Str("operator", offered.Operator).Msg("configuration in force")
 }
--- a/internal/tables/capacity_test.go
+++ b/internal/tables/capacity_test.go
@@ -10,6 +10,7 @@
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/admission"
 	"fescuespar/internal/core/claim"
+	"fescuespar/internal/core/rollout"
 )
 
 // The benchmarks of this file measure slopes of docs/CAPACITY.md.
@@ -64,20 +65,23 @@
 	for _, perStep := range []int{128, 1024, 8192} {
 		b.Run(fmt.Sprintf("samples=%d", perStep), func(b *testing.B) {
 			before, table := heap(), NewRollouts()
-			policy := PlanPolicy{GroupsPerStep: perStep / groupSize, GroupSize: groupSize, StepsAhead: steps}
-			table.Open("coach", 1)
-			table.Load("coach", 1, core.Row{}, []string{"advise a family"})
-			for _, work := range table.Plan("coach", 1, policy, steps*perStep) {
+			policy := rollout.Policy{GroupsPerStep: perStep / groupSize, GroupSize: groupSize, MaxTokens: tokens, Bound: steps, IdleWeight: 1}
+			now := time.Unix(1e9, 0)
+			load, _ := table.Open("coach", 1)
+			table.Load("coach", load, core.Row{}, []string{"advise a family"})
+			works := table.Start("coach", 1, policy, 1, steps*perStep, now)
+			for _, work := range works {
 				sample := core.Sample{Deployment: "coach", ID: work.ID, Spans: []core.Span{{To: tokens, Version: 1}}}
 				for range tokens {
 					sample.Tokens = append(sample.Tokens, strings.Clone("token"))
 				}
-				table.Finish(1, sample)
+				table.Generated("coach", 1, work, tokens, now)
+				table.Finish(1, work, sample, now)
 			}
-			perSample := (heap() - before) / float64(steps*perStep)
+			perSample := (heap() - before) / float64(len(works))
 			b.ResetTimer()
 			for range b.N {
-				table.Plan("coach", 1, policy, steps*perStep)
+				table.Start("coach", 1, policy, 1, steps*perStep, now)
 			}
 			b.ReportMetric(perSample, "heap-B/sample")
 		})
