--- a/internal/app/admission.go
+++ b/internal/app/admission.go
@@ -146,15 +146,12 @@
 	})
 }
 
-func (s *Service) repeatCompletion(c *completion, server core.ServerID, cause error) {
+func (s *Service) repeatCompletion(c *completion, cause error) {
 	s.repeatLater(repeat{
 		deployment: c.deployment.Name, class: c.request.Class, deadline: c.request.Deadline,
 		failed: retry.Attempt{Number: c.attempt, Kind: errkind.Of(cause), Idempotent: true},
 		cost:   retry.Cost(c.held, c.request.MaxTokens),
-		again: func() {
-			c.exclude = append(c.exclude, server)
-			s.retryAttempt(c, cause)
-		},
+		again:  func() { s.retryAttempt(c, cause) },
 		giveUp: func() { s.fail(c, cause) },
 	})
 }
--- a/internal/app/completion.go
+++ b/internal/app/completion.go
@@ -179,14 +179,20 @@
 
 // countAttempt counts an attempt that starts with the given tokens held.
 func (c *completion) countAttempt(held int) {
-	if held > c.held {
-		c.attempt = 0
-		c.exclude = nil
-	}
 	c.held = held
 	c.attempt++
 }
 
+// noteFailure excludes the server of a failed attempt. One that brought tokens
+// counts as the first attempt, and its server is no worse than others.
+func (c *completion) noteFailure(server core.ServerID, held int) {
+	if held > c.held {
+		c.attempt = 1
+		return
+	}
+	c.exclude = append(c.exclude, server)
+}
+
 // startResume takes up a stream that another entry process started. Its tokens
 // before the offset are not known here, so it can't move to another engine.
 func (s *Service) startResume(c *completion, resume *core.ResumePoint) {
@@ -241,7 +247,8 @@
 		c.ended(nil)
 		return
 	}
-	s.repeatCompletion(c, source.Server, err)
+	c.noteFailure(source.Server, s.answers.Progress([]tables.AnswerKey{c.key})[0].Tokens)
+	s.repeatCompletion(c, err)
 }
 
 func (s *Service) retryAttempt(c *completion, cause error) {
--- a/internal/app/completion_test.go
+++ b/internal/app/completion_test.go
@@ -62,6 +62,11 @@
 			c.engine.Server("engine-1").SetFaults(backendtest.EngineFaults{Refuse: true})
 			c.engine.Server("engine-2").SetFaults(backendtest.EngineFaults{Refuse: true})
 		}},
+		{"two engines refuse, one cuts a stream", func(c *cluster) {
+			c.engine.Server("engine-1").SetFaults(backendtest.EngineFaults{Refuse: true})
+			c.engine.Server("engine-2").SetFaults(backendtest.EngineFaults{Refuse: true})
+			c.engine.Server("engine-3").SetFaults(backendtest.EngineFaults{CutAfter: 5})
+		}},
 		{"one engine crashed", func(c *cluster) { c.engine.Server("engine-2").Crash() }},
 	}
 	request := completion("")
