Never eject a server for a latency that nobody could notice

Cause: TestStalledSampleGoesOnElsewhere failed now and then (4 of 11 runs): the engine that it stalls had been ejected before, as its streams took a few microseconds a token more than its peers', so nothing was left to move. Seen in the state dump at the failure: engine-1 ejected, no sample moved, 32 streams. Ruled out: lost weight orders (its version was the newest), places at the engine (none in use), the retry budget (full). Change: a time per token below 2 ms is never an outlier. Figures: the new test has a server at 1 ms beside peers at 10 us, ejected before and not after; at 10 ms it still is.

--- a/internal/core/outlier/outlier_test.go
+++ b/internal/core/outlier/outlier_test.go
@@ -168,3 +168,34 @@
 		}
 	}
 }
+
+// TestFastServersAreNoOutliers has one server many times slower than its peers,
+// all of them far faster than anybody could notice.
+func TestFastServersAreNoOutliers(t *testing.T) {
+	for _, c := range []struct {
+		slow    time.Duration // per token
+		ejected bool
+	}{{time.Millisecond, false}, {10 * time.Millisecond, true}} {
+		random := rand.New(rand.NewPCG(1, 1))
+		pool := NewPool(DefaultPolicy())
+		servers := make([]Server, 4)
+		for i := range servers {
+			pool.Add(&servers[i])
+		}
+		now := time.Unix(1e9, 0)
+		for range 30 {
+			now = now.Add(time.Second)
+			for i := range servers {
+				perToken := 10 * time.Microsecond
+				if i == 0 {
+					perToken = c.slow
+				}
+				pool.Record(&servers[i], Result{Outcome: Succeeded, Work: 10, Took: 10 * perToken}, now, random)
+			}
+			pool.Sweep(now, random)
+		}
+		if got := servers[0].Ejected(); got != c.ejected {
+			t.Errorf("%v per token beside 10 us: ejected %v, want %v", c.slow, got, c.ejected)
+		}
+	}
+}
--- a/internal/core/outlier/policy.go
+++ b/internal/core/outlier/policy.go
@@ -10,6 +10,7 @@
 	PeerWindow          time.Duration // age up to which a peer's last result counts
 	SuccessFactor       float64       // ejects below this multiple of the median success rate
 	LatencyFactor       float64       // ejects above this multiple of the median time per token
+	LatencyFloor        time.Duration // time per token that is never an outlier
 	MaxEjectedShare     float64       // of a pool, rounded up; never the whole pool
 	BaseEjection        time.Duration // first ejection; each further one doubles it
 	MaxEjection         time.Duration
@@ -32,6 +33,7 @@
 		PeerWindow:          30 * time.Second,
 		SuccessFactor:       0.6,
 		LatencyFactor:       3,
+		LatencyFloor:        2 * time.Millisecond,
 		MaxEjectedShare:     0.3,
 		BaseEjection:        5 * time.Second,
 		MaxEjection:         2 * time.Minute,
--- a/internal/core/outlier/pool.go
+++ b/internal/core/outlier/pool.go
@@ -128,6 +128,6 @@
 	if server.results < p.policy.MinResults || now.Sub(server.lastResult) > p.policy.PeerWindow {
 		return false
 	}
-	return server.success < p.policy.SuccessFactor*current.success ||
-		server.perToken > p.policy.LatencyFactor*current.perToken
+	slow := max(p.policy.LatencyFactor*current.perToken, p.policy.LatencyFloor.Seconds())
+	return server.success < p.policy.SuccessFactor*current.success || server.perToken > slow
 }
