--- a/internal/app/coordinator.go
+++ b/internal/app/coordinator.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"strings"
+	"time"
 
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/delivery"
@@ -37,7 +38,7 @@
 }
 
 func (s *Service) coordinate(deployment *core.Deployment, holding lease.Holding) {
-	if load, needed := s.rollouts.Open(deployment.Name, holding.Fence); needed {
+	if load, needed := s.rollouts.Open(deployment.Name, holding.Fence, s.ports.Clock.Now()); needed {
 		s.loadRollout(deployment, load)
 		return
 	}
@@ -80,9 +81,13 @@
 	})
 }
 
+// promptsRetryDelay separates the tries to read prompts that cannot be read.
+const promptsRetryDelay = 5 * time.Second
+
 func (s *Service) promptsMissing(deployment *core.Deployment, fence core.Fence, err error) {
 	problem := fmt.Sprintf("prompts %s of deployment %s cannot be read (%s)", deployment.Rollout.Prompts, deployment.Name, errkind.Of(err))
-	if s.rollouts.SetProblem(deployment.Name, fence, problem) {
+	again := s.ports.Clock.Now().Add(promptsRetryDelay)
+	if s.rollouts.SetProblem(deployment.Name, fence, problem, again) {
 		s.log.Warn().Msg(problem)
 	}
 }
--- a/internal/app/run.go
+++ b/internal/app/run.go
@@ -8,6 +8,10 @@
 	"fescuespar/internal/workers"
 )
 
+// controlTimeout bounds one short call to the platform, a peer or an engine's
+// control interface.
+const controlTimeout = 5 * time.Second
+
 // runOn runs a call on a lane under a timeout and waits for it. It is for the
 // goroutines of front ends and peers only; a step must not wait.
 func runOn[T any](ctx context.Context, lane *workers.Lane, timeout time.Duration, call func(context.Context) (T, error)) (T, error) {
--- a/internal/tables/capacity_test.go
+++ b/internal/tables/capacity_test.go
@@ -67,7 +67,7 @@
 			before, table := heap(), NewRollouts()
 			policy := rollout.Policy{GroupsPerStep: perStep / groupSize, GroupSize: groupSize, MaxTokens: tokens, Bound: steps, IdleWeight: 1}
 			now := time.Unix(1e9, 0)
-			load, _ := table.Open("coach", 1)
+			load, _ := table.Open("coach", 1, now)
 			table.Load("coach", load, core.Row{}, []string{"advise a family"})
 			works := table.Start("coach", 1, policy, 1, steps*perStep, now)
 			for _, work := range works {
--- a/internal/tables/rollouts.go
+++ b/internal/tables/rollouts.go
@@ -16,8 +16,9 @@
 	reload   int // counts the reloads; a read that began before the last one is stale
 	delivery core.Row
 	book     *rollout.Book
-	busy     bool   // a batch is being fixed
-	problem  string // why the work can't start, for operators
+	busy     bool      // a batch is being fixed
+	problem  string    // why the work can't start, for operators
+	loadFrom time.Time // no reading of the rows before this time
 }
 
 // runsPerOpening is how many runs one opening of a deployment's work may have.
@@ -49,13 +50,13 @@
 }
 
 // Open starts a deployment's work under a fencing number. It returns true when
-// the rows must be loaded. Work under an older number is dropped.
-func (t *Rollouts) Open(name core.DeploymentName, fence core.Fence) (load RolloutLoad, needed bool) {
+// the rows must be loaded now. Work under an older number is dropped.
+func (t *Rollouts) Open(name core.DeploymentName, fence core.Fence, now time.Time) (load RolloutLoad, needed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row := t.rows[name]
 	if row != nil && row.fence == fence {
-		return RolloutLoad{fence, row.reload}, !row.loaded
+		return RolloutLoad{fence, row.reload}, !row.loaded && !now.Before(row.loadFrom)
 	}
 	t.opened++
 	t.rows[name] = &rolloutRow{fence: fence, book: rollout.NewBook(t.opened * runsPerOpening)}
@@ -94,17 +95,19 @@
 	return row.book.Load(record, prompts)
 }
 
-// SetProblem records why a deployment's work can't start. It returns true when
-// that is news.
-func (t *Rollouts) SetProblem(name core.DeploymentName, fence core.Fence, problem string) bool {
+// SetProblem records why a deployment's work can't start, and when to try again.
+// It returns true when the problem is news.
+func (t *Rollouts) SetProblem(name core.DeploymentName, fence core.Fence, problem string, again time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row := t.at(name, fence)
-	if row == nil || row.problem == problem {
+	if row == nil {
 		return false
 	}
+	news := row.problem != problem
 	row.problem = problem
-	return true
+	row.loadFrom = again
+	return news
 }
 
 // Start returns samples to be run, marking them as running, while fewer than
--- a/internal/tables/rollouts_test.go
+++ b/internal/tables/rollouts_test.go
@@ -11,6 +11,7 @@
 // delivery row would set the deployment's steps back.
 func TestStaleLoadIsNotTaken(t *testing.T) {
 	rollouts := NewRollouts()
+	start := time.Unix(1, 0)
 	row := func(step core.Step) core.Row { return core.Row{Record: core.DeliveryRecord{LastStep: step}} }
 	lastStep := func() core.Step {
 		delivered, _, ok := rollouts.BeginBatch("d", 1, 1, time.Unix(1, 0))
@@ -20,7 +21,7 @@
 		rollouts.EndBatch("d", 1, nil, 0, 0)
 		return delivered.Record.(core.DeliveryRecord).LastStep
 	}
-	stale, needed := rollouts.Open("d", 1)
+	stale, needed := rollouts.Open("d", 1, start)
 	if !needed {
 		t.Fatal("a new holding needs no rows")
 	}
@@ -30,7 +31,7 @@
 		t.Errorf("last step %d after a second reading, want 1", got)
 	}
 	rollouts.Reload("d", 1)
-	fresh, needed := rollouts.Open("d", 1)
+	fresh, needed := rollouts.Open("d", 1, start)
 	if !needed {
 		t.Fatal("a reload needs no rows")
 	}
@@ -40,3 +41,20 @@
 		t.Errorf("last step %d after a reload, want 2", got)
 	}
 }
+
+func TestUnreadablePromptsAreNotReadAtEveryLook(t *testing.T) {
+	rollouts := NewRollouts()
+	start := time.Unix(1, 0)
+	rollouts.Open("d", 1, start)
+	if !rollouts.SetProblem("d", 1, "gone", start.Add(time.Second)) || rollouts.SetProblem("d", 1, "gone", start.Add(time.Second)) {
+		t.Error("a problem is news once")
+	}
+	for _, c := range []struct {
+		after  time.Duration
+		needed bool
+	}{{0, false}, {999 * time.Millisecond, false}, {time.Second, true}} {
+		if _, needed := rollouts.Open("d", 1, start.Add(c.after)); needed != c.needed {
+			t.Errorf("%v after the failure: needed %v", c.after, needed)
+		}
+	}
+}
