--- a/internal/ports/ports.go
+++ b/internal/ports/ports.go
@@ -15,8 +15,8 @@
 
 // TableService is the platform's transactional table service.
 type TableService interface {
-	// Read returns one row for each key, in the same order. Absent rows have
-	// version zero. Errors: StoreUnavailable.
+	// Read returns one row for each key, in the same order and from one
+	// consistent snapshot. Absent rows have version zero. Errors: StoreUnavailable.
 	Read(ctx context.Context, keys []core.RowKey) ([]core.Row, error)
 	// Scan returns up to limit rows of a table whose id starts with prefix and
 	// sorts after the given id, in order. Errors: StoreUnavailable.
@@ -62,7 +62,7 @@
 // Errors of streams: ServerRefused when the engine proved that the request was
 // not run (connection refused, or its own refusal), ServerFailed when the
 // stream was cut, Canceled and Timeout from the context, UnknownRequest when
-// Resume finds no such stream.
+// Resume finds no such stream, BadRequest when no engine can run the request.
 type Engine interface {
 	// Generate runs one attempt and feeds its chunks to the sink until the
 	// explicit end mark.
--- a/standin/platform/tables.go
+++ b/standin/platform/tables.go
@@ -8,6 +8,9 @@
 	"fescuespar/internal/ports/porttest/memstore"
 )
 
+// The platform's protocol is stated here on its own, not taken from the product's
+// adapter, so that an adapter that departs from it fails its contract tests.
+
 type keyMessage struct {
 	Table core.TableName `json:"table"`
 	ID    string         `json:"id"`
