Answer "starting" until the first VM list, not "no server runs"

Cause: a process that had learnt its configuration from a peer and had no VM list yet answered no_server ("no server runs the model"). It can't know that. Change: the table of servers knows whether it has ever taken a VM list, and Acquire answers Starting before. A process that starts while the platform's VM list is out stays in "starting" until the list is back.

--- a/internal/app/configuration_test.go
+++ b/internal/app/configuration_test.go
@@ -89,3 +89,21 @@
 		t.Errorf("generation %d in force, want 1", got)
 	}
 }
+
+// TestProcessWithoutVMListIsStarting refuses the VM list to a new process, which
+// learns the configuration from its peers: until it has a list it can't tell
+// that no server runs a model.
+func TestProcessWithoutVMListIsStarting(t *testing.T) {
+	c := newCluster(t, 1)
+	c.vms.Inject(faults.Order{Operation: faults.All, Event: faults.Refuse})
+	late := c.add()
+	c.awaitGeneration(1)
+	err := late.Complete(c.ctx, completion("early"), nil)
+	if answer := errkind.AnswerTo(err); !errkind.Is(err, errkind.Starting) || !answer.Retryable || answer.Ran != errkind.NotRun {
+		t.Errorf("a process without a VM list answers %v", err)
+	}
+	c.vms.ClearFaults()
+	c.await("the new process serves", func() bool {
+		return late.Complete(c.ctx, completion("later"), nil) == nil
+	})
+}
--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -27,7 +27,7 @@
 const placeTries = 3
 
 // acquirePlace picks a server that has a place for the request. Errors:
-// NoServer, Overloaded.
+// Starting, NoServer, Overloaded.
 func (s *Service) acquirePlace(query routing.Query) (routing.Dispatch, error) {
 	now := s.ports.Clock.Now()
 	for range placeTries {
--- a/internal/tables/servers.go
+++ b/internal/tables/servers.go
@@ -6,15 +6,17 @@
 
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/routing"
+	"fescuespar/internal/errkind"
 	"fescuespar/internal/lockrank"
 )
 
 // Servers holds the backend servers and routes requests to them.
 type Servers struct {
-	// mu guards state and random.
+	// mu guards state, random and listed.
 	mu     lockrank.Mutex
 	state  *routing.State
 	random *rand.Rand
+	listed bool // a VM list has been taken
 }
 
 // NewServers returns a table without servers.
@@ -26,6 +28,7 @@
 func (t *Servers) ApplyVMs(vms []core.VM) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.listed = true
 	t.state.ApplyVMs(vms)
 }
 
@@ -45,10 +48,14 @@
 }
 
 // Acquire picks a server and counts the request's tokens as in flight on it.
-// Errors: NoServer, Overloaded.
+// Before the first VM list it can't tell that no server runs the request.
+// Errors: Starting, NoServer, Overloaded.
 func (t *Servers) Acquire(query routing.Query, now time.Time) (routing.Dispatch, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !t.listed {
+		return routing.Dispatch{}, errkind.New(errkind.Starting, "this entry process has no list of backend servers yet")
+	}
 	vm, err := t.state.Pick(query, now, t.random)
 	if err != nil {
 		return routing.Dispatch{}, err
