Don't move a slow sample back to the engine that it left

Cause: a run whose attempt brought tokens did not exclude its engine ("no worse than others"), also when Review had moved it away for being slow. With two of three engines stalled a sample went from engine-1 to engine-2 and back to engine-1, had then used up MaxMoves and waited for its request timeout, which TestStalledSampleGoesOnElsewhere sets beyond its own end. Ruled out: the median rate (it did not fall: moves were ordered), the retry budget (every ordered move started its next attempt), outlier ejection, the bound of moves at one time (one a second was enough). Change: Answers.Leave marks an answer that is moved, and its attempt's end then excludes the server, with tokens or without. A move is not counted as a failed attempt. A sample whose two moves both end at stalled engines still waits for its request timeout.

--- a/internal/app/attempt.go
+++ b/internal/app/attempt.go
@@ -67,13 +67,16 @@
 }
 
 // noteFailure excludes the server of a failed attempt. One that brought tokens
-// counts as the first attempt, and its server is no worse than others.
-func (c *completion) noteFailure(server core.ServerID, held int) {
-	if held > c.held {
+// counts as the first attempt, and its server is no worse than others, unless
+// the answer left it for being slow. Such a move is not a failed attempt either.
+func (c *completion) noteFailure(server core.ServerID, progress tables.AnswerProgress) {
+	brought := progress.Tokens > c.held
+	if brought || progress.Left {
 		c.attempt = 1
-		return
 	}
-	c.exclude = append(c.exclude, server)
+	if !brought || progress.Left {
+		c.exclude = append(c.exclude, server)
+	}
 }
 
 // stream feeds one attempt's chunks to the answer until the deadline.
@@ -95,6 +98,6 @@
 		c.ended(nil)
 		return
 	}
-	c.noteFailure(source.Server, s.answers.Progress([]tables.AnswerKey{c.key})[0].Tokens)
+	c.noteFailure(source.Server, s.answers.Progress([]tables.AnswerKey{c.key})[0])
 	s.repeatCompletion(c, err)
 }
--- a/internal/app/stragglers.go
+++ b/internal/app/stragglers.go
@@ -24,7 +24,7 @@
 	orders := s.rollouts.EndReview(deployment.Name, fence, rolloutPolicy(deployment.Rollout), running, progress, now)
 	s.metrics.SamplesTooOld.Inc(int64(orders.TooOld))
 	s.metrics.SamplesMoved.Inc(int64(len(orders.Move)))
-	s.cancelStreams(deployment.Name, orders.Move)
+	s.moveRuns(deployment.Name, orders.Move)
 	s.cancelRuns(deployment.Name, orders.Cancel)
 }
 
@@ -36,8 +36,16 @@
 	return keys
 }
 
+// moveRuns has runs go on at other engines after the tokens that they have.
+func (s *Service) moveRuns(name core.DeploymentName, runs []rollout.Work) {
+	for _, key := range sampleKeys(name, runs) {
+		s.answers.Leave(key)
+	}
+	s.cancelStreams(name, runs)
+}
+
 // cancelStreams ends the runs' streams at their engines. A run whose answer is
-// still in progress goes on elsewhere after the tokens that it has.
+// still in progress goes on.
 func (s *Service) cancelStreams(name core.DeploymentName, runs []rollout.Work) {
 	keys := sampleKeys(name, runs)
 	for i, answer := range s.answers.Progress(keys) {
--- a/internal/tables/answers.go
+++ b/internal/tables/answers.go
@@ -22,6 +22,7 @@
 	versions []core.WeightVersion // one for each token
 	oldest   core.WeightVersion   // of versions, zero while there is no token
 	source   core.AnswerSource
+	left     bool // the source's stream is being ended so that the answer goes on elsewhere
 	finish   core.FinishReason
 	err      error
 	ended    time.Time     // zero while in progress
@@ -69,6 +70,7 @@
 		return nil, 0, err
 	}
 	row.source = source
+	row.left = false
 	return append([]string(nil), row.tokens...), row.base, nil
 }
 
@@ -166,6 +168,17 @@
 	Tokens int
 	Oldest core.WeightVersion // zero while there is no token
 	Source core.AnswerSource
+	Left   bool // Leave was called since the source's attempt started
+}
+
+// Leave notes that an answer in progress goes on elsewhere once its source's
+// stream has ended.
+func (t *Answers) Leave(key AnswerKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if row, err := t.open(key); err == nil {
+		row.left = true
+	}
 }
 
 // Progress returns how far the answers have come, in their order.
@@ -175,7 +188,7 @@
 	progress := make([]AnswerProgress, len(keys))
 	for i, key := range keys {
 		if row, err := t.open(key); err == nil {
-			progress[i] = AnswerProgress{Tokens: row.base + len(row.tokens), Oldest: row.oldest, Source: row.source}
+			progress[i] = AnswerProgress{Tokens: row.base + len(row.tokens), Oldest: row.oldest, Source: row.source, Left: row.left}
 		}
 	}
 	return progress
--- a/internal/tables/answers_test.go
+++ b/internal/tables/answers_test.go
@@ -89,3 +89,33 @@
 		}
 	}
 }
+
+// TestLeaveLastsForOneAttempt marks an answer as leaving its source: the mark
+// is gone with the next attempt, and an answer that has ended can't be marked.
+func TestLeaveLastsForOneAttempt(t *testing.T) {
+	table, key := NewAnswers(1), AnswerKey{Caller: "x", ID: "r"}
+	left := func() bool { return table.Progress([]AnswerKey{key})[0].Left }
+	attempt := func(name string) {
+		t.Helper()
+		if _, _, err := table.StartAttempt(key, core.AnswerSource{Server: "s", Attempt: name}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := table.Begin(key, 0); err != nil {
+		t.Fatal(err)
+	}
+	attempt("1")
+	if left() {
+		t.Error("left before Leave")
+	}
+	if table.Leave(key); !left() {
+		t.Error("not left after Leave")
+	}
+	if attempt("2"); left() {
+		t.Error("the next attempt's source is left")
+	}
+	table.Fail(key, errkind.New(errkind.Canceled, "over"), time.Unix(1, 0))
+	if table.Leave(key); left() {
+		t.Error("an ended answer is left")
+	}
+}
