Kill the demo's entry process when it streams answers, not after 400 ms

Cause: the demo killed the process with the most requests in flight 400 ms after the callers had started, and asks that at least one answer goes on in its middle. On a busy machine no token had come by then, or all had: 9 of 9 answers were whole, none was resumed, and TestDemo failed (1 of 6 runs beside other tests). Ruled out: the product. All nine answers were whole; the check is right, it is the kill that came at the wrong time. Change: the caller's stand-in tells from which entry VM an answer's first tokens come; the demo kills, or asks to leave, the one that sends the third of the answers that have begun. The state dump is not asked any more for the busiest. The check stays as it was. The coordinator's kill in mid-step still comes after a fixed time; nothing asks there how much was under way.

--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -28,6 +28,10 @@
 	MaxTokens int
 	Seed      int64 // of the first request; each further one adds one
 	Chat      bool  // use chat completions
+	// Streaming, if set, is called when an answer's first tokens have come, with
+	// the host:port of the entry VM that sends them. Answers call it at the same
+	// time, and one that goes on elsewhere does not call it again.
+	Streaming func(address string)
 
 	// For plain calls; Path empty means completions.
 	Method string
--- a/standin/caller/completion.go
+++ b/standin/caller/completion.go
@@ -57,6 +57,7 @@
 	finish    core.FinishReason
 	done      bool
 	askRest   bool // the next try asks for the rest only
+	streaming func(address string)
 }
 
 // complete runs one request until its answer is whole or the failure is final.
@@ -96,7 +97,8 @@
 	encoded, _ := json.Marshal(body) // strings and numbers only, cannot fail
 	return &completion{
 		client: client, id: numbered(options.RequestID, number), prompt: prompt,
-		post: entryclient.Request{Method: http.MethodPost, Path: path, Body: encoded},
+		post:      entryclient.Request{Method: http.MethodPost, Path: path, Body: encoded},
+		streaming: options.Streaming,
 	}
 }
 
@@ -116,7 +118,7 @@
 		return err
 	}
 	defer response.Body.Close()
-	err = c.readEvents(response.Body)
+	err = c.readEvents(response.Body, response.Request.URL.Host)
 	if !c.done {
 		c.client.LeaveCurrent()
 		c.askRest = true
@@ -140,7 +142,8 @@
 
 var errCut = errors.New("stream ended without [DONE]")
 
-func (c *completion) readEvents(body io.Reader) error {
+// readEvents reads what the entry VM at an address sends.
+func (c *completion) readEvents(body io.Reader, address string) error {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxEventBytes)
 	id := ""
@@ -153,9 +156,13 @@
 			c.done = true
 			return nil
 		case name == "data":
+			first := c.text.Len() == 0
 			if err := c.take(id, value); err != nil {
 				return err
 			}
+			if first && c.text.Len() > 0 && c.streaming != nil {
+				c.streaming(address)
+			}
 		}
 	}
 	if err := lines.Err(); err != nil {
--- a/standin/demo/failures.go
+++ b/standin/demo/failures.go
@@ -13,7 +13,7 @@
 func stepNumber(step int) core.Step             { return core.Step(step) }
 func versionNumber(step int) core.WeightVersion { return core.WeightVersion(step) }
 
-// killDelay is long enough for a request to be in mid-answer.
+// killDelay is long enough for a step's samples to be in the making.
 const killDelay = 400 * time.Millisecond
 
 // during runs an act while something else is at work.
@@ -24,11 +24,36 @@
 	act()
 }
 
+// startedAnswers is how many answers have begun to come when an entry process
+// that sends them is killed or asked to leave.
+const startedAnswers = 3
+
+// streaming returns the place of the entry process that sends the last of
+// several answers that have begun to come, and false when ctx is over before.
+func (d *demo) streaming(ctx context.Context, begun <-chan string) (int, bool) {
+	address := ""
+	for range startedAnswers {
+		select {
+		case address = <-begun:
+		case <-ctx.Done():
+			return 0, false
+		}
+	}
+	for at, entry := range d.entries {
+		if entry.Address == address {
+			return at, true
+		}
+	}
+	return 0, false
+}
+
 // killDuringAnswer kills an entry process while it streams answers.
 func (d *demo) killDuringAnswer(ctx context.Context) error {
 	options := d.callers("kill")
 	options.Deployment, options.Prompt, options.MaxTokens = "coach", "Why does it flicker? ", 120
 	options.Count, options.Concurrency = 9, 9
+	begun := make(chan string, options.Count)
+	options.Streaming = func(address string) { begun <- address }
 	type outcome struct {
 		summary caller.Summary
 		err     error
@@ -38,7 +63,9 @@
 		summary, err := caller.Run(ctx, options)
 		ended <- outcome{summary, err}
 	}()
-	during(func() { d.killBusiest(ctx) })
+	if at, ok := d.streaming(ctx, begun); ok {
+		d.kill(at)
+	}
 	o := <-ended
 	d.record(o.err == nil && o.summary.Whole == options.Count && o.summary.Resumes > 0,
 		"answers whole after an entry process was killed", "%d of %d, %d resumed in mid-answer, %v",
@@ -46,21 +73,6 @@
 	return o.err
 }
 
-// killBusiest kills the entry process with the most requests in flight.
-func (d *demo) killBusiest(ctx context.Context) {
-	d.kill(d.busiest(ctx))
-}
-
-func (d *demo) busiest(ctx context.Context) int {
-	busiest, most := 0, -1
-	for at, entry := range d.entries {
-		if inFlight := d.site.InFlight(ctx, entry); inFlight > most {
-			busiest, most = at, inFlight
-		}
-	}
-	return busiest
-}
-
 func (d *demo) kill(at int) {
 	d.entries[at].Kill()
 	d.entries = append(d.entries[:at:at], d.entries[at+1:]...)
@@ -113,21 +125,24 @@
 	return ""
 }
 
-// shutDown asks the entry process that serves most to leave.
+// shutDown asks an entry process that streams answers to leave.
 func (d *demo) shutDown(ctx context.Context) error {
 	options := d.callers("leave")
 	options.Deployment, options.Prompt, options.MaxTokens = "coach", "The kettle leaks. ", 120
 	options.Count, options.Concurrency = 6, 6
-	var leaving *site.Entry
+	begun := make(chan string, options.Count)
+	options.Streaming = func(address string) { begun <- address }
 	ended := make(chan caller.Summary, 1)
 	go func() {
 		summary, _ := caller.Run(ctx, options)
 		ended <- summary
 	}()
-	during(func() {
-		leaving = d.entries[d.busiest(ctx)]
-		_ = leaving.Terminate()
-	})
+	at, ok := d.streaming(ctx, begun)
+	if !ok {
+		return ctx.Err()
+	}
+	leaving := d.entries[at]
+	_ = leaving.Terminate()
 	summary := <-ended
 	left := waitExit(ctx, leaving)
 	d.record(summary.Whole == options.Count && summary.Resumes == 0 && left, "planned stop cut off no answer",
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -239,19 +239,3 @@
 func (s *Site) Status(ctx context.Context, entry *Entry) (configjson.Status, error) {
 	return operatorclient.New(entry.Address, OperatorToken, http.DefaultClient).Status(ctx)
 }
-
-// InFlight returns the requests in flight at an entry process, from its state
-// dump, or -1 when it does not answer.
-func (s *Site) InFlight(ctx context.Context, entry *Entry) int {
-	dump, err := operatorclient.New(entry.Address, OperatorToken, http.DefaultClient).Dump(ctx)
-	if err != nil {
-		return -1
-	}
-	var state struct {
-		InFlight int `json:"in_flight"`
-	}
-	if json.Unmarshal(dump, &state) != nil {
-		return -1
-	}
-	return state.InFlight
-}
