Have engines load a pinned weight version, also back from a newer one

Cause: pinned_version is for deployments without a trainer only (a rollout beside it is refused), and only deployments with a trainer had a lease and a holder that gives orders. So nobody ordered a pinned version; routing merely refused engines below it, and no setting took an engine back from a bad version. Ruled out: that the orders were given elsewhere: orderWeights had one caller, which skipped deployments without a rollout; Roll skipped engines on a newer version. Routing's query can be exact; while no engine holds the pinned version, those with any version serve. check refuses two files that want different weights of one model and adapter. During a move of the pin some people are answered on the version before. A deployment with a trainer still goes back only by a newer version with the older content.

--- a/internal/app/attempt.go
+++ b/internal/app/attempt.go
@@ -16,7 +16,7 @@
 		Zone: s.options.Self.Zone, Region: s.options.Self.Region,
 		Class: c.request.Class, Tokens: expectedTokens(&c.request), Exclude: c.exclude,
 		Prefix:  core.PrefixHashes(c.request.Prompt),
-		Version: max(c.oldest, c.deployment.Versions.Pinned),
+		Version: max(c.oldest, c.deployment.Versions.Pinned), Exact: c.deployment.Versions.Pinned != 0,
 		LagCost: lagCost(c),
 	}
 	begun, err := s.acquireGuarded(c, query)
--- a/internal/app/coordinator.go
+++ b/internal/app/coordinator.go
@@ -24,7 +24,7 @@
 	config := s.configuration.InForce()
 	for i := range config.Deployments {
 		deployment := &config.Deployments[i]
-		if deployment.Rollout == nil {
+		if !deployment.Coordinated() {
 			continue
 		}
 		holding, held := s.leases.Held(leaseName(deployment.Name), s.ports.Clock.Now())
@@ -33,6 +33,10 @@
 			s.weights.StopRolling(deployment.Name)
 			continue
 		}
+		s.orderWeights(deployment, holding)
+		if deployment.Rollout == nil {
+			continue
+		}
 		s.coordinate(deployment, holding)
 	}
 }
@@ -42,7 +46,6 @@
 		s.loadRollout(deployment, load)
 		return
 	}
-	s.orderWeights(deployment, holding)
 	s.reviewSamples(deployment, holding.Fence)
 	limit := s.options.Streams.InFlight / 2
 	newest := s.weights.Newest(deployment.Name)
--- a/internal/app/leases.go
+++ b/internal/app/leases.go
@@ -36,7 +36,7 @@
 	live, serving := s.members.Live(), s.servesNewWork()
 	for _, deployment := range s.configuration.InForce().Deployments {
 		name := leaseName(deployment.Name)
-		if serving && deployment.Rollout != nil && lease.IsCandidate(name, s.options.Self.VM, live) {
+		if serving && deployment.Coordinated() && lease.IsCandidate(name, s.options.Self.VM, live) {
 			wanted[name] = true
 			s.leases.Follow(name)
 		}
--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -12,10 +12,16 @@
 	"fescuespar/internal/workers"
 )
 
-// acquire picks a server and counts the request as in flight on it. When every
-// server was tried, those that failed before may be tried again.
+// acquire picks a server and counts the request as in flight on it. While no
+// server holds the pinned weights, as between two pins, others serve as they did
+// before. When every server was tried, those that failed before may be tried
+// again.
 func (s *Service) acquire(query routing.Query) (routing.Dispatch, error) {
 	begun, err := s.acquirePlace(query)
+	if errkind.Is(err, errkind.NoServer) && query.Exact {
+		query.Exact, query.Version = false, 0
+		begun, err = s.acquirePlace(query)
+	}
 	if errkind.Is(err, errkind.NoServer) && len(query.Exclude) > 0 {
 		query.Exclude = nil
 		return s.acquirePlace(query)
--- a/internal/app/weights.go
+++ b/internal/app/weights.go
@@ -63,7 +63,8 @@
 	return errkind.Wrap(errkind.Timeout, ctx.Err(), "publishing weights")
 }
 
-// orderWeights rolls the deployment's newest version over its engines.
+// orderWeights rolls the deployment's newest version, or the pinned one, over
+// its engines.
 func (s *Service) orderWeights(deployment *core.Deployment, holding lease.Holding) {
 	version := s.weights.Newest(deployment.Name)
 	if deployment.Versions.Pinned != 0 {
@@ -100,12 +101,20 @@
 	return engines, vms
 }
 
+// servingIdleWeight is the idle weight of a deployment without a trainer: its
+// capacity counts, and no sample grows stale.
+const servingIdleWeight = 1.0
+
 func weightPolicy(deployment *core.Deployment) weights.Policy {
-	return weights.Policy{
+	policy := weights.Policy{
 		Target: swapTarget, SwapTimeout: swapTimeout,
 		BackoffBase: swapBackoffBase, BackoffMax: swapBackoffMax,
-		IdleWeight: deployment.Rollout.IdleWeight,
+		IdleWeight: servingIdleWeight, Exact: deployment.Versions.Pinned != 0,
+	}
+	if deployment.Rollout != nil {
+		policy.IdleWeight = deployment.Rollout.IdleWeight
 	}
+	return policy
 }
 
 func (s *Service) loadOrder(deployment *core.Deployment, holding lease.Holding, version core.WeightVersion) core.Order {
--- a/internal/core/configuration/across.go
+++ b/internal/core/configuration/across.go
@@ -65,18 +65,20 @@
 	}
 }
 
-// weights names what a trainer's new weights replace on the engines.
+// weights names what a trainer's new weights, or pinned ones, replace on the
+// engines.
 type weights struct {
 	service string
 	adapter core.AdapterName
 }
 
-// trainedWeights refuses two rollouts that would replace each other's weights.
+// trainedWeights refuses deployments that would replace each other's weights:
+// two rollouts, a rollout and a pin, or two pins at different versions.
 func (v *validation) trainedWeights() {
 	first := map[weights]int{}
 	for i := range v.deployments {
 		d := &v.deployments[i]
-		if d.Rollout == nil || d.Kind != core.KindEngine {
+		if !d.Coordinated() || d.Kind != core.KindEngine {
 			continue
 		}
 		key := weights{d.Service, d.Adapter}
@@ -85,10 +87,30 @@
 			first[key] = i
 			continue
 		}
-		v.report(i, FieldService, fmt.Sprintf("model %q with adapter %q, which %q trains already", d.Service, d.Adapter, v.deployments[earlier].Name),
-			"one rollout for each model and adapter: each would replace the other's weights",
-			v.place(earlier, FieldService), v.place(i, FieldAdapter), v.place(earlier, FieldAdapter))
+		other := &v.deployments[earlier]
+		if d.Rollout != nil && other.Rollout != nil {
+			v.report(i, FieldService, fmt.Sprintf("model %q with adapter %q, which %q trains already", d.Service, d.Adapter, other.Name),
+				"one rollout for each model and adapter: each would replace the other's weights",
+				v.place(earlier, FieldService), v.place(i, FieldAdapter), v.place(earlier, FieldAdapter))
+		} else if d.Versions != other.Versions {
+			v.pinnedTwice(i, earlier)
+		}
+	}
+}
+
+// pinnedTwice reports deployments of which at least one pins the weights that
+// the other replaces.
+func (v *validation) pinnedTwice(i, earlier int) {
+	d, other := &v.deployments[i], &v.deployments[earlier]
+	set := func(d *core.Deployment) string {
+		if d.Rollout != nil {
+			return "trained"
+		}
+		return "pinned to " + formatUint(d.Versions.Pinned)
 	}
+	v.report(i, FieldService, fmt.Sprintf("model %q with adapter %q %s, which is %s in %q", d.Service, d.Adapter, set(d), set(other), other.Name),
+		"one trainer or one pinned_version for each model and adapter: each would replace the other's weights",
+		v.place(earlier, FieldService), v.place(i, FieldAdapter), v.place(earlier, FieldAdapter))
 }
 
 // fencingOfService requires that all deployments agree on whether a model's
--- a/internal/core/configuration/validate_test.go
+++ b/internal/core/configuration/validate_test.go
@@ -65,6 +65,20 @@
 		{"lower-case method", func(_, _, p *core.Deployment) { p.Once[0].Method = "post" }, []Field{"once[0].method"}},
 		{"relative path", func(_, _, p *core.Deployment) { p.Once[0].PathPrefix = "s" }, []Field{"once[0].path_prefix"}},
 		{"two rollouts of one model", func(m, o, _ *core.Deployment) { o.Service = m.Service }, []Field{FieldService}},
+		{"a rollout and a pin of one model", func(m, o, _ *core.Deployment) {
+			o.Service, o.Versions.Pinned, o.Rollout = m.Service, 3, nil
+		}, []Field{FieldService}},
+		{"two pins of one model", func(m, o, _ *core.Deployment) {
+			m.Versions.Pinned, m.Rollout = 2, nil
+			o.Service, o.Versions.Pinned, o.Rollout = m.Service, 3, nil
+		}, []Field{FieldService}},
+		{"one pin in two deployments", func(m, o, _ *core.Deployment) {
+			m.Versions.Pinned, m.Rollout = 3, nil
+			o.Service, o.Versions.Pinned, o.Rollout = m.Service, 3, nil
+		}, nil},
+		{"a rollout and a deployment that follows it", func(m, o, _ *core.Deployment) {
+			o.Service, o.Rollout = m.Service, nil
+		}, nil},
 		{"fencing differs", func(m, o, _ *core.Deployment) {
 			o.Service, o.Adapter, o.Fencing = m.Service, "notes", true
 		}, []Field{FieldFencing}},
--- a/internal/core/deployment.go
+++ b/internal/core/deployment.go
@@ -17,6 +17,10 @@
 	Versions VersionPolicy
 }
 
+// Coordinated reports whether one process at a time, the holder of the
+// deployment's lease, makes samples or gives its engines orders.
+func (d *Deployment) Coordinated() bool { return d.Rollout != nil || d.Versions.Pinned != 0 }
+
 // Limits bounds a deployment's requests over all entry VMs together.
 type Limits struct {
 	Concurrent     int           // requests in flight
--- a/internal/core/routing/cells.go
+++ b/internal/core/routing/cells.go
@@ -131,16 +131,16 @@
 type choice struct {
 	index   *adapterIndex
 	unknown *cell // set for the engines that have not reported, which may hold any adapter
-	version core.WeightVersion
+	query   *Query
 	count   int
 }
 
 // choose returns the fitting servers without listing them.
 func (r *regionIndex) choose(query *Query) choice {
-	found := choice{index: r.adapter(query.Adapter), version: query.Version}
+	found := choice{index: r.adapter(query.Adapter), query: query}
 	if found.index != nil {
 		for _, c := range found.index.cells {
-			if c.version >= query.Version {
+			if query.allows(c.version) {
 				found.count += len(c.members)
 			}
 		}
@@ -163,7 +163,7 @@
 		return c.unknown.members[i]
 	}
 	for _, cell := range c.index.cells {
-		if cell.version < c.version {
+		if !c.query.allows(cell.version) {
 			continue
 		}
 		if i < len(cell.members) {
--- a/internal/core/routing/query.go
+++ b/internal/core/routing/query.go
@@ -13,6 +13,7 @@
 	Service string // model, plain service or scoring service
 	Adapter core.AdapterName
 	Version core.WeightVersion // oldest weights that may serve it, zero for any
+	Exact   bool               // newer weights than Version may not serve it either
 	Zone    core.ZoneName      // of the asking entry VM
 	Region  core.RegionName    // of the asking entry VM
 	Class   core.Class
@@ -23,6 +24,11 @@
 	Exclude []core.ServerID // servers that must not be chosen
 }
 
+// allows reports whether weights of a version may serve the request.
+func (q *Query) allows(version core.WeightVersion) bool {
+	return version == q.Version || !q.Exact && version > q.Version
+}
+
 // bytesPerToken converts between tokens and bytes of text.
 const bytesPerToken = 4
 
--- a/internal/core/weights/roll.go
+++ b/internal/core/weights/roll.go
@@ -23,9 +23,16 @@
 	BackoffBase time.Duration // before the second order to an engine
 	BackoffMax  time.Duration
 	IdleWeight  float64 // weight of trainer idle time against staleness, 0 to 1
+	Exact       bool    // an engine that serves a newer version is ordered back
 	PerRegion   int     // most engines of a region that load at one time, zero for any number
 }
 
+// fits reports whether an engine that serves or loads some version need not be
+// ordered to load the one wanted.
+func (p *Policy) fits(version, wanted core.WeightVersion) bool {
+	return version == wanted || !p.Exact && version > wanted
+}
+
 // swap is an order under way or failed.
 type swap struct {
 	version   core.WeightVersion
@@ -63,7 +70,7 @@
 	var ready []*Engine
 	for i := range engines {
 		engine := &engines[i]
-		if engine.Version >= version {
+		if policy.fits(engine.Version, version) {
 			r.settle(engine, now)
 			continue
 		}
@@ -73,7 +80,7 @@
 			load.start(engine)
 		case r.expired(engine, version, policy, now):
 			decision.Failed = append(decision.Failed, engine.Server)
-		case r.mayOrder(engine, version, now):
+		case r.mayOrder(engine, version, policy, now):
 			ready = append(ready, engine)
 		}
 	}
@@ -104,11 +111,11 @@
 // that of an earlier holder of the lease, and still has time.
 func (r *Roll) underWay(engine *Engine, version core.WeightVersion, policy Policy, now time.Time) bool {
 	row := r.swaps[engine.Server]
-	if engine.Loading >= version && (row == nil || row.version < version) {
+	if policy.fits(engine.Loading, version) && (row == nil || !policy.fits(row.version, version)) {
 		row = r.begin(engine.Server, version, policy, now)
 		row.orderedAt = time.Time{}
 	}
-	return row != nil && row.waiting && row.version >= version && now.Before(row.until)
+	return row != nil && row.waiting && policy.fits(row.version, version) && now.Before(row.until)
 }
 
 // expired reports whether a swap has just failed, and schedules the next order.
@@ -118,7 +125,7 @@
 		return false
 	}
 	r.fail(row, policy, now)
-	return row.version >= version
+	return policy.fits(row.version, version)
 }
 
 func (r *Roll) fail(row *swap, policy Policy, now time.Time) {
@@ -131,11 +138,11 @@
 // maxBackoffShift keeps the backoff's shift from overflowing.
 const maxBackoffShift = 16
 
-// mayOrder reports whether an engine can be ordered now. A newer version does
-// not wait for an older one's swap, but for its backoff.
-func (r *Roll) mayOrder(engine *Engine, version core.WeightVersion, now time.Time) bool {
+// mayOrder reports whether an engine can be ordered now. Another version does
+// not wait for the swap to one that is no longer wanted, but for its backoff.
+func (r *Roll) mayOrder(engine *Engine, version core.WeightVersion, policy Policy, now time.Time) bool {
 	row := r.swaps[engine.Server]
-	return row == nil || !now.Before(row.notBefore) || row.version < version && row.failures == 0
+	return row == nil || !now.Before(row.notBefore) || !policy.fits(row.version, version) && row.failures == 0
 }
 
 // Refused notes that an engine did not accept an order, or that its reply was
--- a/internal/core/weights/weights_test.go
+++ b/internal/core/weights/weights_test.go
@@ -65,6 +65,57 @@
 	}
 }
 
+// TestPinnedVersionTakesEnginesBack decides about engines that serve or load
+// newer versions than the one wanted.
+func TestPinnedVersionTakesEnginesBack(t *testing.T) {
+	now := time.Unix(0, 0)
+	tests := []struct {
+		name            string
+		exact           bool
+		serves, loads   core.WeightVersion
+		orders, behind  int
+		loadingIsWaited bool
+	}{
+		{"newest wanted, newer served", false, 4, 0, 0, 0, false},
+		{"pinned, newer served", true, 4, 0, 1, 1, false},
+		{"pinned, older served", true, 2, 0, 1, 1, false},
+		{"pinned, served", true, 3, 0, 0, 0, false},
+		{"pinned, newer loads", true, 2, 4, 1, 1, false},
+		{"pinned, loads", true, 4, 3, 0, 1, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			engines := fleet(1, 1)
+			engines[0].Version, engines[0].Loading = test.serves, test.loads
+			policy := testPolicy
+			policy.Exact = test.exact
+			roll := NewRoll()
+			got := roll.Decide(engines, 3, policy, now)
+			if len(got.Orders) != test.orders || got.Behind != test.behind || (len(roll.swaps) > test.orders) != test.loadingIsWaited {
+				t.Errorf("decision %+v with %d swaps, want %d orders, %d behind", got, len(roll.swaps), test.orders, test.behind)
+			}
+		})
+	}
+}
+
+// TestPinMovedBeforeItsSwapEnds orders another version at once, and does not
+// take the first swap's end for it.
+func TestPinMovedBeforeItsSwapEnds(t *testing.T) {
+	now := time.Unix(0, 0)
+	policy := testPolicy
+	policy.Exact = true
+	engines, roll := fleet(1, 1), NewRoll()
+	for _, version := range []core.WeightVersion{8, 7} {
+		if got := roll.Decide(engines, version, policy, now); len(got.Orders) != 1 {
+			t.Fatalf("version %d: %+v, want an order", version, got)
+		}
+	}
+	engines[0].Version = 8
+	if got := roll.Decide(engines, 7, policy, now.Add(time.Second)); got.Behind != 1 {
+		t.Errorf("an engine on 8 counts as swapped to 7: %+v", got)
+	}
+}
+
 func TestAnotherHoldersLoadIsWaitedForAndThenReplaced(t *testing.T) {
 	now := time.Unix(0, 0)
 	engines := fleet(1, 1)
