Give orders to a model's engines under one lease for all its deployments

Cause: an engine that checks fencing numbers refuses any number below the highest it has seen, whoever's it was. Each deployment had its own lease and sequence of numbers, so of two trainers that share engines the one whose lease had passed on more often shut the other out for good: its weights were never loaded. Change: orders are given under the lease orders/<service>, which all deployments of a model share; samples stay under each deployment's own lease. The fake and the stand-in engine can hold several adapters, each at its own version, and the engine contract covers them (load, status, streams' versions, no room). One more lease for each model; its cost is that of the slope in docs/CAPACITY.md and was not measured anew. An engine that had seen numbers from the former leases refuses orders until the new sequence has passed them or it restarts.

--- a/internal/adapters/enginehttp/client_test.go
+++ b/internal/adapters/enginehttp/client_test.go
@@ -30,7 +30,7 @@
 			fencing = engine.FencingChecks
 		}
 		standin := engine.New(engine.Options{
-			Model: backendtest.SuiteModel, Version: backendtest.SuiteVersion, Fencing: fencing,
+			Model: backendtest.SuiteModel, Version: backendtest.SuiteVersion, MoreAdapters: 1, Fencing: fencing,
 		})
 		server := httptest.NewServer(standin)
 		t.Cleanup(server.Close)
@@ -41,6 +41,7 @@
 			Revive:      standin.Revive,
 			Counts:      func() backendtest.EngineCounts { return backendtest.EngineCounts(standin.Counts()) },
 			WaitVersion: standin.WaitVersion, WaitLoaded: standin.WaitLoaded,
+			WaitAdapter: standin.WaitAdapter,
 		}
 	})
 }
--- a/internal/app/cluster_test.go
+++ b/internal/app/cluster_test.go
@@ -181,10 +181,16 @@
 // owner returns the service that coordinates the model deployment.
 func (c *cluster) owner() (owner *app.Service, address string) {
 	c.t.Helper()
-	c.await("a coordinator", func() bool {
+	return c.holder("deployment/" + string(model))
+}
+
+// holder returns the service that holds a lease and is not cut off.
+func (c *cluster) holder(lease string) (owner *app.Service, address string) {
+	c.t.Helper()
+	c.await("a holder of "+lease, func() bool {
 		for i, s := range c.services {
 			for _, l := range s.State().(app.State).Leases {
-				if l.Held && !c.network.isCut(fmt.Sprintf("peer-%d", i+1)) {
+				if l.Name == lease && l.Held && !c.network.isCut(fmt.Sprintf("peer-%d", i+1)) {
 					owner, address = s, fmt.Sprintf("peer-%d", i+1)
 					return true
 				}
--- a/internal/app/configuration.go
+++ b/internal/app/configuration.go
@@ -147,7 +147,7 @@
 	for i := range config.Deployments {
 		name := config.Deployments[i].Name
 		row := core.DeploymentStatus{Name: name, Version: s.weights.Newest(name)}
-		if owner, ok := s.leases.Owner(leaseName(name)); ok {
+		if owner, ok := s.leases.Owner(ownerLease(&config.Deployments[i])); ok {
 			row.Owner = owner.Holder
 		}
 		if at := slices.IndexFunc(steps, func(state tables.RolloutState) bool { return state.Deployment == name }); at >= 0 {
--- a/internal/app/coordinator.go
+++ b/internal/app/coordinator.go
@@ -24,17 +24,12 @@
 	config := s.configuration.InForce()
 	for i := range config.Deployments {
 		deployment := &config.Deployments[i]
-		if !deployment.Coordinated() {
+		if deployment.Rollout == nil {
 			continue
 		}
 		holding, held := s.leases.Held(leaseName(deployment.Name), s.ports.Clock.Now())
 		if !held {
 			s.cancelRuns(deployment.Name, s.rollouts.Close(deployment.Name))
-			s.weights.StopRolling(deployment.Name)
-			continue
-		}
-		s.orderWeights(deployment, holding)
-		if deployment.Rollout == nil {
 			continue
 		}
 		s.coordinate(deployment, holding)
--- a/internal/app/leases.go
+++ b/internal/app/leases.go
@@ -29,17 +29,50 @@
 // leaseName returns the name of the lease on coordinating a deployment.
 func leaseName(deployment core.DeploymentName) string { return "deployment/" + string(deployment) }
 
-// tendLeases follows the leases for which this process is a candidate and
-// drops those that it no longer needs.
-func (s *Service) tendLeases() {
+// ordersLease returns the name of the lease on giving orders to the engines of
+// a model. It is one for all deployments that share them, since an engine knows
+// one highest fencing number only.
+func ordersLease(service string) string { return "orders/" + service }
+
+// ownerLease returns the name of the lease whose holder operators see as a
+// deployment's owner.
+func ownerLease(deployment *core.Deployment) string {
+	if deployment.Rollout == nil {
+		return ordersLease(deployment.Service)
+	}
+	return leaseName(deployment.Name)
+}
+
+// wantedLeases returns the leases for which this process is a candidate.
+func (s *Service) wantedLeases() map[string]bool {
 	wanted := make(map[string]bool)
-	live, serving := s.members.Live(), s.servesNewWork()
+	if !s.servesNewWork() {
+		return wanted
+	}
+	live := s.members.Live()
 	for _, deployment := range s.configuration.InForce().Deployments {
-		name := leaseName(deployment.Name)
-		if serving && deployment.Coordinated() && lease.IsCandidate(name, s.options.Self.VM, live) {
-			wanted[name] = true
-			s.leases.Follow(name)
+		if !deployment.Coordinated() {
+			continue
 		}
+		names := []string{ordersLease(deployment.Service)}
+		if deployment.Rollout != nil {
+			names = append(names, leaseName(deployment.Name))
+		}
+		for _, name := range names {
+			if !wanted[name] && lease.IsCandidate(name, s.options.Self.VM, live) {
+				wanted[name] = true
+			}
+		}
+	}
+	return wanted
+}
+
+// tendLeases follows the leases for which this process is a candidate and
+// drops those that it no longer needs.
+func (s *Service) tendLeases() {
+	wanted := s.wantedLeases()
+	for name := range wanted {
+		s.leases.Follow(name)
 	}
 	for _, name := range s.leases.Names() {
 		if !wanted[name] && !s.leases.Forget(name) {
@@ -48,6 +81,7 @@
 		s.tendLease(name)
 	}
 	s.coordinateAll()
+	s.orderAll()
 }
 
 // tendLease carries out a lease's next action, and the one after it.
--- a/internal/app/trainer_test.go
+++ b/internal/app/trainer_test.go
@@ -59,15 +59,7 @@
 
 func (tr *trainer) publish(version core.WeightVersion) {
 	tr.c.t.Helper()
-	for number := 0; tr.c.ctx.Err() == nil; number++ {
-		err := tr.c.services[number%len(tr.c.services)].PublishWeights(tr.c.ctx, coach, model, version)
-		if err == nil {
-			return
-		}
-		if !errkind.AnswerTo(err).Retryable {
-			tr.c.t.Fatal(err)
-		}
-	}
+	tr.c.publishWeights(coach, model, version)
 }
 
 func (tr *trainer) check(batch *core.Batch, sample *core.Sample) {
--- a/internal/app/weights.go
+++ b/internal/app/weights.go
@@ -63,6 +63,24 @@
 	return errkind.Wrap(errkind.Timeout, ctx.Err(), "publishing weights")
 }
 
+// orderAll gives the orders to the engines of every model whose lease on orders
+// this process holds, and forgets those given to others.
+func (s *Service) orderAll() {
+	config := s.configuration.InForce()
+	for i := range config.Deployments {
+		deployment := &config.Deployments[i]
+		if !deployment.Coordinated() {
+			continue
+		}
+		holding, held := s.leases.Held(ordersLease(deployment.Service), s.ports.Clock.Now())
+		if !held {
+			s.weights.StopRolling(deployment.Name)
+			continue
+		}
+		s.orderWeights(deployment, holding)
+	}
+}
+
 // orderWeights rolls the deployment's newest version, or the pinned one, over
 // its engines.
 func (s *Service) orderWeights(deployment *core.Deployment, holding lease.Holding) {
@@ -157,5 +175,5 @@
 	if deployment.Fencing {
 		return time.Time{}, true
 	}
-	return s.leases.StartOrder(leaseName(deployment.Name), s.ports.Clock.Now())
+	return s.leases.StartOrder(ordersLease(deployment.Service), s.ports.Clock.Now())
 }
--- a/internal/ports/backendtest/engine.go
+++ b/internal/ports/backendtest/engine.go
@@ -14,6 +14,7 @@
 	Model          core.ModelName
 	Adapter        core.AdapterName
 	Version        core.WeightVersion
+	MoreAdapters   int // adapters that a server can hold beside Adapter; zero keeps to that one
 	IgnoresFencing bool
 	ChunkTokens    int // tokens of a chunk; zero means one
 }
--- a/internal/ports/backendtest/engine_test.go
+++ b/internal/ports/backendtest/engine_test.go
@@ -11,13 +11,14 @@
 func TestEngineFakeKeepsTheContract(t *testing.T) {
 	backendtest.RunEngine(t, func(_ *testing.T, checksFencing bool) backendtest.EngineSubject {
 		fake := backendtest.NewEngine(backendtest.EngineOptions{
-			Model: backendtest.SuiteModel, Version: backendtest.SuiteVersion, IgnoresFencing: !checksFencing,
+			Model: backendtest.SuiteModel, Version: backendtest.SuiteVersion, MoreAdapters: 1, IgnoresFencing: !checksFencing,
 		})
 		server := fake.Server("engine-1")
 		return backendtest.EngineSubject{
 			Engine: fake, Server: core.VM{ID: "engine-1"},
 			SetFaults: server.SetFaults, Revive: server.Revive,
 			Counts: server.Counts, WaitVersion: server.WaitVersion, WaitLoaded: server.WaitLoaded,
+			WaitAdapter: server.WaitAdapter,
 		}
 	})
 }
--- a/internal/ports/backendtest/engineserver.go
+++ b/internal/ports/backendtest/engineserver.go
@@ -18,7 +18,8 @@
 	faults  EngineFaults
 	counts  EngineCounts
 	report  core.EngineStatus
-	events  []core.CacheEvent // event i has number i+1
+	more    map[core.AdapterName]core.WeightVersion // adapters beside the report's
+	events  []core.CacheEvent                       // event i has number i+1
 	fence   core.Fence
 	pending *core.Order // load that waits for FinishSwap
 	held    bool        // loads wait for FinishSwap
@@ -31,10 +32,27 @@
 	return &EngineServer{
 		options: options, mu: lockrank.New(lockrank.RankOutside),
 		report:  core.EngineStatus{Model: options.Model, Adapter: options.Adapter, Version: options.Version},
+		more:    make(map[core.AdapterName]core.WeightVersion),
 		streams: make(map[string]*fakeStream), changed: make(chan struct{}),
 	}
 }
 
+// version is what streams of an adapter start on. The lock is held.
+func (s *EngineServer) version(adapter core.AdapterName) core.WeightVersion {
+	if version, ok := s.more[adapter]; ok {
+		return version
+	}
+	return s.report.Version
+}
+
+// WaitAdapter waits until new streams of an adapter start on the version.
+func (s *EngineServer) WaitAdapter(ctx context.Context, adapter core.AdapterName, version core.WeightVersion) error {
+	return s.waitUntil(ctx, func() bool {
+		held, ok := s.more[adapter]
+		return ok && held == version
+	})
+}
+
 // update changes the state under the lock and wakes all who wait for it.
 func (s *EngineServer) update(change func()) {
 	s.mu.Lock()
@@ -143,6 +161,7 @@
 		stream.gone = true
 	}
 	clear(s.streams)
+	clear(s.more)
 }
 
 func (s *EngineServer) status(id core.ServerID, cursor uint64) core.EngineStatus {
@@ -150,6 +169,12 @@
 	defer s.mu.Unlock()
 	status := s.report
 	status.Server = id
+	if len(s.more) > 0 {
+		status.Versions = []core.AdapterVersion{{Adapter: status.Adapter, Version: status.Version, Loading: status.Loading}}
+	}
+	for adapter, version := range s.more {
+		status.Versions = append(status.Versions, core.AdapterVersion{Adapter: adapter, Version: version})
+	}
 	first := min(max(cursor, 1)-1, uint64(len(s.events)))
 	status.CacheEvents = slices.Clone(s.events[first:])
 	status.NextEvent = uint64(len(s.events)) + 1
@@ -169,10 +194,15 @@
 	case !s.options.IgnoresFencing && order.Fence < s.fence:
 		return errkind.New(errkind.Fenced, "%s has seen fencing number %d", server.ID, s.fence)
 	}
+	if _, held := s.more[order.Adapter]; s.addsAdapter(order) && !held && len(s.more) >= s.options.MoreAdapters {
+		return refusedBy(server)
+	}
 	s.fence = max(s.fence, order.Fence)
 	s.counts.Orders++
 	if order.Kind != core.OrderSetRole {
-		s.report.Loading = order.Version
+		if !s.addsAdapter(order) {
+			s.report.Loading = order.Version
+		}
 		s.pending = &order
 		if !s.held {
 			s.load(order)
@@ -185,6 +215,11 @@
 	return nil
 }
 
+// addsAdapter reports whether an order is for an adapter beside the report's.
+func (s *EngineServer) addsAdapter(order core.Order) bool {
+	return order.Kind == core.OrderLoadVersion && s.options.MoreAdapters > 0 && order.Adapter != s.report.Adapter
+}
+
 // load is called with the lock held.
 func (s *EngineServer) load(order core.Order) {
 	s.pending = nil
@@ -194,6 +229,10 @@
 		return
 	}
 	s.counts.Swaps++
+	if s.addsAdapter(order) {
+		s.more[order.Adapter] = order.Version
+		return
+	}
 	s.report.Version = order.Version
 	if order.Kind == core.OrderLoadModel {
 		s.report.Model, s.report.Adapter = order.Model, order.Adapter
--- a/internal/ports/backendtest/enginestream.go
+++ b/internal/ports/backendtest/enginestream.go
@@ -37,7 +37,8 @@
 // accept starts a stream.
 func (s *EngineServer) accept(server core.VM, request core.GenerateRequest) (stream *fakeStream, err error) {
 	s.update(func() {
-		wrongModel := request.Model != s.report.Model || request.Adapter != s.report.Adapter
+		_, more := s.more[request.Adapter]
+		wrongModel := request.Model != s.report.Model || request.Adapter != s.report.Adapter && !more
 		if s.faults.Refuse || s.dead || wrongModel || s.streams[request.Stream] != nil {
 			err = refusedBy(server)
 			return
@@ -138,7 +139,7 @@
 		until = min(until, s.faults.HoldAfter)
 	}
 	for stream.produced() < until {
-		stream.versions = append(stream.versions, s.report.Version)
+		stream.versions = append(stream.versions, s.version(stream.request.Adapter))
 		s.counts.Tokens++
 	}
 }
--- a/internal/ports/backendtest/enginesuite.go
+++ b/internal/ports/backendtest/enginesuite.go
@@ -14,7 +14,8 @@
 )
 
 // EngineSubject is one engine under test: it serves model "model" without
-// adapter, starts on version 1, and has seen no order.
+// adapter, can hold one adapter beside, starts on version 1, and has seen no
+// order.
 type EngineSubject struct {
 	Engine      ports.Engine
 	Server      core.VM
@@ -23,6 +24,7 @@
 	Counts      func() EngineCounts
 	WaitVersion func(context.Context, core.WeightVersion) error
 	WaitLoaded  func(context.Context) error // until no load is going on
+	WaitAdapter func(context.Context, core.AdapterName, core.WeightVersion) error
 }
 
 // The suite's engine settings.
@@ -45,6 +47,7 @@
 	t.Run("orders", func(t *testing.T) { runOrders(t, newSubject) })
 	t.Run("fencing", func(t *testing.T) { runFencing(t, newSubject) })
 	t.Run("swap in mid-stream", func(t *testing.T) { runSwap(t, newSubject) })
+	t.Run("adapters", func(t *testing.T) { runAdapters(t, newSubject) })
 	t.Run("status", func(t *testing.T) { runStatus(t, newSubject) })
 	t.Run("crash", func(t *testing.T) { runCrash(t, newSubject) })
 }
@@ -286,6 +289,38 @@
 	}
 }
 
+// runAdapters loads an adapter beside the model, which keeps its own version,
+// and one more than the engine can hold.
+func runAdapters(t *testing.T, newSubject newEngineSubject) {
+	s := newSubject(t, true)
+	ctx := suiteContext(t, suiteTimeout)
+	order := core.Order{Kind: core.OrderLoadVersion, Adapter: "notes", Version: 5, Fence: 1}
+	wantKind(t, "Order", s.Engine.Order(ctx, s.Server, order), "")
+	wantKind(t, "WaitAdapter", s.WaitAdapter(ctx, "notes", 5), "")
+	order.Adapter = "letters"
+	wantKind(t, "order for one more adapter", s.Engine.Order(ctx, s.Server, order), errkind.ServerRefused)
+	status, err := s.Engine.Status(ctx, s.Server, 0)
+	wantKind(t, "Status", err, "")
+	for adapter, version := range map[core.AdapterName]core.WeightVersion{"": SuiteVersion, "notes": 5} {
+		held, ok := status.Holds(adapter)
+		if !ok || held.Version != version {
+			t.Errorf("status holds adapter %q at %+v, want version %d", adapter, held, version)
+		}
+		got := &collector{t: t}
+		request := suiteRequest("stream of " + string(adapter))
+		request.Adapter = adapter
+		end, err := s.Engine.Generate(ctx, s.Server, request, got.sink)
+		wantKind(t, "Generate", err, "")
+		got.checkWhole(request, end)
+		if slices.ContainsFunc(got.versions, func(v core.WeightVersion) bool { return v != version }) {
+			t.Errorf("adapter %q: versions %v, want %d", adapter, got.versions, version)
+		}
+	}
+	if _, ok := status.Holds("letters"); ok {
+		t.Error("status holds the adapter that was refused")
+	}
+}
+
 // runSwap holds a stream at a token, swaps the weights, and lets it go on.
 func runSwap(t *testing.T, newSubject newEngineSubject) {
 	const hold = 4
--- a/standin/cmd/standin/engine.go
+++ b/standin/cmd/standin/engine.go
@@ -21,6 +21,7 @@
 
 	Model      string `long:"model" required:"true" description:"model that the engine holds"`
 	Adapter    string `long:"adapter" description:"adapter on top of the model"`
+	More       int    `long:"more-adapters" description:"adapters that it can hold beside that one"`
 	Version    uint64 `long:"weight-version" default:"1" description:"version of its weights"`
 	Fencing    string `long:"fencing" default:"checks" choice:"checks" choice:"ignores" description:"what it does with an old fencing number"`
 	Weights    string `long:"weights" description:"base URL of the weight store to fetch from"`
@@ -41,7 +42,7 @@
 func (c *engineCommand) Execute([]string) error {
 	options := engine.Options{
 		Model: core.ModelName(c.Model), Adapter: core.AdapterName(c.Adapter),
-		Version: core.WeightVersion(c.Version), Fencing: engine.Fencing(c.Fencing),
+		MoreAdapters: c.More, Version: core.WeightVersion(c.Version), Fencing: engine.Fencing(c.Fencing),
 		MaxRunning: c.MaxRunning, StepInterval: c.Step, TokensPerStep: c.TokensPerStep,
 		CacheBlocks: c.CacheBlocks, EventDelay: c.EventDelay, EventGap: c.EventGap,
 		ReportInterval: c.ReportInterval, LoadTime: c.LoadTime, KeepStreams: c.KeepStreams,
--- a/standin/engine/batch.go
+++ b/standin/engine/batch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fescuespar/internal/adapters/enginehttp"
+	"fescuespar/internal/core"
 )
 
 // runBatch advances the batch by one step an interval while it has streams,
@@ -94,7 +95,7 @@
 		return
 	}
 	s.prefill = 0
-	e.counts.Tokens += s.grow(e.options.TokensPerStep, e.faults.HoldAfter, e.version)
+	e.counts.Tokens += s.grow(e.options.TokensPerStep, e.faults.HoldAfter, e.versionOf(core.AdapterName(s.request.Adapter)))
 }
 
 // runReports renews the lagging report.
@@ -125,6 +126,12 @@
 		Version: e.version, Loading: e.loading,
 		Running: len(e.running), Queued: len(e.queued),
 	}
+	if len(e.more) > 0 {
+		status.Versions = []enginehttp.AdapterVersion{{Adapter: status.Adapter, Version: e.version, Loading: e.loading}}
+	}
+	for adapter, version := range e.more {
+		status.Versions = append(status.Versions, enginehttp.AdapterVersion{Adapter: string(adapter), Version: version})
+	}
 	for _, s := range e.queued {
 		status.QueuedTokens += len(s.request.Prompt)
 	}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -31,7 +31,8 @@
 	role     string
 	version  core.WeightVersion
 	loading  core.WeightVersion
-	loads    uint64 // loads begun; a load takes effect only if it is the last
+	more     map[core.AdapterName]core.WeightVersion // adapters beside adapter
+	loads    map[core.AdapterName]uint64             // loads begun; one takes effect only if it is its adapter's last
 	fence    core.Fence
 	arrivals uint64
 	streams  map[string]*stream
@@ -51,6 +52,7 @@
 		options: options, ctx: ctx, stop: stop, wake: make(chan struct{}, 1),
 		mu:    lockrank.New(lockrank.RankOutside),
 		model: options.Model, adapter: options.Adapter, version: options.Version,
+		more: make(map[core.AdapterName]core.WeightVersion), loads: make(map[core.AdapterName]uint64),
 		streams: make(map[string]*stream), cache: newPrefixCache(options),
 		changed: make(chan struct{}),
 	}
@@ -102,6 +104,14 @@
 	return e.waitUntil(ctx, func() bool { return e.version == version })
 }
 
+// WaitAdapter waits until new streams of an adapter start on the version.
+func (e *Engine) WaitAdapter(ctx context.Context, adapter core.AdapterName, version core.WeightVersion) error {
+	return e.waitUntil(ctx, func() bool {
+		held, ok := e.more[adapter]
+		return ok && held == version
+	})
+}
+
 // WaitLoaded waits until no load is going on, whether it took effect or not.
 func (e *Engine) WaitLoaded(ctx context.Context) error {
 	return e.waitUntil(ctx, func() bool { return e.loading == 0 })
@@ -158,7 +168,10 @@
 	}
 	e.queued, e.running = nil, nil
 	e.cache = newPrefixCache(e.options)
-	e.loads++
+	for adapter := range e.loads {
+		e.loads[adapter]++
+	}
+	clear(e.more)
 	e.loading = 0
 	e.dead = true
 	e.notify()
--- a/standin/engine/handlers.go
+++ b/standin/engine/handlers.go
@@ -7,6 +7,7 @@
 
 	"fescuespar/internal/adapters/enginehttp"
 	"fescuespar/internal/adapters/serverhttp"
+	"fescuespar/internal/core"
 	"fescuespar/standin/httpjson"
 )
 
@@ -76,7 +77,7 @@
 		return nil, httpjson.BadRequest("stream id and max_tokens are required")
 	case e.faults.Refuse || e.dead:
 		return nil, httpjson.NotRun("engine refuses streams")
-	case body.Model != string(e.model) || body.Adapter != string(e.adapter):
+	case body.Model != string(e.model) || !e.holds(core.AdapterName(body.Adapter)):
 		return nil, httpjson.NotRun("engine does not hold that model and adapter")
 	case e.streams[body.Stream] != nil:
 		return nil, httpjson.NotRun("stream id is in use")
--- a/standin/engine/options.go
+++ b/standin/engine/options.go
@@ -27,6 +27,8 @@
 	Version core.WeightVersion
 	Fencing Fencing // default FencingChecks
 
+	MoreAdapters int // adapters that it can hold beside Adapter; zero keeps to that one
+
 	MaxRunning    int           // streams in the batch
 	MaxQueued     int           // streams waiting for it
 	StepInterval  time.Duration // between two steps of the batch
