Know a failed weight swap by the engine's reports, not after 30 s

Cause: a swap counted as failed only when the engine had not shown the version 30 s after the order. An engine whose load failed went on with old weights for 31 s, a good part of the minutes between two versions. Ruled out: a shorter deadline for all: a slow load would be ordered twice. Change: a report measured after the order tells. A load that was seen and is gone without the version has failed; so has one of which a report from 5 s after the order shows nothing. Reports from before the order are not taken, and a swap that worked is not counted when the next version comes before its report. An engine that lags more than 5 s in its reports is ordered again while it loads.

--- a/internal/app/weights.go
+++ b/internal/app/weights.go
@@ -15,7 +15,11 @@
 	swapTarget = 6 * time.Second
 	// swapTimeout is how long an engine may take to load a version before the
 	// swap counts as failed.
-	swapTimeout     = 30 * time.Second
+	swapTimeout = 30 * time.Second
+	// swapSilence is how long after an order a report that does not show its
+	// load tells that the load has failed: longer than an order waits in its lane
+	// and a report lags.
+	swapSilence     = 5 * time.Second
 	swapBackoffBase = time.Second
 	swapBackoffMax  = 30 * time.Second
 )
@@ -112,7 +116,7 @@
 		held, _ := view.Status.Holds(deployment.Adapter)
 		engines = append(engines, weights.Engine{
 			Server: vm.ID, Zone: vm.Zone, Region: vm.Region,
-			Version: held.Version, Loading: held.Loading, InFlight: view.InFlight,
+			Version: held.Version, Loading: held.Loading, InFlight: view.InFlight, Measured: view.Reported,
 		})
 		vms[vm.ID] = vm
 	}
@@ -125,7 +129,7 @@
 
 func weightPolicy(deployment *core.Deployment) weights.Policy {
 	policy := weights.Policy{
-		Target: swapTarget, SwapTimeout: swapTimeout,
+		Target: swapTarget, SwapTimeout: swapTimeout, Silence: swapSilence,
 		BackoffBase: swapBackoffBase, BackoffMax: swapBackoffMax,
 		IdleWeight: servingIdleWeight, Exact: deployment.Versions.Pinned != 0,
 	}
--- /dev/null
+++ b/internal/app/weights_test.go
@@ -0,0 +1,71 @@
+package app_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"fescuespar/internal/app"
+	"fescuespar/internal/core"
+	"fescuespar/internal/ports/backendtest"
+)
+
+// TestFailedSwapIsGivenAgainSoon has an engine's load fail without a word: the
+// engine serves the version well before an order's whole time of 30 s is over.
+func TestFailedSwapIsGivenAgainSoon(t *testing.T) {
+	cases := []struct {
+		name  string
+		hold  bool // the load can be seen for a while before it fails
+		bound time.Duration
+	}{
+		{"after it was seen to load", true, 4 * time.Second}, // backoff of 1 s, polls
+		{"at once", false, 10 * time.Second},                 // silence of 5 s besides
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 2)
+			c.publishWeights(coach, model, 2)
+			server := c.engine.Server("engine-1")
+			if err := server.WaitVersion(c.ctx, 2); err != nil {
+				t.Fatal(err)
+			}
+			server.SetFaults(backendtest.EngineFaults{FailNextSwap: true})
+			if test.hold {
+				server.HoldSwaps()
+			}
+			c.publishWeights(coach, model, 3)
+			if test.hold {
+				c.awaitLoading("engine-1", 3)
+				server.FinishSwap()
+			}
+			began := time.Now()
+			ctx, cancel := context.WithTimeout(c.ctx, test.bound)
+			defer cancel()
+			if err := server.WaitVersion(ctx, 3); err != nil {
+				t.Errorf("engine-1 does not serve version 3 after %s", test.bound)
+			}
+			t.Logf("served %.1f s after the failure", time.Since(began).Seconds())
+		})
+	}
+}
+
+// awaitLoading waits until the service that gives the orders has a report, from
+// after the first one, that an engine loads a version.
+func (c *cluster) awaitLoading(id core.ServerID, version core.WeightVersion) {
+	c.t.Helper()
+	var first time.Time
+	c.await("the load is seen", func() bool {
+		holder, _ := c.holder("orders/coach-model")
+		for _, view := range holder.State().(app.State).Servers {
+			if view.VM.ID != id || view.Status.Loading != version {
+				continue
+			}
+			if first.IsZero() {
+				first = time.Now()
+			}
+			return view.Reported.After(first)
+		}
+		return false
+	})
+}
--- a/internal/core/routing/server.go
+++ b/internal/core/routing/server.go
@@ -59,6 +59,7 @@
 	Status   core.EngineStatus `json:"status"`
 	InFlight int               `json:"in_flight_tokens"` // of this process's requests
 	Others   int               `json:"others_tokens"`    // of other processes' requests, by the newest report
+	Reported time.Time         `json:"reported"`         // when Status was measured, zero for never
 	Ejected  bool              `json:"ejected"`
 	Until    time.Time         `json:"ejected_until"`
 }
@@ -66,6 +67,7 @@
 func (r *server) view() View {
 	return View{
 		VM: r.vm, Status: r.status, InFlight: r.load.own.tokens, Others: int(r.load.others),
-		Ejected: r.health.Ejected(), Until: r.health.Until(),
+		Reported: r.load.reported,
+		Ejected:  r.health.Ejected(), Until: r.health.Until(),
 	}
 }
--- a/internal/core/weights/roll.go
+++ b/internal/core/weights/roll.go
@@ -14,12 +14,14 @@
 	Version  core.WeightVersion // that it serves
 	Loading  core.WeightVersion // that it loads, zero when none
 	InFlight int                // tokens of requests in flight
+	Measured time.Time          // of Version and Loading; zero when not known
 }
 
 // Policy says how a version is rolled.
 type Policy struct {
 	Target      time.Duration // within which all engines shall have a version
 	SwapTimeout time.Duration // after which a swap without effect has failed
+	Silence     time.Duration // after an order, from which on a report without its load shows that it has failed; zero for never
 	BackoffBase time.Duration // before the second order to an engine
 	BackoffMax  time.Duration
 	IdleWeight  float64 // weight of trainer idle time against staleness, 0 to 1
@@ -41,6 +43,23 @@
 	failures  int
 	notBefore time.Time // of the next order after a failure
 	waiting   bool      // for the engine's status
+	seen      bool      // the status has shown the load
+}
+
+// ended reports whether an engine has stopped loading the swap's version without
+// serving it, by a report that was measured after the order. An engine that does
+// not hold the adapter yet need not tell that it loads it.
+func (row *swap) ended(engine *Engine, policy Policy) bool {
+	known := !engine.Measured.IsZero() && !engine.Measured.Before(row.orderedAt)
+	if !known || policy.fits(engine.Version, row.version) {
+		return false
+	}
+	if engine.Loading != 0 {
+		row.seen = row.seen || engine.Loading == row.version
+		return false
+	}
+	silent := policy.Silence > 0 && engine.Version != 0 && engine.Measured.Sub(row.orderedAt) >= policy.Silence
+	return row.seen || silent && !row.orderedAt.IsZero()
 }
 
 // Roll is the rolling of one deployment's versions. It is not safe for
@@ -76,10 +95,10 @@
 		}
 		decision.Behind++
 		switch {
+		case r.failed(engine, version, policy, now):
+			decision.Failed = append(decision.Failed, engine.Server)
 		case r.underWay(engine, version, policy, now):
 			load.start(engine)
-		case r.expired(engine, version, policy, now):
-			decision.Failed = append(decision.Failed, engine.Server)
 		case r.mayOrder(engine, version, policy, now):
 			ready = append(ready, engine)
 		}
@@ -113,15 +132,15 @@
 	row := r.swaps[engine.Server]
 	if policy.fits(engine.Loading, version) && (row == nil || !policy.fits(row.version, version)) {
 		row = r.begin(engine.Server, version, policy, now)
-		row.orderedAt = time.Time{}
+		row.orderedAt, row.seen = time.Time{}, true
 	}
 	return row != nil && row.waiting && policy.fits(row.version, version) && now.Before(row.until)
 }
 
-// expired reports whether a swap has just failed, and schedules the next order.
-func (r *Roll) expired(engine *Engine, version core.WeightVersion, policy Policy, now time.Time) bool {
+// failed reports whether a swap has just failed, and schedules the next order.
+func (r *Roll) failed(engine *Engine, version core.WeightVersion, policy Policy, now time.Time) bool {
 	row := r.swaps[engine.Server]
-	if row == nil || !row.waiting || now.Before(row.until) {
+	if row == nil || !row.waiting || !row.ended(engine, policy) && now.Before(row.until) {
 		return false
 	}
 	r.fail(row, policy, now)
@@ -167,6 +186,7 @@
 	row.orderedAt = now
 	row.until = now.Add(policy.SwapTimeout)
 	row.waiting = true
+	row.seen = false
 	return row
 }
 
--- a/internal/core/weights/weights_test.go
+++ b/internal/core/weights/weights_test.go
@@ -65,6 +65,59 @@
 	}
 }
 
+// TestReportsTellThatALoadHasEnded gives one order at second 10 and shows the
+// decision reports that were measured later, at the seconds given.
+func TestReportsTellThatALoadHasEnded(t *testing.T) {
+	type report struct {
+		second           int
+		version, loading core.WeightVersion
+	}
+	tests := []struct {
+		name    string
+		reports []report
+		failed  int
+	}{
+		{"loads", []report{{11, 1, 2}, {18, 1, 2}}, 0},
+		{"loaded", []report{{11, 1, 2}, {12, 2, 0}}, 0},
+		{"stopped loading", []report{{11, 1, 2}, {12, 1, 0}}, 1},
+		{"no load in a young report", []report{{12, 1, 0}}, 0},
+		{"no load in a report after the silence", []report{{15, 1, 0}}, 1},
+		{"a report from before the order", []report{{9, 1, 2}, {9, 1, 0}}, 0},
+		{"the load seen in a report from before the order", []report{{9, 1, 2}, {11, 1, 0}}, 0},
+		{"adapter not held yet", []report{{18, 0, 0}}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			policy := testPolicy
+			policy.Silence = 5 * time.Second
+			engines, roll, failed := fleet(1, 1), NewRoll(), 0
+			roll.Decide(engines, 2, policy, time.Unix(10, 0))
+			for _, r := range test.reports {
+				engines[0].Version, engines[0].Loading, engines[0].Measured = r.version, r.loading, time.Unix(int64(r.second), 0)
+				failed += len(roll.Decide(engines, 2, policy, time.Unix(19, 0)).Failed)
+			}
+			if failed != test.failed {
+				t.Errorf("%d failed, want %d", failed, test.failed)
+			}
+		})
+	}
+}
+
+// TestNextVersionDoesNotCountASwapThatWorked has the next version come before
+// the report of the first one's load.
+func TestNextVersionDoesNotCountASwapThatWorked(t *testing.T) {
+	policy := testPolicy
+	policy.Silence = 5 * time.Second
+	engines, roll := fleet(1, 1), NewRoll()
+	roll.Decide(engines, 2, policy, time.Unix(10, 0))
+	engines[0].Loading, engines[0].Measured = 2, time.Unix(11, 0)
+	roll.Decide(engines, 2, policy, time.Unix(11, 0))
+	engines[0].Version, engines[0].Loading, engines[0].Measured = 2, 0, time.Unix(12, 0)
+	if got := roll.Decide(engines, 3, policy, time.Unix(12, 0)); len(got.Failed) != 0 || len(got.Orders) != 1 {
+		t.Errorf("decision %+v, want an order for version 3 and no failure", got)
+	}
+}
+
 // TestPinnedVersionTakesEnginesBack decides about engines that serve or load
 // newer versions than the one wanted.
 func TestPinnedVersionTakesEnginesBack(t *testing.T) {
