Let entry processes trust several authorities at a time

Cause: the authority's file was read as one certificate, so that a process of the old authority and one of the new refused each other's handshakes until all files were changed.

Ruled out: a second key in the settings, which would need a restart of every process; a certificate chain that signs the new authority with the old one, which would keep the old key in force.

Change: the file may hold several certificates, and nothing else. `keys issue` adds its authority to those already trusted in the directory, so that issuing cuts nobody off; `keys trust` sets exactly the authorities that it is given.

Figures: a unit test replaces the authority of two VMs step by step, with a handshake in both directions after each step.

--- a/cmd/fescuespar/keys.go
+++ b/cmd/fescuespar/keys.go
@@ -18,6 +18,7 @@
 type keysCommand struct {
 	Authority authorityCommand `command:"authority" description:"Make the site's certificate authority" long-description:"Makes the site's certificate authority. Keep its key off the entry VMs.\n\nExample:\n  fescuespar keys authority --out authority"`
 	Issue     issueCommand     `command:"issue" description:"Make the certificate of one entry VM" long-description:"Makes the certificate of one entry VM. A running entry process takes up replaced files at its next handshake.\n\nExample:\n  fescuespar keys issue --authority authority --vm entry-1 --address 192.0.2.10 --out keys/entry-1"`
+	Trust     trustCommand     `command:"trust" description:"Set the authorities that one entry VM trusts" long-description:"Sets the authorities that one entry VM trusts: both while the authority is being replaced, the new one alone afterwards.\n\nExample:\n  fescuespar keys trust --authority authority --authority authority-new --out keys/entry-1"`
 }
 
 // LongDescription returns the help text.
@@ -38,7 +39,7 @@
 	if err := keys.CreateAuthority(c.Out, c.Site, time.Now()); err != nil {
 		return err
 	}
-	fmt.Printf("wrote %s and %s to %s\n", keys.AuthorityFile, keys.AuthorityKeyFile, c.Out)
+	fmt.Fprintf(stdout, "wrote %s and %s to %s\n", keys.AuthorityFile, keys.AuthorityKeyFile, c.Out)
 	return nil
 }
 
@@ -70,6 +71,20 @@
 	if err := keys.Issue(request, time.Now()); err != nil {
 		return err
 	}
-	fmt.Printf("wrote %s, %s and %s to %s\n", keys.CertificateFile, keys.KeyFile, keys.AuthorityFile, c.Out)
+	fmt.Fprintf(stdout, "wrote %s, %s and %s to %s\n", keys.CertificateFile, keys.KeyFile, keys.AuthorityFile, c.Out)
+	return nil
+}
+
+type trustCommand struct {
+	Authority []string `long:"authority" value-name:"DIR" required:"true" description:"directory of an authority; may be repeated"`
+	Out       string   `long:"out" value-name:"DIR" required:"true" description:"directory of the VM's files"`
+}
+
+// Execute writes the authorities that the VM trusts.
+func (c *trustCommand) Execute([]string) error {
+	if err := keys.Trust(c.Out, c.Authority); err != nil {
+		return err
+	}
+	fmt.Fprintf(stdout, "wrote %s with %d authorities to %s\n", keys.AuthorityFile, len(c.Authority), c.Out)
 	return nil
 }
--- a/internal/adapters/keys/authority.go
+++ b/internal/adapters/keys/authority.go
@@ -8,10 +8,13 @@
 	"crypto/rand"
 	"crypto/x509"
 	"crypto/x509/pkix"
-	"encoding/pem"
+	"errors"
+	"io/fs"
 	"math/big"
 	"net"
+	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"fescuespar/internal/core"
@@ -66,7 +69,7 @@
 	VM        core.VMID
 	Addresses []net.IP // addresses at which peers reach the VM
 	Lifetime  time.Duration
-	Directory string // where certificate, key and the authority's certificate go
+	Directory string // where certificate and key go; the authority is added to those trusted there
 }
 
 // Issue writes a VM's certificate and key, replacing older ones. Errors:
@@ -99,8 +102,42 @@
 	if err != nil {
 		return err
 	}
-	block := pem.EncodeToMemory(&pem.Block{Type: pemCertificate, Bytes: authority.certificate.Raw})
-	return writeFile(filepath.Join(request.Directory, AuthorityFile), block, replace)
+	return addAuthority(request.Directory, authority.certificate)
+}
+
+// addAuthority makes a directory's VM trust an authority beside those that it
+// trusts already, so that a certificate of another authority cuts nobody off.
+func addAuthority(directory string, added *x509.Certificate) error {
+	path := filepath.Join(directory, AuthorityFile)
+	if _, err := os.Stat(path); errors.Is(err, fs.ErrNotExist) {
+		return writeAuthorities(directory, []*x509.Certificate{added})
+	}
+	trusted, err := readAuthorities(path)
+	if err != nil {
+		return err
+	}
+	if slices.ContainsFunc(trusted, added.Equal) {
+		return nil
+	}
+	return writeAuthorities(directory, append(trusted, added))
+}
+
+// Trust makes a directory's VM trust exactly the authorities of the given
+// directories. Errors: BadRequest when there is none or one cannot be read,
+// Internal when the file cannot be written.
+func Trust(directory string, authorities []string) error {
+	var trusted []*x509.Certificate
+	for _, authority := range authorities {
+		found, err := readAuthorities(filepath.Join(authority, AuthorityFile))
+		if err != nil {
+			return err
+		}
+		trusted = append(trusted, found...)
+	}
+	if len(trusted) == 0 {
+		return errkind.New(errkind.BadRequest, "a VM needs an authority to trust")
+	}
+	return writeAuthorities(directory, trusted)
 }
 
 // authorityPair is an authority as loaded for signing.
--- a/internal/adapters/keys/files.go
+++ b/internal/adapters/keys/files.go
@@ -77,6 +77,38 @@
 	return errkind.Wrap(errkind.Internal, err, "write %s", path)
 }
 
+// readAuthorities reads the certificates of a file, at least one and nothing else.
+func readAuthorities(path string) ([]*x509.Certificate, error) {
+	rest, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errkind.Wrap(errkind.BadRequest, err, "read %s", path)
+	}
+	var found []*x509.Certificate
+	for block, rest := pem.Decode(rest); block != nil; block, rest = pem.Decode(rest) {
+		if block.Type != pemCertificate {
+			return nil, errkind.New(errkind.BadRequest, "%s holds a PEM block of type %s", path, block.Type)
+		}
+		certificate, err := x509.ParseCertificate(block.Bytes)
+		if err != nil {
+			return nil, errkind.Wrap(errkind.BadRequest, err, "parse %s", path)
+		}
+		found = append(found, certificate)
+	}
+	if len(found) == 0 {
+		return nil, errkind.New(errkind.BadRequest, "%s holds no PEM block of type %s", path, pemCertificate)
+	}
+	return found, nil
+}
+
+// writeAuthorities replaces the authorities that a directory's VM trusts.
+func writeAuthorities(directory string, authorities []*x509.Certificate) error {
+	var content []byte
+	for _, authority := range authorities {
+		content = append(content, pem.EncodeToMemory(&pem.Block{Type: pemCertificate, Bytes: authority.Raw})...)
+	}
+	return writeFile(filepath.Join(directory, AuthorityFile), content, replace)
+}
+
 func readBlock(path, blockType string) ([]byte, error) {
 	content, err := os.ReadFile(path)
 	if err != nil {
--- a/internal/adapters/keys/identity.go
+++ b/internal/adapters/keys/identity.go
@@ -14,7 +14,7 @@
 
 // Files names the files of one entry process's identity.
 type Files struct {
-	Authority   string // certificate of the site's authority
+	Authority   string // certificates of the site's authorities, one or more
 	Certificate string
 	Key         string
 }
@@ -42,11 +42,12 @@
 type material struct {
 	marks       [fileCount]fileMark
 	certificate tls.Certificate
-	authority   *x509.CertPool
+	authorities *x509.CertPool
+	until       time.Time // earliest end of an authority's validity
 	vm          core.VMID
 }
 
-// Identity is an entry process's certificate and the authority that it trusts.
+// Identity is an entry process's certificate and the authorities that it trusts.
 // Changed files are seen at the next handshake; while the new ones cannot be
 // read or do not fit together, the last good ones stay in use.
 type Identity struct {
@@ -82,7 +83,7 @@
 }
 
 // Server returns the TLS settings of a listener that accepts only peers with
-// a certificate of the same authority.
+// a certificate of a trusted authority.
 func (i *Identity) Server(protocol string) *tls.Config {
 	base := i.serverConfig(protocol)
 	base.GetConfigForClient = func(*tls.ClientHelloInfo) (*tls.Config, error) {
@@ -97,7 +98,7 @@
 		MinVersion:             tls.VersionTLS13,
 		Certificates:           []tls.Certificate{m.certificate},
 		ClientAuth:             tls.RequireAndVerifyClientCert,
-		ClientCAs:              m.authority,
+		ClientCAs:              m.authorities,
 		NextProtos:             []string{protocol},
 		SessionTicketsDisabled: true,
 	}
@@ -110,7 +111,7 @@
 	return &tls.Config{
 		MinVersion:   tls.VersionTLS13,
 		Certificates: []tls.Certificate{m.certificate},
-		RootCAs:      m.authority,
+		RootCAs:      m.authorities,
 		ServerName:   host,
 		NextProtos:   []string{protocol},
 	}
@@ -160,16 +161,19 @@
 	if err != nil {
 		return nil, errkind.Wrap(errkind.BadRequest, err, "load %s", files.Certificate)
 	}
-	root, err := readBlock(files.Authority, pemCertificate)
+	authorities, err := readAuthorities(files.Authority)
 	if err != nil {
 		return nil, err
 	}
-	authority, err := x509.ParseCertificate(root)
-	if err != nil {
-		return nil, errkind.Wrap(errkind.BadRequest, err, "parse %s", files.Authority)
+	loaded := &material{
+		marks: marks, certificate: certificate, authorities: x509.NewCertPool(),
+		until: authorities[0].NotAfter, vm: core.VMID(certificate.Leaf.Subject.CommonName),
+	}
+	for _, authority := range authorities {
+		loaded.authorities.AddCert(authority)
+		if authority.NotAfter.Before(loaded.until) {
+			loaded.until = authority.NotAfter
+		}
 	}
-	pool := x509.NewCertPool()
-	pool.AddCert(authority)
-	vm := core.VMID(certificate.Leaf.Subject.CommonName)
-	return &material{marks: marks, certificate: certificate, authority: pool, vm: vm}, nil
+	return loaded, nil
 }
--- a/internal/adapters/keys/keys_test.go
+++ b/internal/adapters/keys/keys_test.go
@@ -1,6 +1,7 @@
 package keys
 
 import (
+	"crypto/tls"
 	"net"
 	"os"
 	"path/filepath"
@@ -87,3 +88,81 @@
 		t.Error("a broken key replaced the good one or went unreported")
 	}
 }
+
+// shake reports whether two identities accept each other.
+func shake(t *testing.T, client, server *Identity) bool {
+	t.Helper()
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	accepted := make(chan error, 1)
+	go func() {
+		connection := tls.Server(far, server.Server("test"))
+		err := connection.Handshake()
+		_ = far.Close()
+		accepted <- err
+	}()
+	dialed := tls.Client(near, client.Client("test", "127.0.0.1")).Handshake()
+	_ = near.Close()
+	return dialed == nil && <-accepted == nil
+}
+
+// TestAuthorityIsReplacedWithoutABreak replaces the authority of two VMs step by
+// step: they accept each other after every step, and the old authority no
+// longer counts at the end.
+func TestAuthorityIsReplacedWithoutABreak(t *testing.T) {
+	older, newer := newAuthority(t), newAuthority(t)
+	var identities [3]*Identity
+	var directories [3]string // the last one stays with the old authority
+	for number := range directories {
+		directories[number] = t.TempDir()
+		issue(t, older, directories[number], core.VMID("entry"))
+		loaded, err := Load(InDirectory(directories[number]))
+		if err != nil {
+			t.Fatal(err)
+		}
+		identities[number] = loaded
+	}
+	trust := func(directory string, authorities ...string) {
+		if err := Trust(directory, authorities); err != nil {
+			t.Fatal(err)
+		}
+	}
+	steps := []func(directory string){
+		func(directory string) { trust(directory, older, newer) },
+		func(directory string) { issue(t, newer, directory, "entry") },
+		func(directory string) { trust(directory, newer) },
+	}
+	for number, step := range steps {
+		for _, directory := range directories[:2] {
+			step(directory)
+			if !shake(t, identities[0], identities[1]) || !shake(t, identities[1], identities[0]) {
+				t.Errorf("step %d at %s: no handshake, %v", number+1, directory, identities[0].ReloadError())
+			}
+		}
+	}
+	if shake(t, identities[2], identities[0]) || shake(t, identities[0], identities[2]) {
+		t.Error("a certificate of the replaced authority is still accepted")
+	}
+}
+
+func TestTrustedAuthoritiesAreReadStrictly(t *testing.T) {
+	authority, directory := newAuthority(t), t.TempDir()
+	issue(t, authority, directory, "entry-1")
+	if err := Trust(directory, nil); !errkind.Is(err, errkind.BadRequest) {
+		t.Errorf("nothing to trust: %v, want bad_request", err)
+	}
+	if err := Trust(directory, []string{directory, t.TempDir()}); !errkind.Is(err, errkind.BadRequest) {
+		t.Errorf("no authority: %v, want bad_request", err)
+	}
+	key, err := os.ReadFile(filepath.Join(directory, KeyFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(directory, AuthorityFile), key, fileMode); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Load(InDirectory(directory)); !errkind.Is(err, errkind.BadRequest) {
+		t.Errorf("a key among the authorities: %v, want bad_request", err)
+	}
+}
