Warn operators of outages, ejections, full queues, keys, weights and waits

Cause: `fescuespar status` warned of three things only: a silent entry VM, one with an older configuration, and prompts that cannot be read. The rest had to be found in the dump and the metrics. The column QUEUE showed samples in progress, not requests waiting, as its description says.

Ruled out: warnings made in the command line from the dump, which another front end could not use; log lines for each, since counters come first.

Change: `core/warnings` decides from what the process knows; `status.go` gathers it. New are: a service of the platform that does not answer, with the time since when; an ejected server; a deployment that refuses for its limits, with the count; a certificate or authority within 30 days of its end; changed key files that are not in use; engines that lack the newest weight version for more than one swap, or whose last order failed; a trainer that waits longer than it works on a step, and at least a minute. Each names its fault in docs/OPERATIONS.md, and a test looks the fault up there. A request that waited in vain now counts as refused in the dump. QUEUE shows waiting requests, SAMPLES samples in progress. In JSON a warning is an object: kind, subject, message, since, page, section.

Conclusion: every row of the page's table that the process can see has a warning, but a sag of a whole pool and a conflict of operators.

--- a/cmd/fescuespar/commands_test.go
+++ b/cmd/fescuespar/commands_test.go
@@ -92,7 +92,7 @@
 			{VM: "entry-3", State: "gone", Generation: 1},
 		},
 		Deployments: []configjson.DeploymentStatus{{Name: "matcher", Owner: "entry-1"}},
-		Warnings:    []string{"entry-2 is suspected"},
+		Warnings:    []configjson.Warning{{Kind: "entry_vm_silent", Message: "entry-2 is suspected", Page: core.WarningPage, Section: "lost entry VM"}},
 	})
 }
 
@@ -228,9 +228,10 @@
 		{"check", &checkCommand{}, []string{example}, exitOK, "no mistakes in 3 files"},
 		{"check without a directory", &checkCommand{}, nil, exitUsage, "DIR"},
 		{"check of an absent directory", &checkCommand{}, []string{"testdata/none"}, exitRefused, "not_found"},
-		{"status", &statusCommand{}, access, exitOK, "warning: entry-2 is suspected"},
-		{"status without a version", &statusCommand{}, access, exitOK, "matcher     -        -     0      entry-1"},
+		{"status", &statusCommand{}, access, exitOK, "warning: entry-2 is suspected\n  what to do: \"lost entry VM\" in docs/OPERATIONS.md"},
+		{"status without a version", &statusCommand{}, access, exitOK, "matcher     -        -     0      -        entry-1"},
 		{"status as JSON", &statusCommand{}, append(access, "--output", "json"), exitOK, `"owner": "entry-1"`},
+		{"warnings as JSON", &statusCommand{}, append(access, "--output", "json"), exitOK, `"section": "lost entry VM"`},
 		{"status without a token", &statusCommand{}, access[:2], exitUsage, "--token"},
 		{"status of nobody", &statusCommand{}, []string{"--address", closed.URL, "--token", token}, exitUnreachable, "peer_unreachable"},
 		{"addresses", &addressesCommand{}, access, exitOK, "192.0.2.7:8080\nkeep for 15 seconds"},
--- a/cmd/fescuespar/status.go
+++ b/cmd/fescuespar/status.go
@@ -24,7 +24,7 @@
 
 // LongDescription returns the command's help.
 func (*statusCommand) LongDescription() string {
-	return `Shows the generation in force, each entry process with its state, each deployment with its weight version, step, queue and owner, and warnings.
+	return `Shows the generation in force, each entry process with its state, each deployment with its weight version, step, queue, samples in progress and owner, and warnings with the section of docs/OPERATIONS.md that says what to do.
 
 Example: fescuespar status --address 192.0.2.7:8080 --token-file operator.token` + exitCodesHelp
 }
@@ -46,13 +46,13 @@
 	for _, m := range status.Members {
 		fmt.Fprintf(t, "%s\t%s\t%d\t%s\n", m.VM, m.State, m.Generation, m.Address)
 	}
-	fmt.Fprintln(t, "\nDEPLOYMENT\tVERSION\tSTEP\tQUEUE\tOWNER")
+	fmt.Fprintln(t, "\nDEPLOYMENT\tVERSION\tSTEP\tQUEUE\tSAMPLES\tOWNER")
 	for _, d := range status.Deployments {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\n", d.Name, orNone(d.Version), orNone(d.Step), d.Queue, orNone(d.Owner))
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\t%s\n", d.Name, orNone(d.Version), orNone(d.Step), d.Queue, orNone(d.Running), orNone(d.Owner))
 	}
 	t.Flush()
 	for _, warning := range status.Warnings {
-		fmt.Fprintln(w, "\nwarning:", warning)
+		fmt.Fprintf(w, "\nwarning: %s\n  what to do: %q in %s\n", warning.Message, warning.Section, warning.Page)
 	}
 }
 
--- a/cmd/fescuespar/wire.go
+++ b/cmd/fescuespar/wire.go
@@ -71,7 +71,7 @@
 	if self.PeerAddress == "" {
 		self.PeerAddress = node.Address()
 	}
-	service := app.New(options(loaded, self), outside(loaded, node), log)
+	service := app.New(options(loaded, self), outside(loaded, node, identity), log)
 	if err := node.Serve(service); err != nil {
 		return nil, err
 	}
@@ -82,7 +82,7 @@
 	return &entryParts{service: service, peers: node, self: self, listener: listener, handler: handler}, nil
 }
 
-func outside(loaded *settings.Settings, node *peerquic.Node) app.Ports {
+func outside(loaded *settings.Settings, node *peerquic.Node, identity *keys.Identity) app.Ports {
 	return app.Ports{
 		Tables:  tablehttp.New(loaded.Platform.Table, platformTimeout),
 		Objects: objecthttp.New(loaded.Platform.Objects, platformTimeout),
@@ -93,6 +93,7 @@
 		Bodies:  bodycodec.Codec{},
 		Peers:   node,
 		Clock:   systemClock{},
+		Keys:    identity,
 	}
 }
 
--- a/internal/adapters/keys/identity.go
+++ b/internal/adapters/keys/identity.go
@@ -82,6 +82,16 @@
 	return i.failure
 }
 
+// State looks at the files and returns what is in use.
+func (i *Identity) State() core.KeysState {
+	m := i.latest()
+	state := core.KeysState{CertificateUntil: m.certificate.Leaf.NotAfter, AuthorityUntil: m.until}
+	if err := i.ReloadError(); err != nil {
+		state.Problem = err.Error()
+	}
+	return state
+}
+
 // Server returns the TLS settings of a listener that accepts only peers with
 // a certificate of a trusted authority.
 func (i *Identity) Server(protocol string) *tls.Config {
--- a/internal/adapters/keys/keys_test.go
+++ b/internal/adapters/keys/keys_test.go
@@ -137,7 +137,7 @@
 		for _, directory := range directories[:2] {
 			step(directory)
 			if !shake(t, identities[0], identities[1]) || !shake(t, identities[1], identities[0]) {
-				t.Errorf("step %d at %s: no handshake, %v", number+1, directory, identities[0].ReloadError())
+				t.Errorf("step %d at %s: no handshake, %+v", number+1, directory, identities[0].State())
 			}
 		}
 	}
--- a/internal/adapters/operatorhttp/operatorhttp.go
+++ b/internal/adapters/operatorhttp/operatorhttp.go
@@ -69,7 +69,7 @@
 }
 
 func encodeStatus(status core.Status) configjson.Status {
-	body := configjson.Status{Generation: uint64(status.Generation), Warnings: status.Warnings}
+	body := configjson.Status{Generation: uint64(status.Generation), Warnings: []configjson.Warning{}}
 	for _, member := range status.Members {
 		body.Members = append(body.Members, configjson.MemberStatus{
 			VM: string(member.VM), State: member.State.String(),
@@ -79,7 +79,13 @@
 	for _, d := range status.Deployments {
 		body.Deployments = append(body.Deployments, configjson.DeploymentStatus{
 			Name: string(d.Name), Version: uint64(d.Version), Step: uint64(d.Step),
-			Queue: d.Queue, Owner: string(d.Owner),
+			Queue: d.Queue, Running: d.Running, Owner: string(d.Owner),
+		})
+	}
+	for _, w := range status.Warnings {
+		body.Warnings = append(body.Warnings, configjson.Warning{
+			Kind: string(w.Kind), Subject: w.Subject, Message: w.Message, Since: w.Since,
+			Page: core.WarningPage, Section: w.Section,
 		})
 	}
 	return body
--- a/internal/app/configuration.go
+++ b/internal/app/configuration.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"strings"
 
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/configuration"
 	"fescuespar/internal/errkind"
-	"fescuespar/internal/tables"
 )
 
 // Configuration returns the configuration in force in this process.
@@ -138,43 +136,3 @@
 func (s *Service) HandleConfiguration(context.Context) (core.Configuration, error) {
 	return *s.configuration.InForce(), nil
 }
-
-// Status returns what this process knows of the whole system.
-func (s *Service) Status() core.Status {
-	config := s.configuration.InForce()
-	status := core.Status{Generation: config.Generation, Members: s.members.All()}
-	steps := s.rollouts.State()
-	for i := range config.Deployments {
-		name := config.Deployments[i].Name
-		row := core.DeploymentStatus{Name: name, Version: s.weights.Newest(name)}
-		if owner, ok := s.leases.Owner(leaseName(name)); ok {
-			row.Owner = owner.Holder
-		}
-		if at := slices.IndexFunc(steps, func(state tables.RolloutState) bool { return state.Deployment == name }); at >= 0 {
-			row.Step = steps[at].LastStep
-			row.Queue = steps[at].Running
-		}
-		status.Deployments = append(status.Deployments, row)
-	}
-	status.Warnings = warnings(&status, steps)
-	return status
-}
-
-// warnings names in plain words what an operator should look at.
-func warnings(status *core.Status, rollouts []tables.RolloutState) []string {
-	var warnings []string
-	for _, rollout := range rollouts {
-		if rollout.Problem != "" {
-			warnings = append(warnings, rollout.Problem)
-		}
-	}
-	for _, member := range status.Members {
-		if member.State == core.MemberSuspect {
-			warnings = append(warnings, "entry VM "+string(member.VM)+" does not answer heartbeats")
-		}
-		if member.State == core.MemberAlive && member.Generation < status.Generation {
-			warnings = append(warnings, "entry VM "+string(member.VM)+" runs an older configuration")
-		}
-	}
-	return warnings
-}
--- a/internal/app/heartbeat.go
+++ b/internal/app/heartbeat.go
@@ -61,7 +61,7 @@
 
 func (s *Service) takeNews(news membership.News) {
 	for _, weights := range news.Weights {
-		s.weights.Learn(weights.Deployment, weights.Version)
+		s.weights.Learn(weights.Deployment, weights.Version, s.ports.Clock.Now())
 	}
 	if configuration.Newer(s.configuration.InForce().Generation, news.Generation) {
 		s.fetchConfiguration(news.From)
@@ -87,5 +87,5 @@
 // learnWeights takes in a published version and spreads it.
 func (s *Service) learnWeights(name core.DeploymentName, version core.WeightVersion) bool {
 	s.members.SetWeights(core.WeightNews{Deployment: name, Version: version})
-	return s.weights.Learn(name, version)
+	return s.weights.Learn(name, version, s.ports.Clock.Now())
 }
--- a/internal/app/service.go
+++ b/internal/app/service.go
@@ -27,6 +27,7 @@
 	Bodies  ports.Bodies
 	Peers   ports.Peers
 	Clock   ports.Clock
+	Keys    ports.Keys // nil when the process has no certificate
 }
 
 // LaneOptions bounds the calls to one kind of outside thing.
@@ -96,6 +97,7 @@
 	weights       *tables.Weights
 	claims        *tables.Commits
 	answers       *tables.Answers
+	platform      *tables.Platform
 	random        *tables.Random
 
 	requestCounter atomic.Uint64
@@ -124,9 +126,10 @@
 func New(options Options, outside Ports, log zerolog.Logger) *Service {
 	random := rand.New(rand.NewPCG(options.Seed, uint64(options.Self.Incarnation)))
 	pool := workers.NewPool(options.Workers, options.QueueLength)
+	platform := tables.NewPlatform()
 	s := &Service{
 		options: options,
-		ports:   outside,
+		ports:   observePlatform(outside, platform),
 		log:     log,
 		metrics: metrics.New(),
 		retry:   retry.Policy{Attempts: retryAttempts, Base: retryBaseDelay, Max: retryMaxDelay},
@@ -152,6 +155,7 @@
 		weights:       tables.NewWeights(),
 		claims:        tables.NewCommits(),
 		answers:       tables.NewAnswers(answerLimit),
+		platform:      platform,
 		random:        tables.NewRandom(random),
 	}
 	s.metrics.Feed(s.gauges())
--- /dev/null
+++ b/internal/app/status.go
@@ -0,0 +1,95 @@
+package app
+
+import (
+	"fescuespar/internal/core"
+	"fescuespar/internal/core/warnings"
+	"fescuespar/internal/tables"
+)
+
+// Status returns what this process knows of the whole system.
+func (s *Service) Status() core.Status {
+	config := s.configuration.InForce()
+	facts := s.facts(config)
+	status := core.Status{Generation: config.Generation, Members: facts.Members, Warnings: warnings.Find(&facts)}
+	steps := s.rolloutStates()
+	for i := range config.Deployments {
+		name := config.Deployments[i].Name
+		row := core.DeploymentStatus{
+			Name: name, Version: facts.Deployments[i].Weights.Newest,
+			Queue: facts.Deployments[i].Waiting, Step: steps[name].LastStep, Running: steps[name].Running,
+		}
+		if owner, ok := s.leases.Owner(leaseName(name)); ok {
+			row.Owner = owner.Holder
+		}
+		status.Deployments = append(status.Deployments, row)
+	}
+	return status
+}
+
+// facts gathers what warnings are decided from. Its deployments are those of
+// the configuration, in the same order.
+func (s *Service) facts(config *core.Configuration) warnings.Facts {
+	facts := warnings.Facts{
+		Now: s.ports.Clock.Now(), Generation: config.Generation,
+		Members: s.members.All(), Outages: s.platform.Outages(), Ejected: s.ejections(),
+	}
+	if s.ports.Keys != nil {
+		facts.Keys = s.ports.Keys.State()
+	}
+	limits := make(map[core.DeploymentName]tables.LimitState)
+	for _, state := range s.limits.State() {
+		limits[state.Deployment] = state
+	}
+	steps := s.rolloutStates()
+	for i := range config.Deployments {
+		deployment := &config.Deployments[i]
+		facts.Deployments = append(facts.Deployments, s.deploymentFacts(deployment, limits[deployment.Name], steps[deployment.Name]))
+	}
+	return facts
+}
+
+func (s *Service) deploymentFacts(deployment *core.Deployment, limit tables.LimitState, step tables.RolloutState) warnings.Deployment {
+	facts := warnings.Deployment{
+		Name: deployment.Name, Refused: limit.Gate.Refused, RefusedAt: limit.Gate.RefusedAt,
+		Weights: s.weightFacts(deployment), Problem: step.Problem,
+		Step: warnings.Step{Number: step.Asked, Since: step.WaitsSince, Work: step.Work},
+	}
+	for _, count := range limit.Gate.Waiting {
+		facts.Waiting += count
+	}
+	return facts
+}
+
+func (s *Service) weightFacts(deployment *core.Deployment) warnings.Weights {
+	newest, learned, failing := s.weights.Progress(deployment.Name)
+	facts := warnings.Weights{Newest: newest, Learned: learned, Failing: failing}
+	if newest == 0 || deployment.Versions.Pinned != 0 {
+		facts.Failing = 0
+		return facts
+	}
+	engines, _ := s.enginesOf(deployment)
+	facts.Engines = len(engines)
+	for i := range engines {
+		if engines[i].Version < newest {
+			facts.Behind++
+		}
+	}
+	return facts
+}
+
+func (s *Service) ejections() (ejected []warnings.Ejection) {
+	for _, view := range s.servers.Views() {
+		if view.Ejected {
+			ejected = append(ejected, warnings.Ejection{Server: view.VM.ID, Service: view.VM.Service, Until: view.Until})
+		}
+	}
+	return ejected
+}
+
+func (s *Service) rolloutStates() map[core.DeploymentName]tables.RolloutState {
+	states := make(map[core.DeploymentName]tables.RolloutState)
+	for _, state := range s.rollouts.State() {
+		states[state.Deployment] = state
+	}
+	return states
+}
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -37,12 +37,13 @@
 
 // Gate admits the requests of one deployment in one entry process.
 type Gate[T any] struct {
-	bounds  Bounds
-	queues  [core.ClassCount]*fairQueue[T]
-	inUse   [core.ClassCount]int
-	hold    [core.ClassCount]time.Duration // mean time in flight, zero when not known
-	peak    decayingPeak                   // of people's requests in flight
-	refused uint64
+	bounds    Bounds
+	queues    [core.ClassCount]*fairQueue[T]
+	inUse     [core.ClassCount]int
+	hold      [core.ClassCount]time.Duration // mean time in flight, zero when not known
+	peak      decayingPeak                   // of people's requests in flight
+	refused   uint64
+	refusedAt time.Time // of the newest refusal
 }
 
 // NewGate returns a gate without requests.
@@ -67,12 +68,12 @@
 		return true, nil
 	}
 	if queue.length >= g.bounds.QueueLength {
-		g.refused++
+		g.refuse(1, now)
 		return false, errkind.New(errkind.Overloaded, "%d requests of class %s are waiting", queue.length, request.Class)
 	}
 	until := g.latestStart(request, now)
 	if wait := g.wait(request); now.Add(wait).After(until) {
-		g.refused++
+		g.refuse(1, now)
 		return false, errkind.New(errkind.DeadlineTooShort, "the request would wait about %s", wait.Round(time.Millisecond))
 	}
 	queue.enqueue(request, until)
@@ -106,12 +107,21 @@
 
 // Expire appends the waiting requests that can no longer be answered in time.
 func (g *Gate[T]) Expire(now time.Time, expired []T) []T {
+	before := len(expired)
 	for _, queue := range g.queues {
 		expired = queue.expire(now, expired)
 	}
+	if refused := len(expired) - before; refused > 0 {
+		g.refuse(refused, now)
+	}
 	return expired
 }
 
+func (g *Gate[T]) refuse(count int, now time.Time) {
+	g.refused += uint64(count)
+	g.refusedAt = now
+}
+
 // Overloaded reports whether requests of the class wait for more than half of
 // the longest wait. Nothing is retried or hedged then.
 func (g *Gate[T]) Overloaded(class core.Class) bool {
@@ -135,12 +145,13 @@
 	Concurrent int                  `json:"concurrent"`
 	InFlight   [core.ClassCount]int `json:"in_flight"`
 	Waiting    [core.ClassCount]int `json:"waiting"`
-	Refused    uint64               `json:"refused"`
+	Refused    uint64               `json:"refused"` // at once or after a wait
+	RefusedAt  time.Time            `json:"refused_at,omitzero"`
 }
 
 // State returns the gate's counters.
 func (g *Gate[T]) State() GateState {
-	state := GateState{Concurrent: g.bounds.Concurrent, InFlight: g.inUse, Refused: g.refused}
+	state := GateState{Concurrent: g.bounds.Concurrent, InFlight: g.inUse, Refused: g.refused, RefusedAt: g.refusedAt}
 	for class, queue := range g.queues {
 		state.Waiting[class] = queue.length
 	}
--- a/internal/core/answer.go
+++ b/internal/core/answer.go
@@ -26,7 +26,7 @@
 	Generation  Generation
 	Members     []Member
 	Deployments []DeploymentStatus
-	Warnings    []string
+	Warnings    []Warning
 }
 
 // DeploymentStatus is one deployment's part of the status.
@@ -34,6 +34,7 @@
 	Name    DeploymentName
 	Version WeightVersion // newest version that the trainer published
 	Step    Step          // newest step with a fixed batch, as far as known here
-	Queue   int           // samples in progress here
+	Queue   int           // requests waiting here for the deployment's limits
+	Running int           // samples in progress here
 	Owner   VMID          // holder of the deployment's lease, as far as known here
 }
--- a/internal/core/rollout/bookbatch.go
+++ b/internal/core/rollout/bookbatch.go
@@ -179,13 +179,16 @@
 
 // Summary is a book's part of the state dump.
 type Summary struct {
-	LastStep    core.Step `json:"last_step"`
-	Groups      int       `json:"groups"`
-	Open        int       `json:"groups_open"`
-	Running     int       `json:"samples_running"`
-	Done        int       `json:"samples_done"`
-	IdleShare   float64   `json:"trainer_idle_share"`
-	LengthRatio float64   `json:"length_ratio"` // mean tokens delivered / mean tokens started
+	LastStep    core.Step     `json:"last_step"`
+	Groups      int           `json:"groups"`
+	Open        int           `json:"groups_open"`
+	Running     int           `json:"samples_running"`
+	Done        int           `json:"samples_done"`
+	IdleShare   float64       `json:"trainer_idle_share"`
+	Asked       core.Step     `json:"asked_step"`           // step that the trainer asked for last
+	WaitsSince  time.Time     `json:"waits_since,omitzero"` // when it asked for a step that is not yet fixed
+	Work        time.Duration `json:"trainer_work"`         // usual, on one step
+	LengthRatio float64       `json:"length_ratio"`         // mean tokens delivered / mean tokens started
 }
 
 // Summary counts the book's work.
@@ -193,6 +196,10 @@
 	summary := Summary{
 		LastStep: b.record.LastStep, Groups: len(b.groups), Open: b.plan.Groups, Running: b.running,
 		IdleShare: b.pace.IdleShare(), LengthRatio: b.skew.Ratio(),
+		Asked: b.pace.asked, Work: b.pace.Work,
+	}
+	if b.pace.asked > b.record.LastStep {
+		summary.WaitsSince = b.pace.askedAt
 	}
 	for _, group := range b.groups {
 		summary.Done += group.done
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -188,3 +188,21 @@
 		}
 	})
 }
+
+func TestSummaryTellsSinceWhenTheTrainerWaits(t *testing.T) {
+	book, asked := NewBook(0), time.Unix(1000, 0)
+	book.Load(core.DeliveryRecord{LastStep: 4, LastVersion: 4}, nil)
+	book.Asked(4, asked)
+	if summary := book.Summary(); !summary.WaitsSince.IsZero() {
+		t.Errorf("a step that was fetched again counts as a wait: %+v", summary)
+	}
+	book.Asked(5, asked.Add(time.Second))
+	book.Asked(5, asked.Add(time.Minute))
+	if summary := book.Summary(); summary.Asked != 5 || !summary.WaitsSince.Equal(asked.Add(time.Second)) {
+		t.Errorf("%+v, want a wait for step 5 since it was asked for first", summary)
+	}
+	book.Delivered(core.DeliveryRecord{LastStep: 5, LastVersion: 5}, asked.Add(time.Hour))
+	if summary := book.Summary(); !summary.WaitsSince.IsZero() {
+		t.Errorf("a step that was fixed counts as a wait: %+v", summary)
+	}
+}
--- a/internal/core/weights/roll.go
+++ b/internal/core/weights/roll.go
@@ -150,6 +150,17 @@
 // Withdraw takes back an order that was not sent.
 func (r *Roll) Withdraw(server core.ServerID) { delete(r.swaps, server) }
 
+// Failing returns how many engines have failed to load the version last ordered
+// and were not seen with it since.
+func (r *Roll) Failing() (failing int) {
+	for _, row := range r.swaps {
+		if row.failures > 0 {
+			failing++
+		}
+	}
+	return failing
+}
+
 func (r *Roll) begin(server core.ServerID, version core.WeightVersion, policy Policy, now time.Time) *swap {
 	row := r.swaps[server]
 	if row == nil {
--- a/internal/lockrank/lockrank.go
+++ b/internal/lockrank/lockrank.go
@@ -23,6 +23,7 @@
 	RankWeights       Rank = 90
 	RankClaims        Rank = 100
 	RankAnswers       Rank = 110
+	RankPlatform      Rank = 120
 	RankQueue         Rank = 200
 	RankTimers        Rank = 210
 	RankAdapter       Rank = 220
--- a/internal/ports/ports.go
+++ b/internal/ports/ports.go
@@ -112,6 +112,13 @@
 	HandleAnswer(ctx context.Context, request core.AnswerRequest) (core.AnswerPart, error)
 }
 
+// Keys is this process's certificate.
+type Keys interface {
+	// State returns how long the certificate is valid and whether changed files
+	// are in use.
+	State() core.KeysState
+}
+
 // Clock tells the time. Differences between its times are monotonic.
 type Clock interface {
 	Now() time.Time
--- a/internal/tables/weights.go
+++ b/internal/tables/weights.go
@@ -12,28 +12,31 @@
 // has been rolled over the engines.
 type Weights struct {
 	// mu guards all fields below.
-	mu     lockrank.Mutex
-	newest map[core.DeploymentName]core.WeightVersion
-	rolls  map[core.DeploymentName]*weights.Roll
+	mu      lockrank.Mutex
+	newest  map[core.DeploymentName]core.WeightVersion
+	learned map[core.DeploymentName]time.Time // when the newest became known
+	rolls   map[core.DeploymentName]*weights.Roll
 }
 
 // NewWeights returns a table that knows no version.
 func NewWeights() *Weights {
 	return &Weights{
-		mu:     lockrank.New(lockrank.RankWeights),
-		newest: make(map[core.DeploymentName]core.WeightVersion),
-		rolls:  make(map[core.DeploymentName]*weights.Roll),
+		mu:      lockrank.New(lockrank.RankWeights),
+		newest:  make(map[core.DeploymentName]core.WeightVersion),
+		learned: make(map[core.DeploymentName]time.Time),
+		rolls:   make(map[core.DeploymentName]*weights.Roll),
 	}
 }
 
 // Learn takes in a published version. It returns true when it is new.
-func (t *Weights) Learn(name core.DeploymentName, version core.WeightVersion) bool {
+func (t *Weights) Learn(name core.DeploymentName, version core.WeightVersion, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if version <= t.newest[name] {
 		return false
 	}
 	t.newest[name] = version
+	t.learned[name] = now
 	return true
 }
 
@@ -44,6 +47,17 @@
 	return t.newest[name]
 }
 
+// Progress returns the newest known version of a deployment, when it became
+// known, and how many engines' last order failed, of those ordered here.
+func (t *Weights) Progress(name core.DeploymentName) (newest core.WeightVersion, learned time.Time, failing int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if roll := t.rolls[name]; roll != nil {
+		failing = roll.Failing()
+	}
+	return t.newest[name], t.learned[name], failing
+}
+
 // News returns the newest version of every deployment.
 func (t *Weights) News() []core.WeightNews {
 	t.mu.Lock()
