--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -48,6 +48,8 @@
 type Site struct {
 	Platform        *platform.Client
 	PlatformAddress string
+	Authority       string   // directory of the authority that issues further entry processes' certificates
+	Trust           []string // directories of the authorities that they trust; empty for Authority alone
 
 	options   Options
 	directory string
@@ -61,6 +63,7 @@
 	VM      core.VMID
 	Address string // for callers
 	Peer    string // for other entry processes
+	Keys    string // directory of its certificate
 }
 
 // Open starts a site that consists of a platform only.
@@ -70,7 +73,8 @@
 		return nil, err
 	}
 	s := &Site{options: options, directory: directory}
-	if err := keys.CreateAuthority(s.path("authority"), "demo", time.Now()); err != nil {
+	s.Authority = s.path("authority")
+	if err := keys.CreateAuthority(s.Authority, "demo", time.Now()); err != nil {
 		s.Close()
 		return nil, err
 	}
@@ -86,6 +90,9 @@
 // PlatformURL returns the base URL of the platform.
 func (s *Site) PlatformURL() string { return "http://" + s.PlatformAddress }
 
+// Directory returns where the site keeps its files.
+func (s *Site) Directory() string { return s.directory }
+
 func (s *Site) path(name string) string { return filepath.Join(s.directory, name) }
 
 // Close kills every process that is still running and removes the files.
@@ -159,7 +166,7 @@
 	if err != nil {
 		return nil, err
 	}
-	entry := &Entry{VM: vm}
+	entry := &Entry{VM: vm, Keys: filepath.Dir(settings)}
 	args := []string{"entry", "--settings", settings}
 	entry.Process, _, err = start(ctx, string(vm), s.options.Product, args, entry.readServing)
 	if err != nil {
@@ -219,12 +226,17 @@
 func (s *Site) writeSettings(vm core.VMID, zone, region string, seeds []string) (string, error) {
 	directory := s.path(string(vm))
 	err := keys.Issue(keys.IssueRequest{
-		Authority: s.path("authority"), VM: vm, Addresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		Authority: s.Authority, VM: vm, Addresses: []net.IP{net.IPv4(127, 0, 0, 1)},
 		Lifetime: certificateLifetime, Directory: directory,
 	}, time.Now())
 	if err != nil {
 		return "", err
 	}
+	if len(s.Trust) > 0 {
+		if err := keys.Trust(directory, s.Trust); err != nil {
+			return "", err
+		}
+	}
 	files := keys.InDirectory(directory)
 	quoted := make([]string, len(seeds))
 	for i, seed := range seeds {
