Bound the time in which a request's body must arrive

Cause: headers had 10 s, a body had no bound. A sender that trickled its body held a connection and a goroutine, with a wrong token too: the server discards the rest of a refused body before it goes on.

Ruled out: the server's ReadTimeout. It counts from the start of the request and stays set while the answer is made; its end counts as the sender's leaving and would cancel long answers.

Change: the front end sets a deadline when a request with a body begins, and lifts it when the body has ended. The bound is `body_limits.arrival`, 30 s unless set. A late body is a `bad_request`, not run, and the connection closes.

Conclusion: a sender holds a connection for 10 s and 30 s at most before its request is known. A reader that takes its answer slowly is not bounded by this.

--- a/internal/adapters/httpfront/fakes_test.go
+++ b/internal/adapters/httpfront/fakes_test.go
@@ -161,7 +161,7 @@
 	for role, secret := range secrets {
 		tokens = append(tokens, auth.Token{Identity: auth.Identity{Role: role, Name: string(role)}, Secret: secret})
 	}
-	front := httpfront.New(httpfront.Options{Tokens: auth.New(tokens), BodyLimit: bodyLimit, NewRequestID: s.NewRequestID})
+	front := httpfront.New(httpfront.Options{Tokens: auth.New(tokens), BodyLimit: bodyLimit, ArrivalTimeout: arrivalTimeout, NewRequestID: s.NewRequestID})
 	callerhttp.Register(front, s)
 	trainerhttp.Register(front, s)
 	operatorhttp.Register(front, s, metrics.New().Values)
--- a/internal/adapters/httpfront/httpfront.go
+++ b/internal/adapters/httpfront/httpfront.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"runtime/debug"
+	"time"
 
 	"github.com/kataras/iris/v12"
 
@@ -28,6 +29,9 @@
 	Tokens *auth.Tokens
 	// BodyLimit is the largest request body in bytes.
 	BodyLimit int64
+	// ArrivalTimeout is the longest time in which a body may arrive; zero sets
+	// no bound.
+	ArrivalTimeout time.Duration
 	// NewRequestID names a request that came without an id.
 	NewRequestID func() core.RequestID
 	// Panicked is told of a handler's panic and its stack; nil for nobody.
@@ -40,7 +44,7 @@
 	app := front.App
 	app.Logger().SetLevel("disable")
 	app.Configure(iris.WithoutPathCorrection, iris.WithFireMethodNotAllowed)
-	app.UseRouter(front.identify)
+	app.UseRouter(front.identify, front.boundArrival)
 	app.OnErrorCode(http.StatusNotFound, unrouted(errkind.New(errkind.NotFound, "no such path")))
 	app.OnErrorCode(http.StatusMethodNotAllowed,
 		unrouted(errkind.New(errkind.MethodNotAllowed, "the path does not take this method")))
@@ -132,6 +136,8 @@
 	switch {
 	case err == nil:
 		return nil
+	case late(err):
+		return errkind.Wrap(errkind.BadRequest, err, "the body did not arrive in time")
 	case errors.As(err, &tooLarge):
 		return errkind.New(errkind.TooLarge, "the body is larger than %d bytes", tooLarge.Limit)
 	default:
--- a/internal/adapters/settings/settings.go
+++ b/internal/adapters/settings/settings.go
@@ -122,10 +122,11 @@
 	AnswerKeep        time.Duration // for which a finished answer can be fetched again
 }
 
-// Bodies bounds what is read into memory, in bytes.
+// Bodies bounds what is read into memory.
 type Bodies struct {
-	Request int64
-	Header  int64
+	Request int64         // bytes
+	Header  int64         // bytes
+	Arrival time.Duration // of a request's body
 }
 
 // Defaults returns the settings that hold for every key that is absent.
@@ -144,6 +145,7 @@
 		Bodies: Bodies{
 			Request: defaultRequestBytes,
 			Header:  defaultHeaderBytes,
+			Arrival: defaultArrival,
 		},
 	}
 }
@@ -153,6 +155,7 @@
 	defaultQueueLength  = 4096
 	defaultRequestBytes = 4 << 20
 	defaultHeaderBytes  = 64 << 10
+	defaultArrival      = 30 * time.Second
 )
 
 var defaultIntervals = Intervals{
--- a/internal/adapters/settings/sizes.go
+++ b/internal/adapters/settings/sizes.go
@@ -18,6 +18,8 @@
 	minInterval    = time.Millisecond
 	maxInterval    = time.Minute
 	maxKeep        = time.Hour
+	minArrival     = 100 * time.Millisecond
+	maxArrival     = time.Hour
 )
 
 func readWorkers(r *stricttoml.Reader, w *Workers) {
@@ -59,5 +61,6 @@
 	body := stricttoml.Range[int64]{Min: minBodyBytes, Max: maxBodyBytes}
 	stricttoml.Size(r, "request", &b.Request, stricttoml.Optional, body)
 	stricttoml.Size(r, "header", &b.Header, stricttoml.Optional, stricttoml.Range[int64]{Min: minBodyBytes, Max: maxHeaderBytes})
+	stricttoml.Duration(r, "arrival", &b.Arrival, stricttoml.Optional, stricttoml.Range[time.Duration]{Min: minArrival, Max: maxArrival})
 	r.Finish()
 }
