--- a/cmd/fescuespar/entry.go
+++ b/cmd/fescuespar/entry.go
@@ -13,6 +13,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
 
+	"fescuespar/internal/adapters/httpfront"
 	"fescuespar/internal/adapters/settings"
 	"fescuespar/internal/app"
 	"fescuespar/internal/core"
@@ -28,11 +29,8 @@
 	register("entry", "Run the service on an entry VM until SIGTERM. Example: fescuespar entry --settings entry.toml", &entryCommand{})
 }
 
-const (
-	headerTimeout = 10 * time.Second // to read a request's headers
-	idleTimeout   = 2 * time.Minute  // of callers' connections between requests
-	closeTimeout  = 5 * time.Second  // to close connections after the shutdown
-)
+// closeTimeout bounds the closing of connections after the shutdown.
+const closeTimeout = 5 * time.Second
 
 // Execute runs until a signal asks for the shutdown.
 func (c *entryCommand) Execute([]string) error {
@@ -45,10 +43,9 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{
-		Handler: parts.handler, ReadHeaderTimeout: headerTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: int(loaded.Bodies.Header),
-	}
+	server := httpfront.NewServer(parts.handler, httpfront.ServerLimits{
+		HeaderBytes: int(loaded.Bodies.Header), Arrival: loaded.Bodies.Arrival,
+	})
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(parts.listener) }()
 	parts.service.Start()
--- a/cmd/fescuespar/wire.go
+++ b/cmd/fescuespar/wire.go
@@ -123,7 +123,7 @@
 
 func fronts(loaded *settings.Settings, service *app.Service, log zerolog.Logger) (http.Handler, error) {
 	front := httpfront.New(httpfront.Options{
-		Tokens: auth.New(tokens(loaded.Tokens)), BodyLimit: loaded.Bodies.Request, ArrivalTimeout: loaded.Bodies.Arrival,
+		Tokens: auth.New(tokens(loaded.Tokens)), BodyLimit: loaded.Bodies.Request,
 		NewRequestID: service.NewRequestID,
 		Panicked: func(value any, stack []byte) {
 			log.Error().Any("panic", value).Bytes("stack", stack).Msg("handler panicked")
--- a/internal/adapters/httpfront/fakes_test.go
+++ b/internal/adapters/httpfront/fakes_test.go
@@ -151,7 +151,9 @@
 
 func serve(t *testing.T, s driven) *httptest.Server {
 	t.Helper()
-	server := httptest.NewServer(handler(t, frontOf(s)))
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = httpfront.NewServer(handler(t, frontOf(s)), httpfront.ServerLimits{Arrival: arrivalTimeout})
+	server.Start()
 	t.Cleanup(server.Close)
 	return server
 }
@@ -161,7 +163,7 @@
 	for role, secret := range secrets {
 		tokens = append(tokens, auth.Token{Identity: auth.Identity{Role: role, Name: string(role)}, Secret: secret})
 	}
-	front := httpfront.New(httpfront.Options{Tokens: auth.New(tokens), BodyLimit: bodyLimit, ArrivalTimeout: arrivalTimeout, NewRequestID: s.NewRequestID})
+	front := httpfront.New(httpfront.Options{Tokens: auth.New(tokens), BodyLimit: bodyLimit, NewRequestID: s.NewRequestID})
 	callerhttp.Register(front, s)
 	trainerhttp.Register(front, s)
 	operatorhttp.Register(front, s, metrics.New().Values)
--- a/internal/adapters/httpfront/httpfront.go
+++ b/internal/adapters/httpfront/httpfront.go
@@ -7,8 +7,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"runtime/debug"
-	"time"
 
 	"github.com/kataras/iris/v12"
 
@@ -29,9 +29,6 @@
 	Tokens *auth.Tokens
 	// BodyLimit is the largest request body in bytes.
 	BodyLimit int64
-	// ArrivalTimeout is the longest time in which a body may arrive; zero sets
-	// no bound.
-	ArrivalTimeout time.Duration
 	// NewRequestID names a request that came without an id.
 	NewRequestID func() core.RequestID
 	// Panicked is told of a handler's panic and its stack; nil for nobody.
@@ -44,7 +41,7 @@
 	app := front.App
 	app.Logger().SetLevel("disable")
 	app.Configure(iris.WithoutPathCorrection, iris.WithFireMethodNotAllowed)
-	app.UseRouter(front.identify, front.boundArrival)
+	app.UseRouter(front.identify)
 	app.OnErrorCode(http.StatusNotFound, unrouted(errkind.New(errkind.NotFound, "no such path")))
 	app.OnErrorCode(http.StatusMethodNotAllowed,
 		unrouted(errkind.New(errkind.MethodNotAllowed, "the path does not take this method")))
@@ -136,7 +133,7 @@
 	switch {
 	case err == nil:
 		return nil
-	case late(err):
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		return errkind.Wrap(errkind.BadRequest, err, "the body did not arrive in time")
 	case errors.As(err, &tooLarge):
 		return errkind.New(errkind.TooLarge, "the body is larger than %d bytes", tooLarge.Limit)
--- a/internal/adapters/settings/settings.go
+++ b/internal/adapters/settings/settings.go
@@ -126,7 +126,7 @@
 type Bodies struct {
 	Request int64         // bytes
 	Header  int64         // bytes
-	Arrival time.Duration // of a request's body
+	Arrival time.Duration // of a whole request
 }
 
 // Defaults returns the settings that hold for every key that is absent.
