Record the operator that the token stands for

Cause: the name in a publish's body went before the token's name, so that an operator could publish as another one, by mistake too.

Ruled out: refusing a body that states another name. Scripts that state one would stop to work over a name that grants nothing.

Change: the token's name is recorded. The answer names it, `publish` prints it and says so when `--operator` states another; the option may be left out. After a lost reply `publish` looks for its files in force on its base, whoever is recorded: it cannot know the token's name, and two operators who publish the same files on the same base want the same.

The fake service of the commands' tests records a token's name now, and the expected line holds it.

Conclusion: `--operator` is a check of one's own token, no more.

--- a/cmd/fescuespar/commands_test.go
+++ b/cmd/fescuespar/commands_test.go
@@ -20,6 +20,9 @@
 
 const token = "0123456789abcdef"
 
+// tokenName is the operator that the fake service knows the token to stand for.
+const tokenName = "token-vera"
+
 // service is a fake of the operators' interface. Its fields are set before it
 // serves; requests come one at a time.
 type service struct {
@@ -69,12 +72,12 @@
 		return
 	}
 	if !s.ignore {
-		s.inForce = configuration.Next(request.Base, request.Operator, request.Deployments)
+		s.inForce = configuration.Next(request.Base, tokenName, request.Deployments)
 	}
 	if s.loseReply {
 		panic(http.ErrAbortHandler)
 	}
-	s.answer(w, configjson.Published{Generation: uint64(s.inForce.Generation)})
+	s.answer(w, configjson.Published{Generation: uint64(s.inForce.Generation), Operator: tokenName})
 }
 
 func (s *service) status(w http.ResponseWriter) {
@@ -144,7 +147,8 @@
 		posts   int
 		says    string
 	}{
-		{"accepted", service{}, nil, exitOK, 1, "generation 8 accepted, based on 7"},
+		{"accepted", service{}, nil, exitOK, 1, "generation 8 accepted, based on 7, recorded for operator token-vera"},
+		{"another operator stated", service{}, nil, exitOK, 1, "note: --operator states vera; the token stands for token-vera"},
 		{"waits for the slow process", service{lag: 1}, []string{"--wait"}, exitOK, 1, "in force on all 2 live processes"},
 		{"dry run", service{}, []string{"--dry-run"}, exitOK, 0, "added matcher"},
 		{"dry run with an old base", service{}, []string{"--dry-run", "--base", "6"}, exitRefused, 0, "generation 7 by operator \"nils\""},
--- a/cmd/fescuespar/publish.go
+++ b/cmd/fescuespar/publish.go
@@ -22,7 +22,7 @@
 type publishCommand struct {
 	outputOption
 	serviceOptions
-	Operator    string        `long:"operator" required:"yes" value-name:"NAME" description:"who publishes"`
+	Operator    string        `long:"operator" value-name:"NAME" description:"who is thought to publish; the token's name is recorded, and a difference is told"`
 	Base        *uint64       `long:"base" value-name:"N" description:"generation that the change was made for; default: the one in force"`
 	DryRun      bool          `long:"dry-run" description:"show the difference from what is in force and stop"`
 	Wait        bool          `long:"wait" description:"wait until every live process reports the new generation"`
@@ -32,9 +32,9 @@
 
 // LongDescription returns the command's help.
 func (*publishCommand) LongDescription() string {
-	return `Checks every operators' file below DIR, shows the difference from the configuration in force and publishes all files as the next generation. A publish that another operator overtook is refused; the answer names the generation that won.
+	return `Checks every operators' file below DIR, shows the difference from the configuration in force and publishes all files as the next generation. The operator recorded is the one that the token stands for. A publish that another operator overtook is refused; the answer names the generation that won.
 
-Example: fescuespar publish examples/anerie --address 192.0.2.7:8080 --token-file operator.token --operator vera --wait` + exitCodesHelp
+Example: fescuespar publish examples/anerie --address 192.0.2.7:8080 --token-file operator.token --wait` + exitCodesHelp
 }
 
 // publishOutput is the result of a publish in JSON output.
@@ -42,8 +42,9 @@
 	Base       uint64         `json:"base"`
 	Changes    []changeOutput `json:"changes"`
 	DryRun     bool           `json:"dry_run"`
-	Generation uint64         `json:"generation"` // zero when nothing was published
-	Missing    []memberOutput `json:"missing"`    // processes that did not report the generation in time
+	Generation uint64         `json:"generation"`         // zero when nothing was published
+	Operator   string         `json:"operator,omitempty"` // recorded
+	Missing    []memberOutput `json:"missing"`            // processes that did not report the generation in time
 }
 
 // changeOutput is one difference in JSON output.
@@ -93,6 +94,7 @@
 	base        core.Generation
 	changes     []configuration.Change
 	generation  core.Generation // zero when nothing was published
+	operator    string          // recorded, empty when not known
 	live        int
 	missing     []configjson.MemberStatus
 }
@@ -135,30 +137,31 @@
 }
 
 func (p *publication) publish(ctx context.Context) error {
-	generation, err := p.client.Publish(ctx, configjson.PublishRequest{
+	published, err := p.client.PublishAs(ctx, configjson.PublishRequest{
 		Base:        p.base,
 		Operator:    p.command.Operator,
 		Deployments: p.deployments,
 	})
 	if errkind.Is(err, errkind.OutcomeUnknown) {
-		generation, err = p.findPublished(ctx, err)
+		published, err = p.findPublished(ctx, err)
 	}
-	p.generation = generation
+	p.generation, p.operator = core.Generation(published.Generation), published.Operator
 	return err
 }
 
-// findPublished looks for the own configuration in force after a lost reply.
-func (p *publication) findPublished(ctx context.Context, lost error) (core.Generation, error) {
+// findPublished looks for the published deployments in force after a lost reply.
+// They count whoever is recorded: nobody can tell two operators apart who
+// publish the same deployments on the same base.
+func (p *publication) findPublished(ctx context.Context, lost error) (configjson.Published, error) {
 	inForce, err := p.client.Configuration(ctx)
 	if err != nil {
-		return 0, lost
+		return configjson.Published{}, lost
 	}
-	own := inForce.Parent == p.base && inForce.Operator == p.command.Operator &&
-		len(configuration.Diff(inForce.Deployments, p.deployments)) == 0
+	own := inForce.Parent == p.base && len(configuration.Diff(inForce.Deployments, p.deployments)) == 0
 	if !own {
-		return 0, lost
+		return configjson.Published{}, lost
 	}
-	return inForce.Generation, nil
+	return configjson.Published{Generation: uint64(inForce.Generation), Operator: inForce.Operator}, nil
 }
 
 func (p *publication) output() publishOutput {
@@ -167,6 +170,7 @@
 		Changes:    []changeOutput{},
 		DryRun:     p.command.DryRun,
 		Generation: uint64(p.generation),
+		Operator:   p.operator,
 		Missing:    []memberOutput{},
 	}
 	for _, change := range p.changes {
@@ -187,7 +191,10 @@
 		fmt.Fprintln(w, "no changes")
 	}
 	if p.generation != 0 {
-		fmt.Fprintf(w, "generation %d accepted, based on %d\n", p.generation, p.base)
+		fmt.Fprintf(w, "generation %d accepted, based on %d, recorded for operator %s\n", p.generation, p.base, p.operator)
+	}
+	if stated := p.command.Operator; p.operator != "" && stated != "" && stated != p.operator {
+		fmt.Fprintf(w, "note: --operator states %s; the token stands for %s\n", stated, p.operator)
 	}
 	for _, member := range p.missing {
 		fmt.Fprintf(w, "missing on %s (%s) at %s: it reports generation %d\n",
--- a/internal/adapters/configjson/configuration.go
+++ b/internal/adapters/configjson/configuration.go
@@ -21,13 +21,14 @@
 // Publish is the body of POST /v1/configuration.
 type Publish struct {
 	Base        uint64       `json:"base"`
-	Operator    string       `json:"operator"`
+	Operator    string       `json:"operator"` // stated by the sender; the token's name is recorded
 	Deployments []Deployment `json:"deployments"`
 }
 
 // Published is the answer to an accepted POST /v1/configuration.
 type Published struct {
 	Generation uint64 `json:"generation"`
+	Operator   string `json:"operator"` // recorded
 }
 
 // PublishRequest is a decoded Publish.
--- a/internal/adapters/httpfront/fakes_test.go
+++ b/internal/adapters/httpfront/fakes_test.go
@@ -37,12 +37,13 @@
 // service is a fake of all three driving ports. It counts the calls that could
 // change something and answers from its fields, which are set before it serves.
 type service struct {
-	calls   atomic.Int64
-	parts   []core.AnswerPart // of every answer, in order
-	cut     error             // the error after the parts
-	plain   core.PlainResponse
-	request core.PlainRequest // the last one
-	crash   any               // with which Status panics
+	calls    atomic.Int64
+	parts    []core.AnswerPart // of every answer, in order
+	cut      error             // the error after the parts
+	plain    core.PlainResponse
+	request  core.PlainRequest // the last one
+	crash    any               // with which Status panics
+	operator string            // of the last publish
 }
 
 func (s *service) NewRequestID() core.RequestID { return newID }
@@ -106,8 +107,9 @@
 
 func (s *service) Configuration() *core.Configuration { return &core.Configuration{} }
 
-func (s *service) Publish(context.Context, string, core.Generation, []core.Deployment) (core.Generation, error) {
+func (s *service) Publish(_ context.Context, operator string, _ core.Generation, _ []core.Deployment) (core.Generation, error) {
 	s.calls.Add(1)
+	s.operator = operator
 	return 1, nil
 }
 
--- a/internal/adapters/operatorclient/client.go
+++ b/internal/adapters/operatorclient/client.go
@@ -48,13 +48,19 @@
 // Publish publishes a configuration and returns its generation. Errors besides
 // the usual: GenerationConflict, and OutcomeUnknown when the reply was lost.
 func (c *Client) Publish(ctx context.Context, request configjson.PublishRequest) (core.Generation, error) {
+	published, err := c.PublishAs(ctx, request)
+	return core.Generation(published.Generation), err
+}
+
+// PublishAs is Publish; it also returns the operator that was recorded.
+func (c *Client) PublishAs(ctx context.Context, request configjson.PublishRequest) (configjson.Published, error) {
 	body, err := configjson.EncodePublish(request)
 	if err != nil {
-		return 0, err
+		return configjson.Published{}, err
 	}
 	var published configjson.Published
 	err = c.decode(ctx, http.MethodPost, "/v1/configuration", body, &published)
-	return core.Generation(published.Generation), err
+	return published, err
 }
 
 // Status returns the service's status as the process sees it.
--- a/internal/adapters/operatorhttp/operatorhttp.go
+++ b/internal/adapters/operatorhttp/operatorhttp.go
@@ -44,6 +44,7 @@
 	return nil
 }
 
+// publish records the token's name as the operator, whatever the body states.
 func (h *handlers) publish(ctx iris.Context, sender auth.Identity) error {
 	body, err := io.ReadAll(ctx.Request().Body)
 	if err := httpfront.BodyError(err); err != nil {
@@ -53,15 +54,11 @@
 	if err != nil {
 		return err
 	}
-	operator := request.Operator
-	if operator == "" {
-		operator = sender.Name
-	}
-	generation, err := h.operators.Publish(ctx.Request().Context(), operator, request.Base, request.Deployments)
+	generation, err := h.operators.Publish(ctx.Request().Context(), sender.Name, request.Base, request.Deployments)
 	if err != nil {
 		return err
 	}
-	return httpfront.WriteJSON(ctx, http.StatusOK, configjson.Published{Generation: uint64(generation)})
+	return httpfront.WriteJSON(ctx, http.StatusOK, configjson.Published{Generation: uint64(generation), Operator: sender.Name})
 }
 
 func (h *handlers) status(ctx iris.Context, _ auth.Identity) error {
