Refuse a publish without a list of deployments; fuzz it

Cause: found while writing the corpus: `null`, or a body without `deployments`, was read as an empty configuration, which would remove every deployment.

Ruled out: refusing an empty list too. It is the way to remove all.

Change: a missing or null list is a `bad_request`.

--- a/internal/adapters/configjson/configjson_test.go
+++ b/internal/adapters/configjson/configjson_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/configuration"
 	"fescuespar/internal/errkind"
 )
 
@@ -70,6 +71,9 @@
 		{"duration without unit", strings.Replace(valid, `"1.5s"`, `"1.5"`, 1)},
 		{"negative version", strings.Replace(valid, `"base":8`, `"base":-8`, 1)},
 		{"no JSON", "base = 8"},
+		{"no deployments", `{"base":8,"operator":"vera"}`},
+		{"null deployments", `{"base":8,"operator":"vera","deployments":null}`},
+		{"null", "null"},
 	}
 	for _, test := range tests {
 		if _, err := DecodePublish([]byte(test.body)); !errkind.Is(err, errkind.BadRequest) {
@@ -77,3 +81,32 @@
 		}
 	}
 }
+
+// FuzzDecodePublish looks for a body that is accepted and does not survive its
+// own encoding, or that makes the validation fail other than by problems.
+func FuzzDecodePublish(f *testing.F) {
+	body, err := EncodePublish(PublishRequest{Base: 8, Operator: "vera", Deployments: []core.Deployment{full()}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(body)
+	f.Add([]byte(`{"base":0,"operator":"","deployments":[]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		request, err := DecodePublish(body)
+		if err != nil {
+			if !errkind.Is(err, errkind.BadRequest) {
+				t.Errorf("error %v, want %s", err, errkind.BadRequest)
+			}
+			return
+		}
+		configuration.Validate(request.Deployments)
+		again, err := EncodePublish(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		decoded, err := DecodePublish(again)
+		if err != nil || !reflect.DeepEqual(decoded, request) {
+			t.Errorf("decoded %+v, again %+v, %v", request, decoded, err)
+		}
+	})
+}
--- a/internal/adapters/configjson/configuration.go
+++ b/internal/adapters/configjson/configuration.go
@@ -77,8 +77,8 @@
 	})
 }
 
-// DecodePublish returns the request to publish of its JSON. Unknown fields and
-// data after the JSON value are refused. Errors: BadRequest.
+// DecodePublish returns the request to publish of its JSON. Unknown fields,
+// data after the JSON value and a missing list of deployments are refused. Errors: BadRequest.
 func DecodePublish(body []byte) (PublishRequest, error) {
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
@@ -89,6 +89,10 @@
 	if _, err := decoder.Token(); err != io.EOF {
 		return PublishRequest{}, errkind.New(errkind.BadRequest, "decode request to publish: data after the JSON value")
 	}
+	if wire.Deployments == nil {
+		return PublishRequest{}, errkind.New(errkind.BadRequest,
+			"decode request to publish: no deployments; an empty list would remove all of them")
+	}
 	deployments, err := ToDeployments(wire.Deployments)
 	if err != nil {
 		return PublishRequest{}, err
