--- a/cmd/fescuespar/commands_test.go
+++ b/cmd/fescuespar/commands_test.go
@@ -20,6 +20,9 @@
 
 const token = "0123456789abcdef"
 
+// tokenName is the operator that the fake service knows the token to stand for.
+const tokenName = "token-vera"
+
 // service is a fake of the operators' interface. Its fields are set before it
 // serves; requests come one at a time.
 type service struct {
@@ -69,12 +72,12 @@
 		return
 	}
 	if !s.ignore {
-		s.inForce = configuration.Next(request.Base, request.Operator, request.Deployments)
+		s.inForce = configuration.Next(request.Base, tokenName, request.Deployments)
 	}
 	if s.loseReply {
 		panic(http.ErrAbortHandler)
 	}
-	s.answer(w, configjson.Published{Generation: uint64(s.inForce.Generation)})
+	s.answer(w, configjson.Published{Generation: uint64(s.inForce.Generation), Operator: tokenName})
 }
 
 func (s *service) status(w http.ResponseWriter) {
@@ -92,7 +95,7 @@
 			{VM: "entry-3", State: "gone", Generation: 1},
 		},
 		Deployments: []configjson.DeploymentStatus{{Name: "matcher", Owner: "entry-1"}},
-		Warnings:    []string{"entry-2 is suspected"},
+		Warnings:    []configjson.Warning{{Kind: "entry_vm_silent", Message: "entry-2 is suspected", Page: core.WarningPage, Section: "lost entry VM"}},
 	})
 }
 
@@ -144,7 +147,8 @@
 		posts   int
 		says    string
 	}{
-		{"accepted", service{}, nil, exitOK, 1, "generation 8 accepted, based on 7"},
+		{"accepted", service{}, nil, exitOK, 1, "generation 8 accepted, based on 7, recorded for operator token-vera"},
+		{"another operator stated", service{}, nil, exitOK, 1, "note: --operator states vera; the token stands for token-vera"},
 		{"waits for the slow process", service{lag: 1}, []string{"--wait"}, exitOK, 1, "in force on all 2 live processes"},
 		{"dry run", service{}, []string{"--dry-run"}, exitOK, 0, "added matcher"},
 		{"dry run with an old base", service{}, []string{"--dry-run", "--base", "6"}, exitRefused, 0, "generation 7 by operator \"nils\""},
@@ -228,9 +232,10 @@
 		{"check", &checkCommand{}, []string{example}, exitOK, "no mistakes in 3 files"},
 		{"check without a directory", &checkCommand{}, nil, exitUsage, "DIR"},
 		{"check of an absent directory", &checkCommand{}, []string{"testdata/none"}, exitRefused, "not_found"},
-		{"status", &statusCommand{}, access, exitOK, "warning: entry-2 is suspected"},
-		{"status without a version", &statusCommand{}, access, exitOK, "matcher     -        -     0      entry-1"},
+		{"status", &statusCommand{}, access, exitOK, "warning: entry-2 is suspected\n  what to do: \"lost entry VM\" in docs/OPERATIONS.md"},
+		{"status without a version", &statusCommand{}, access, exitOK, "matcher     -        -     0      -        entry-1"},
 		{"status as JSON", &statusCommand{}, append(access, "--output", "json"), exitOK, `"owner": "entry-1"`},
+		{"warnings as JSON", &statusCommand{}, append(access, "--output", "json"), exitOK, `"section": "lost entry VM"`},
 		{"status without a token", &statusCommand{}, access[:2], exitUsage, "--token"},
 		{"status of nobody", &statusCommand{}, []string{"--address", closed.URL, "--token", token}, exitUnreachable, "peer_unreachable"},
 		{"addresses", &addressesCommand{}, access, exitOK, "192.0.2.7:8080\nkeep for 15 seconds"},
--- a/internal/adapters/configjson/configuration.go
+++ b/internal/adapters/configjson/configuration.go
@@ -21,13 +21,14 @@
 // Publish is the body of POST /v1/configuration.
 type Publish struct {
 	Base        uint64       `json:"base"`
-	Operator    string       `json:"operator"`
+	Operator    string       `json:"operator"` // stated by the sender; the token's name is recorded
 	Deployments []Deployment `json:"deployments"`
 }
 
 // Published is the answer to an accepted POST /v1/configuration.
 type Published struct {
 	Generation uint64 `json:"generation"`
+	Operator   string `json:"operator"` // recorded
 }
 
 // PublishRequest is a decoded Publish.
@@ -76,8 +77,8 @@
 	})
 }
 
-// DecodePublish returns the request to publish of its JSON. Unknown fields and
-// data after the JSON value are refused. Errors: BadRequest.
+// DecodePublish returns the request to publish of its JSON. Unknown fields,
+// data after the JSON value and a missing list of deployments are refused. Errors: BadRequest.
 func DecodePublish(body []byte) (PublishRequest, error) {
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
@@ -88,6 +89,10 @@
 	if _, err := decoder.Token(); err != io.EOF {
 		return PublishRequest{}, errkind.New(errkind.BadRequest, "decode request to publish: data after the JSON value")
 	}
+	if wire.Deployments == nil {
+		return PublishRequest{}, errkind.New(errkind.BadRequest,
+			"decode request to publish: no deployments; an empty list would remove all of them")
+	}
 	deployments, err := ToDeployments(wire.Deployments)
 	if err != nil {
 		return PublishRequest{}, err
--- a/internal/adapters/httpfront/httpfront.go
+++ b/internal/adapters/httpfront/httpfront.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"runtime/debug"
 
 	"github.com/kataras/iris/v12"
@@ -132,6 +133,8 @@
 	switch {
 	case err == nil:
 		return nil
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return errkind.Wrap(errkind.BadRequest, err, "the body did not arrive in time")
 	case errors.As(err, &tooLarge):
 		return errkind.New(errkind.TooLarge, "the body is larger than %d bytes", tooLarge.Limit)
 	default:
--- a/internal/adapters/operatorhttp/operatorhttp.go
+++ b/internal/adapters/operatorhttp/operatorhttp.go
@@ -44,6 +44,7 @@
 	return nil
 }
 
+// publish records the token's name as the operator, whatever the body states.
 func (h *handlers) publish(ctx iris.Context, sender auth.Identity) error {
 	body, err := io.ReadAll(ctx.Request().Body)
 	if err := httpfront.BodyError(err); err != nil {
@@ -53,15 +54,11 @@
 	if err != nil {
 		return err
 	}
-	operator := request.Operator
-	if operator == "" {
-		operator = sender.Name
-	}
-	generation, err := h.operators.Publish(ctx.Request().Context(), operator, request.Base, request.Deployments)
+	generation, err := h.operators.Publish(ctx.Request().Context(), sender.Name, request.Base, request.Deployments)
 	if err != nil {
 		return err
 	}
-	return httpfront.WriteJSON(ctx, http.StatusOK, configjson.Published{Generation: uint64(generation)})
+	return httpfront.WriteJSON(ctx, http.StatusOK, configjson.Published{Generation: uint64(generation), Operator: sender.Name})
 }
 
 func (h *handlers) status(ctx iris.Context, _ auth.Identity) error {
@@ -69,7 +66,7 @@
 }
 
 func encodeStatus(status core.Status) configjson.Status {
-	body := configjson.Status{Generation: uint64(status.Generation), Warnings: status.Warnings}
+	body := configjson.Status{Generation: uint64(status.Generation), Warnings: []configjson.Warning{}}
 	for _, member := range status.Members {
 		body.Members = append(body.Members, configjson.MemberStatus{
 			VM: string(member.VM), State: member.State.String(),
@@ -79,7 +76,13 @@
 	for _, d := range status.Deployments {
 		body.Deployments = append(body.Deployments, configjson.DeploymentStatus{
 			Name: string(d.Name), Version: uint64(d.Version), Step: uint64(d.Step),
-			Queue: d.Queue, Owner: string(d.Owner),
+			Queue: d.Queue, Running: d.Running, Owner: string(d.Owner),
+		})
+	}
+	for _, w := range status.Warnings {
+		body.Warnings = append(body.Warnings, configjson.Warning{
+			Kind: string(w.Kind), Subject: w.Subject, Message: w.Message, Since: w.Since,
+			Page: core.WarningPage, Section: w.Section,
 		})
 	}
 	return body
