End canceled samples that wait for a retry, so that a planned stop ends

Cause: a sample whose engine stream was cancelled, as its coordinator left or its run was no longer wanted, went into the retry of its attempt. While the budget was empty it asked again until the request timeout, though its answer had ended: it stayed in flight, held a place of the deployment's limit, and a planned stop waited for it. Seen in TestDemo (2 of about 40 runs on a busy machine): phase draining, 8 rollouts in flight, no stream and no answer in progress, exit after 15 s by the demo's kill. Ruled out: the leases (all released), the orders' clear time (2 s at most), a lost stream (no lane had work). Change: a repeat asks first whether its answer is still in progress and gives up if not; a request whose answer was ended before is not counted as failed. A retry that waits ends up to 2 s after its answer.

--- a/internal/app/admission.go
+++ b/internal/app/admission.go
@@ -121,13 +121,19 @@
 	failed     retry.Attempt
 	deadline   time.Time
 	cost       float64
-	again      func() // called in a step when the attempt is to be repeated
-	giveUp     func() // called in a step otherwise
+	wanted     func() bool // false once nobody waits for the outcome; nil for always
+	again      func()      // called in a step when the attempt is to be repeated
+	giveUp     func()      // called in a step otherwise
 }
 
 // repeatLater decides about a failed attempt. While the budget is empty the
-// repeat waits for its next delay, until the deadline leaves no room.
+// repeat waits for its next delay, until the deadline leaves no room or nobody
+// wants it any more.
 func (s *Service) repeatLater(r repeat) {
+	if r.wanted != nil && !r.wanted() {
+		r.giveUp()
+		return
+	}
 	r.failed.Left = r.deadline.Sub(s.ports.Clock.Now())
 	r.failed.Overloaded = s.limits.Overloaded(r.deployment, r.class)
 	decision := s.decideRetry(r.failed)
@@ -151,6 +157,7 @@
 		deployment: c.deployment.Name, class: c.request.Class, deadline: c.request.Deadline,
 		failed: retry.Attempt{Number: c.attempt, Kind: errkind.Of(cause), Idempotent: true},
 		cost:   retry.Cost(c.held, c.request.MaxTokens),
+		wanted: func() bool { return s.answers.InProgress(c.key) },
 		again:  func() { s.retryAttempt(c, cause) },
 		giveUp: func() { s.fail(c, cause) },
 	})
--- a/internal/app/completion.go
+++ b/internal/app/completion.go
@@ -135,8 +135,12 @@
 	return decision
 }
 
+// fail ends a request. One whose answer was ended before, as that of a sample
+// that is no longer wanted, is not counted as failed.
 func (s *Service) fail(c *completion, err error) {
-	s.metrics.RequestsFailed.Inc(1)
+	if s.answers.InProgress(c.key) {
+		s.metrics.RequestsFailed.Inc(1)
+	}
 	s.answers.Fail(c.key, err, s.ports.Clock.Now())
 	c.ended(err)
 }
--- a/internal/app/leaving_test.go
+++ b/internal/app/leaving_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"fescuespar/internal/errkind"
 	"fescuespar/internal/ports/backendtest"
 	"fescuespar/internal/ports/porttest/faults"
+	"fescuespar/internal/tables"
 )
 
 // TestLeavingServerGetsNoNewWork marks an engine as leaving and counts the
@@ -137,3 +139,27 @@
 		t.Errorf("a call ran %d times without a claim", runs)
 	}
 }
+
+// TestShutdownDoesNotWaitForRetriesOfCanceledSamples refuses all streams until
+// the retry budget is empty and many samples wait for it, and then has their
+// coordinator leave: samples that nobody wants any more must not hold it, nor
+// places of the deployment's limit.
+func TestShutdownDoesNotWaitForRetriesOfCanceledSamples(t *testing.T) {
+	const bound = 5 * time.Second // the longest delay between two tries is 2 s
+	patient := slices.Clone(testDeployments)
+	patient[1].Limits.RequestTimeout = testMax
+	patient[1].Limits.Concurrent = 8
+	c := newSizedCluster(t, clusterOptions{size: 1, bound: testMax, deployments: patient})
+	s := c.services[0]
+	c.faultEngines(backendtest.EngineFaults{Refuse: true})
+	c.await("samples wait for the budget", func() bool {
+		limits := s.State().(app.State).Limits
+		at := slices.IndexFunc(limits, func(l tables.LimitState) bool { return l.Deployment == model })
+		return at >= 0 && limits[at].Budget < 1 && limits[at].Gate.InFlight[core.ClassRollout] > 4
+	})
+	began := time.Now()
+	s.Shutdown(c.ctx)
+	if took := time.Since(began); took > bound {
+		t.Errorf("the process stopped after %s", took)
+	}
+}
--- a/internal/tables/answers.go
+++ b/internal/tables/answers.go
@@ -171,6 +171,14 @@
 	Left   bool // Leave was called since the source's attempt started
 }
 
+// InProgress reports whether an answer has begun and not ended.
+func (t *Answers) InProgress(key AnswerKey) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, err := t.open(key)
+	return err == nil
+}
+
 // Leave notes that an answer in progress goes on elsewhere once its source's
 // stream has ended.
 func (t *Answers) Leave(key AnswerKey) {
