--- a/cmd/fescuespar/wait.go
+++ b/cmd/fescuespar/wait.go
@@ -58,10 +58,11 @@
 }
 
 // lagging counts the live processes and returns those that report an older
-// generation. A suspected process counts as live: it may only be slow.
+// generation. A suspected process counts as live: it may only be slow. A leaving
+// one does not: callers are no longer told of it, and it may have ended already.
 func lagging(status configjson.Status, generation core.Generation) (live int, missing []configjson.MemberStatus) {
 	for _, member := range status.Members {
-		if member.State == core.MemberGone.String() {
+		if member.State == core.MemberGone.String() || member.State == core.MemberLeaving.String() {
 			continue
 		}
 		live++
