Kill the demo's entry process when answers have begun, not after a time

Cause: on a busy machine (load 43 on 10 cores) TestDemo failed: 9 of 9 answers whole, none resumed in mid-answer. The demo killed the process with the most requests in flight after 400 ms. That can be the coordinator with its samples, or one whose answers have not begun; then nothing is interrupted, and the check that something was resumed fails.

Ruled out: waiting for a count of tokens in the metrics, which samples raise too.

Change: the stand-in for callers tells when the first tokens of a try come, and from where; the demo kills that process at the third answer. The check stays.

Conclusion: the two other times of 400 ms in the demo stay: their checks do not depend on what was under way.

--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -28,6 +28,9 @@
 	MaxTokens int
 	Seed      int64 // of the first request; each further one adds one
 	Chat      bool  // use chat completions
+	// Answering is told the address of an entry VM when the first tokens of a
+	// try come from it; nil for nobody. It must not wait.
+	Answering func(address string)
 
 	// For plain calls; Path empty means completions.
 	Method string
--- a/standin/caller/completion.go
+++ b/standin/caller/completion.go
@@ -52,6 +52,7 @@
 	post   entryclient.Request
 	prompt string // as the engine gets it
 
+	answering func(address string) // told of the first event of a try
 	text      strings.Builder
 	lastEvent string // id of the last event
 	finish    core.FinishReason
@@ -95,7 +96,7 @@
 	}
 	encoded, _ := json.Marshal(body) // strings and numbers only, cannot fail
 	return &completion{
-		client: client, id: numbered(options.RequestID, number), prompt: prompt,
+		client: client, id: numbered(options.RequestID, number), prompt: prompt, answering: options.Answering,
 		post: entryclient.Request{Method: http.MethodPost, Path: path, Body: encoded},
 	}
 }
@@ -116,7 +117,7 @@
 		return err
 	}
 	defer response.Body.Close()
-	err = c.readEvents(response.Body)
+	err = c.readEvents(response.Body, response.Request.URL.Host)
 	if !c.done {
 		c.client.LeaveCurrent()
 		c.askRest = true
@@ -140,7 +141,8 @@
 
 var errCut = errors.New("stream ended without [DONE]")
 
-func (c *completion) readEvents(body io.Reader) error {
+func (c *completion) readEvents(body io.Reader, address string) error {
+	told := c.answering == nil
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxEventBytes)
 	id := ""
@@ -156,6 +158,10 @@
 			if err := c.take(id, value); err != nil {
 				return err
 			}
+			if !told {
+				told = true
+				c.answering(address)
+			}
 		}
 	}
 	if err := lines.Err(); err != nil {
--- a/standin/demo/failures.go
+++ b/standin/demo/failures.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"fescuespar/internal/core"
@@ -24,11 +26,23 @@
 	act()
 }
 
-// killDuringAnswer kills an entry process while it streams answers.
+// answeringCount is how many answers are under way when their entry process is
+// killed.
+const answeringCount = 3
+
+// killDuringAnswer kills an entry process when the first tokens of some answers
+// have come from it.
 func (d *demo) killDuringAnswer(ctx context.Context) error {
 	options := d.callers("kill")
 	options.Deployment, options.Prompt, options.MaxTokens = "coach", "Why does it flicker? ", 120
 	options.Count, options.Concurrency = 9, 9
+	var started atomic.Int64
+	answering := make(chan string, 1)
+	options.Answering = func(address string) {
+		if started.Add(1) == answeringCount {
+			answering <- address
+		}
+	}
 	type outcome struct {
 		summary caller.Summary
 		err     error
@@ -38,7 +52,11 @@
 		summary, err := caller.Run(ctx, options)
 		ended <- outcome{summary, err}
 	}()
-	during(func() { d.killBusiest(ctx) })
+	select {
+	case address := <-answering:
+		d.kill(slices.IndexFunc(d.entries, func(entry *site.Entry) bool { return entry.Address == address }))
+	case <-ctx.Done():
+	}
 	o := <-ended
 	d.record(o.err == nil && o.summary.Whole == options.Count && o.summary.Resumes > 0,
 		"answers whole after an entry process was killed", "%d of %d, %d resumed in mid-answer, %v",
@@ -46,11 +64,7 @@
 	return o.err
 }
 
-// killBusiest kills the entry process with the most requests in flight.
-func (d *demo) killBusiest(ctx context.Context) {
-	d.kill(d.busiest(ctx))
-}
-
+// busiest returns the entry process with the most requests in flight.
 func (d *demo) busiest(ctx context.Context) int {
 	busiest, most := 0, -1
 	for at, entry := range d.entries {
