Bound the warnings of a large site, and look at its servers once

Cause: the status copied all servers once for each deployment, and a night on which hundreds of servers are ejected gave as many warnings.

Change: one copy of the servers for a status; ten warnings of a kind at most, then one that counts the rest.

--- a/internal/app/status.go
+++ b/internal/app/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/routing"
 	"fescuespar/internal/core/warnings"
 	"fescuespar/internal/tables"
 )
@@ -29,9 +30,10 @@
 // facts gathers what warnings are decided from. Its deployments are those of
 // the configuration, in the same order.
 func (s *Service) facts(config *core.Configuration) warnings.Facts {
+	views := s.servers.Views()
 	facts := warnings.Facts{
 		Now: s.ports.Clock.Now(), Generation: config.Generation,
-		Members: s.members.All(), Outages: s.platform.Outages(), Ejected: s.ejections(),
+		Members: s.members.All(), Outages: s.platform.Outages(), Ejected: ejections(views),
 	}
 	if s.ports.Keys != nil {
 		facts.Keys = s.ports.Keys.State()
@@ -43,7 +45,9 @@
 	steps := s.rolloutStates()
 	for i := range config.Deployments {
 		deployment := &config.Deployments[i]
-		facts.Deployments = append(facts.Deployments, s.deploymentFacts(deployment, limits[deployment.Name], steps[deployment.Name]))
+		row := s.deploymentFacts(deployment, limits[deployment.Name], steps[deployment.Name])
+		row.Weights = s.weightFacts(deployment, views)
+		facts.Deployments = append(facts.Deployments, row)
 	}
 	return facts
 }
@@ -51,8 +55,8 @@
 func (s *Service) deploymentFacts(deployment *core.Deployment, limit tables.LimitState, step tables.RolloutState) warnings.Deployment {
 	facts := warnings.Deployment{
 		Name: deployment.Name, Refused: limit.Gate.Refused, RefusedAt: limit.Gate.RefusedAt,
-		Weights: s.weightFacts(deployment), Problem: step.Problem,
-		Step: warnings.Step{Number: step.Asked, Since: step.WaitsSince, Work: step.Work},
+		Problem: step.Problem,
+		Step:    warnings.Step{Number: step.Asked, Since: step.WaitsSince, Work: step.Work},
 	}
 	for _, count := range limit.Gate.Waiting {
 		facts.Waiting += count
@@ -60,26 +64,28 @@
 	return facts
 }
 
-func (s *Service) weightFacts(deployment *core.Deployment) warnings.Weights {
+func (s *Service) weightFacts(deployment *core.Deployment, views []routing.View) warnings.Weights {
 	newest, learned, failing := s.weights.Progress(deployment.Name)
 	facts := warnings.Weights{Newest: newest, Learned: learned, Failing: failing}
 	if newest == 0 || deployment.Versions.Pinned != 0 {
 		facts.Failing = 0
 		return facts
 	}
-	engines, _ := s.enginesOf(deployment)
-	facts.Engines = len(engines)
-	for i := range engines {
-		if engines[i].Version < newest {
+	for i := range views {
+		if !runs(&views[i].VM, deployment) {
+			continue
+		}
+		facts.Engines++
+		if held, _ := views[i].Status.Holds(deployment.Adapter); held.Version < newest {
 			facts.Behind++
 		}
 	}
 	return facts
 }
 
-func (s *Service) ejections() (ejected []warnings.Ejection) {
-	for _, view := range s.servers.Views() {
-		if view.Ejected {
+func ejections(views []routing.View) (ejected []warnings.Ejection) {
+	for i := range views {
+		if view := &views[i]; view.Ejected {
 			ejected = append(ejected, warnings.Ejection{Server: view.VM.ID, Service: view.VM.Service, Until: view.Until})
 		}
 	}
--- a/internal/app/status_test.go
+++ b/internal/app/status_test.go
@@ -91,3 +91,36 @@
 		})
 	})
 }
+
+// BenchmarkStatus measures the status of a process that knows the servers and
+// deployments of the largest site.
+func BenchmarkStatus(b *testing.B) {
+	const servers, count = 6100, 30
+	var deployments []core.Deployment
+	for number := range count {
+		d := testDeployments[1]
+		d.Name = core.DeploymentName(fmt.Sprintf("coach-%d", number))
+		d.Adapter = core.AdapterName(fmt.Sprintf("adapter-%d", number))
+		deployments = append(deployments, d)
+	}
+	c := newSizedCluster(b, clusterOptions{size: 1, bound: testMax, deployments: deployments})
+	var vms []core.VM
+	for number := range servers {
+		vm := backendServers[0]
+		vm.ID = core.ServerID(fmt.Sprintf("engine-%d", number))
+		vms = append(vms, vm)
+	}
+	c.vms.Set(vms...)
+	s := c.services[0]
+	c.await("all servers", func() bool { return len(s.State().(app.State).Servers) == servers })
+	for number := range count {
+		if err := s.PublishWeights(c.ctx, coach, deployments[number].Name, 1); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for b.Loop() {
+		if len(s.Status().Deployments) != count {
+			b.Fatal("deployments are missing")
+		}
+	}
+}
--- a/internal/app/weights.go
+++ b/internal/app/weights.go
@@ -87,7 +87,7 @@
 	vms := make(map[core.ServerID]core.VM)
 	for _, view := range s.servers.Views() {
 		vm := view.VM
-		if vm.Kind != core.KindEngine || vm.Service != deployment.Service || vm.State != core.VMLive {
+		if !runs(&vm, deployment) {
 			continue
 		}
 		held, _ := view.Status.Holds(deployment.Adapter)
@@ -100,6 +100,11 @@
 	return engines, vms
 }
 
+// runs reports whether a VM is a live engine of a deployment's model.
+func runs(vm *core.VM, deployment *core.Deployment) bool {
+	return vm.Kind == core.KindEngine && vm.Service == deployment.Service && vm.State == core.VMLive
+}
+
 func weightPolicy(deployment *core.Deployment) weights.Policy {
 	return weights.Policy{
 		Target: swapTarget, SwapTimeout: swapTimeout,
--- a/internal/core/warnings/warnings.go
+++ b/internal/core/warnings/warnings.go
@@ -82,7 +82,12 @@
 	Work   time.Duration // usual work of the trainer on one step
 }
 
-// Find returns the warnings, of the platform first.
+// maxOfAKind bounds the warnings of one kind: a bad night at a large site has
+// hundreds, and the first ones tell what to look at.
+const maxOfAKind = 10
+
+// Find returns the warnings, of the platform first. Beyond ten of a kind one
+// more says how many are left out.
 func Find(facts *Facts) []core.Warning {
 	var found []core.Warning
 	found = append(found, outages(facts)...)
@@ -92,7 +97,30 @@
 	for i := range facts.Deployments {
 		found = append(found, deployment(&facts.Deployments[i], facts.Now)...)
 	}
-	return found
+	return limit(found)
+}
+
+// limit leaves out the warnings beyond maxOfAKind of each kind and counts them
+// in a warning at the end.
+func limit(found []core.Warning) []core.Warning {
+	counts := make(map[core.WarningKind]int)
+	var kept, left []core.Warning
+	for _, warning := range found {
+		counts[warning.Kind]++
+		switch {
+		case counts[warning.Kind] <= maxOfAKind:
+			kept = append(kept, warning)
+		case counts[warning.Kind] == maxOfAKind+1:
+			left = append(left, core.Warning{Kind: warning.Kind, Section: warning.Section})
+		}
+	}
+	for _, warning := range left {
+		more := counts[warning.Kind] - maxOfAKind
+		warning.Subject = "others"
+		warning.Message = fmt.Sprintf("%d more of the kind %s", more, warning.Kind)
+		kept = append(kept, warning)
+	}
+	return kept
 }
 
 func outages(facts *Facts) (found []core.Warning) {
--- a/internal/core/warnings/warnings_test.go
+++ b/internal/core/warnings/warnings_test.go
@@ -98,3 +98,16 @@
 		}
 	}
 }
+
+// TestManyWarningsOfAKindAreCounted ejects all servers of a large site.
+func TestManyWarningsOfAKindAreCounted(t *testing.T) {
+	const servers = 6100
+	facts := healthy()
+	facts.Members[0].State = core.MemberSuspect
+	facts.Ejected = make([]Ejection, servers)
+	found := Find(&facts)
+	last := found[len(found)-1]
+	if len(found) != 1+maxOfAKind+1 || last.Kind != core.WarnServerEjected || last.Message != "6090 more of the kind server_ejected" {
+		t.Errorf("%d warnings, the last is %+v", len(found), last)
+	}
+}
