--- a/bench/main.go
+++ b/bench/main.go
@@ -13,8 +13,9 @@
 )
 
 type options struct {
-	Seed     uint64 `long:"seed" default:"1" description:"seed of the workload and of all random choices"`
-	Examples string `long:"examples" default:"examples" description:"directory with the sites' operators' files"`
+	Seed     uint64    `long:"seed" default:"1" description:"seed of the workload and of all random choices"`
+	Examples string    `long:"examples" default:"examples" description:"directory with the sites' operators' files"`
+	Only     []section `long:"only" choice:"training" choice:"stragglers" choice:"people" choice:"cache" choice:"outage" choice:"killer" description:"part of the table to run; may be given again"`
 }
 
 func main() {
@@ -36,7 +37,7 @@
 	tables := make([][]row, len(found))
 	var running sync.WaitGroup
 	for i, s := range found {
-		running.Go(func() { tables[i] = table(s, opts.Seed) })
+		running.Go(func() { tables[i] = table(s, opts.Seed, opts.Only) })
 	}
 	running.Wait()
 	for i, s := range found {
--- a/bench/table.go
+++ b/bench/table.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"fescuespar/internal/core"
@@ -40,14 +41,47 @@
 	return fmt.Sprintf("at most %.3g: missed by %.3g", most, value-most)
 }
 
-func table(s *operator, seed uint64) []row {
-	ours := plan{}.run(s, seed)
-	rows := trainingRows(s, seed, ours)
-	rows = append(rows, stragglerRows(s, seed)...)
-	rows = append(rows, peopleRows(s, seed, ours)...)
-	rows = append(rows, cacheRows(s, seed, ours)...)
-	rows = append(rows, outageRows(s, seed)...)
-	return append(rows, killerRows(s, seed)...)
+// section names a part of the table that can be run alone.
+type section string
+
+// The sections, in the table's order.
+const (
+	training   section = "training"
+	stragglers section = "stragglers"
+	people     section = "people"
+	cache      section = "cache"
+	outages    section = "outage"
+	killers    section = "killer"
+)
+
+// table runs the given sections, all of them if none is given.
+func table(s *operator, seed uint64, only []section) (rows []row) {
+	wanted := func(any ...section) bool {
+		return len(only) == 0 || slices.ContainsFunc(any, func(part section) bool { return slices.Contains(only, part) })
+	}
+	var ours *world
+	if wanted(training, people, cache) {
+		ours = plan{}.run(s, seed)
+	}
+	if wanted(training) {
+		rows = append(rows, trainingRows(s, seed, ours)...)
+	}
+	if wanted(stragglers) {
+		rows = append(rows, stragglerRows(s, seed)...)
+	}
+	if wanted(people) {
+		rows = append(rows, peopleRows(s, seed, ours)...)
+	}
+	if wanted(cache) {
+		rows = append(rows, cacheRows(s, seed, ours)...)
+	}
+	if wanted(outages) {
+		rows = append(rows, outageRows(s, seed)...)
+	}
+	if wanted(killers) {
+		rows = append(rows, killerRows(s, seed)...)
+	}
+	return rows
 }
 
 func trainingRows(s *operator, seed uint64, ours *world) []row {
