Decide on a failed attempt whose number is below one without a panic

Cause: the delay shifts by the number less one, and a shift by a negative count panics. Change: a number below one counts as the first; a case in TestDecide. Figures: without the change the case panics with a negative shift amount. Conclusion: a caller's slip costs a short delay, not the process.

--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -56,10 +56,11 @@
 	}
 }
 
-// delay draws from zero up to an exponentially growing bound.
+// delay draws from zero up to an exponentially growing bound. A number below one
+// counts as the first.
 func (p Policy) delay(number int, random *rand.Rand) time.Duration {
 	bound := p.Max
-	if doublings := number - 1; doublings < maxDoublings && p.Base<<doublings < p.Max {
+	if doublings := max(0, number-1); doublings < maxDoublings && p.Base<<doublings < p.Max {
 		bound = p.Base << doublings
 	}
 	return time.Duration(random.Int64N(int64(bound) + 1))
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -21,6 +21,7 @@
 		want   bool
 	}{
 		{"refused, not idempotent", Attempt{Number: 1, Kind: errkind.ServerRefused, Left: time.Minute}, true},
+		{"failed before any attempt was counted", Attempt{Number: 0, Kind: errkind.ServerRefused, Left: time.Minute}, true},
 		{"failed, idempotent", Attempt{Number: 1, Kind: errkind.ServerFailed, Idempotent: true, Left: time.Minute}, true},
 		{"failed, not idempotent", Attempt{Number: 1, Kind: errkind.ServerFailed, Left: time.Minute}, false},
 		{"last attempt", Attempt{Number: 3, Kind: errkind.ServerRefused, Left: time.Minute}, false},
