Take servers out of service as soon as they cannot be reached

The status calls, which failed from the first second, were thrown away. A status call to a server that drops packets also held a place of the control lane for 5 s each 500 ms. Change: a failed connection takes a server out at once, without the bound on ejections; a status call without an answer in 2 s does so within the bound. Status calls are one at a time for each server. Plain services get a probe in their port. While more than a fifth of a service's servers cannot be reached, moves are paid from the budget for repeats.

--- a/bench/beats.go
+++ b/bench/beats.go
@@ -7,13 +7,19 @@
 	"fescuespar/internal/tables"
 )
 
-// report sends the engines' late reports to every entry VM.
+// report sends the engines' late reports to every entry VM. An engine that is
+// gone leaves the question for it without a connection.
 func (w *world) report() {
 	for _, s := range w.servers {
-		if !s.up || s.vm.Kind != core.KindEngine {
+		measured := w.clock.Time()
+		switch {
+		case s.vm.Kind != core.KindEngine:
+			continue
+		case !s.up:
+			w.clock.After(connectTimeout, func() { w.unreachable(s.vm.ID, measured) })
 			continue
 		}
-		status, measured := s.status(w.random), w.clock.Time()
+		status := s.status(w.random)
 		w.clock.After(reportLag, func() {
 			for _, e := range w.entries {
 				e.router.report(status, measured)
@@ -26,6 +32,12 @@
 	w.clock.After(reportEvery, w.report)
 }
 
+func (w *world) unreachable(id core.ServerID, tried time.Time) {
+	for _, e := range w.entries {
+		e.router.unreachable(id, tried)
+	}
+}
+
 // beatLimits lets every two entry VMs exchange the parts of their limits.
 func (w *world) beatLimits() {
 	now := w.clock.Time()
--- a/bench/requests.go
+++ b/bench/requests.go
@@ -29,7 +29,7 @@
 		w.enter(r)
 	}
 	switch d := r.deployment; {
-	case w.plan.plainRetries:
+	case w.plan.noAdmission:
 		w.enter(r)
 	case w.plan.sharedQueue:
 		w.queue(d).enter(d, func() { w.enter(r) })
@@ -64,7 +64,7 @@
 }
 
 func (w *world) leave(r *request) {
-	if !r.admitted || w.plan.plainRetries {
+	if !r.admitted || w.plan.noAdmission {
 		return
 	}
 	if w.plan.sharedQueue {
@@ -263,8 +263,15 @@
 	return true
 }
 
-// move runs the rest of a request elsewhere.
+// move runs the rest of a request elsewhere, while many servers are out only
+// if the budget for repeats allows it.
 func (w *world) move(r *request) {
+	e, d := w.entries[r.entry], r.deployment
+	done, _ := w.progress(r)
+	if !w.plan.plainRetries && e.router.short(d.Kind, d.Service) &&
+		!e.limits[d.Name].Withdraw(d.Name, retry.Cost(done, r.most), w.clock.Time()) {
+		return
+	}
 	if w.take(r) {
 		r.exclude = append(r.exclude, r.attempt.begun.VM.ID)
 		w.try(r)
--- a/bench/router.go
+++ b/bench/router.go
@@ -21,6 +21,10 @@
 	beginOn(id core.ServerID, query routing.Query, now time.Time) routing.Dispatch
 	end(begun routing.Dispatch, result routing.Result, now time.Time)
 	report(status core.EngineStatus, measured time.Time)
+	// unreachable tells that no connection to a server could be made.
+	unreachable(id core.ServerID, tried time.Time)
+	// short tells whether a service has lost too many servers for moves.
+	short(kind core.ServerKind, service string) bool
 	sweep(now time.Time)
 }
 
@@ -56,6 +60,8 @@
 }
 
 func (r routed) report(status core.EngineStatus, measured time.Time) { r.ApplyStatus(status, measured) }
+func (r routed) unreachable(id core.ServerID, tried time.Time)       { r.Unreachable(id, tried) }
+func (r routed) short(kind core.ServerKind, service string) bool     { return r.Short(kind, service) }
 func (r routed) sweep(now time.Time)                                 { r.Sweep(now, r.random) }
 
 // baselineServer is what a baseline's entry VM knows of a server.
@@ -133,7 +139,9 @@
 	s.reported, s.versions = status.RunningCount+status.QueuedCount, status.Versions
 }
 
-func (b *baseline) sweep(time.Time) {}
+func (b *baseline) unreachable(core.ServerID, time.Time) {}
+func (b *baseline) short(core.ServerKind, string) bool   { return false }
+func (b *baseline) sweep(time.Time)                      {}
 
 func (b *baseline) server(id core.ServerID) *baselineServer {
 	return b.servers[slices.IndexFunc(b.servers, func(s *baselineServer) bool { return s.vm.ID == id })]
--- a/bench/table.go
+++ b/bench/table.go
@@ -159,11 +159,13 @@
 		}
 	}
 	p := plan{faults: outage, load: outageLoad * float64(places)}
-	plain := p
-	plain.plainRetries = true
+	limited, plain := p, p
+	limited.plainRetries = true
+	plain.plainRetries, plain.noAdmission = true, true
 	ours := p.run(s, seed)
 	return []row{
 		outageRow("ours", ours, "load "+verdict(amplification(ours), amplificationTarget)),
+		outageRow("three tries within the limits", limited.run(s, seed), ""),
 		outageRow("plain retries, three tries", plain.run(s, seed), ""),
 	}
 }
@@ -171,9 +173,9 @@
 func amplification(w *world) float64 { return float64(w.attempts) / float64(max(1, w.firsts)) }
 
 func outageRow(policy string, w *world, target string) row {
-	return row{"outage of 30%: load (by repeats alone); recovery; answered in it", policy, fmt.Sprintf("%.3f (%.3f); %.0f s; %.3f", amplification(w),
+	return row{"outage of 30%: load (by repeats alone); recovery; answered before, in it", policy, fmt.Sprintf("%.3f (%.3f); %.0f s; %.3f, %.3f", amplification(w),
 		1+float64(w.repeats)/float64(max(1, w.firsts)),
-		w.recovery().Seconds(), w.answeredShare(outageFrom, outageTo)), target}
+		w.recovery().Seconds(), w.answeredShare(warmUp, outageFrom), w.answeredShare(outageFrom, outageTo)), target}
 }
 
 func killerRows(s *operator, seed uint64) []row {
--- a/bench/world.go
+++ b/bench/world.go
@@ -38,8 +38,9 @@
 	choose        chooser   // in place of routing
 	ahead         core.Step // steps for which samples are made
 	sharedQueue   bool      // in place of admission
-	plainRetries  bool      // three tries, no budget, no admission
-	noResume      bool      // a cut answer starts again
+	plainRetries  bool      // three tries, no budget
+	noAdmission   bool
+	noResume      bool // a cut answer starts again
 	noFingerprint bool
 	noTraining    bool
 	stragglers    float64 // share of the attempts
--- a/internal/adapters/plainhttp/client.go
+++ b/internal/adapters/plainhttp/client.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
@@ -73,6 +74,20 @@
 	return core.PlainResponse{Status: response.StatusCode, Header: decodeHeader(response.Header), Body: body}, nil
 }
 
+// Probe implements ports.PlainService: it makes a connection and closes it.
+func (c *Client) Probe(ctx context.Context, server core.VM) error {
+	connection, err := new(net.Dialer).DialContext(ctx, "tcp", server.Address)
+	switch {
+	case err == nil:
+		_ = connection.Close()
+		return nil
+	case ctx.Err() != nil:
+		return errkind.Wrap(errkind.Of(ctx.Err()), err, "%s takes no connection in time", server.ID)
+	default:
+		return errkind.Wrap(errkind.ServerRefused, err, "%s takes no connections", server.ID)
+	}
+}
+
 // callError returns the error for a call that may have run.
 func callError(ctx context.Context, server core.VM, err error) error {
 	if ctx.Err() != nil {
--- a/internal/adapters/plainhttp/client_test.go
+++ b/internal/adapters/plainhttp/client_test.go
@@ -137,4 +137,7 @@
 	if !errkind.Is(err, errkind.ServerRefused) {
 		t.Errorf("error %v, want ServerRefused", err)
 	}
+	if err := plainhttp.New(clientTimeout).Probe(t.Context(), vm); !errkind.Is(err, errkind.ServerRefused) {
+		t.Errorf("probe: error %v, want ServerRefused", err)
+	}
 }
--- a/internal/app/crashes.go
+++ b/internal/app/crashes.go
@@ -142,7 +142,11 @@
 	probe := s.lanes.control.Go(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
+		asked := s.ports.Clock.Now()
 		_, failed := s.ports.Engine.Status(ctx, server, 0)
+		if errkind.Is(failed, errkind.ServerRefused) {
+			s.servers.Unreachable(server.ID, asked)
+		}
 		s.pool.MustEnqueue(c.request.Class, func() {
 			s.judgeCut(c, server.ID, failed != nil)
 			next()
--- a/internal/app/plaincall.go
+++ b/internal/app/plaincall.go
@@ -221,6 +221,9 @@
 		response, err := s.ports.Plain.Call(ctx, begun.VM, call.request)
 		s.pool.MustEnqueue(core.ClassPeople, func() {
 			s.release(begun, 0, err)
+			if errkind.Is(err, errkind.ServerRefused) || errkind.Is(err, errkind.ServerFailed) {
+				s.askPlain(begun.VM)
+			}
 			s.callEnded(call, begun.VM.ID, response, err)
 		})
 	})
--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -118,20 +118,64 @@
 	}
 }
 
-// pollStatus asks every engine for its report.
-func (s *Service) pollStatus() {
+// statusTimeout bounds a status call; a server that takes longer is silent.
+const statusTimeout = 2 * time.Second
+
+// pollServers asks every engine for its report, and every plain service that
+// was unreachable whether it is back.
+func (s *Service) pollServers() {
 	for _, view := range s.servers.Views() {
-		if view.VM.Kind != core.KindEngine {
-			continue
-		}
-		s.onLane(s.lanes.control, func(ctx context.Context) {
-			asked := s.ports.Clock.Now()
-			status, err := s.ports.Engine.Status(ctx, view.VM, view.Status.NextEvent)
-			if err != nil {
-				return
+		switch view.VM.Kind {
+		case core.KindEngine:
+			s.askServer(view.VM, func(ctx context.Context) error { return s.readStatus(ctx, view.VM, view.Status.NextEvent) })
+		case core.KindPlain:
+			if view.Unreachable {
+				s.askPlain(view.VM)
 			}
-			status.Server = view.VM.ID
-			s.servers.ApplyStatus(status, asked.Add(-reportLag))
-		})
+		}
+	}
+}
+
+// askPlain finds out whether a plain service can be reached.
+func (s *Service) askPlain(vm core.VM) {
+	s.askServer(vm, func(ctx context.Context) error {
+		err := s.ports.Plain.Probe(ctx, vm)
+		if err == nil {
+			s.servers.Reachable(vm.ID, s.ports.Clock.Now())
+		}
+		return err
+	})
+}
+
+// askServer asks a server something that it answers at once when it is well. One
+// that cannot be reached gets no work until it answers again.
+func (s *Service) askServer(vm core.VM, ask func(context.Context) error) {
+	if !s.servers.BeginAsk(vm.ID) {
+		return
+	}
+	err := s.lanes.control.Go(func(ctx context.Context) {
+		defer s.servers.EndAsk(vm.ID)
+		ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+		defer cancel()
+		asked := s.ports.Clock.Now()
+		switch errkind.Of(ask(ctx)) {
+		case errkind.ServerRefused:
+			s.servers.Unreachable(vm.ID, asked)
+		case errkind.Timeout:
+			s.servers.Silent(vm.ID, asked)
+		}
+	})
+	if err != nil {
+		s.servers.EndAsk(vm.ID)
+	}
+}
+
+func (s *Service) readStatus(ctx context.Context, vm core.VM, cursor uint64) error {
+	asked := s.ports.Clock.Now()
+	status, err := s.ports.Engine.Status(ctx, vm, cursor)
+	if err == nil {
+		status.Server = vm.ID
+		s.servers.ApplyStatus(status, asked.Add(-reportLag))
 	}
+	return err
 }
--- a/internal/app/service.go
+++ b/internal/app/service.go
@@ -164,7 +164,7 @@
 // Start begins the periodic work.
 func (s *Service) Start() {
 	s.every(s.options.VMListEvery, s.pollVMs)
-	s.every(s.options.StatusEvery, s.pollStatus)
+	s.every(s.options.StatusEvery, s.pollServers)
 	s.every(sweepEvery, s.sweepServers)
 	s.every(s.options.ConfigEvery, s.pollConfiguration)
 	s.every(membership.UrgentInterval, s.heartbeat)
--- a/internal/app/stragglers.go
+++ b/internal/app/stragglers.go
@@ -22,6 +22,9 @@
 		progress[i] = rollout.Progress{Tokens: answer.Tokens, Oldest: answer.Oldest}
 	}
 	orders := s.rollouts.EndReview(deployment.Name, fence, rolloutPolicy(deployment.Rollout), running, progress, now)
+	if s.servers.Short(deployment.Kind, deployment.Service) {
+		orders.Move = orders.Move[:min(len(orders.Move), s.limits.Affordable(deployment.Name, now))]
+	}
 	s.metrics.SamplesTooOld.Inc(int64(orders.TooOld))
 	s.metrics.SamplesMoved.Inc(int64(len(orders.Move)))
 	s.cancelStreams(deployment.Name, orders.Move)
--- a/internal/core/outlier/policy.go
+++ b/internal/core/outlier/policy.go
@@ -17,6 +17,7 @@
 	Jitter              float64       // largest share added to an ejection's length
 	Forgive             time.Duration // time in service that takes back one doubling
 	Ramp                time.Duration // time over which a returning server regains its weight
+	Unreachable         time.Duration // time without news after which an unreachable server is tried again
 	RestartGrace        time.Duration // failures after a crash by a killing request don't lengthen ejections
 	SagLatency          float64       // multiple of the usual median time per token that is a sag
 	SagSuccess          float64       // multiple of the usual median success rate that is a sag
@@ -40,6 +41,7 @@
 		Jitter:              0.2,
 		Forgive:             2 * time.Minute,
 		Ramp:                20 * time.Second,
+		Unreachable:         10 * time.Second,
 		RestartGrace:        30 * time.Second,
 		SagLatency:          1.5,
 		SagSuccess:          0.8,
--- a/internal/core/outlier/pool.go
+++ b/internal/core/outlier/pool.go
@@ -12,6 +12,7 @@
 	policy  Policy
 	servers []*Server
 	ejected int
+	away    int // unreachable servers
 	sagging bool
 	usual   medians // of long ago; zero until the first median
 	swept   time.Time
@@ -41,11 +42,17 @@
 	if server.ejected {
 		p.ejected--
 	}
+	if !server.unreachable.IsZero() {
+		p.away--
+	}
 }
 
 // Ejected returns the number of servers that are ejected.
 func (p *Pool) Ejected() int { return p.ejected }
 
+// Away returns the number of servers that cannot be reached.
+func (p *Pool) Away() int { return p.away }
+
 // Sagging reports whether the whole pool was slow or failing at the last Sweep.
 func (p *Pool) Sagging() bool { return p.sagging }
 
@@ -63,7 +70,7 @@
 		server.excusedUntil = now.Add(p.policy.RestartGrace)
 		return false
 	}
-	if server.ejected {
+	if server.Ejected() {
 		return false
 	}
 	server.add(result, now)
@@ -86,7 +93,7 @@
 		return
 	}
 	for _, server := range p.servers {
-		if !server.ejected && p.isOutlier(server, current, now) {
+		if !server.Ejected() && p.isOutlier(server, current, now) {
 			p.eject(server, now, random)
 		}
 	}
@@ -94,6 +101,9 @@
 
 func (p *Pool) endEjections(now time.Time) {
 	for _, server := range p.servers {
+		if !server.unreachable.IsZero() && now.Sub(server.unreachable) >= p.policy.Unreachable {
+			p.Reachable(server, now)
+		}
 		switch {
 		case server.ejected && !now.Before(server.until):
 			p.restore(server, now)
@@ -118,10 +128,11 @@
 	return true
 }
 
-// maxEjected is the bound on ejected servers; one server always stays.
+// maxEjected is the bound on ejected servers; one reachable server always stays.
 func (p *Pool) maxEjected() int {
-	bound := int(math.Ceil(p.policy.MaxEjectedShare * float64(len(p.servers))))
-	return min(bound, len(p.servers)-1)
+	reachable := len(p.servers) - p.away
+	bound := int(math.Ceil(p.policy.MaxEjectedShare * float64(reachable)))
+	return min(bound, reachable-1)
 }
 
 func (p *Pool) isOutlier(server *Server, current medians, now time.Time) bool {
--- a/internal/core/outlier/sag.go
+++ b/internal/core/outlier/sag.go
@@ -21,7 +21,7 @@
 func (p *Pool) median(now time.Time, value func(*Server) float64) float64 {
 	p.scratch = p.scratch[:0]
 	for _, server := range p.servers {
-		if server.results > 0 && now.Sub(server.lastResult) <= p.policy.PeerWindow {
+		if server.results > 0 && server.unreachable.IsZero() && now.Sub(server.lastResult) <= p.policy.PeerWindow {
 			p.scratch = append(p.scratch, value(server))
 		}
 	}
--- a/internal/core/outlier/server.go
+++ b/internal/core/outlier/server.go
@@ -45,10 +45,16 @@
 	returnedAt   time.Time // zero when the server was never ejected
 	forgivenAt   time.Time
 	excusedUntil time.Time
+	unreachable  time.Time // newest failure to connect; zero while the server is reachable
 }
 
-// Ejected reports whether the server must get no new work.
-func (s *Server) Ejected() bool { return s.ejected }
+// Ejected reports whether the server must get no new work: it is ejected as an
+// outlier or cannot be reached.
+func (s *Server) Ejected() bool { return s.ejected || !s.unreachable.IsZero() }
+
+// UnreachableSince returns when the newest connection failed, zero for a server
+// that can be reached.
+func (s *Server) UnreachableSince() time.Time { return s.unreachable }
 
 // Until returns the end of the current ejection.
 func (s *Server) Until() time.Time { return s.until }
@@ -56,7 +62,7 @@
 // Weight returns the share of its usual work that the server may get: 0 while
 // it is ejected, then growing from a tenth to 1 over the policy's Ramp.
 func (s *Server) Weight(ramp time.Duration, now time.Time) float64 {
-	if s.ejected {
+	if s.Ejected() {
 		return 0
 	}
 	if s.returnedAt.IsZero() {
--- a/internal/core/routing/server.go
+++ b/internal/core/routing/server.go
@@ -61,11 +61,14 @@
 	Others   int               `json:"others_tokens"`    // of other processes' requests, by the newest report
 	Ejected  bool              `json:"ejected"`
 	Until    time.Time         `json:"ejected_until"`
+
+	Unreachable bool `json:"unreachable"` // no connection could be made lately
 }
 
 func (r *server) view() View {
 	return View{
 		VM: r.vm, Status: r.status, InFlight: r.load.own.tokens, Others: int(r.load.others),
 		Ejected: r.health.Ejected(), Until: r.health.Until(),
+		Unreachable: !r.health.UnreachableSince().IsZero(),
 	}
 }
--- a/internal/core/routing/state.go
+++ b/internal/core/routing/state.go
@@ -168,6 +168,9 @@
 		row.region.place(row)
 		row.seeVersions()
 	}
+	if !measured.Before(row.health.UnreachableSince()) {
+		s.Reachable(status.Server, measured)
+	}
 	row.pool.measureShare(row.streams(), row.load.at(measured).streams)
 	row.load.report(row.streams(), row.pool.tokensPerStream, measured)
 }
@@ -233,6 +236,50 @@
 	}
 }
 
+// Unreachable takes a server out of service to which no connection could be
+// made by an attempt that began at the given time. A report measured later
+// brings it back.
+func (s *State) Unreachable(id core.ServerID, tried time.Time) {
+	row := s.servers[id]
+	if row == nil || tried.Before(row.load.reported) {
+		return
+	}
+	if row.pool.detector.Unreachable(&row.health, tried) {
+		row.region.place(row)
+	}
+}
+
+// Silent is Unreachable for a server that did not answer in time.
+func (s *State) Silent(id core.ServerID, tried time.Time) {
+	row := s.servers[id]
+	if row == nil || tried.Before(row.load.reported) {
+		return
+	}
+	if row.pool.detector.Silent(&row.health, tried) {
+		row.region.place(row)
+	}
+}
+
+// Reachable brings back a server that answered. Engines come back with their
+// reports.
+func (s *State) Reachable(id core.ServerID, now time.Time) {
+	row := s.servers[id]
+	if row != nil && row.pool.detector.Reachable(&row.health, now) {
+		row.region.place(row)
+	}
+}
+
+// shortShare is the share of a service's servers without which the others have
+// no room to spare.
+const shortShare = 0.2
+
+// Short reports whether so many servers of a service cannot be reached that the
+// others have no room for work that is moved.
+func (s *State) Short(kind core.ServerKind, service string) bool {
+	pool := s.pools[serviceKey{kind: kind, service: service}]
+	return pool != nil && float64(pool.detector.Away()) > shortShare*float64(pool.size)
+}
+
 // Sweep ejects and returns servers as package outlier decides. It takes time
 // linear in the servers and is called about once a second.
 func (s *State) Sweep(now time.Time, random *rand.Rand) {
--- a/internal/core/routing/state_test.go
+++ b/internal/core/routing/state_test.go
@@ -149,6 +149,26 @@
 
 // A report that counts our own streams must not add to what we count ourselves,
 // and a dispatch after the report must not be lost.
+// A report that was measured before the connection failed says nothing.
+func TestUnreachableServerReturnsWithItsNextReport(t *testing.T) {
+	state, random := stateOf(engineVMs(3))
+	lost := core.ServerID("engine-0001")
+	state.Unreachable(lost, epoch)
+	state.ApplyStatus(core.EngineStatus{Server: lost, Model: "coach"}, epoch.Add(-time.Second))
+	if picked := picks(state, coachQuery(), epoch, random)[lost]; picked != 0 {
+		t.Errorf("an unreachable server was chosen %d times", picked)
+	}
+	if !state.Short(core.KindEngine, "coach") {
+		t.Error("a service without a third of its servers is not short")
+	}
+	later := epoch.Add(time.Second)
+	state.ApplyStatus(core.EngineStatus{Server: lost, Model: "coach"}, later)
+	state.Unreachable(lost, epoch)
+	if picks(state, coachQuery(), later.Add(time.Minute), random)[lost] == 0 || state.Short(core.KindEngine, "coach") {
+		t.Error("a server that reported again gets no work")
+	}
+}
+
 func TestReportsAreNotCountedTwice(t *testing.T) {
 	cases := []struct {
 		name    string
--- a/internal/ports/backendtest/plain.go
+++ b/internal/ports/backendtest/plain.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"fescuespar/internal/core"
+	"fescuespar/internal/errkind"
 	"fescuespar/internal/lockrank"
 	"fescuespar/internal/ports"
 )
@@ -84,6 +85,19 @@
 	return core.PlainResponse{Status: 200, Body: request.Body}, nil
 }
 
+// Probe implements ports.PlainService.
+func (p *Plain) Probe(ctx context.Context, server core.VM) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case ctx.Err() != nil:
+		return errkind.Wrap(errkind.Of(ctx.Err()), ctx.Err(), "probe of %s", server.ID)
+	case p.server(server.ID).dead:
+		return refusedBy(server)
+	}
+	return nil
+}
+
 func (p *Plain) run(request core.PlainRequest) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/ports/backendtest/plainsuite.go
+++ b/internal/ports/backendtest/plainsuite.go
@@ -77,6 +77,16 @@
 			wantKind(t, "second call", err, c.after)
 		})
 	}
+	t.Run("probed", func(t *testing.T) {
+		s := newSubject(t)
+		wantKind(t, "Probe", s.Service.Probe(suiteContext(t, suiteTimeout), s.Server), "")
+		ended, cancel := context.WithCancel(suiteContext(t, suiteTimeout))
+		cancel()
+		wantKind(t, "Probe without time", s.Service.Probe(ended, s.Server), errkind.Canceled)
+		if runs := s.Runs("", "/"); runs != 0 {
+			t.Errorf("a probe ran %d calls", runs)
+		}
+	})
 	t.Run("revived after a crash", func(t *testing.T) {
 		s := newSubject(t)
 		ctx := suiteContext(t, suiteTimeout)
--- a/internal/ports/ports.go
+++ b/internal/ports/ports.go
@@ -84,6 +84,9 @@
 	// Call sends one call once. Errors: ServerRefused when it surely did not
 	// run, ServerFailed or Timeout when it may have.
 	Call(ctx context.Context, server core.VM, request core.PlainRequest) (core.PlainResponse, error)
+	// Probe finds out whether the server takes connections, and asks it nothing.
+	// Errors: ServerRefused when it does not, Timeout.
+	Probe(ctx context.Context, server core.VM) error
 }
 
 // Scorer is a scoring service. Scoring is idempotent.
--- a/internal/tables/limits.go
+++ b/internal/tables/limits.go
@@ -1,6 +1,7 @@
 package tables
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -188,8 +189,27 @@
 	if row == nil {
 		return false
 	}
-	part := row.limits.Concurrent / row.share.Members()
-	return retry.Spare(row.gate.InUse(), part) || row.budget.Withdraw(cost, now)
+	return row.spare() || row.budget.Withdraw(cost, now)
+}
+
+// spare reports whether so little is in flight that repeats are free.
+func (r *limitRow) spare() bool {
+	return retry.Spare(r.gate.InUse(), r.limits.Concurrent/r.share.Members())
+}
+
+// Affordable returns how many whole repeats a deployment's budget has room for.
+func (t *Limits) Affordable(name core.DeploymentName, now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row := t.rows[name]
+	if row == nil {
+		return 0
+	}
+	if row.spare() {
+		return math.MaxInt
+	}
+	row.budget.Withdraw(0, now)
+	return int(row.budget.Balance())
 }
 
 // Overloaded reports whether a deployment's queue of the class is behind.
--- a/internal/tables/servers.go
+++ b/internal/tables/servers.go
@@ -11,15 +11,19 @@
 
 // Servers holds the backend servers and routes requests to them.
 type Servers struct {
-	// mu guards state and random.
+	// mu guards all fields below.
 	mu     lockrank.Mutex
 	state  *routing.State
 	random *rand.Rand
+	asked  map[core.ServerID]bool // servers that are being asked whether they live
 }
 
 // NewServers returns a table without servers.
 func NewServers(random *rand.Rand) *Servers {
-	return &Servers{mu: lockrank.New(lockrank.RankServers), state: routing.NewState(routing.DefaultPolicy()), random: random}
+	return &Servers{
+		mu: lockrank.New(lockrank.RankServers), state: routing.NewState(routing.DefaultPolicy()), random: random,
+		asked: make(map[core.ServerID]bool),
+	}
 }
 
 // ApplyVMs replaces the set of servers by the backend servers of a VM list.
@@ -44,6 +48,57 @@
 	t.state.ApplyStatus(status, measured)
 }
 
+// BeginAsk reports whether a server may be asked for its state now: one call at
+// a time, so that servers that do not answer do not fill a lane. EndAsk must
+// follow after true.
+func (t *Servers) BeginAsk(id core.ServerID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.asked[id] {
+		return false
+	}
+	t.asked[id] = true
+	return true
+}
+
+// EndAsk ends what BeginAsk began.
+func (t *Servers) EndAsk(id core.ServerID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.asked, id)
+}
+
+// Unreachable takes a server out of service to which no connection could be
+// made by an attempt that began at the given time.
+func (t *Servers) Unreachable(id core.ServerID, tried time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state.Unreachable(id, tried)
+}
+
+// Silent takes a server out of service that did not answer in time, unless too
+// many are out already.
+func (t *Servers) Silent(id core.ServerID, tried time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state.Silent(id, tried)
+}
+
+// Reachable brings back a server to which a connection was made.
+func (t *Servers) Reachable(id core.ServerID, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state.Reachable(id, now)
+}
+
+// Short reports whether a service has lost so many servers that the others have
+// no room for work that is moved.
+func (t *Servers) Short(kind core.ServerKind, service string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state.Short(kind, service)
+}
+
 // Acquire picks a server and counts the request's tokens as in flight on it.
 // Errors: NoServer, Overloaded.
 func (t *Servers) Acquire(query routing.Query, now time.Time) (routing.Dispatch, error) {
