Recognise plain calls that crash their servers, and refuse truthfully after a cut

Cause: plain calls passed the crash table by, since nothing could tell whether a plain server lived. A request that was cut and whose repeat then found no server, or was refused, ended as not run, though it had run: found while testing this. Ruled out: counting crashes of plain calls in each process: the same reasons as for completions. Change: one guard for completions and calls, by a fingerprint of deployment, method, path and body; a cut call probes its server. An error that says not run becomes answer_incomplete when an earlier attempt may have run.

--- a/internal/app/admission.go
+++ b/internal/app/admission.go
@@ -152,7 +152,7 @@
 		failed: retry.Attempt{Number: c.attempt, Kind: errkind.Of(cause), Idempotent: true},
 		cost:   retry.Cost(c.held, c.request.MaxTokens),
 		again:  func() { s.retryAttempt(c, cause) },
-		giveUp: func() { s.fail(c, cause) },
+		giveUp: func() { s.afterNews(&c.guard, func() { s.fail(c, cause) }) },
 	})
 }
 
--- a/internal/app/attempt.go
+++ b/internal/app/attempt.go
@@ -19,7 +19,7 @@
 		Version: max(c.oldest, c.deployment.Versions.Pinned),
 		LagCost: lagCost(c),
 	}
-	begun, err := s.acquireGuarded(c, query)
+	begun, err := s.acquireGuarded(&c.guard, query)
 	if err != nil {
 		return err
 	}
@@ -38,8 +38,8 @@
 			return s.ports.Engine.Generate(ctx, server, generate, sink)
 		})
 		s.pool.MustEnqueue(c.request.Class, func() {
-			s.release(begun, end.Tokens, err)
-			s.judgeAttempt(c, server, err, func() { s.attemptEnded(c, source, end, err) })
+			s.release(begun, end.Tokens, c.guard.blame(err))
+			s.judgeAttempt(&c.guard, server, err, func() { s.attemptEnded(c, source, end, err) })
 		})
 	})
 	if err != nil {
@@ -95,6 +95,7 @@
 		c.ended(nil)
 		return
 	}
+	c.ran = c.ran || mayHaveRun(err)
 	c.noteFailure(source.Server, s.answers.Progress([]tables.AnswerKey{c.key})[0].Tokens)
 	s.repeatCompletion(c, err)
 }
--- a/internal/app/completion.go
+++ b/internal/app/completion.go
@@ -21,6 +21,7 @@
 	attempt    int                // attempts since the last one that brought tokens
 	held       int                // tokens held when the last attempt started
 	exclude    []core.ServerID
+	ran        bool // an attempt may have run
 	guard      guard
 	ended      func(error) // called once in a step; nil error when whole
 }
@@ -136,11 +137,24 @@
 }
 
 func (s *Service) fail(c *completion, err error) {
+	err = truthful(err, c.ran)
 	s.metrics.RequestsFailed.Inc(1)
 	s.answers.Fail(c.key, err, s.ports.Clock.Now())
 	c.ended(err)
 }
 
+// truthful returns the error that a request ends with. The refusal of a repeat
+// must not say of the whole request that it was not run.
+func truthful(err error, ran bool) error {
+	if ran && errkind.AnswerTo(err).Ran == errkind.NotRun {
+		return errkind.Wrap(errkind.AnswerIncomplete, err, "an earlier attempt may have run")
+	}
+	return err
+}
+
+// mayHaveRun reports whether an attempt that ended with the error may have run.
+func mayHaveRun(err error) bool { return err != nil && !errkind.Is(err, errkind.ServerRefused) }
+
 // streamID names an attempt at the engine. It can be derived again from what a
 // caller presents when it resumes.
 // The caller is part of it, so that no caller can resume a stream of another.
--- a/internal/app/crashes_test.go
+++ b/internal/app/crashes_test.go
@@ -1,9 +1,13 @@
 package app_test
 
 import (
+	"context"
 	"fmt"
+	"strings"
+	"sync/atomic"
 	"testing"
 
+	"fescuespar/internal/app"
 	"fescuespar/internal/core"
 	"fescuespar/internal/errkind"
 	"fescuespar/internal/ports/backendtest"
@@ -46,3 +50,98 @@
 		t.Errorf("another request of the same caller: %v", err)
 	}
 }
+
+// killedByMarker crashes each plain server that runs a call with the marker.
+type killedByMarker struct {
+	*backendtest.Plain
+	crashes *atomic.Int32
+}
+
+const callMarker = "killer"
+
+func (k killedByMarker) Call(ctx context.Context, server core.VM, request core.PlainRequest) (core.PlainResponse, error) {
+	marked := strings.Contains(request.Path, callMarker)
+	if marked {
+		k.SetFaults(server.ID, backendtest.PlainFaults{Crash: true})
+	}
+	response, err := k.Plain.Call(ctx, server, request)
+	if marked && errkind.Is(err, errkind.ServerFailed) {
+		k.crashes.Add(1)
+	}
+	return response, err
+}
+
+// A call that crashes every plain server is recognised as a completion is,
+// whether or not the service itself may repeat it.
+func TestKillingCallCostsTwoServers(t *testing.T) {
+	for _, method := range []string{"GET", "POST"} {
+		t.Run(method, func(t *testing.T) {
+			var crashes atomic.Int32
+			c := newSizedCluster(t, clusterOptions{size: 3, bound: testMax, deployments: testDeployments,
+				outside: func(p *app.Ports) { p.Plain = killedByMarker{p.Plain.(*backendtest.Plain), &crashes} }})
+			more := append([]core.VM(nil), backendServers...)
+			for i := 3; i <= 4; i++ {
+				more = append(more, core.VM{ID: core.ServerID(fmt.Sprint("desk-", i)), Kind: core.KindPlain, Service: "desk",
+					Address: fmt.Sprint("d", i), Zone: "z1", Region: "r", State: core.VMLive})
+			}
+			c.vms.Set(more...)
+			c.await("four plain servers everywhere", func() bool {
+				for _, s := range c.services {
+					if len(s.State().(app.State).Servers) != len(more) {
+						return false
+					}
+				}
+				return true
+			})
+			call := func(i int, path string) error {
+				_, err := c.services[i%3].Call(c.ctx, core.PlainRequest{
+					ID: core.RequestID(fmt.Sprint("call-", i)), Caller: donor, Deployment: desk, Method: method, Path: path})
+				return err
+			}
+			refused := 0
+			for i := range 12 {
+				err := call(i, "/"+callMarker)
+				if errkind.Is(err, errkind.CrashesServers) {
+					refused++
+				} else if errkind.AnswerTo(err).Ran == errkind.NotRun {
+					t.Errorf("send %d was refused as not run: %v", i, err)
+				}
+			}
+			if crashes.Load() > 2 {
+				t.Errorf("%d servers crashed, want at most 2", crashes.Load())
+			}
+			if refused < 10 {
+				t.Errorf("%d of 12 sends were refused as crashing servers, want all but the first two", refused)
+			}
+			if err := call(0, "/innocent"); err != nil {
+				t.Errorf("another call: %v", err)
+			}
+		})
+	}
+}
+
+// A call that was cut and then finds no server may have run, whatever the last
+// refusal says.
+func TestRefusalAfterACutDoesNotSayNotRun(t *testing.T) {
+	c := newCluster(t, 1)
+	c.plain.SetFaults("desk-1", backendtest.PlainFaults{Crash: true})
+	c.plain.SetFaults("desk-2", backendtest.PlainFaults{Refuse: true})
+	_, err := c.services[0].Call(c.ctx, core.PlainRequest{ID: "get", Caller: donor, Deployment: desk, Method: "GET", Path: "/"})
+	if err == nil || errkind.AnswerTo(err).Ran == errkind.NotRun {
+		t.Errorf("the call ran at least once and ended with %v", err)
+	}
+	request := completion("cut")
+	request.Prompt = callMarker + request.Prompt
+	c.faultEngines(backendtest.EngineFaults{CrashMarker: callMarker})
+	c.engine.Server("engine-2").Crash()
+	c.engine.Server("engine-3").Crash()
+	c.await("two engines are known to be dead", func() bool {
+		return unreachable(c.services[0], "engine-2") && unreachable(c.services[0], "engine-3")
+	})
+	if err := c.services[0].Complete(c.ctx, request, nil); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.readAnswer(c.services[0], request.ID, 0); err == nil || errkind.AnswerTo(err).Ran == errkind.NotRun {
+		t.Errorf("the completion ran at least once and ended with %v", err)
+	}
+}
--- a/internal/app/plaincall.go
+++ b/internal/app/plaincall.go
@@ -21,6 +21,8 @@
 	once       bool // may run at most once
 	attempt    int
 	exclude    []core.ServerID
+	ran        bool // an attempt may have run
+	guard      guard
 	answer     func(core.PlainResponse, error) // called once, in a step
 
 	claimKey     core.RowKey // set with once
@@ -67,7 +69,7 @@
 		s.claimCall(call, core.Row{Key: call.claimKey})
 		return
 	}
-	s.dispatchCall(call)
+	s.runCall(call)
 }
 
 func (s *Service) newCall(request core.PlainRequest, finish func(core.PlainResponse, error)) (*plainCall, error) {
@@ -143,7 +145,7 @@
 		s.metrics.ClaimsTaken.Inc(1)
 		_, call.claimRecord = claim.Taken(insert)
 		call.claimVersion = outcome.Version
-		s.dispatchCall(call)
+		s.runCall(call)
 	}
 }
 
@@ -202,16 +204,34 @@
 	return hash.Sum64()
 }
 
-// dispatchCall routes the call and sends it once.
-func (s *Service) dispatchCall(call *plainCall) {
-	begun, err := s.acquire(routing.Query{
+// runCall sends the call's next attempt, unless it is held as a suspect.
+func (s *Service) runCall(call *plainCall) {
+	if call.guard.dispatch == nil {
+		r := &call.request
+		call.guard = guard{
+			fingerprint: crashFingerprint(r.Deployment, r.Method, r.Path, string(r.Body)),
+			service:     call.deployment.Service, class: core.ClassPeople, deadline: r.Deadline,
+			dispatch: func() error { return s.dispatchCall(call) },
+			fail:     func(err error) { s.callUnrun(call, err) },
+			sent:     func() bool { return call.attempt > 0 && !call.once },
+			resumes:  func() bool { return false },
+		}
+	}
+	if err := s.startGuarded(&call.guard); err != nil {
+		s.callUnrun(call, err)
+	}
+}
+
+// dispatchCall routes the call and sends it once. Errors: NoServer, Overloaded;
+// nothing was sent then.
+func (s *Service) dispatchCall(call *plainCall) error {
+	begun, err := s.acquireGuarded(&call.guard, routing.Query{
 		Kind: core.KindPlain, Service: call.deployment.Service, Class: core.ClassPeople, Tokens: 1,
 		Zone: s.options.Self.Zone, Region: s.options.Self.Region, Exclude: call.exclude,
 		Bytes: len(call.request.Body),
 	})
 	if err != nil {
-		s.callUnrun(call, err)
-		return
+		return err
 	}
 	call.attempt++
 	s.metrics.Attempts.Inc(1)
@@ -220,17 +240,17 @@
 		defer cancel()
 		response, err := s.ports.Plain.Call(ctx, begun.VM, call.request)
 		s.pool.MustEnqueue(core.ClassPeople, func() {
-			s.release(begun, 0, err)
-			if errkind.Is(err, errkind.ServerRefused) || errkind.Is(err, errkind.ServerFailed) {
+			s.release(begun, 0, call.guard.blame(err))
+			if errkind.Is(err, errkind.ServerRefused) {
 				s.askPlain(begun.VM)
 			}
-			s.callEnded(call, begun.VM.ID, response, err)
+			s.judgeAttempt(&call.guard, begun.VM, err, func() { s.callEnded(call, begun.VM.ID, response, err) })
 		})
 	})
 	if err != nil {
 		s.release(begun, 0, err)
-		s.callUnrun(call, err)
 	}
+	return err
 }
 
 func (s *Service) callEnded(call *plainCall, server core.ServerID, response core.PlainResponse, err error) {
@@ -238,6 +258,7 @@
 		s.recordOutcome(call, response)
 		return
 	}
+	call.ran = call.ran || mayHaveRun(err)
 	s.repeatLater(repeat{
 		deployment: call.deployment.Name, class: core.ClassPeople, deadline: call.request.Deadline, cost: 1,
 		failed: retry.Attempt{
@@ -245,9 +266,9 @@
 		},
 		again: func() {
 			call.exclude = append(call.exclude, server)
-			s.dispatchCall(call)
+			s.runCall(call)
 		},
-		giveUp: func() { s.callFailed(call, err) },
+		giveUp: func() { s.afterNews(&call.guard, func() { s.callFailed(call, err) }) },
 	})
 }
 
@@ -268,10 +289,11 @@
 	return method == "GET" || method == "HEAD" || method == "OPTIONS"
 }
 
-// callUnrun ends a call that surely did not run; its claim is released, so that
-// a repeat may run.
+// callUnrun ends a call whose last attempt surely did not run. A call that may
+// run once had no other, and its claim is released, so that a repeat may run.
 func (s *Service) callUnrun(call *plainCall, cause error) {
 	s.metrics.RequestsFailed.Inc(1)
+	cause = truthful(cause, call.ran)
 	if call.claimVersion == 0 {
 		s.endCall(call, core.PlainResponse{}, cause)
 		return
