Give borrowed places back to people who wait at their lender

Cause: a place that a coordinator borrowed for rollouts came back only when it had no use for it, and a coordinator always has rollouts waiting. Ruled out: the retry budget; the engines, whose batches had room (10 to 16 of 16 in use before the outage). Change: a lender that is short of two places or more has them back as the rollouts on them end: the gate starts no rollout on a recalled place, and what is free goes back with the next news. The bound on the sum is untouched: a place still moves only when it is free. With the recall taken out of the gate TestGateLeavesRecalledPlaces starts 8 rollouts instead of 4; with it taken out of the table TestBorrowedUnitsGoBackToPeopleWhoWait starts 2 of 8 people.

--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -21,6 +21,7 @@
 	Concurrent   int           // requests in flight
 	QueueLength  int           // requests waiting in each class
 	QueueTimeout time.Duration // longest wait
+	Recalled     int           // places to which no rollout may start, since lenders are short of them
 }
 
 const (
@@ -127,6 +128,14 @@
 	return demand
 }
 
+// Needed is the demand without the rollouts that wait only for recalled places.
+func (g *Gate[T]) Needed() int {
+	if g.bounds.Recalled == 0 {
+		return g.Demand()
+	}
+	return g.total() + g.queues[core.ClassPeople].length
+}
+
 // InUse returns the requests in flight.
 func (g *Gate[T]) InUse() int { return g.total() }
 
@@ -177,7 +186,7 @@
 		return true
 	case core.ClassRollout:
 		used := g.inUse[core.ClassRollout]
-		free := g.bounds.Concurrent - max(g.headroom(now), g.inUse[core.ClassPeople])
+		free := g.bounds.Concurrent - g.bounds.Recalled - max(g.headroom(now), g.inUse[core.ClassPeople])
 		return total < g.bounds.Concurrent && used < max(free, g.training())
 	default:
 		return total < g.bounds.Concurrent
--- a/internal/core/admission/gate_test.go
+++ b/internal/core/admission/gate_test.go
@@ -90,6 +90,28 @@
 	}
 }
 
+// A rollout that ends on a recalled place is followed by none; people go on.
+func TestGateLeavesRecalledPlaces(t *testing.T) {
+	bounds := Bounds{Concurrent: 10, QueueLength: 100, QueueTimeout: time.Minute}
+	g := NewGate[int](bounds)
+	admitAll(t, g, ask("trainer", core.ClassRollout, 0), 50)
+	bounds.Recalled = 4
+	g.SetBounds(bounds)
+	for range 4 {
+		g.Release(core.ClassRollout, time.Second)
+		g.Dequeue(start)
+	}
+	if got := g.State().InFlight[core.ClassRollout]; got != 4 {
+		t.Errorf("%d rollouts in flight, want 4 beside 4 recalled places and 2 kept for people", got)
+	}
+	if free := bounds.Concurrent - g.Needed(); free != 6 {
+		t.Errorf("%d places can be given back, want 6", free)
+	}
+	if people, _ := admitAll(t, g, ask("library", core.ClassPeople, 1), 6); people != 6 {
+		t.Errorf("%d people's requests started, want 6", people)
+	}
+}
+
 func TestGateServesCallersInTurn(t *testing.T) {
 	g := NewGate[int](Bounds{Concurrent: 1, QueueLength: 1000, QueueTimeout: time.Hour})
 	admitAll(t, g, ask("first", core.ClassPeople, 0), 1)
--- a/internal/core/admission/share.go
+++ b/internal/core/admission/share.go
@@ -18,6 +18,9 @@
 const (
 	// lendDivisor: a process keeps one part in so many of its own part.
 	lendDivisor = 4
+	// recallLeast is how many units a lender must be short of before borrowed ones
+	// go back to it: a single person is soon served by a request that ends.
+	recallLeast = 2
 	// unsettledDivisor is the part of a process that does not know the members yet.
 	unsettledDivisor = 32
 )
@@ -174,6 +177,18 @@
 	return max(1, usable)
 }
 
+// Recalled returns how many borrowed units go back as soon as rollouts on them
+// end, since their lenders are short.
+func (s *Share) Recalled() int {
+	recalled := 0
+	for _, a := range s.peers {
+		if short := a.demand - a.held; short >= recallLeast {
+			recalled += max(0, min(a.net(), short))
+		}
+	}
+	return recalled
+}
+
 // Heard takes the news of a peer's heartbeat or answer.
 func (s *Share) Heard(peer core.VMID, news core.LimitNews, now time.Time) {
 	a := s.peers[peer]
@@ -205,8 +220,9 @@
 
 // News returns what a heartbeat to the peer carries, after it gave the peer
 // what this process can spare: borrowed units that it does not need, or, when
-// the peer is short, a part of its own.
-func (s *Share) News(deployment core.DeploymentName, peer core.VMID, demand int, now time.Time) core.LimitNews {
+// the peer is short, a part of its own. Demand is what the peer is told; needed
+// is what this process keeps for itself.
+func (s *Share) News(deployment core.DeploymentName, peer core.VMID, demand, needed int, now time.Time) core.LimitNews {
 	usable := s.Usable(now)
 	news := core.LimitNews{Deployment: deployment, Demand: uint32(demand), Held: uint32(usable)}
 	a := s.peers[peer]
@@ -218,7 +234,7 @@
 	if now.Sub(a.heard) >= s.timing.Borrowed {
 		return news
 	}
-	given := s.spare(a, usable-demand)
+	given := s.spare(a, usable-needed)
 	a.given += uint64(given)
 	news.Held -= uint32(given)
 	news.Given = a.given
--- a/internal/core/admission/share_test.go
+++ b/internal/core/admission/share_test.go
@@ -63,7 +63,7 @@
 }
 
 func (f *fleet) send(from, to int, answer bool, sent time.Time) {
-	news := f.shares[from].News("d", vmName(to), f.demand[from], f.now)
+	news := f.shares[from].News("d", vmName(to), f.demand[from], f.demand[from], f.now)
 	if f.random.Float64() < f.loss || f.cut(from, to) {
 		return
 	}
--- a/internal/tables/limits.go
+++ b/internal/tables/limits.go
@@ -156,7 +156,7 @@
 	for i := range min(len(names), core.HeartbeatLimits) {
 		t.cursor = names[(from+i)%len(names)]
 		row := t.rows[t.cursor]
-		news = append(news, row.share.News(t.cursor, peer, row.gate.Demand(), now))
+		news = append(news, row.share.News(t.cursor, peer, row.gate.Demand(), row.gate.Needed(), now))
 		row.adapt(now)
 	}
 	return news
@@ -350,6 +350,7 @@
 		Concurrent:   r.share.Usable(now),
 		QueueLength:  (r.limits.QueueLength + members - 1) / members,
 		QueueTimeout: r.limits.QueueTimeout,
+		Recalled:     r.share.Recalled(),
 	})
 }
 
--- a/internal/tables/limits_test.go
+++ b/internal/tables/limits_test.go
@@ -151,3 +151,54 @@
 		t.Errorf("%d servers kept that left the list", got)
 	}
 }
+
+// Units that rollouts borrowed go back to their lender when people wait there.
+func TestBorrowedUnitsGoBackToPeopleWhoWait(t *testing.T) {
+	deployment := limitedDeployment()
+	deployment.Limits.Concurrent, deployment.Limits.QueueLength, deployment.Limits.QueueTimeout = 16, 64, time.Minute
+	lender, trainer := NewLimits("lender", 1, shareTiming), NewLimits("trainer", 1, shareTiming)
+	for _, table := range []*Limits{lender, trainer} {
+		table.ApplyListed([]core.VMID{"lender", "trainer"}, tableNow)
+		table.ApplyConfiguration(&core.Configuration{Generation: 1, Deployments: []core.Deployment{*deployment}}, tableNow)
+	}
+	admit := func(table *Limits, class core.Class, count int, now time.Time) (started *int) {
+		started = new(int)
+		for range count {
+			ok, _ := table.Admit(deployment, &admission.Request[Ready]{Caller: "c", Class: class, Cost: 1,
+				Deadline: now.Add(time.Hour), Payload: func(err error) {
+					if err == nil {
+						*started++
+					}
+				}}, now)
+			if ok {
+				*started++
+			}
+		}
+		return started
+	}
+	now := tableNow
+	beats := func(count int) {
+		for range count {
+			now = now.Add(time.Second / 4)
+			lender.Heard("trainer", trainer.News("lender", now), time.Time{}, now)
+			trainer.Heard("lender", lender.News("trainer", now), now, now)
+			lender.Refresh(now)
+			trainer.Refresh(now)
+		}
+	}
+	rollouts := admit(trainer, core.ClassRollout, 64, now)
+	beats(24)
+	borrowed := *rollouts
+	if borrowed <= 7 {
+		t.Fatalf("%d rollouts started, want more than the process's own part allows", borrowed)
+	}
+	people := admit(lender, core.ClassPeople, 8, now)
+	beats(4)
+	for range borrowed {
+		trainer.Release("d", core.ClassRollout, time.Second, now)
+		beats(2)
+	}
+	if *people < 7 { // one alone waits for another person's request to end
+		t.Errorf("%d of 8 people started beside %d waiting rollouts, want all but one", *people, 64-*rollouts)
+	}
+}
