--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -31,7 +31,7 @@
 // flight, out of its part of the limit, may repeat without a budget.
 func Spare(inFlight, part int) bool { return inFlight <= max(1, part/spareDivisor) }
 
-// Budget bounds the repeats and hedges of one deployment.
+// Budget bounds the repeats of one deployment.
 type Budget struct {
 	balance float64
 	last    time.Time
@@ -43,7 +43,7 @@
 // Deposit counts a request's first attempt.
 func (b *Budget) Deposit() { b.balance = min(budgetMost, b.balance+budgetShare) }
 
-// Withdraw takes the cost of a repeat or hedge out of the budget, if it is there.
+// Withdraw takes the cost of a repeat out of the budget, if it is there.
 func (b *Budget) Withdraw(cost float64, now time.Time) bool {
 	if passed := now.Sub(b.last); passed > 0 {
 		b.balance = min(budgetMost, b.balance+budgetPerSecond*passed.Seconds())
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -72,35 +72,3 @@
 		}, gen.SliceOfN(2000, gen.IntRange(0, 99))))
 	properties.TestingRun(t)
 }
-
-func TestHedgeAfter(t *testing.T) {
-	var latencies Latencies
-	for i := range 1000 {
-		latencies.Observe(time.Duration(i+1) * 10 * time.Millisecond)
-	}
-	good := Straggler{Idempotent: true, HoldsStep: true, Running: time.Second, Left: time.Minute}
-	after, ok := HedgeAfter(good, &latencies)
-	if !ok || after < 9500*time.Millisecond || after > 9500*time.Millisecond*119/100 {
-		t.Errorf("copy after %v %v, want the 95%% quantile of 9.5 s within a bucket", after, ok)
-	}
-	cases := []struct {
-		name   string
-		change func(*Straggler)
-	}{
-		{"not idempotent", func(s *Straggler) { s.Idempotent = false }},
-		{"holds no step", func(s *Straggler) { s.HoldsStep = false }},
-		{"copied before", func(s *Straggler) { s.Hedged = true }},
-		{"overloaded", func(s *Straggler) { s.Overloaded = true }},
-		{"no time left for a copy", func(s *Straggler) { s.Left = 10 * time.Second }},
-	}
-	for _, c := range cases {
-		straggler := good
-		c.change(&straggler)
-		if _, ok := HedgeAfter(straggler, &latencies); ok {
-			t.Errorf("%s: a copy was allowed", c.name)
-		}
-	}
-	if _, ok := HedgeAfter(good, &Latencies{}); ok {
-		t.Error("a copy was allowed without known latencies")
-	}
-}
--- a/internal/tables/limits.go
+++ b/internal/tables/limits.go
@@ -19,11 +19,10 @@
 
 // limitRow is one deployment's state.
 type limitRow struct {
-	limits    core.Limits
-	gate      *admission.Gate[Ready]
-	share     *admission.Share
-	budget    *retry.Budget
-	latencies retry.Latencies
+	limits core.Limits
+	gate   *admission.Gate[Ready]
+	share  *admission.Share
+	budget *retry.Budget
 }
 
 // Limits holds the admission state of every deployment and the adaptive
@@ -180,7 +179,7 @@
 	}
 }
 
-// Withdraw takes the cost of a repeat or hedge out of a deployment's budget,
+// Withdraw takes the cost of a repeat out of a deployment's budget,
 // unless so little is in flight that the repeat is free.
 func (t *Limits) Withdraw(name core.DeploymentName, cost float64, now time.Time) bool {
 	t.mu.Lock()
@@ -220,26 +219,6 @@
 	return row != nil && row.gate.Overloaded(class)
 }
 
-// ObserveLatency takes the time of a rollout's run, for hedging.
-func (t *Limits) ObserveLatency(name core.DeploymentName, latency time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if row := t.rows[name]; row != nil {
-		row.latencies.Observe(latency)
-	}
-}
-
-// HedgeAfter returns when a copy of a deployment's straggler may start.
-func (t *Limits) HedgeAfter(name core.DeploymentName, straggler retry.Straggler) (time.Duration, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	row := t.rows[name]
-	if row == nil {
-		return 0, false
-	}
-	return retry.HedgeAfter(straggler, &row.latencies)
-}
-
 // AcquireServer takes a place at a backend server. Rollouts get one only if the
 // server's latency allows it; people always do, as servers run them first.
 func (t *Limits) AcquireServer(id core.ServerID, class core.Class, now time.Time) bool {
