--- a/internal/app/admission.go
+++ b/internal/app/admission.go
@@ -159,7 +159,7 @@
 		cost:   retry.Cost(c.held, c.request.MaxTokens),
 		wanted: func() bool { return s.answers.InProgress(c.key) },
 		again:  func() { s.retryAttempt(c, cause) },
-		giveUp: func() { s.fail(c, cause) },
+		giveUp: func() { s.afterNews(&c.guard, func() { s.fail(c, cause) }) },
 	})
 }
 
--- a/internal/core/routing/server.go
+++ b/internal/core/routing/server.go
@@ -62,6 +62,8 @@
 	Reported time.Time         `json:"reported"`         // when Status was measured, zero for never
 	Ejected  bool              `json:"ejected"`
 	Until    time.Time         `json:"ejected_until"`
+
+	Unreachable bool `json:"unreachable"` // no connection could be made lately
 }
 
 func (r *server) view() View {
@@ -69,5 +71,6 @@
 		VM: r.vm, Status: r.status, InFlight: r.load.own.tokens, Others: int(r.load.others),
 		Reported: r.load.reported,
 		Ejected:  r.health.Ejected(), Until: r.health.Until(),
+		Unreachable: !r.health.UnreachableSince().IsZero(),
 	}
 }
--- a/internal/tables/limits.go
+++ b/internal/tables/limits.go
@@ -1,6 +1,7 @@
 package tables
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -18,11 +19,10 @@
 
 // limitRow is one deployment's state.
 type limitRow struct {
-	limits    core.Limits
-	gate      *admission.Gate[Ready]
-	share     *admission.Share
-	budget    *retry.Budget
-	latencies retry.Latencies
+	limits core.Limits
+	gate   *admission.Gate[Ready]
+	share  *admission.Share
+	budget *retry.Budget
 }
 
 // Limits holds the admission state of every deployment and the adaptive
@@ -155,7 +155,7 @@
 	for i := range min(len(names), core.HeartbeatLimits) {
 		t.cursor = names[(from+i)%len(names)]
 		row := t.rows[t.cursor]
-		news = append(news, row.share.News(t.cursor, peer, row.gate.Demand(), now))
+		news = append(news, row.share.News(t.cursor, peer, row.gate.Demand(), row.gate.Needed(), now))
 		row.adapt(now)
 	}
 	return news
@@ -179,7 +179,7 @@
 	}
 }
 
-// Withdraw takes the cost of a repeat or hedge out of a deployment's budget,
+// Withdraw takes the cost of a repeat out of a deployment's budget,
 // unless so little is in flight that the repeat is free.
 func (t *Limits) Withdraw(name core.DeploymentName, cost float64, now time.Time) bool {
 	t.mu.Lock()
@@ -188,36 +188,35 @@
 	if row == nil {
 		return false
 	}
-	part := row.limits.Concurrent / row.share.Members()
-	return retry.Spare(row.gate.InUse(), part) || row.budget.Withdraw(cost, now)
+	return row.spare() || row.budget.Withdraw(cost, now)
 }
 
-// Overloaded reports whether a deployment's queue of the class is behind.
-func (t *Limits) Overloaded(name core.DeploymentName, class core.Class) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	row := t.rows[name]
-	return row != nil && row.gate.Overloaded(class)
+// spare reports whether so little is in flight that repeats are free.
+func (r *limitRow) spare() bool {
+	return retry.Spare(r.gate.InUse(), r.limits.Concurrent/r.share.Members())
 }
 
-// ObserveLatency takes the time of a rollout's run, for hedging.
-func (t *Limits) ObserveLatency(name core.DeploymentName, latency time.Duration) {
+// Affordable returns how many whole repeats a deployment's budget has room for.
+func (t *Limits) Affordable(name core.DeploymentName, now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if row := t.rows[name]; row != nil {
-		row.latencies.Observe(latency)
+	row := t.rows[name]
+	if row == nil {
+		return 0
+	}
+	if row.spare() {
+		return math.MaxInt
 	}
+	row.budget.Withdraw(0, now)
+	return int(row.budget.Balance())
 }
 
-// HedgeAfter returns when a copy of a deployment's straggler may start.
-func (t *Limits) HedgeAfter(name core.DeploymentName, straggler retry.Straggler) (time.Duration, bool) {
+// Overloaded reports whether a deployment's queue of the class is behind.
+func (t *Limits) Overloaded(name core.DeploymentName, class core.Class) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row := t.rows[name]
-	if row == nil {
-		return 0, false
-	}
-	return retry.HedgeAfter(straggler, &row.latencies)
+	return row != nil && row.gate.Overloaded(class)
 }
 
 // AcquireServer takes a place at a backend server. Rollouts get one only if the
@@ -330,6 +329,7 @@
 		Concurrent:   r.share.Usable(now),
 		QueueLength:  (r.limits.QueueLength + members - 1) / members,
 		QueueTimeout: r.limits.QueueTimeout,
+		Recalled:     r.share.Recalled(),
 	})
 }
 
