Poll a sample of each service's engines; the coordinator polls all of its own

Cause: every entry process asked every engine for its report, which at 6,100 engines takes 174 ms of processor time a second without HTTP and gives each engine 1,220 polls a second from 610 processes (docs/CAPACITY.md).

Ruled out: three pollers for each engine that spread the reports (half a byte an engine and second fits the budget); work sent only to a sample (one busy process floods it: largest over mean streams 4.5 to 21).

Change: core/polling chooses at most 32 engines of each service by rendezvous hashing and paces the polls; all of a service of up to 32, so today's sites stay as they are; all engines of the services that the process coordinates, without a bound for 12 s after an order. Engines that are not polled are routed to as loaded as the polled ones on average, for work that any version may run. A process that begins to coordinate orders nothing at an engine before its first report. One poll in flight for each engine.

The time to see a roll is longer; where the time goes was not examined further.

--- a/internal/app/capacity_test.go
+++ b/internal/app/capacity_test.go
@@ -544,3 +544,38 @@
 	counters := tables.Counters()
 	return float64(counters.ReadCalls), float64(counters.CommitsApplied)
 }
+
+// settleWindow is how long a fleet is left alone before it is watched.
+const settleWindow = 10 * time.Second
+
+// BenchmarkPolling reports what the reports of engines cost several instances,
+// ten engines for each, of nine services of which one is coordinated.
+func BenchmarkPolling(b *testing.B) {
+	const services = 9
+	for _, size := range largeFleetSizes[:4] {
+		b.Run(fmt.Sprintf("instances=%d", size), func(b *testing.B) {
+			deployments := idleRollouts(1)
+			c, l := measured(b, size, deployments, productTiming)
+			var list []core.VM
+			for i := range 10 * size {
+				engine := backendServers[0]
+				engine.ID = core.ServerID(fmt.Sprint("engine-", i))
+				if service := i % services; service > 0 {
+					engine.Service = fmt.Sprint("model-", service)
+				}
+				list = append(list, engine)
+			}
+			c.vms.Set(list...)
+			c.owner()
+			<-time.After(settleWindow)
+			before, beats, used, start := l.figures(), heartbeats(c), processorTime(), time.Now()
+			<-time.After(idleWindow)
+			after, seconds := l.figures(), time.Since(start).Seconds()
+			statuses := (after.statuses - before.statuses) / seconds
+			b.ReportMetric(statuses/float64(size), "statuses/s/instance")
+			b.ReportMetric(statuses/float64(len(list)), "statuses/s/engine")
+			b.ReportMetric((processorTime()-used).Seconds()/seconds/float64(size)*1e6, "cpu-us/s/instance")
+			b.ReportMetric((heartbeats(c)-beats)/seconds/float64(size), "heartbeats/s/instance")
+		})
+	}
+}
--- a/internal/app/coordinator.go
+++ b/internal/app/coordinator.go
@@ -22,6 +22,7 @@
 // this process holds, and drops the work for the others.
 func (s *Service) coordinateAll() {
 	config := s.configuration.InForce()
+	s.pollCoordinated(config.Deployments)
 	for i := range config.Deployments {
 		deployment := &config.Deployments[i]
 		if deployment.Rollout == nil {
--- /dev/null
+++ b/internal/app/polls.go
@@ -0,0 +1,62 @@
+package app
+
+import (
+	"context"
+	"time"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/core/polling"
+)
+
+// reportLag is the usual age of an engine's report when it is asked for it.
+const reportLag = 250 * time.Millisecond
+
+// hastenTime is how long after an order a service's engines are polled as often
+// as possible.
+const hastenTime = 2 * swapTarget
+
+// pollStatus asks the engines that are due for their reports.
+func (s *Service) pollStatus() {
+	for _, poll := range s.polls.Due(s.ports.Clock.Now()) {
+		s.pollEngine(poll)
+	}
+}
+
+func (s *Service) pollEngine(poll polling.Poll) {
+	err := s.lanes.control.Go(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+		defer cancel()
+		s.polls.Ended(poll.VM.ID, s.askEngine(ctx, poll))
+	})
+	if err != nil {
+		s.polls.Ended(poll.VM.ID, 0)
+	}
+}
+
+// askEngine takes in an engine's report and returns the cursor of its next
+// cache event, zero when it gave none.
+func (s *Service) askEngine(ctx context.Context, poll polling.Poll) uint64 {
+	asked := s.ports.Clock.Now()
+	status, err := s.ports.Engine.Status(ctx, poll.VM, poll.Cursor)
+	if err != nil {
+		return 0
+	}
+	status.Server = poll.VM.ID
+	s.servers.ApplyStatus(status, asked.Add(-reportLag))
+	return status.NextEvent
+}
+
+// pollCoordinated has all engines polled of the services whose deployments this
+// process coordinates: its weight orders and samples need the report of each.
+func (s *Service) pollCoordinated(deployments []core.Deployment) {
+	now := s.ports.Clock.Now()
+	services := make(map[string]bool)
+	for i := range deployments {
+		if _, held := s.leases.Held(leaseName(deployments[i].Name), now); held {
+			services[deployments[i].Service] = true
+		}
+	}
+	if polled, changed := s.polls.Coordinate(services); changed {
+		s.servers.ApplyPolled(polled)
+	}
+}
--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -51,6 +51,7 @@
 			return
 		}
 		s.servers.ApplyVMs(vms)
+		s.servers.ApplyPolled(s.polls.ApplyVMs(vms))
 		s.members.ObserveVMs(s.ports.Clock.Now(), vms)
 		s.listEntryVMs(vms)
 		s.limits.RetainServers(vms)
@@ -67,9 +68,6 @@
 	})
 }
 
-// reportLag is the usual age of an engine's report when it is asked for it.
-const reportLag = 250 * time.Millisecond
-
 // sweepServers ejects outlying servers and tells routing how many entry
 // processes share the servers and the link.
 func (s *Service) sweepServers() {
@@ -84,6 +82,7 @@
 		}
 	}
 	s.servers.SetProcesses(all, inRegion)
+	s.polls.SetProcesses(all)
 	s.servers.Sweep(s.ports.Clock.Now())
 }
 
@@ -117,21 +116,3 @@
 		return outlier.Abandoned
 	}
 }
-
-// pollStatus asks every engine for its report.
-func (s *Service) pollStatus() {
-	for _, view := range s.servers.Views() {
-		if view.VM.Kind != core.KindEngine {
-			continue
-		}
-		s.onLane(s.lanes.control, func(ctx context.Context) {
-			asked := s.ports.Clock.Now()
-			status, err := s.ports.Engine.Status(ctx, view.VM, view.Status.NextEvent)
-			if err != nil {
-				return
-			}
-			status.Server = view.VM.ID
-			s.servers.ApplyStatus(status, asked.Add(-reportLag))
-		})
-	}
-}
--- a/internal/app/service.go
+++ b/internal/app/service.go
@@ -9,6 +9,7 @@
 
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/membership"
+	"fescuespar/internal/core/polling"
 	"fescuespar/internal/core/retry"
 	"fescuespar/internal/metrics"
 	"fescuespar/internal/ports"
@@ -90,6 +91,7 @@
 	members       *tables.Members
 	leases        *tables.Leases
 	servers       *tables.Servers
+	polls         *tables.Polls
 	limits        *tables.Limits
 	crashes       *tables.Crashes
 	rollouts      *tables.Rollouts
@@ -146,6 +148,7 @@
 		members:       tables.NewMembers(options.Self, options.Seeds, rand.New(rand.NewPCG(random.Uint64(), 1))),
 		leases:        tables.NewLeases(leaseSelf(options.Self), leaseTiming(options)),
 		servers:       tables.NewServers(rand.New(rand.NewPCG(random.Uint64(), 2))),
+		polls:         tables.NewPolls(options.Self, polling.DefaultPolicy(options.StatusEvery)),
 		limits:        tables.NewLimits(options.Self.VM, options.Self.Incarnation, shareTiming),
 		crashes:       tables.NewCrashes(options.Self.VM),
 		rollouts:      tables.NewRollouts(),
--- a/internal/app/weights.go
+++ b/internal/app/weights.go
@@ -76,18 +76,23 @@
 	decision := s.weights.Roll(deployment.Name, engines, version, weightPolicy(deployment), s.ports.Clock.Now())
 	s.metrics.WeightSwapsFailed.Inc(int64(len(decision.Failed)))
 	order := s.loadOrder(deployment, holding, version)
+	if len(decision.Orders) > 0 {
+		s.polls.Hasten(deployment.Service, s.ports.Clock.Now().Add(hastenTime))
+	}
 	for _, server := range decision.Orders {
 		s.giveOrder(deployment, vms[server], order)
 	}
 }
 
-// enginesOf returns the live engines that run a deployment's model.
+// enginesOf returns the live engines that run a deployment's model and have
+// reported to this process: one that only now coordinates the deployment must
+// not order what the engines hold already.
 func (s *Service) enginesOf(deployment *core.Deployment) ([]weights.Engine, map[core.ServerID]core.VM) {
 	var engines []weights.Engine
 	vms := make(map[core.ServerID]core.VM)
 	for _, view := range s.servers.Views() {
 		vm := view.VM
-		if vm.Kind != core.KindEngine || vm.Service != deployment.Service || vm.State != core.VMLive {
+		if vm.Kind != core.KindEngine || vm.Service != deployment.Service || vm.State != core.VMLive || !view.Reported {
 			continue
 		}
 		held, _ := view.Status.Holds(deployment.Adapter)
--- a/internal/core/routing/cells.go
+++ b/internal/core/routing/cells.go
@@ -29,7 +29,8 @@
 type regionIndex struct {
 	name     core.RegionName
 	adapters []*adapterIndex
-	unknown  cell // engines that have not reported yet
+	unknown  cell // polled engines that have not reported yet
+	unpolled cell // engines that this process does not poll
 	size     int  // servers of the region, also those that get no work
 }
 
@@ -100,6 +101,8 @@
 	case !row.eligible():
 	case row.vm.Kind != core.KindEngine:
 		r.cellFor("", 0).add(row)
+	case row.unpolled:
+		r.unpolled.add(row)
 	case !row.reported:
 		r.unknown.add(row)
 	case len(row.status.Versions) == 0:
@@ -130,14 +133,18 @@
 // choice is the servers of one region that fit a query's adapter and version.
 type choice struct {
 	index   *adapterIndex
-	unknown *cell // set for the engines that have not reported, which may hold any adapter
+	unknown *cell // set for engines without a report, which may hold any adapter
 	version core.WeightVersion
 	count   int
 }
 
-// choose returns the fitting servers without listing them.
+// choose returns the fitting servers without listing them. Engines that are not
+// polled fit a query for any version.
 func (r *regionIndex) choose(query *Query) choice {
 	found := choice{index: r.adapter(query.Adapter), version: query.Version}
+	if query.Version == 0 {
+		found.unknown, found.count = &r.unpolled, len(r.unpolled.members)
+	}
 	if found.index != nil {
 		for _, c := range found.index.cells {
 			if c.version >= query.Version {
@@ -148,8 +155,8 @@
 	return found
 }
 
-// chooseUnknown returns the engines that have not reported. They fit a query
-// for any version only.
+// chooseUnknown returns the polled engines that have not reported. They fit a
+// query for any version only.
 func (r *regionIndex) chooseUnknown(query *Query) choice {
 	if query.Version > 0 {
 		return choice{}
@@ -160,7 +167,10 @@
 // at returns the i-th fitting server, 0 <= i < count.
 func (c *choice) at(i int) *server {
 	if c.unknown != nil {
-		return c.unknown.members[i]
+		if i < len(c.unknown.members) {
+			return c.unknown.members[i]
+		}
+		i -= len(c.unknown.members)
 	}
 	for _, cell := range c.index.cells {
 		if cell.version < c.version {
--- a/internal/core/routing/decide.go
+++ b/internal/core/routing/decide.go
@@ -103,10 +103,10 @@
 	d := &s.decision
 	version, holds := row.holds(d.query.Adapter)
 	*candidate = Candidate{
-		VM: &row.vm, Holds: holds, Version: version, Lag: d.pool.lag(d.query.Adapter, version),
+		VM: &row.vm, Holds: holds, Version: version, Lag: row.lag(d.query.Adapter, version),
 		Ejected:  row.health.Ejected(),
 		Weight:   row.health.Weight(d.pool.detector.Ramp(), d.now),
-		Load:     row.load.estimate(d.peers, s.policy.ReportLife, d.now),
+		Load:     s.loadOf(row, d.peers, d.now),
 		Base:     d.pool.speed.base,
 		Slope:    d.pool.speed.slopeFor(d.pool.tokensPerStream),
 		Cached:   cached,
--- a/internal/core/routing/server.go
+++ b/internal/core/routing/server.go
@@ -13,6 +13,7 @@
 	vm       core.VM
 	status   core.EngineStatus // newest report, without its cache events
 	reported bool
+	unpolled bool // an engine of which this process gets no reports
 	pool     *pool
 	region   *regionIndex
 	placed   []placement // cells that list the server; empty while it gets no work
@@ -59,6 +60,8 @@
 	Status   core.EngineStatus `json:"status"`
 	InFlight int               `json:"in_flight_tokens"` // of this process's requests
 	Others   int               `json:"others_tokens"`    // of other processes' requests, by the newest report
+	Polled   bool              `json:"polled"`           // an engine that this process asks for reports
+	Reported bool              `json:"reported"`         // Status holds a report
 	Ejected  bool              `json:"ejected"`
 	Until    time.Time         `json:"ejected_until"`
 }
@@ -66,6 +69,7 @@
 func (r *server) view() View {
 	return View{
 		VM: r.vm, Status: r.status, InFlight: r.load.own.tokens, Others: int(r.load.others),
+		Polled: r.vm.Kind == core.KindEngine && !r.unpolled, Reported: r.reported,
 		Ejected: r.health.Ejected(), Until: r.health.Until(),
 	}
 }
--- a/internal/core/routing/state.go
+++ b/internal/core/routing/state.go
@@ -153,7 +153,7 @@
 // report measured before the newest one known is dropped.
 func (s *State) ApplyStatus(status core.EngineStatus, measured time.Time) {
 	row := s.servers[status.Server]
-	if row == nil || measured.Before(row.load.reported) {
+	if row == nil || row.unpolled || measured.Before(row.load.reported) {
 		return
 	}
 	if row.reported {
@@ -195,7 +195,7 @@
 		return Dispatch{Started: now}
 	}
 	begun := Dispatch{VM: row.vm, Tokens: query.Tokens, Started: now, row: row.number}
-	begun.load = row.load.estimate(row.pool.peers(s.processes), s.policy.ReportLife, now)
+	begun.load = s.loadOf(row, row.pool.peers(s.processes), now)
 	begun.answer = query.work(math.MaxFloat64)
 	begun.prefill = query.work(s.cachedTokens(row, query.Prefix, now)) - begun.answer
 	if row.vm.Region != query.Region {
--- a/internal/lockrank/lockrank.go
+++ b/internal/lockrank/lockrank.go
@@ -17,6 +17,7 @@
 	RankMembers       Rank = 30
 	RankLeases        Rank = 40
 	RankServers       Rank = 50
+	RankPolls         Rank = 55
 	RankLimits        Rank = 60
 	RankCrashes       Rank = 70
 	RankRollouts      Rank = 80
--- a/internal/tables/servers.go
+++ b/internal/tables/servers.go
@@ -29,6 +29,13 @@
 	t.state.ApplyVMs(vms)
 }
 
+// ApplyPolled tells which engines this process polls.
+func (t *Servers) ApplyPolled(polled map[core.ServerID]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state.ApplyPolled(polled)
+}
+
 // SetProcesses tells how many entry processes there are in all and in this
 // one's region, itself included.
 func (t *Servers) SetProcesses(all, inRegion int) {
