Poll large services by a smaller sample, and order by fresh reports only

Cause: 64 polls a second of a process take 18 kB of HTTP a second (289 B a poll, enginehttp Status), where all of control may take 3 kB. And a process that began to coordinate ordered by the reports of its sample from before.

Ruled out: fewer engines for services that are polled whole, since today's sites shall behave as before.

Change: services of more than 32 engines are sampled by 16, 8 polls a second of a process in all; a coordinator takes 64 a second but for the time after an order. A process that begins to coordinate polls all engines at once and orders only by reports asked for since.

--- a/internal/app/polls.go
+++ b/internal/app/polls.go
@@ -50,13 +50,13 @@
 // process coordinates: its weight orders and samples need the report of each.
 func (s *Service) pollCoordinated(deployments []core.Deployment) {
 	now := s.ports.Clock.Now()
-	services := make(map[string]bool)
+	held := make(map[string]int)
 	for i := range deployments {
-		if _, held := s.leases.Held(leaseName(deployments[i].Name), now); held {
-			services[deployments[i].Service] = true
+		if _, ok := s.leases.Held(leaseName(deployments[i].Name), now); ok {
+			held[deployments[i].Service]++
 		}
 	}
-	if polled, changed := s.polls.Coordinate(services); changed {
+	if polled, changed := s.polls.Coordinate(held, now); changed {
 		s.servers.ApplyPolled(polled)
 	}
 }
--- a/internal/app/weights.go
+++ b/internal/app/weights.go
@@ -84,15 +84,19 @@
 	}
 }
 
-// enginesOf returns the live engines that run a deployment's model and have
-// reported to this process: one that only now coordinates the deployment must
-// not order what the engines hold already.
+// enginesOf returns the live engines that run a deployment's model and were
+// asked for a report since this process coordinates the deployment: by an older
+// one it would order what the engine holds already.
 func (s *Service) enginesOf(deployment *core.Deployment) ([]weights.Engine, map[core.ServerID]core.VM) {
+	since, coordinated := s.polls.CoordinatedSince(deployment.Service)
+	if !coordinated {
+		return nil, nil
+	}
 	var engines []weights.Engine
 	vms := make(map[core.ServerID]core.VM)
 	for _, view := range s.servers.Views() {
 		vm := view.VM
-		if vm.Kind != core.KindEngine || vm.Service != deployment.Service || vm.State != core.VMLive || !view.Reported {
+		if vm.Kind != core.KindEngine || vm.Service != deployment.Service || vm.State != core.VMLive || view.Reported.Before(since.Add(-reportLag)) {
 			continue
 		}
 		held, _ := view.Status.Holds(deployment.Adapter)
--- a/internal/core/polling/doc.go
+++ b/internal/core/polling/doc.go
@@ -13,12 +13,14 @@
 
 // Policy bounds what polling costs.
 type Policy struct {
-	Sample    int           // engines asked of each service whose deployment is not coordinated here
+	Whole     int           // a service of up to so many engines is asked whole
+	Sample    int           // engines asked of each larger service whose deployment is not coordinated here
 	Elsewhere int           // of them, least number in other regions while there are so many
 	Every     time.Duration // shortest interval between two polls of one engine
 
-	SampledRate     float64 // polls a second of one process, engines of coordinated services left out
-	CoordinatedRate float64 // polls a second of one process at the engines of the services that it coordinates
+	WholeRate       float64 // polls a second of one process at the engines of services asked whole
+	SampledRate     float64 // the same for services of which it asks a sample
+	CoordinatedRate float64 // the same for the services that it coordinates
 	EngineRate      float64 // polls a second that one engine gets from all processes, their coordinator left out
 }
 
@@ -26,7 +28,7 @@
 // of its settings.
 func DefaultPolicy(every time.Duration) Policy {
 	return Policy{
-		Sample: 32, Elsewhere: 4, Every: every,
-		SampledRate: 64, CoordinatedRate: 256, EngineRate: 32,
+		Whole: 32, Sample: 16, Elsewhere: 2, Every: every,
+		WholeRate: 64, SampledRate: 8, CoordinatedRate: 64, EngineRate: 32,
 	}
 }
--- a/internal/core/polling/plan.go
+++ b/internal/core/polling/plan.go
@@ -27,10 +27,32 @@
 type service struct {
 	engines     []*engine
 	polled      []*engine
-	coordinated bool
+	coordinated int       // its deployments that this process coordinates
+	since       time.Time // when their number last changed
 	hasten      time.Time // polled as often as Policy.Every allows until then
 }
 
+// serviceKind says which engines of a service are polled.
+type serviceKind int
+
+const (
+	whole       serviceKind = iota // all, since there are few
+	sampled                        // some
+	coordinated                    // all, since the process coordinates a deployment of the service
+	kinds       = iota
+)
+
+func (p *Plan) kindOf(s *service) serviceKind {
+	switch {
+	case s.coordinated > 0:
+		return coordinated
+	case len(s.engines) > p.policy.Whole:
+		return sampled
+	default:
+		return whole
+	}
+}
+
 // Plan is what one process polls.
 type Plan struct {
 	policy    Policy
@@ -70,7 +92,7 @@
 		if s == nil {
 			s = &service{}
 			if before := p.services[vm.Service]; before != nil {
-				s.coordinated, s.hasten = before.coordinated, before.hasten
+				s.coordinated, s.since, s.hasten = before.coordinated, before.since, before.hasten
 			}
 			services[vm.Service] = s
 		}
@@ -82,12 +104,20 @@
 	}
 }
 
-// Coordinate tells the services whose deployments this process coordinates. It
-// returns whether that changed what is polled.
-func (p *Plan) Coordinate(services map[string]bool) (changed bool) {
+// Coordinate tells how many deployments of each service this process
+// coordinates. It returns whether that changed what is polled. All engines of a
+// service of which that number changed are due at once.
+func (p *Plan) Coordinate(deployments map[string]int, now time.Time) (changed bool) {
 	for name, s := range p.services {
-		if s.coordinated != services[name] {
-			s.coordinated = services[name]
+		before := s.coordinated
+		if before == deployments[name] {
+			continue
+		}
+		s.coordinated, s.since = deployments[name], now
+		for _, e := range s.engines {
+			e.next = time.Time{}
+		}
+		if before == 0 || s.coordinated == 0 {
 			p.choose(s)
 			changed = true
 		}
@@ -95,6 +125,17 @@
 	return changed
 }
 
+// CoordinatedSince returns since when this process has coordinated the same
+// number of a service's deployments, and false when it coordinates none.
+// Reports that were asked for before may be old.
+func (p *Plan) CoordinatedSince(name string) (since time.Time, coordinated bool) {
+	s := p.services[name]
+	if s == nil {
+		return time.Time{}, false
+	}
+	return s.since, s.coordinated > 0
+}
+
 // Hasten has the engines of a service polled as often as the policy's interval
 // allows until a time. It is for the coordinator that waits for its orders to
 // take effect.
@@ -115,7 +156,7 @@
 		e.polled = false
 	}
 	s.polled = s.engines
-	if !s.coordinated && len(s.engines) > p.policy.Sample {
+	if p.kindOf(s) == sampled {
 		s.polled = p.sample(s.engines)
 	}
 	for _, e := range s.polled {
@@ -144,9 +185,9 @@
 // was called for it.
 func (p *Plan) Due(now time.Time) []Poll {
 	var polls []Poll
-	sampled, coordinated := p.polledNumbers()
+	numbers := p.polledNumbers()
 	for _, s := range p.services {
-		interval := p.interval(s, sampled, coordinated)
+		interval := p.interval(s, numbers)
 		if now.Before(s.hasten) {
 			interval = p.policy.Every
 		}
@@ -190,28 +231,27 @@
 }
 
 // interval returns the time between two polls of one engine of a service.
-func (p *Plan) interval(s *service, sampled, coordinated int) time.Duration {
-	if s.coordinated {
-		return max(p.policy.Every, perRate(float64(coordinated), p.policy.CoordinatedRate))
+func (p *Plan) interval(s *service, numbers [kinds]int) time.Duration {
+	kind := p.kindOf(s)
+	rates := [kinds]float64{p.policy.WholeRate, p.policy.SampledRate, p.policy.CoordinatedRate}
+	interval := max(p.policy.Every, perRate(float64(numbers[kind]), rates[kind]))
+	if kind == coordinated {
+		return interval
 	}
 	pollers := float64(p.processes) * float64(len(s.polled)) / float64(len(s.engines))
-	return max(p.policy.Every, perRate(float64(sampled), p.policy.SampledRate), perRate(pollers, p.policy.EngineRate))
+	return max(interval, perRate(pollers, p.policy.EngineRate))
 }
 
 func perRate(polls, rate float64) time.Duration {
 	return time.Duration(polls / rate * float64(time.Second))
 }
 
-// polledNumbers counts the engines that are polled.
-func (p *Plan) polledNumbers() (sampled, coordinated int) {
+// polledNumbers counts the engines that are polled, by kind of their service.
+func (p *Plan) polledNumbers() (numbers [kinds]int) {
 	for _, s := range p.services {
-		if s.coordinated {
-			coordinated += len(s.polled)
-		} else {
-			sampled += len(s.polled)
-		}
+		numbers[p.kindOf(s)] += len(s.polled)
 	}
-	return sampled, coordinated
+	return numbers
 }
 
 // Polled returns the engines that are polled.
--- a/internal/core/routing/server.go
+++ b/internal/core/routing/server.go
@@ -61,7 +61,7 @@
 	InFlight int               `json:"in_flight_tokens"` // of this process's requests
 	Others   int               `json:"others_tokens"`    // of other processes' requests, by the newest report
 	Polled   bool              `json:"polled"`           // an engine that this process asks for reports
-	Reported bool              `json:"reported"`         // Status holds a report
+	Reported time.Time         `json:"reported"`         // when the report in Status was measured, zero for none
 	Ejected  bool              `json:"ejected"`
 	Until    time.Time         `json:"ejected_until"`
 }
@@ -69,7 +69,7 @@
 func (r *server) view() View {
 	return View{
 		VM: r.vm, Status: r.status, InFlight: r.load.own.tokens, Others: int(r.load.others),
-		Polled: r.vm.Kind == core.KindEngine && !r.unpolled, Reported: r.reported,
+		Polled: r.vm.Kind == core.KindEngine && !r.unpolled, Reported: r.load.reported,
 		Ejected: r.health.Ejected(), Until: r.health.Until(),
 	}
 }
--- a/internal/tables/polls.go
+++ b/internal/tables/polls.go
@@ -28,18 +28,33 @@
 	return t.plan.Polled()
 }
 
-// Coordinate tells the services whose deployments this process coordinates. It
-// returns the engines that are polled from now on, and false when they are the
-// same as before.
-func (t *Polls) Coordinate(services map[string]bool) (polled map[core.ServerID]bool, changed bool) {
+// Coordinate tells how many deployments of each service this process
+// coordinates. It returns the engines that are polled from now on, and false
+// when they are the same as before.
+func (t *Polls) Coordinate(deployments map[string]int, now time.Time) (polled map[core.ServerID]bool, changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.plan.Coordinate(services) {
+	if !t.plan.Coordinate(deployments, now) {
 		return nil, false
 	}
 	return t.plan.Polled(), true
 }
 
+// Polled returns the engines that are polled.
+func (t *Polls) Polled() map[core.ServerID]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.plan.Polled()
+}
+
+// CoordinatedSince returns since when this process has coordinated deployments
+// of a service, and false when it does not.
+func (t *Polls) CoordinatedSince(service string) (since time.Time, coordinated bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.plan.CoordinatedSince(service)
+}
+
 // Hasten has a service's engines polled as often as possible until a time.
 func (t *Polls) Hasten(service string, until time.Time) {
 	t.mu.Lock()
