Let two processes of each zone read the VM list; the others ask them

Cause: every process read the whole VM list each second: at 6,710 rows 941 kB and 34 ms of processor time a second for each, 574 MB/s of the platform (docs/CAPACITY.md).

Ruled out: a longer interval (breaks the 3 s after which a leaving server gets no work), news by heartbeat (2.3 to 3.5 s at 610 after the read), pushes and questions that wait for a change (a frozen reader's silence says nothing).

Change: core/vmlist keeps the newest list with a digest and its last changes. Beyond 32 live processes the first two of each availability zone by rendezvous hashing read; the others ask one of them each second what changed since their digest, and read for themselves when no answer comes within half an interval, the reader's list is older than 1.2 intervals, or the changes don't lead to the reader's digest. New peer message VMNews (type 7). Only a changed list goes to the tables of servers, polls and limits. The looks at requests that crash engines no longer copy all servers four times a second while none is held.

Broken to see a test fail: without the read after a failed question TestLeavingIsKnownWhenAReaderIsLost/killed took 12.2 s; without the bound on the reader's age the property and the table of vmlist fail; without the comparison of digests the table fails.

--- a/internal/adapters/peerquic/bench_test.go
+++ b/internal/adapters/peerquic/bench_test.go
@@ -88,3 +88,26 @@
 	runtime.ReadMemStats(&stats)
 	return float64(stats.HeapAlloc + stats.StackInuse)
 }
+
+// BenchmarkVMNews measures a question for a VM list that has not changed, once
+// a while on an open connection: all bytes on the wire, both ways.
+func BenchmarkVMNews(b *testing.B) {
+	client, server := pair(b, &fakeHandler{news: core.VMNews{Known: true, Digest: 1 << 63, Age: 900 * time.Millisecond}})
+	ask := func() {
+		if _, err := client.VMNews(testContext(b, patience), server.Address(), core.VMNewsRequest{Digest: 1 << 62}); err != nil {
+			b.Fatal(err)
+		}
+		time.Sleep(heartbeatPause)
+	}
+	for range 5 {
+		ask() // the handshake's last packets
+	}
+	before := client.Traffic()
+	b.ResetTimer()
+	for range b.N {
+		ask()
+	}
+	after := client.Traffic()
+	total := after.BytesSent + after.BytesReceived - before.BytesSent - before.BytesReceived
+	b.ReportMetric(float64(total)/float64(b.N), "wire-B")
+}
--- a/internal/adapters/peerquic/client.go
+++ b/internal/adapters/peerquic/client.go
@@ -58,6 +58,13 @@
 	return fromWireAnswerPart(wire), err
 }
 
+// VMNews asks what changed in the VM list.
+func (n *Node) VMNews(ctx context.Context, address string, request core.VMNewsRequest) (core.VMNews, error) {
+	var wire wireVMNews
+	_, err := n.call(ctx, address, typeVMNews, wireVMNewsRequest(request), &wire)
+	return fromWireVMNews(wire), err
+}
+
 // call sends one message and decodes the body of its reply.
 func (n *Node) call(ctx context.Context, address string, t messageType, body, into any) (*quic.Conn, error) {
 	message := request{Type: t}
--- a/internal/adapters/peerquic/codec.go
+++ b/internal/adapters/peerquic/codec.go
@@ -19,6 +19,7 @@
 	typeConfiguration messageType = 2
 	typeBatch         messageType = 3
 	typeAnswer        messageType = 4
+	typeVMNews        messageType = 7
 )
 
 // Bounds of messages.
@@ -26,6 +27,7 @@
 	maxRequestBytes       = 64 << 10
 	maxSmallReplyBytes    = 64 << 10
 	maxAnswerBytes        = 4 << 20
+	maxVMNewsBytes        = 2 << 20
 	maxConfigurationBytes = 8 << 20
 	maxBatchBytes         = 64 << 20
 	maxRequestElements    = 4096    // elements of one array in a request
@@ -89,6 +91,8 @@
 		return maxBatchBytes
 	case typeAnswer:
 		return maxAnswerBytes
+	case typeVMNews:
+		return maxVMNewsBytes
 	default:
 		return maxSmallReplyBytes
 	}
--- a/internal/adapters/peerquic/convert.go
+++ b/internal/adapters/peerquic/convert.go
@@ -201,6 +201,16 @@
 	return core.AnswerPart{Found: p.Found, Chunks: chunks, Finish: p.Finish}
 }
 
+func toWireVMNews(n core.VMNews) wireVMNews {
+	listed := convert(n.Listed, func(vm core.VM) wireVM { return wireVM(vm) })
+	return wireVMNews{Known: n.Known, Digest: n.Digest, Age: n.Age, Listed: listed, Gone: n.Gone}
+}
+
+func fromWireVMNews(n wireVMNews) core.VMNews {
+	listed := convert(n.Listed, func(vm wireVM) core.VM { return core.VM(vm) })
+	return core.VMNews{Known: n.Known, Digest: n.Digest, Age: n.Age, Listed: listed, Gone: n.Gone}
+}
+
 // HeartbeatSize returns the bytes of a heartbeat's encoding with its frame and
 // envelope, without those of QUIC.
 func HeartbeatSize(b core.Heartbeat) (int, error) {
--- a/internal/adapters/peerquic/node_test.go
+++ b/internal/adapters/peerquic/node_test.go
@@ -58,6 +58,7 @@
 	configuration core.Configuration
 	batch         core.Batch
 	part          core.AnswerPart
+	news          core.VMNews
 	err           error
 	started       chan struct{}
 	hold          chan struct{}
@@ -92,6 +93,12 @@
 	return part, h.err
 }
 
+func (h *fakeHandler) HandleVMNews(_ context.Context, request core.VMNewsRequest) (core.VMNews, error) {
+	news := h.news
+	news.Digest ^= request.Digest
+	return news, h.err
+}
+
 // pair returns a client and a server node of one site.
 func pair(t testing.TB, handler *fakeHandler) (client, server *Node) {
 	s := newSite(t)
@@ -137,6 +144,8 @@
 			Samples: []core.Sample{{Deployment: "d", ID: core.SampleID{Group: core.GroupID{Step: 1, Index: 2}, Index: 3},
 				Prompt: "p", Tokens: []string{"a", "b"}, Spans: []core.Span{{From: 0, To: 2, Version: 1}}, Finish: core.FinishStop, Score: 0.25}}}}},
 		part: core.AnswerPart{Found: true, Chunks: []core.Chunk{{Offset: 4, Tokens: []string{"x"}, Version: 2}}, Finish: core.FinishLength},
+		news: core.VMNews{Known: true, Digest: 1 << 63, Age: time.Second, Gone: []core.ServerID{"g"}, Listed: []core.VM{
+			{ID: "s", Kind: core.KindEngine, Service: "m", Address: "10.0.0.9:1", Zone: "a", Region: "r", State: core.VMLeaving}}},
 	}
 	client, server := pair(t, handler)
 	ctx, address := testContext(t, patience), server.Address()
@@ -149,6 +158,9 @@
 	part, err := client.Answer(ctx, address, core.AnswerRequest{Caller: "c", ID: "r", Offset: 3})
 	want := core.AnswerPart{Found: true, Chunks: []core.Chunk{{Offset: 3}, handler.part.Chunks[0]}, Finish: core.FinishLength}
 	check(t, "answer", part, want, err)
+	news, err := client.VMNews(ctx, address, core.VMNewsRequest{Digest: 1})
+	handler.news.Digest |= 1
+	check(t, "VM news", news, handler.news, err)
 	if traffic := client.Traffic(); traffic.Connections != 1 || traffic.BytesSent == 0 || traffic.BytesReceived == 0 {
 		t.Errorf("traffic = %+v, want one connection reused and bytes counted", traffic)
 	}
--- a/internal/adapters/peerquic/server.go
+++ b/internal/adapters/peerquic/server.go
@@ -179,6 +179,13 @@
 		}
 		part, err := s.handler.HandleAnswer(ctx, core.AnswerRequest(wire))
 		return toWireAnswerPart(part), err
+	case typeVMNews:
+		var wire wireVMNewsRequest
+		if err := decode(requestDecoder, message.Body, &wire); err != nil {
+			return nil, err
+		}
+		news, err := s.handler.HandleVMNews(ctx, core.VMNewsRequest(wire))
+		return toWireVMNews(news), err
 	default:
 		return nil, errkind.New(errkind.BadRequest, "unknown message type %d", message.Type)
 	}
--- a/internal/adapters/peerquic/wire.go
+++ b/internal/adapters/peerquic/wire.go
@@ -170,3 +170,25 @@
 	Chunks []wireChunk       `cbor:"2,keyasint,omitempty"`
 	Finish core.FinishReason `cbor:"3,keyasint,omitempty"`
 }
+
+type wireVM struct {
+	ID      core.ServerID   `cbor:"1,keyasint"`
+	Kind    core.ServerKind `cbor:"2,keyasint,omitempty"`
+	Service string          `cbor:"3,keyasint,omitempty"`
+	Address string          `cbor:"4,keyasint,omitempty"`
+	Zone    core.ZoneName   `cbor:"5,keyasint,omitempty"`
+	Region  core.RegionName `cbor:"6,keyasint,omitempty"`
+	State   core.VMState    `cbor:"7,keyasint,omitempty"`
+}
+
+type wireVMNewsRequest struct {
+	Digest uint64 `cbor:"1,keyasint,omitempty"`
+}
+
+type wireVMNews struct {
+	Known  bool            `cbor:"1,keyasint,omitempty"`
+	Digest uint64          `cbor:"2,keyasint,omitempty"`
+	Age    time.Duration   `cbor:"3,keyasint,omitempty"`
+	Listed []wireVM        `cbor:"4,keyasint,omitempty"`
+	Gone   []core.ServerID `cbor:"5,keyasint,omitempty"`
+}
--- a/internal/app/admission.go
+++ b/internal/app/admission.go
@@ -155,14 +155,3 @@
 		giveUp: func() { s.fail(c, cause) },
 	})
 }
-
-// listEntryVMs tells the limits the entry VMs of the platform's list.
-func (s *Service) listEntryVMs(vms []core.VM) {
-	var entries []core.VMID
-	for _, vm := range vms {
-		if vm.Kind == core.KindEntry {
-			entries = append(entries, core.VMID(vm.ID))
-		}
-	}
-	s.limits.ApplyListed(entries, s.ports.Clock.Now())
-}
--- a/internal/app/capacity_test.go
+++ b/internal/app/capacity_test.go
@@ -13,6 +13,7 @@
 	"fescuespar/internal/app"
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/claim"
+	"fescuespar/internal/core/routing"
 	"fescuespar/internal/ports/porttest"
 )
 
@@ -579,3 +580,40 @@
 		})
 	}
 }
+
+// BenchmarkVMList reports how many processes of one availability zone read the
+// platform's VM list, and the time from a change of it to all knowing.
+func BenchmarkVMList(b *testing.B) {
+	const changes = 5
+	for _, size := range largeFleetSizes {
+		b.Run(fmt.Sprintf("instances=%d", size), func(b *testing.B) {
+			c, l := measured(b, size, idleRollouts(1), productTiming)
+			<-time.After(settleWindow)
+			before, start := l.figures(), time.Now()
+			<-time.After(idleWindow)
+			after, seconds := l.figures(), time.Since(start).Seconds()
+			b.ReportMetric((after.vmLists-before.vmLists)/seconds, "vm-lists/s")
+			list, err := c.vms.VMs(c.ctx)
+			if err != nil {
+				b.Fatal(err)
+			}
+			var total, longest time.Duration
+			for change := range changes {
+				list = slices.Clone(list)
+				list[change].State = core.VMLeaving
+				c.vms.Set(list...)
+				start := time.Now()
+				for _, s := range c.services {
+					c.await("the leaving server is known", func() bool {
+						at := slices.IndexFunc(s.State().(app.State).Servers, func(v routing.View) bool { return v.VM.ID == list[change].ID })
+						return s.State().(app.State).Servers[at].VM.State == core.VMLeaving
+					})
+				}
+				took := time.Since(start)
+				total, longest = total+took, max(longest, took)
+			}
+			b.ReportMetric(total.Seconds()/changes, "mean-s")
+			b.ReportMetric(longest.Seconds(), "longest-s")
+		})
+	}
+}
--- a/internal/app/cluster_test.go
+++ b/internal/app/cluster_test.go
@@ -289,3 +289,7 @@
 func (e *endpoint) Answer(ctx context.Context, to string, request core.AnswerRequest) (core.AnswerPart, error) {
 	return deliver(e, ctx, to, request, ports.PeerHandler.HandleAnswer)
 }
+
+func (e *endpoint) VMNews(ctx context.Context, to string, request core.VMNewsRequest) (core.VMNews, error) {
+	return deliver(e, ctx, to, request, ports.PeerHandler.HandleVMNews)
+}
--- a/internal/app/crashes.go
+++ b/internal/app/crashes.go
@@ -210,7 +210,10 @@
 		}
 	}
 	s.crashes.Tick(gone, now)
-	live := s.liveServers()
+	var live map[string][]core.ServerID
+	if s.crashes.Holds() {
+		live = s.liveServers()
+	}
 	offset := int(s.random.Duration(time.Second))
 	s.crashes.Propose(func(held *tables.Held) core.ServerID {
 		servers := live[held.Service]
--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -41,23 +41,6 @@
 	return routing.Dispatch{}, errkind.New(errkind.Overloaded, "servers of %q have no place for rollouts", query.Service)
 }
 
-// pollVMs reads the platform's VM list. During an outage the last list stays in
-// use.
-func (s *Service) pollVMs() {
-	s.onLane(s.lanes.table, func(ctx context.Context) {
-		vms, err := s.ports.VMs.VMs(ctx)
-		if err != nil {
-			s.metrics.VMListFailures.Inc(1)
-			return
-		}
-		s.servers.ApplyVMs(vms)
-		s.servers.ApplyPolled(s.polls.ApplyVMs(vms))
-		s.members.ObserveVMs(s.ports.Clock.Now(), vms)
-		s.listEntryVMs(vms)
-		s.limits.RetainServers(vms)
-	})
-}
-
 // onLane runs a short call under controlTimeout; a full lane drops it, since
 // the next period repeats it.
 func (s *Service) onLane(lane *workers.Lane, call workers.Call) {
@@ -83,6 +66,7 @@
 	}
 	s.servers.SetProcesses(all, inRegion)
 	s.polls.SetProcesses(all)
+	s.servers.ApplyPolled(s.polls.Polled())
 	s.servers.Sweep(s.ports.Clock.Now())
 }
 
--- a/internal/app/service.go
+++ b/internal/app/service.go
@@ -90,6 +90,7 @@
 	configuration *tables.Configuration
 	members       *tables.Members
 	leases        *tables.Leases
+	vmList        *tables.VMList
 	servers       *tables.Servers
 	polls         *tables.Polls
 	limits        *tables.Limits
@@ -147,6 +148,7 @@
 		configuration: tables.NewConfiguration(),
 		members:       tables.NewMembers(options.Self, options.Seeds, rand.New(rand.NewPCG(random.Uint64(), 1))),
 		leases:        tables.NewLeases(leaseSelf(options.Self), leaseTiming(options)),
+		vmList:        tables.NewVMList(),
 		servers:       tables.NewServers(rand.New(rand.NewPCG(random.Uint64(), 2))),
 		polls:         tables.NewPolls(options.Self, polling.DefaultPolicy(options.StatusEvery)),
 		limits:        tables.NewLimits(options.Self.VM, options.Self.Incarnation, shareTiming),
--- a/internal/core/peer.go
+++ b/internal/core/peer.go
@@ -1,5 +1,7 @@
 package core
 
+import "time"
+
 // MemberState is what one entry process believes of another.
 type MemberState int
 
@@ -68,3 +70,18 @@
 	Source AnswerSource
 	Finish FinishReason
 }
+
+// VMNewsRequest asks a peer what changed in the VM list since the list with a
+// digest.
+type VMNewsRequest struct {
+	Digest uint64
+}
+
+// VMNews is what changed. Known is false when the peer can't tell.
+type VMNews struct {
+	Known  bool
+	Digest uint64        // of the peer's list
+	Age    time.Duration // since the peer asked the platform for its list
+	Listed []VM          // new or changed
+	Gone   []ServerID
+}
--- /dev/null
+++ b/internal/core/vmlist/bench_test.go
@@ -0,0 +1,39 @@
+package vmlist
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkBook measures what a list costs its reader, and what a question of
+// another process costs when nothing changed and when one VM did.
+func BenchmarkBook(b *testing.B) {
+	for _, vms := range []int{20, 670, 6710} {
+		list := sorted(nil)
+		for i := range vms {
+			list = append(list, vm(i, "live"))
+		}
+		changed := append(list[:0:0], list...)
+		changed[0].State = "leaving"
+		reader := NewBook()
+		reader.Read(list, epoch)
+		before := reader.Digest()
+		reader.Read(changed, epoch)
+		b.Run(fmt.Sprintf("read/vms=%d", vms), func(b *testing.B) {
+			for i := range b.N {
+				reader.Read(changed, epoch.Add(time.Duration(i)))
+			}
+		})
+		b.Run(fmt.Sprintf("news-unchanged/vms=%d", vms), func(b *testing.B) {
+			for range b.N {
+				reader.News(reader.Digest(), epoch)
+			}
+		})
+		b.Run(fmt.Sprintf("news-one-change/vms=%d", vms), func(b *testing.B) {
+			for range b.N {
+				reader.News(before, epoch)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/vmlist/vmlist_test.go
@@ -0,0 +1,222 @@
+package vmlist
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"fescuespar/internal/core"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func member(i, zones int) core.Member {
+	return core.Member{
+		VM: core.VMID(fmt.Sprint("entry-", i)), PeerAddress: fmt.Sprint("peer-", i),
+		Zone: core.ZoneName(fmt.Sprint("zone-", i%zones)), Region: "r",
+	}
+}
+
+func members(number, zones int) []core.Member {
+	all := make([]core.Member, number)
+	for i := range all {
+		all[i] = member(i, zones)
+	}
+	return all
+}
+
+func TestSource(t *testing.T) {
+	for _, c := range []struct{ members, zones, readers int }{
+		{1, 1, 1}, {10, 3, 10}, {32, 3, 32}, {33, 1, 2}, {100, 3, 6}, {610, 12, 24}, {40, 40, 40},
+	} {
+		all := members(c.members, c.zones)
+		readers := make(map[core.VMID]bool)
+		for _, self := range all {
+			if _, ask := Source(self, all, 0); !ask {
+				readers[self.VM] = true
+			}
+		}
+		if len(readers) != c.readers {
+			t.Errorf("%+v: %d readers", c, len(readers))
+		}
+		asked := make(map[core.VMID]int)
+		for _, self := range all {
+			first, ask := Source(self, all, 0)
+			if !ask {
+				continue
+			}
+			second, _ := Source(self, all, 1)
+			asked[first.VM]++
+			if !readers[first.VM] || !readers[second.VM] || first.VM == second.VM || first.Zone != self.Zone {
+				t.Errorf("%+v: %s asks %s, then %s", c, self.VM, first.VM, second.VM)
+			}
+		}
+		for vm, followers := range asked {
+			if mean := float64(c.members-c.readers) / float64(c.readers); float64(followers) > 2*mean+5 {
+				t.Errorf("%+v: %s has %d followers", c, vm, followers)
+			}
+		}
+	}
+}
+
+// A reader that its zone no longer believes in is replaced, and all but its
+// followers stay as they were.
+func TestSourceAfterALoss(t *testing.T) {
+	all := members(100, 2)
+	lost, _ := Source(all[4], all, 0)
+	rest := slices.DeleteFunc(slices.Clone(all), func(m core.Member) bool { return m.VM == lost.VM })
+	readers := 0
+	for _, self := range rest {
+		reader, ask := Source(self, rest, 0)
+		if !ask {
+			readers++
+		}
+		if ask && reader.VM == lost.VM {
+			t.Errorf("%s asks a process that is not live", self.VM)
+		}
+	}
+	if readers != 4 {
+		t.Errorf("%d readers after a loss, want 4", readers)
+	}
+}
+
+// The promise is that nothing goes to a server 3 s after it left the list.
+func TestKnownWithinThePromise(t *testing.T) {
+	if got := KnownWithin(time.Second, 250*time.Millisecond); got > 3*time.Second {
+		t.Errorf("a change is known within %v", got)
+	}
+}
+
+func vm(i int, state core.VMState) core.VM {
+	return core.VM{ID: core.ServerID(fmt.Sprint("server-", i)), Kind: core.KindEngine, Service: "m", State: state}
+}
+
+// draw changes a list at random.
+func draw(list map[int]core.VM, random *rand.Rand) []core.VM {
+	for range random.IntN(4) {
+		at := random.IntN(40)
+		switch random.IntN(3) {
+		case 0:
+			delete(list, at)
+		case 1:
+			list[at] = vm(at, core.VMLeaving)
+		default:
+			list[at] = vm(at, core.VMLive)
+		}
+	}
+	return slices.Collect(maps.Values(list))
+}
+
+// TestFollowersEndWithTheReadersList lets followers take news of two readers
+// that read at different times. News is either refused or leads to exactly the
+// reader's list, at the reader's age.
+func TestFollowersEndWithTheReadersList(t *testing.T) {
+	properties := gopter.NewProperties(nil)
+	properties.Property("same list", prop.ForAll(func(seed uint64) string {
+		random := rand.New(rand.NewPCG(seed, 0))
+		platform := make(map[int]core.VM)
+		readers := [2]*Book{NewBook(), NewBook()}
+		follower := NewBook()
+		now, refused := epoch, 0
+		for step := range 300 {
+			now = now.Add(100 * time.Millisecond)
+			list := draw(platform, random)
+			if reader := readers[random.IntN(2)]; random.IntN(3) == 0 {
+				reader.Read(list, now)
+			}
+			reader := readers[random.IntN(2)]
+			asked := follower.Digest()
+			news := reader.News(asked, now)
+			_, ok := follower.Take(news, asked, now, time.Second)
+			switch {
+			case ok && (follower.Digest() != reader.Digest() || !slices.Equal(follower.VMs(), reader.VMs())):
+				return fmt.Sprint("step ", step, ": another list than the reader's")
+			case ok && follower.asOf.Before(now.Add(-time.Second)):
+				return fmt.Sprint("step ", step, ": an old list was taken for a fresh one")
+			case !ok:
+				refused++
+				follower.Read(list, now)
+				if !slices.Equal(follower.VMs(), sorted(list)) {
+					return fmt.Sprint("step ", step, ": not the list that was read")
+				}
+			}
+		}
+		if refused == 300 {
+			return "all news was refused"
+		}
+		return ""
+	}, gen.UInt64()))
+	properties.TestingRun(t)
+}
+
+func sorted(list []core.VM) []core.VM {
+	book := NewBook()
+	book.Read(list, epoch)
+	return book.VMs()
+}
+
+func TestNewsThatMustNotBeUsed(t *testing.T) {
+	read := func(list ...core.VM) *Book {
+		book := NewBook()
+		book.Read(list, epoch)
+		return book
+	}
+	reader := read(vm(1, core.VMLive))
+	reader.Read([]core.VM{vm(1, core.VMLeaving)}, epoch.Add(time.Second))
+	now := epoch.Add(1500 * time.Millisecond)
+	whole := reader.News(read(vm(1, core.VMLive)).Digest(), now)
+	for _, c := range []struct {
+		name   string
+		book   *Book
+		change func(*core.VMNews)
+		want   bool
+	}{
+		{"as told", read(vm(1, core.VMLive)), func(*core.VMNews) {}, true},
+		{"too old", read(vm(1, core.VMLive)), func(n *core.VMNews) { n.Age = time.Minute }, false},
+		{"not known", read(vm(1, core.VMLive)), func(n *core.VMNews) { n.Known = false }, false},
+		{"a change lacks", read(vm(1, core.VMLive)), func(n *core.VMNews) { n.Listed = nil }, false},
+		{"another list by now", read(vm(1, core.VMLive), vm(2, core.VMLive)), func(*core.VMNews) {}, false},
+		{"no list", NewBook(), func(*core.VMNews) {}, false},
+	} {
+		news := whole
+		c.change(&news)
+		before := c.book.VMs()
+		changed, ok := c.book.Take(news, read(vm(1, core.VMLive)).Digest(), now, time.Second)
+		if ok != c.want || changed != c.want || !ok && !slices.Equal(c.book.VMs(), before) {
+			t.Errorf("%s: changed %v, taken %v", c.name, changed, ok)
+		}
+	}
+	if news := NewBook().News(0, now); news.Known {
+		t.Error("a process without a list tells news")
+	}
+	if reader.Read(nil, epoch) || len(reader.VMs()) != 1 {
+		t.Error("a list read before the newest one was taken")
+	}
+}
+
+// TestBookIsBounded changes a list for long and at once.
+func TestBookIsBounded(t *testing.T) {
+	book := NewBook()
+	for i := range 1000 {
+		book.Read([]core.VM{vm(i, core.VMLive)}, epoch.Add(time.Duration(i)*time.Second))
+	}
+	if len(book.past) > pastLists || book.changed > pastChanges {
+		t.Errorf("%d lists with %d changes kept", len(book.past), book.changed)
+	}
+	before := book.Digest()
+	var many []core.VM
+	for i := range pastChanges + 1 {
+		many = append(many, vm(i, core.VMLeaving))
+	}
+	book.Read(many, epoch.Add(time.Hour))
+	if news := book.News(before, epoch.Add(time.Hour)); news.Known || book.changed != 0 {
+		t.Errorf("news of %d VMs were kept", book.changed)
+	}
+}
--- a/internal/lockrank/lockrank.go
+++ b/internal/lockrank/lockrank.go
@@ -16,6 +16,7 @@
 	RankConfiguration Rank = 20
 	RankMembers       Rank = 30
 	RankLeases        Rank = 40
+	RankVMList        Rank = 45
 	RankServers       Rank = 50
 	RankPolls         Rank = 55
 	RankLimits        Rank = 60
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -41,6 +41,8 @@
 	HeartbeatsReceived gometrics.Counter
 	HeartbeatsMissed   gometrics.Counter
 	VMListFailures     gometrics.Counter
+	VMListReads        gometrics.Counter
+	VMListNews         gometrics.Counter
 }
 
 // New returns a set of zeroed counters in a registry of their own; Feed adds
@@ -88,5 +90,7 @@
 		"heartbeats.received":      &s.HeartbeatsReceived,
 		"heartbeats.missed":        &s.HeartbeatsMissed,
 		"vm_list.failures":         &s.VMListFailures,
+		"vm_list.reads":            &s.VMListReads,
+		"vm_list.news":             &s.VMListNews,
 	}
 }
--- a/internal/ports/ports.go
+++ b/internal/ports/ports.go
@@ -102,6 +102,8 @@
 	Batch(ctx context.Context, address string, request core.BatchRequest) (core.Batch, error)
 	// Answer fetches the rest of an answer, waiting a short time for more of it.
 	Answer(ctx context.Context, address string, request core.AnswerRequest) (core.AnswerPart, error)
+	// VMNews asks what changed in the VM list.
+	VMNews(ctx context.Context, address string, request core.VMNewsRequest) (core.VMNews, error)
 }
 
 // PeerHandler is the receiving side of Peers, implemented by the application.
@@ -110,6 +112,7 @@
 	HandleConfiguration(ctx context.Context) (core.Configuration, error)
 	HandleBatch(ctx context.Context, request core.BatchRequest) (core.Batch, error)
 	HandleAnswer(ctx context.Context, request core.AnswerRequest) (core.AnswerPart, error)
+	HandleVMNews(ctx context.Context, request core.VMNewsRequest) (core.VMNews, error)
 }
 
 // Clock tells the time. Differences between its times are monotonic.
--- a/internal/tables/crashes.go
+++ b/internal/tables/crashes.go
@@ -87,6 +87,13 @@
 	return false
 }
 
+// Holds reports whether a request waits for a verdict.
+func (t *Crashes) Holds() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.held) > 0
+}
+
 // Propose asks for a trial of each held request on a server that pick returns;
 // pick must take no lock. It returns whether the news must be sent at once.
 func (t *Crashes) Propose(pick func(*Held) core.ServerID, now time.Time) bool {
