Take the ranks of rendezvous hashing from one package

Cause: leases, polls and the VM list's readers each had the same hash.

Addresses for callers weigh their ranks by load and stay as they are.

Conclusion: no change of behaviour.

--- a/internal/core/polling/plan.go
+++ b/internal/core/polling/plan.go
@@ -1,10 +1,12 @@
 package polling
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/rendezvous"
 )
 
 // Poll is one engine to be asked now.
@@ -84,7 +86,7 @@
 		}
 		e := p.engines[vm.ID]
 		if e == nil {
-			e = &engine{rank: rank(p.self, vm.ID)}
+			e = &engine{rank: rendezvous.Rank(string(p.self), string(vm.ID))}
 		}
 		e.vm = vm
 		listed[vm.ID] = e
@@ -181,6 +183,12 @@
 	return slices.Concat(own[:min(len(own), p.policy.Sample-elsewhere)], others[:elsewhere])
 }
 
+func sortByRank(engines []*engine) {
+	slices.SortFunc(engines, func(a, b *engine) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.vm.ID, b.vm.ID))
+	})
+}
+
 // Due returns the engines to be asked now. Each is not due again before Ended
 // was called for it.
 func (p *Plan) Due(now time.Time) []Poll {
--- a/internal/core/vmlist/book.go
+++ b/internal/core/vmlist/book.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/rendezvous"
 )
 
 // change is the step from one list to the next.
@@ -176,5 +177,5 @@
 		_, _ = hash.Write([]byte(field))
 		_, _ = hash.Write([]byte{0})
 	}
-	return mix(hash.Sum64())
+	return rendezvous.Mix(hash.Sum64())
 }
--- a/internal/core/vmlist/readers.go
+++ b/internal/core/vmlist/readers.go
@@ -1,9 +1,8 @@
 package vmlist
 
 import (
-	"hash/fnv"
-
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/rendezvous"
 )
 
 // Source returns the live member that a process asks for the VM list, or false
@@ -50,24 +49,4 @@
 	return first
 }
 
-func rank(vm core.VMID) uint64 {
-	hash := fnv.New64a()
-	_, _ = hash.Write([]byte("vm-list\x00"))
-	_, _ = hash.Write([]byte(vm))
-	return mix(hash.Sum64())
-}
-
-// Multipliers of the finalizer of MurmurHash3.
-const (
-	firstMultiplier  = 0xff51afd7ed558ccd
-	secondMultiplier = 0xc4ceb9fe1a85ec53
-)
-
-// mix spreads hashes of names that differ in their last bytes only.
-func mix(hash uint64) uint64 {
-	hash ^= hash >> 33
-	hash *= firstMultiplier
-	hash ^= hash >> 33
-	hash *= secondMultiplier
-	return hash ^ hash>>33
-}
+func rank(vm core.VMID) uint64 { return rendezvous.Rank("vm-list", string(vm)) }
