Send no work to engines that are not polled for an adapter that some lack

Cause: an engine without a report counted as holding any adapter. Where the adapters of a model are spread over its engines, requests would have been refused and engines ejected for it.

Change: engines that are not polled fit a query only if every engine of the region that reported holds its adapter.

--- a/internal/core/routing/cells.go
+++ b/internal/core/routing/cells.go
@@ -31,6 +31,7 @@
 	adapters []*adapterIndex
 	unknown  cell // polled engines that have not reported yet
 	unpolled cell // engines that this process does not poll
+	reported int  // engines in the cells of what they reported
 	size     int  // servers of the region, also those that get no work
 }
 
@@ -110,6 +111,10 @@
 	default:
 		r.placeAdapters(row)
 	}
+	if row.vm.Kind == core.KindEngine && row.reported && len(row.placed) > 0 {
+		row.counted = true
+		r.reported++
+	}
 	r.prune()
 }
 
@@ -124,6 +129,10 @@
 }
 
 func (r *regionIndex) unplace(row *server) {
+	if row.counted {
+		row.counted = false
+		r.reported--
+	}
 	for _, place := range row.placed {
 		place.cell.remove(place.at)
 	}
@@ -139,12 +148,9 @@
 }
 
 // choose returns the fitting servers without listing them. Engines that are not
-// polled fit a query for any version.
+// polled fit a query for any version if all that reported hold its adapter.
 func (r *regionIndex) choose(query *Query) choice {
 	found := choice{index: r.adapter(query.Adapter), version: query.Version}
-	if query.Version == 0 {
-		found.unknown, found.count = &r.unpolled, len(r.unpolled.members)
-	}
 	if found.index != nil {
 		for _, c := range found.index.cells {
 			if c.version >= query.Version {
@@ -152,6 +158,10 @@
 			}
 		}
 	}
+	if query.Version == 0 && found.count == r.reported {
+		found.unknown = &r.unpolled
+		found.count += len(r.unpolled.members)
+	}
 	return found
 }
 
--- a/internal/core/routing/polled_test.go
+++ b/internal/core/routing/polled_test.go
@@ -155,6 +155,11 @@
 	if got := picks(state, any, epoch, random); got["engine-0002"] == 0 || got["engine-0000"] == 0 {
 		t.Errorf("any version: %v, want polled and other engines", got)
 	}
+	foreign := any
+	foreign.Adapter = "b"
+	if got := picks(state, foreign, epoch, random); got["engine-0002"] != 0 {
+		t.Errorf("an adapter that no engine reported: %v", got)
+	}
 	newest := any
 	newest.Version = 2
 	if got := picks(state, newest, epoch, random); got["engine-0000"] != 400 {
@@ -167,6 +172,16 @@
 	if got := picks(state, newest, epoch, random); got["engine-0000"] != 0 {
 		t.Errorf("version 2: %v, want no engine by a forgotten report", got)
 	}
+	report("engine-0001", 1)
+	state.ApplyVMs([]core.VM{engineVM(1, "east"), engineVM(2, "east"), engineVM(3, "east")})
+	if got := picks(state, any, epoch, random); got["engine-0002"] == 0 || got["engine-0003"] != 0 {
+		t.Errorf("after a change of the list: %v, want no engine-0003, which has yet to report", got)
+	}
+	state.ApplyStatus(core.EngineStatus{Server: "engine-0003", Model: "coach", Adapter: "b", Version: 1}, epoch)
+	if got := picks(state, any, epoch, random); got["engine-0001"] != 400 {
+		t.Errorf("an adapter that one engine lacks: %v, want engine-0001 only", got)
+	}
+	state.ApplyVMs(engineVMs(3))
 	state.ApplyPolled(nil)
 	report("engine-0002", 3)
 	if got := picks(state, newest, epoch, random); got["engine-0002"] != 400 {
@@ -231,3 +246,60 @@
 		}
 	}
 }
+
+// After any history the cells list each engine that may get work once for each
+// adapter that it reported, or as not polled, or as not yet heard.
+func TestCellsAfterChangesOfPolling(t *testing.T) {
+	const engines = 12
+	state, random := stateOf(nil)
+	for step := range 3000 {
+		id := core.ServerID(fmt.Sprintf("engine-%04d", random.IntN(engines)))
+		switch random.IntN(4) {
+		case 0:
+			vms := engineVMs(engines)
+			random.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
+			for i := range vms {
+				if random.IntN(4) == 0 {
+					vms[i].State = core.VMLeaving
+				}
+			}
+			state.ApplyVMs(vms[:random.IntN(engines)])
+		case 1:
+			polled := make(map[core.ServerID]bool)
+			for _, vm := range engineVMs(engines) {
+				polled[vm.ID] = random.IntN(2) == 0
+			}
+			state.ApplyPolled(polled)
+		default:
+			state.ApplyStatus(core.EngineStatus{
+				Server: id, Model: "coach", Adapter: "a", Version: core.WeightVersion(random.IntN(3)),
+			}, epoch.Add(time.Duration(step)*time.Second))
+		}
+		var reported, unpolled, unknown int
+		for _, row := range state.rows {
+			switch {
+			case !row.eligible():
+			case row.unpolled:
+				unpolled++
+			case row.reported:
+				reported++
+			default:
+				unknown++
+			}
+		}
+		if len(state.poolList) == 0 {
+			continue
+		}
+		region := state.poolList[0].regions[0]
+		fit := region.choose(&Query{Adapter: "a"})
+		if region.reported != reported || len(region.unpolled.members) != unpolled || len(region.unknown.members) != unknown || fit.count != reported+unpolled {
+			t.Fatalf("step %d: %d reported, %d not polled, %d unknown, %d fit; want %d, %d, %d", step,
+				region.reported, len(region.unpolled.members), len(region.unknown.members), fit.count, reported, unpolled, unknown)
+		}
+		for i := range fit.count {
+			if row := fit.at(i); row == nil || !row.eligible() {
+				t.Fatalf("step %d: place %d of %d is empty", step, i, fit.count)
+			}
+		}
+	}
+}
--- a/internal/core/routing/server.go
+++ b/internal/core/routing/server.go
@@ -14,6 +14,7 @@
 	status   core.EngineStatus // newest report, without its cache events
 	reported bool
 	unpolled bool // an engine of which this process gets no reports
+	counted  bool // in regionIndex.reported
 	pool     *pool
 	region   *regionIndex
 	placed   []placement // cells that list the server; empty while it gets no work
