--- a/internal/app/polls.go
+++ b/internal/app/polls.go
@@ -36,9 +36,11 @@
 // askEngine takes in an engine's report and returns the cursor of its next
 // cache event, zero when it gave none.
 func (s *Service) askEngine(ctx context.Context, poll polling.Poll) uint64 {
+	s.metrics.EnginePolls.Inc(1)
 	asked := s.ports.Clock.Now()
 	status, err := s.ports.Engine.Status(ctx, poll.VM, poll.Cursor)
 	if err != nil {
+		s.metrics.EnginePollFailures.Inc(1)
 		return 0
 	}
 	status.Server = poll.VM.ID
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -43,6 +43,8 @@
 	VMListFailures     gometrics.Counter
 	VMListReads        gometrics.Counter
 	VMListNews         gometrics.Counter
+	EnginePolls        gometrics.Counter
+	EnginePollFailures gometrics.Counter
 }
 
 // New returns a set of zeroed counters in a registry of their own; Feed adds
@@ -92,5 +94,7 @@
 		"vm_list.failures":         &s.VMListFailures,
 		"vm_list.reads":            &s.VMListReads,
 		"vm_list.news":             &s.VMListNews,
+		"engines.polls":            &s.EnginePolls,
+		"engines.poll_failures":    &s.EnginePollFailures,
 	}
 }
