Copy only the engines of a service for its coordinator

Cause: a coordinator copied the views of all servers at every look, four times a second for each of its deployments.

Change: EnginesOf returns those of one service.

Still linear in all servers.

--- a/internal/app/weights.go
+++ b/internal/app/weights.go
@@ -94,9 +94,9 @@
 	}
 	var engines []weights.Engine
 	vms := make(map[core.ServerID]core.VM)
-	for _, view := range s.servers.Views() {
+	for _, view := range s.servers.EnginesOf(deployment.Service) {
 		vm := view.VM
-		if vm.Kind != core.KindEngine || vm.Service != deployment.Service || vm.State != core.VMLive || view.Reported.Before(since.Add(-reportLag)) {
+		if vm.State != core.VMLive || view.Reported.Before(since.Add(-reportLag)) {
 			continue
 		}
 		held, _ := view.Status.Holds(deployment.Adapter)
--- a/internal/core/routing/capacity_test.go
+++ b/internal/core/routing/capacity_test.go
@@ -20,6 +20,17 @@
 			}
 			b.ReportMetric(perServer, "heap-B/server")
 		})
+		b.Run(fmt.Sprintf("engines-of-a-ninth/servers=%d", servers), func(b *testing.B) {
+			vms := engineVMs(servers)
+			for i := range vms {
+				vms[i].Service = fmt.Sprint("model-", i%9)
+			}
+			ninth := NewState(DefaultPolicy())
+			ninth.ApplyVMs(vms)
+			for b.Loop() {
+				ninth.EnginesOf("model-0")
+			}
+		})
 		b.Run(fmt.Sprintf("sweep/servers=%d", servers), func(b *testing.B) {
 			for range b.N {
 				state.Sweep(epoch.Add(time.Second), random)
--- a/internal/core/routing/state.go
+++ b/internal/core/routing/state.go
@@ -263,3 +263,14 @@
 	}
 	return views
 }
+
+// EnginesOf returns the listed engines of a service, sorted by id.
+func (s *State) EnginesOf(service string) []View {
+	var views []View
+	for _, row := range s.rows {
+		if row.vm.Kind == core.KindEngine && row.vm.Service == service {
+			views = append(views, row.view())
+		}
+	}
+	return views
+}
--- a/internal/tables/servers.go
+++ b/internal/tables/servers.go
@@ -84,6 +84,13 @@
 	return t.state.Server(id)
 }
 
+// EnginesOf returns a snapshot of the listed engines of a service.
+func (t *Servers) EnginesOf(service string) []routing.View {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state.EnginesOf(service)
+}
+
 // Views returns a snapshot of all servers.
 func (t *Servers) Views() []routing.View {
 	t.mu.Lock()
