Count the bounds of polls for each poll interval

Cause: the bounds were polls a second, so a site that sets a shorter engine_status_poll, as the tests of the application do with 20 ms, was polled slower than it asked for: 47 to 62 ms for three engines.

Ruled out: leaving the bounds away for small services; 610 processes before ten engines need them.

Change: the bounds count polls in an interval; at the default of 0.5 s they are what they were.

--- a/internal/core/polling/doc.go
+++ b/internal/core/polling/doc.go
@@ -18,10 +18,11 @@
 	Elsewhere int           // of them, least number in other regions while there are so many
 	Every     time.Duration // shortest interval between two polls of one engine
 
-	WholeRate       float64 // polls a second of one process at the engines of services asked whole
-	SampledRate     float64 // the same for services of which it asks a sample
-	CoordinatedRate float64 // the same for the services that it coordinates
-	EngineRate      float64 // polls a second that one engine gets from all processes, their coordinator left out
+	// Bounds in polls for each Every.
+	WholePolls       float64 // of one process at the engines of services asked whole
+	SampledPolls     float64 // the same for services of which it asks a sample
+	CoordinatedPolls float64 // the same for the services that it coordinates
+	EnginePolls      float64 // that one engine gets from all processes, their coordinator left out
 }
 
 // DefaultPolicy returns the constants that the service uses, with the interval
@@ -29,6 +30,6 @@
 func DefaultPolicy(every time.Duration) Policy {
 	return Policy{
 		Whole: 32, Sample: 16, Elsewhere: 2, Every: every,
-		WholeRate: 64, SampledRate: 8, CoordinatedRate: 64, EngineRate: 32,
+		WholePolls: 32, SampledPolls: 4, CoordinatedPolls: 32, EnginePolls: 16,
 	}
 }
--- a/internal/core/polling/plan.go
+++ b/internal/core/polling/plan.go
@@ -241,17 +241,18 @@
 // interval returns the time between two polls of one engine of a service.
 func (p *Plan) interval(s *service, numbers [kinds]int) time.Duration {
 	kind := p.kindOf(s)
-	rates := [kinds]float64{p.policy.WholeRate, p.policy.SampledRate, p.policy.CoordinatedRate}
-	interval := max(p.policy.Every, perRate(float64(numbers[kind]), rates[kind]))
+	bounds := [kinds]float64{p.policy.WholePolls, p.policy.SampledPolls, p.policy.CoordinatedPolls}
+	interval := p.stretch(float64(numbers[kind]), bounds[kind])
 	if kind == coordinated {
 		return interval
 	}
 	pollers := float64(p.processes) * float64(len(s.polled)) / float64(len(s.engines))
-	return max(interval, perRate(pollers, p.policy.EngineRate))
+	return max(interval, p.stretch(pollers, p.policy.EnginePolls))
 }
 
-func perRate(polls, rate float64) time.Duration {
-	return time.Duration(polls / rate * float64(time.Second))
+// stretch returns the interval in which polls stay within a bound.
+func (p *Plan) stretch(polls, bound float64) time.Duration {
+	return time.Duration(float64(p.policy.Every) * max(1, polls/bound))
 }
 
 // polledNumbers counts the engines that are polled, by kind of their service.
