Merge the polling of engines and the VM list by few readers

A poll that is refused or times out takes the engine out of service, as every status call did before. The longest tests of the application run beside each other.

--- a/internal/app/capacity_test.go
+++ b/internal/app/capacity_test.go
@@ -13,6 +13,7 @@
 	"fescuespar/internal/app"
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/claim"
+	"fescuespar/internal/core/routing"
 	"fescuespar/internal/ports/porttest"
 )
 
@@ -544,3 +545,75 @@
 	counters := tables.Counters()
 	return float64(counters.ReadCalls), float64(counters.CommitsApplied)
 }
+
+// settleWindow is how long a fleet is left alone before it is watched.
+const settleWindow = 10 * time.Second
+
+// BenchmarkPolling reports what the reports of engines cost several instances,
+// ten engines for each, of nine services of which one is coordinated.
+func BenchmarkPolling(b *testing.B) {
+	const services = 9
+	for _, size := range largeFleetSizes[:4] {
+		b.Run(fmt.Sprintf("instances=%d", size), func(b *testing.B) {
+			deployments := idleRollouts(1)
+			c, l := measured(b, size, deployments, productTiming)
+			var list []core.VM
+			for i := range 10 * size {
+				engine := backendServers[0]
+				engine.ID = core.ServerID(fmt.Sprint("engine-", i))
+				if service := i % services; service > 0 {
+					engine.Service = fmt.Sprint("model-", service)
+				}
+				list = append(list, engine)
+			}
+			c.vms.Set(list...)
+			c.owner()
+			<-time.After(settleWindow)
+			before, beats, used, start := l.figures(), heartbeats(c), processorTime(), time.Now()
+			<-time.After(idleWindow)
+			after, seconds := l.figures(), time.Since(start).Seconds()
+			statuses := (after.statuses - before.statuses) / seconds
+			b.ReportMetric(statuses/float64(size), "statuses/s/instance")
+			b.ReportMetric(statuses/float64(len(list)), "statuses/s/engine")
+			b.ReportMetric((processorTime()-used).Seconds()/seconds/float64(size)*1e6, "cpu-us/s/instance")
+			b.ReportMetric((heartbeats(c)-beats)/seconds/float64(size), "heartbeats/s/instance")
+		})
+	}
+}
+
+// BenchmarkVMList reports how many processes of one availability zone read the
+// platform's VM list, and the time from a change of it to all knowing.
+func BenchmarkVMList(b *testing.B) {
+	const changes = 5
+	for _, size := range largeFleetSizes {
+		b.Run(fmt.Sprintf("instances=%d", size), func(b *testing.B) {
+			c, l := measured(b, size, idleRollouts(1), productTiming)
+			<-time.After(settleWindow)
+			before, start := l.figures(), time.Now()
+			<-time.After(idleWindow)
+			after, seconds := l.figures(), time.Since(start).Seconds()
+			b.ReportMetric((after.vmLists-before.vmLists)/seconds, "vm-lists/s")
+			list, err := c.vms.VMs(c.ctx)
+			if err != nil {
+				b.Fatal(err)
+			}
+			var total, longest time.Duration
+			for change := range changes {
+				list = slices.Clone(list)
+				list[change].State = core.VMLeaving
+				c.vms.Set(list...)
+				start := time.Now()
+				for _, s := range c.services {
+					c.await("the leaving server is known", func() bool {
+						at := slices.IndexFunc(s.State().(app.State).Servers, func(v routing.View) bool { return v.VM.ID == list[change].ID })
+						return s.State().(app.State).Servers[at].VM.State == core.VMLeaving
+					})
+				}
+				took := time.Since(start)
+				total, longest = total+took, max(longest, took)
+			}
+			b.ReportMetric(total.Seconds()/changes, "mean-s")
+			b.ReportMetric(longest.Seconds(), "longest-s")
+		})
+	}
+}
--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -47,22 +47,6 @@
 	return routing.Dispatch{}, errkind.New(errkind.Overloaded, "servers of %q have no place for rollouts", query.Service)
 }
 
-// pollVMs reads the platform's VM list. During an outage the last list stays in
-// use.
-func (s *Service) pollVMs() {
-	s.onLane(s.lanes.table, func(ctx context.Context) {
-		vms, err := s.ports.VMs.VMs(ctx)
-		if err != nil {
-			s.metrics.VMListFailures.Inc(1)
-			return
-		}
-		s.servers.ApplyVMs(vms)
-		s.members.ObserveVMs(s.ports.Clock.Now(), vms)
-		s.listEntryVMs(vms)
-		s.limits.RetainServers(vms)
-	})
-}
-
 // onLane runs a short call under controlTimeout; a full lane drops it, since
 // the next period repeats it.
 func (s *Service) onLane(lane *workers.Lane, call workers.Call) {
@@ -73,9 +57,6 @@
 	})
 }
 
-// reportLag is the usual age of an engine's report when it is asked for it.
-const reportLag = 250 * time.Millisecond
-
 // sweepServers ejects outlying servers and tells routing how many entry
 // processes share the servers and the link.
 func (s *Service) sweepServers() {
@@ -90,6 +71,8 @@
 		}
 	}
 	s.servers.SetProcesses(all, inRegion)
+	s.polls.SetProcesses(all)
+	s.servers.ApplyPolled(s.polls.Polled())
 	s.servers.Sweep(s.ports.Clock.Now())
 }
 
@@ -127,21 +110,6 @@
 // statusTimeout bounds a status call; a server that takes longer is silent.
 const statusTimeout = 2 * time.Second
 
-// pollServers asks every engine for its report, and every plain service that
-// was unreachable whether it is back.
-func (s *Service) pollServers() {
-	for _, view := range s.servers.Views() {
-		switch view.VM.Kind {
-		case core.KindEngine:
-			s.askServer(view.VM, func(ctx context.Context) error { return s.readStatus(ctx, view.VM, view.Status.NextEvent) })
-		case core.KindPlain:
-			if view.Unreachable {
-				s.askPlain(view.VM)
-			}
-		}
-	}
-}
-
 // askPlain finds out whether a plain service can be reached.
 func (s *Service) askPlain(vm core.VM) {
 	s.askServer(vm, func(ctx context.Context) error {
@@ -153,35 +121,34 @@
 	})
 }
 
-// askServer asks a server something that it answers at once when it is well. One
-// that cannot be reached gets no work until it answers again.
+// askServer asks a server something that it answers at once when it is well, one
+// call at a time.
 func (s *Service) askServer(vm core.VM, ask func(context.Context) error) {
 	if !s.servers.BeginAsk(vm.ID) {
 		return
 	}
 	err := s.lanes.control.Go(func(ctx context.Context) {
 		defer s.servers.EndAsk(vm.ID)
-		ctx, cancel := context.WithTimeout(ctx, statusTimeout)
-		defer cancel()
-		asked := s.ports.Clock.Now()
-		switch errkind.Of(ask(ctx)) {
-		case errkind.ServerRefused:
-			s.servers.Unreachable(vm.ID, asked)
-		case errkind.Timeout:
-			s.servers.Silent(vm.ID, asked)
-		}
+		_ = s.ask(ctx, vm.ID, ask)
 	})
 	if err != nil {
 		s.servers.EndAsk(vm.ID)
 	}
 }
 
-func (s *Service) readStatus(ctx context.Context, vm core.VM, cursor uint64) error {
+// ask carries out a question to a server and returns its error. A server that
+// cannot be reached, or does not answer in time, gets no work until it answers
+// again.
+func (s *Service) ask(ctx context.Context, id core.ServerID, question func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
 	asked := s.ports.Clock.Now()
-	status, err := s.ports.Engine.Status(ctx, vm, cursor)
-	if err == nil {
-		status.Server = vm.ID
-		s.servers.ApplyStatus(status, asked.Add(-reportLag))
+	err := question(ctx)
+	switch errkind.Of(err) {
+	case errkind.ServerRefused:
+		s.servers.Unreachable(id, asked)
+	case errkind.Timeout:
+		s.servers.Silent(id, asked)
 	}
 	return err
 }
--- a/internal/app/status.go
+++ b/internal/app/status.go
@@ -73,8 +73,8 @@
 		return facts
 	}
 	for i := range views {
-		if !runs(&views[i].VM, deployment) {
-			continue
+		if !runs(&views[i].VM, deployment) || views[i].Reported.IsZero() {
+			continue // it is not polled from here
 		}
 		facts.Engines++
 		if held, _ := views[i].Status.Holds(deployment.Adapter); held.Version < newest {
--- a/internal/app/stragglers_test.go
+++ b/internal/app/stragglers_test.go
@@ -50,6 +50,7 @@
 // old: a step is whole only if its stalled samples go on elsewhere. No run comes
 // back to an engine that it left.
 func TestStalledSampleGoesOnElsewhere(t *testing.T) {
+	t.Parallel()
 	const stalledAfter = 4 // tokens
 	seen := &visits{counts: make(map[string]int)}
 	c := newSizedCluster(t, clusterOptions{size: 1, bound: testMax, deployments: testDeployments, outside: func(p *app.Ports) {
--- a/internal/app/weights.go
+++ b/internal/app/weights.go
@@ -99,18 +99,27 @@
 	decision := s.weights.Roll(deployment.Name, engines, version, weightPolicy(deployment), s.ports.Clock.Now())
 	s.metrics.WeightSwapsFailed.Inc(int64(len(decision.Failed)))
 	order := s.loadOrder(deployment, holding, version)
+	if len(decision.Orders) > 0 {
+		s.polls.Hasten(deployment.Service, s.ports.Clock.Now().Add(hastenTime))
+	}
 	for _, server := range decision.Orders {
 		s.giveOrder(deployment, vms[server], order)
 	}
 }
 
-// enginesOf returns the live engines that run a deployment's model.
+// enginesOf returns the live engines that run a deployment's model and were
+// asked for a report since this process coordinates the deployment: by an older
+// one it would order what the engine holds already.
 func (s *Service) enginesOf(deployment *core.Deployment) ([]weights.Engine, map[core.ServerID]core.VM) {
+	since, coordinated := s.polls.CoordinatedSince(deployment.Service)
+	if !coordinated {
+		return nil, nil
+	}
 	var engines []weights.Engine
 	vms := make(map[core.ServerID]core.VM)
-	for _, view := range s.servers.Views() {
+	for _, view := range s.servers.EnginesOf(deployment.Service) {
 		vm := view.VM
-		if !runs(&vm, deployment) {
+		if !runs(&vm, deployment) || view.Reported.Before(since.Add(-reportLag)) {
 			continue
 		}
 		held, _ := view.Status.Holds(deployment.Adapter)
--- a/internal/core/routing/cells.go
+++ b/internal/core/routing/cells.go
@@ -29,7 +29,9 @@
 type regionIndex struct {
 	name     core.RegionName
 	adapters []*adapterIndex
-	unknown  cell // engines that have not reported yet
+	unknown  cell // polled engines that have not reported yet
+	unpolled cell // engines that this process does not poll
+	reported int  // engines in the cells of what they reported
 	size     int  // servers of the region, also those that get no work
 }
 
@@ -100,6 +102,8 @@
 	case !row.eligible():
 	case row.vm.Kind != core.KindEngine:
 		r.cellFor("", 0).add(row)
+	case row.unpolled:
+		r.unpolled.add(row)
 	case !row.reported:
 		r.unknown.add(row)
 	case len(row.status.Versions) == 0:
@@ -107,6 +111,10 @@
 	default:
 		r.placeAdapters(row)
 	}
+	if row.vm.Kind == core.KindEngine && row.reported && len(row.placed) > 0 {
+		row.counted = true
+		r.reported++
+	}
 	r.prune()
 }
 
@@ -121,6 +129,10 @@
 }
 
 func (r *regionIndex) unplace(row *server) {
+	if row.counted {
+		row.counted = false
+		r.reported--
+	}
 	for _, place := range row.placed {
 		place.cell.remove(place.at)
 	}
@@ -130,12 +142,13 @@
 // choice is the servers of one region that fit a query's adapter and version.
 type choice struct {
 	index   *adapterIndex
-	unknown *cell // set for the engines that have not reported, which may hold any adapter
+	unknown *cell // set for engines without a report, which may hold any adapter
 	query   *Query
 	count   int
 }
 
-// choose returns the fitting servers without listing them.
+// choose returns the fitting servers without listing them. Engines that are not
+// polled fit a query for any version if all that reported hold its adapter.
 func (r *regionIndex) choose(query *Query) choice {
 	found := choice{index: r.adapter(query.Adapter), query: query}
 	if found.index != nil {
@@ -145,11 +158,15 @@
 			}
 		}
 	}
+	if query.Version == 0 && found.count == r.reported {
+		found.unknown = &r.unpolled
+		found.count += len(r.unpolled.members)
+	}
 	return found
 }
 
-// chooseUnknown returns the engines that have not reported. They fit a query
-// for any version only.
+// chooseUnknown returns the polled engines that have not reported. They fit a
+// query for any version only.
 func (r *regionIndex) chooseUnknown(query *Query) choice {
 	if query.Version > 0 {
 		return choice{}
@@ -160,7 +177,10 @@
 // at returns the i-th fitting server, 0 <= i < count.
 func (c *choice) at(i int) *server {
 	if c.unknown != nil {
-		return c.unknown.members[i]
+		if i < len(c.unknown.members) {
+			return c.unknown.members[i]
+		}
+		i -= len(c.unknown.members)
 	}
 	for _, cell := range c.index.cells {
 		if !c.query.allows(cell.version) {
--- a/internal/core/routing/server.go
+++ b/internal/core/routing/server.go
@@ -13,6 +13,8 @@
 	vm       core.VM
 	status   core.EngineStatus // newest report, without its cache events
 	reported bool
+	unpolled bool // an engine of which this process gets no reports
+	counted  bool // in regionIndex.reported
 	pool     *pool
 	region   *regionIndex
 	placed   []placement // cells that list the server; empty while it gets no work
@@ -59,7 +61,8 @@
 	Status   core.EngineStatus `json:"status"`
 	InFlight int               `json:"in_flight_tokens"` // of this process's requests
 	Others   int               `json:"others_tokens"`    // of other processes' requests, by the newest report
-	Reported time.Time         `json:"reported"`         // when Status was measured, zero for never
+	Polled   bool              `json:"polled"`           // an engine that this process asks for reports
+	Reported time.Time         `json:"reported"`         // when the report in Status was measured, zero for none
 	Ejected  bool              `json:"ejected"`
 	Until    time.Time         `json:"ejected_until"`
 
@@ -69,8 +72,8 @@
 func (r *server) view() View {
 	return View{
 		VM: r.vm, Status: r.status, InFlight: r.load.own.tokens, Others: int(r.load.others),
-		Reported: r.load.reported,
-		Ejected:  r.health.Ejected(), Until: r.health.Until(),
+		Polled: r.vm.Kind == core.KindEngine && !r.unpolled, Reported: r.load.reported,
+		Ejected: r.health.Ejected(), Until: r.health.Until(),
 		Unreachable: !r.health.UnreachableSince().IsZero(),
 	}
 }
--- a/internal/core/routing/state.go
+++ b/internal/core/routing/state.go
@@ -153,7 +153,7 @@
 // report measured before the newest one known is dropped.
 func (s *State) ApplyStatus(status core.EngineStatus, measured time.Time) {
 	row := s.servers[status.Server]
-	if row == nil || measured.Before(row.load.reported) {
+	if row == nil || row.unpolled || measured.Before(row.load.reported) {
 		return
 	}
 	if row.reported {
@@ -198,7 +198,7 @@
 		return Dispatch{Started: now}
 	}
 	begun := Dispatch{VM: row.vm, Tokens: query.Tokens, Started: now, row: row.number}
-	begun.load = row.load.estimate(row.pool.peers(s.processes), s.policy.ReportLife, now)
+	begun.load = s.loadOf(row, row.pool.peers(s.processes), now)
 	begun.answer = query.work(math.MaxFloat64)
 	begun.prefill = query.work(s.cachedTokens(row, query.Prefix, now)) - begun.answer
 	if row.vm.Region != query.Region {
@@ -310,3 +310,25 @@
 	}
 	return views
 }
+
+// EnginesOf returns the listed engines of a service, sorted by id.
+func (s *State) EnginesOf(service string) []View {
+	var views []View
+	for _, row := range s.rows {
+		if row.vm.Kind == core.KindEngine && row.vm.Service == service {
+			views = append(views, row.view())
+		}
+	}
+	return views
+}
+
+// UnreachableOf returns the servers of a kind that cannot be reached.
+func (s *State) UnreachableOf(kind core.ServerKind) []core.VM {
+	var vms []core.VM
+	for _, row := range s.servers {
+		if row.vm.Kind == kind && !row.health.UnreachableSince().IsZero() {
+			vms = append(vms, row.vm)
+		}
+	}
+	return vms
+}
--- a/internal/tables/servers.go
+++ b/internal/tables/servers.go
@@ -36,6 +36,13 @@
 	t.state.ApplyVMs(vms)
 }
 
+// ApplyPolled tells which engines this process polls.
+func (t *Servers) ApplyPolled(polled map[core.ServerID]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state.ApplyPolled(polled)
+}
+
 // SetProcesses tells how many entry processes there are in all and in this
 // one's region, itself included.
 func (t *Servers) SetProcesses(all, inRegion int) {
@@ -94,6 +101,13 @@
 	t.state.Reachable(id, now)
 }
 
+// UnreachableOf returns the servers of a kind that cannot be reached.
+func (t *Servers) UnreachableOf(kind core.ServerKind) []core.VM {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state.UnreachableOf(kind)
+}
+
 // Short reports whether a service has lost so many servers that the others have
 // no room for work that is moved.
 func (t *Servers) Short(kind core.ServerKind, service string) bool {
@@ -139,6 +153,13 @@
 	return t.state.Server(id)
 }
 
+// EnginesOf returns a snapshot of the listed engines of a service.
+func (t *Servers) EnginesOf(service string) []routing.View {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state.EnginesOf(service)
+}
+
 // Views returns a snapshot of all servers.
 func (t *Servers) Views() []routing.View {
 	t.mu.Lock()
