--- a/bench/beats.go
+++ b/bench/beats.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"slices"
 	"time"
 
 	"fescuespar/internal/core"
@@ -34,8 +35,7 @@
 		for _, from := range w.entries {
 			for _, to := range w.entries {
 				if from != to {
-					to.limits[name].Heard(from.vm, from.limits[name].News(to.vm, now), time.Time{}, now)
-					from.limits[name].Heard(to.vm, to.limits[name].News(from.vm, now), now, now)
+					exchangeLimits(from, to, name, now)
 				}
 			}
 		}
@@ -47,6 +47,26 @@
 	w.clock.After(beatEvery, w.beatLimits)
 }
 
+func exchangeLimits(from, to *entry, name core.DeploymentName, now time.Time) {
+	to.limits[name].Heard(from.vm, from.limits[name].News(to.vm, false, now), time.Time{}, now)
+	from.limits[name].Heard(to.vm, to.limits[name].News(from.vm, true, now), now, now)
+}
+
+// askLimits carries the heartbeats out of turn.
+func (w *world) askLimits() {
+	now := w.clock.Time()
+	for i := range w.site.deployments {
+		name := w.site.deployments[i].Name
+		for _, from := range w.entries {
+			for _, vm := range from.limits[name].Asks(now) {
+				at := slices.IndexFunc(w.entries, func(e *entry) bool { return e.vm == vm })
+				exchangeLimits(from, w.entries[at], name, now)
+			}
+		}
+	}
+	w.clock.After(askEvery, w.askLimits)
+}
+
 // beatCrashes spreads what the entry VMs know of requests that crash servers.
 func (w *world) beatCrashes() {
 	if w.plan.noFingerprint {
--- a/bench/world.go
+++ b/bench/world.go
@@ -20,6 +20,7 @@
 	reportEvery    = time.Second
 	reportLag      = time.Second
 	beatEvery      = 2 * time.Second
+	askEvery       = 250 * time.Millisecond // looks for heartbeats out of turn
 	crashBeat      = 500 * time.Millisecond
 	connectTimeout = time.Second
 	killAfter      = 300 * time.Millisecond
@@ -92,6 +93,7 @@
 	w.people()
 	w.report()
 	w.clock.After(0, w.beatLimits)
+	w.clock.After(askEvery, w.askLimits)
 	w.clock.After(0, w.beatCrashes)
 	if p.faults != nil {
 		p.faults(w)
@@ -129,7 +131,7 @@
 	}
 	for _, e := range w.entries {
 		for i := range w.site.deployments {
-			limits := tables.NewLimits(e.vm, 1, shareTiming)
+			limits := tables.NewLimits(e.vm, 1, shareTiming, w.clock.Time())
 			limits.ApplyListed(all, w.clock.Time())
 			limits.ApplyConfiguration(&core.Configuration{Deployments: w.site.deployments[i : i+1]}, w.clock.Time())
 			e.limits[w.site.deployments[i].Name] = limits
--- a/internal/app/admission.go
+++ b/internal/app/admission.go
@@ -11,9 +11,8 @@
 )
 
 // shareTiming says when parts of a deployment's limit pass between processes.
-// A borrower stops before its lender takes back; both wait for several
-// heartbeats between two partners, which come every 2 s among 10 processes and
-// every 8 s among 610.
+// A borrower asks every lender each 15 s, and stops before its lender takes
+// back.
 var shareTiming = admission.ShareTiming{
 	Borrowed: 30 * time.Second, Gone: 35 * time.Second, Settle: 2 * time.Second,
 }
@@ -36,6 +35,7 @@
 	if err != nil || started {
 		return started, err
 	}
+	s.askLimits(now)
 	wait := min(deployment.Limits.QueueTimeout, request.Deadline.Sub(now))
 	s.timers.After(wait, class, func() { s.limits.Expire(deployment.Name, s.ports.Clock.Now()) })
 	return false, nil
@@ -156,7 +156,8 @@
 	})
 }
 
-// listEntryVMs tells the limits the entry VMs of the platform's list.
+// listEntryVMs tells the limits the entry VMs of the platform's list and the
+// live processes that the list lacks, which use their parts all the same.
 func (s *Service) listEntryVMs(vms []core.VM) {
 	var entries []core.VMID
 	for _, vm := range vms {
@@ -164,5 +165,13 @@
 			entries = append(entries, core.VMID(vm.ID))
 		}
 	}
+	if len(entries) == 0 {
+		return
+	}
+	for _, member := range s.members.Live() {
+		if member.VM != s.options.Self.VM {
+			entries = append(entries, member.VM)
+		}
+	}
 	s.limits.ApplyListed(entries, s.ports.Clock.Now())
 }
--- a/internal/app/capacity_test.go
+++ b/internal/app/capacity_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"runtime"
-	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -69,7 +68,6 @@
 	if err := c.objects.Put(c.ctx, blank, []byte("\n")); err != nil {
 		b.Fatal(err)
 	}
-	c.listEntries()
 	c.await("all members known everywhere", func() bool {
 		for _, s := range c.services {
 			if len(s.Status().Members) < size {
@@ -81,18 +79,6 @@
 	return c, l
 }
 
-// listEntries adds the entry VMs to the VM list.
-func (c *cluster) listEntries() {
-	list := slices.Clone(backendServers)
-	for i := range c.services {
-		list = append(list, core.VM{
-			ID: core.ServerID(fmt.Sprint("entry-", i+1)), Kind: core.KindEntry,
-			Address: fmt.Sprint("peer-", i+1), Zone: "z1", Region: "r", State: core.VMLive,
-		})
-	}
-	c.vms.Set(list...)
-}
-
 func heap() float64 {
 	var stats runtime.MemStats
 	runtime.GC()
@@ -333,7 +319,7 @@
 				list[i].ID = core.ServerID(fmt.Sprint("engine-", i))
 			}
 			heapBefore := heap()
-			c.vms.Set(list...)
+			c.list(list)
 			c.await("all engines report", func() bool { return c.enginesAt(1) == engines })
 			b.ReportMetric((heap()-heapBefore)/float64(engines), "heap-B/engine")
 			before, used, start := l.figures(), processorTime(), time.Now()
--- a/internal/app/cluster_test.go
+++ b/internal/app/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -159,11 +160,24 @@
 	outside.Tables = gate{outside.Tables, c.network, address}
 	s := app.New(settings, outside, zerolog.New(io.Discard))
 	c.network.join(address, s)
-	s.Start()
 	c.services = append(c.services, s)
+	c.list(backendServers)
+	s.Start()
 	return s
 }
 
+// list sets the VM list: the given VMs and the entry VMs.
+func (c *cluster) list(vms []core.VM) {
+	list := slices.Clone(vms)
+	for i := range c.services {
+		list = append(list, core.VM{
+			ID: core.ServerID(fmt.Sprint("entry-", i+1)), Kind: core.KindEntry,
+			Address: fmt.Sprint("peer-", i+1), Zone: "z1", Region: "r", State: core.VMLive,
+		})
+	}
+	c.vms.Set(list...)
+}
+
 // await waits until a condition holds; only the bound of the whole test ends it.
 func (c *cluster) await(what string, holds func() bool) {
 	c.t.Helper()
--- a/internal/app/heartbeat.go
+++ b/internal/app/heartbeat.go
@@ -14,6 +14,7 @@
 	now := s.ports.Clock.Now()
 	s.logMemberChanges()
 	s.limits.Refresh(now)
+	s.askLimits(now)
 	if now.Before(s.members.NextRound()) {
 		return
 	}
@@ -32,7 +33,7 @@
 		s.metrics.HeartbeatsSent.Inc(1)
 		sent := s.ports.Clock.Now()
 		beat := send.Beat
-		beat.Limits = s.limits.News(send.VM, sent)
+		beat.Limits = s.limits.News(send.VM, false, sent)
 		beat.Crashes = s.crashes.News(sent)
 		answer, err := s.ports.Peers.Heartbeat(ctx, send.Address, beat)
 		now := s.ports.Clock.Now()
@@ -47,6 +48,16 @@
 	})
 }
 
+// askLimits sends a heartbeat out of turn to the processes of which the limits
+// want places or to which they return some.
+func (s *Service) askLimits(now time.Time) {
+	for _, vm := range s.limits.Asks(now) {
+		if member, found := s.members.Member(vm); found && member.State == core.MemberAlive && member.PeerAddress != "" {
+			s.sendHeartbeat(membership.Send{VM: vm, Address: member.PeerAddress, Beat: s.members.Beat()})
+		}
+	}
+}
+
 // HandleHeartbeat takes a peer's heartbeat and answers it.
 func (s *Service) HandleHeartbeat(_ context.Context, beat core.Heartbeat) (core.Heartbeat, error) {
 	s.metrics.HeartbeatsReceived.Inc(1)
@@ -54,7 +65,7 @@
 	answer, news := s.members.Receive(now, beat)
 	s.takeNews(news)
 	s.limits.Heard(beat.Sender.VM, beat.Limits, time.Time{}, now)
-	answer.Limits = s.limits.News(beat.Sender.VM, now)
+	answer.Limits = s.limits.News(beat.Sender.VM, true, now)
 	answer.Crashes = s.takeCrashNews(&beat)
 	return answer, nil
 }
--- a/internal/app/leases.go
+++ b/internal/app/leases.go
@@ -27,7 +27,7 @@
 }
 
 // leaseName returns the name of the lease on coordinating a deployment.
-func leaseName(deployment core.DeploymentName) string { return "deployment/" + string(deployment) }
+func leaseName(deployment core.DeploymentName) string { return lease.Name(deployment) }
 
 // tendLeases follows the leases for which this process is a candidate and
 // drops those that it no longer needs.
--- a/internal/app/leaving_test.go
+++ b/internal/app/leaving_test.go
@@ -20,7 +20,7 @@
 	c := newCluster(t, 2)
 	leaving := append([]core.VM(nil), backendServers...)
 	leaving[0].State = core.VMLeaving
-	c.vms.Set(leaving...)
+	c.list(leaving)
 	c.await("every process knows that engine-1 is leaving", func() bool {
 		for _, s := range c.services {
 			for _, view := range s.State().(app.State).Servers {
--- a/internal/app/service.go
+++ b/internal/app/service.go
@@ -146,7 +146,7 @@
 		members:       tables.NewMembers(options.Self, options.Seeds, rand.New(rand.NewPCG(random.Uint64(), 1))),
 		leases:        tables.NewLeases(leaseSelf(options.Self), leaseTiming(options)),
 		servers:       tables.NewServers(rand.New(rand.NewPCG(random.Uint64(), 2))),
-		limits:        tables.NewLimits(options.Self.VM, options.Self.Incarnation, shareTiming),
+		limits:        tables.NewLimits(options.Self.VM, options.Self.Incarnation, shareTiming, outside.Clock.Now()),
 		crashes:       tables.NewCrashes(options.Self.VM),
 		rollouts:      tables.NewRollouts(),
 		weights:       tables.NewWeights(),
--- a/internal/core/admission/share.go
+++ b/internal/core/admission/share.go
@@ -11,222 +11,294 @@
 // must be below Gone, so that a borrower stops before its lender takes back.
 type ShareTiming struct {
 	Borrowed time.Duration // since the borrower sent a heartbeat that the lender answered
-	Gone     time.Duration // since a peer was heard last
-	Settle   time.Duration // from the first look at the members to a larger part
+	Gone     time.Duration // since a peer was heard last, and from a change of members to a larger part
+	Settle   time.Duration // from a start to the use of what a process never lends
 }
 
 const (
-	// lendDivisor: a process keeps one part in so many of its own part.
-	lendDivisor = 4
-	// unsettledDivisor is the part of a process that does not know the members yet.
-	unsettledDivisor = 32
+	// equalKeepDivisor: a process keeps one part in so many of its own part
+	// where all own equal parts, since all have callers.
+	equalKeepDivisor = 4
+	// ownerKeepDivisor is the same where few own the limit, rounded up.
+	ownerKeepDivisor = 8
+	// startDivisor is the part of its own part that a started process uses
+	// while an earlier run of it may have lent the rest. It is at most what is
+	// never lent, also when the part was a little larger then.
+	startDivisor = 8
 )
 
-// account is what a process has agreed with one peer. The counters only grow
-// within an epoch, so that lost, late and repeated news do no harm.
-type account struct {
-	mine     core.AccountEpoch // of this process's side
-	theirs   core.AccountEpoch // of the peer's side
-	given    uint64            // units that this process gave to the peer
-	received uint64            // units that the peer gave to this process
-	demand   int
-	held     int
-	heard    time.Time // when the peer's news came last
-	answered time.Time // when the newest heartbeat that the peer answered was sent
-	listed   bool      // the peer is in the platform's list
-}
-
-// net is what this process holds of the peer's part; negative when it lent.
-func (a *account) net() int { return int(a.received) - int(a.given) }
-
-// Share decides how much of one deployment's limit this process may use. Each
-// process owns an equal part by the list of members and lends what it does not
-// need. A unit is usable in one place only: whoever gives it stops using it
-// before the news is sent.
+// ShareOptions are what a share is made for.
+type ShareOptions struct {
+	Deployment core.DeploymentName
+	Self       core.VMID
+	Limit      int  // requests in flight in all processes
+	Rollouts   bool // the deployment has rollouts: few processes hold its limit
+	Timing     ShareTiming
+	Roster     *Roster
+	Epoch      *core.AccountEpoch // newest of this process; all its shares count it up
+}
+
+// Share decides how much of one deployment's limit this process may use. Some
+// or all processes own equal parts of it by the roster and lend what they do
+// not need. A unit is usable in one place only: whoever gives it stops using it
+// before the news is sent, and a part grows only when no one can still use a
+// unit of it.
 type Share struct {
-	self      core.VMID
-	epoch     core.AccountEpoch // newest given to an account
-	timing    ShareTiming
-	limit     int
-	listed    []core.VMID // entry VMs in the platform's list, sorted
-	others    int         // listed ones but this process
-	before    int         // of the others, those that sort before this process
-	peers     map[core.VMID]*account
-	members   int // processes that share the limit, this one included
-	part      int // this process's own part
-	wanted    int // its part by the present members
-	wantedFor time.Time
-}
-
-// NewShare returns a share that knows no other process.
-func NewShare(self core.VMID, incarnation core.Incarnation, limit int, timing ShareTiming, now time.Time) *Share {
-	s := &Share{
-		self: self, epoch: core.AccountEpoch{Incarnation: incarnation}, timing: timing,
-		limit: limit, peers: make(map[core.VMID]*account),
-	}
-	s.wanted = -1
+	options  ShareOptions
+	accounts map[core.VMID]*account
+
+	version  uint64      // of the roster that current stands for
+	members  []core.VMID // the same roster's
+	current  standing    // by the present members
+	settled  standing    // by which the process owns its part
+	since    time.Time   // when current came
+	starting bool        // nothing is settled yet
+	owners   []core.VMID // processes that own a part, sorted
+	asking   asking
+}
+
+// NewShare returns a share without accounts. In a process that runs for longer
+// than Gone it owns its part at once.
+func NewShare(options ShareOptions, now time.Time) *Share {
+	s := &Share{options: options, accounts: make(map[core.VMID]*account), starting: true}
+	roster := options.Roster
+	if now.Sub(roster.started) >= options.Timing.Gone && len(roster.settled) > 0 {
+		s.settled = standingOf(options.Deployment, options.Self, roster.settled)
+		s.starting = false
+	}
 	s.Tick(now)
+	s.since = roster.changed
+	s.settle(now)
 	return s
 }
 
-// SetLimit changes the limit; all loans end.
-func (s *Share) SetLimit(limit int, now time.Time) {
-	if limit == s.limit {
+// SetLimit changes the limit. Loans that the new part does not cover end.
+func (s *Share) SetLimit(limit int, rollouts bool, now time.Time) {
+	if limit == s.options.Limit && rollouts == s.options.Rollouts {
 		return
 	}
-	s.limit = limit
-	for _, a := range s.peers {
-		s.reset(a)
-	}
+	s.options.Limit, s.options.Rollouts = limit, rollouts
+	s.owners = s.ownersNow()
 	s.Tick(now)
 }
 
-// reset ends all loans with a peer and makes the peer do so when it hears.
-func (s *Share) reset(a *account) {
-	s.epoch.Reset++
-	a.mine = s.epoch
-	a.given, a.received = 0, 0
+// Tick takes over the roster, ends what lapsed and adapts the own part: a
+// smaller one at once, a larger one when no one can use its units any more.
+func (s *Share) Tick(now time.Time) {
+	if s.version != s.options.Roster.version {
+		s.takeRoster(now)
+	}
+	s.expire(now)
+	s.settle(now)
+	if s.balance(now) < 0 {
+		s.recall(now)
+	}
 }
 
-// ApplyListed takes the entry VMs of the platform's list.
-func (s *Share) ApplyListed(vms []core.VMID, now time.Time) {
-	s.listed = append(s.listed[:0], vms...)
-	slices.Sort(s.listed)
-	at, found := slices.BinarySearch(s.listed, s.self)
-	s.before = at
-	s.others = len(s.listed)
-	if found {
-		s.others--
+func (s *Share) takeRoster(now time.Time) {
+	before, roster := s.members, s.options.Roster
+	s.version, s.members = roster.version, roster.members
+	current := standingOf(s.options.Deployment, s.options.Self, s.members)
+	if s.partOf(current) != s.partOf(s.current) {
+		s.since = now
 	}
-	for vm, a := range s.peers {
-		a.listed = s.isListed(vm)
+	s.current = current
+	s.owners = s.ownersNow()
+	if s.starting {
+		s.doubtCleared(before)
 	}
-	s.Tick(now)
 }
 
-func (s *Share) isListed(vm core.VMID) bool {
-	_, found := slices.BinarySearch(s.listed, vm)
-	return found
+// doubtCleared forgets who cleared this process when a member is gone: the
+// others may still use its units, and did not know so when they answered.
+func (s *Share) doubtCleared(before []core.VMID) {
+	gone := func(vm core.VMID) bool {
+		_, found := slices.BinarySearch(s.members, vm)
+		return !found
+	}
+	if !slices.ContainsFunc(before, gone) {
+		return
+	}
+	for _, a := range s.accounts {
+		a.cleared = false
+	}
 }
 
-// Tick forgets peers that were silent for too long and adapts the own part: a
-// smaller one at once, a larger one when the members have stayed the same.
-func (s *Share) Tick(now time.Time) {
-	for vm, a := range s.peers {
-		if now.Sub(a.heard) < s.timing.Gone {
-			continue
+func (s *Share) ownersNow() []core.VMID {
+	members := s.options.Roster.members
+	return holdersOf(s.options.Deployment, members, s.Holders())
+}
+
+// expire ends loans with peers that were silent for too long and forgets idle
+// accounts.
+func (s *Share) expire(now time.Time) {
+	for vm, a := range s.accounts {
+		if a.owed > 0 && !now.Before(a.owedUntil) {
+			a.owed = 0
 		}
-		if a.given != 0 || a.received != 0 {
-			s.reset(a)
+		if now.Sub(a.heard) < s.options.Timing.Gone || a.owed > 0 {
+			continue
 		}
-		if !a.listed {
-			delete(s.peers, vm)
+		switch {
+		case a.given != 0 || a.received != 0:
+			a.end(s.nextEpoch(), 0, now)
+		case !s.starting && now.Sub(a.asked) >= s.options.Timing.Gone:
+			delete(s.accounts, vm)
 		}
 	}
-	wanted := s.ownPart()
-	if wanted != s.wanted {
-		s.wanted = wanted
-		s.wantedFor = now
+}
+
+func (s *Share) settle(now time.Time) {
+	if s.settled == s.current {
+		return
 	}
-	settled := now.Sub(s.wantedFor) >= s.timing.Settle
-	if wanted < s.part || settled {
-		s.part = wanted
+	smaller := !s.starting && s.partOf(s.current) <= s.partOf(s.settled)
+	if smaller || now.Sub(s.since) >= s.options.Timing.Gone || (s.starting && s.clearedByAll()) {
+		s.settled = s.current
+		s.starting = false
 	}
 }
 
-// ownPart divides the limit by the members; the first in order get the rest.
-func (s *Share) ownPart() int {
-	members, before := 1+s.others, s.before
-	for vm, a := range s.peers {
-		if a.listed {
-			continue
-		}
-		members++
-		if vm < s.self {
-			before++
+// clearedByAll reports whether every other member counts this process and uses
+// nothing that an earlier run of it lent. A process that the list does not name
+// knows too little to say so when it knows nobody else.
+func (s *Share) clearedByAll() bool {
+	roster := s.options.Roster
+	if len(roster.listed) == 0 || (len(roster.members) == 1 && !roster.selfIn) {
+		return false
+	}
+	for _, vm := range roster.members {
+		if a := s.accounts[vm]; vm != s.options.Self && (a == nil || !a.cleared) {
+			return false
 		}
 	}
-	s.members = members
-	part := s.limit / members
-	if before < s.limit%members {
-		part++
+	return true
+}
+
+// recall ends all loans to peers, whose units this process no longer owns.
+func (s *Share) recall(now time.Time) {
+	for _, a := range s.accounts {
+		if lent := -a.net(); lent > 0 {
+			a.end(s.nextEpoch(), a.owed+lent, now.Add(s.options.Timing.Gone))
+		}
 	}
-	return part
 }
 
-// Members returns the number of processes that share the limit.
-func (s *Share) Members() int { return s.members }
+func (s *Share) nextEpoch() core.AccountEpoch {
+	s.options.Epoch.Reset++
+	return *s.options.Epoch
+}
 
-// Usable returns how many requests this process may have in flight. It is at
-// least one, so that no process is useless to its callers.
-func (s *Share) Usable(now time.Time) int {
-	usable := s.part
-	if usable == 0 {
-		usable = s.limit / unsettledDivisor
+func (s *Share) partOf(place standing) int { return place.part(s.options.Limit, s.options.Rollouts) }
+
+// part is what this process owns and may use or lend.
+func (s *Share) part(now time.Time) int {
+	if !s.starting {
+		return min(s.partOf(s.settled), s.partOf(s.current))
+	}
+	roster := s.options.Roster
+	if len(roster.listed) == 0 || now.Sub(s.since) < s.options.Timing.Settle {
+		return 0
 	}
-	for _, a := range s.peers {
+	return s.partOf(s.current) / startDivisor
+}
+
+// balance is what this process may use; negative when it lent more than it owns.
+func (s *Share) balance(now time.Time) int {
+	balance := s.part(now)
+	for _, a := range s.accounts {
+		balance -= a.owed
 		net := a.net()
-		if net > 0 && now.Sub(a.answered) >= s.timing.Borrowed {
-			continue
+		if net < 0 || now.Sub(a.answered) < s.options.Timing.Borrowed {
+			balance += net
 		}
-		usable += net
 	}
-	return max(1, usable)
+	return balance
 }
 
-// Heard takes the news of a peer's heartbeat or answer.
-func (s *Share) Heard(peer core.VMID, news core.LimitNews, now time.Time) {
-	a := s.peers[peer]
-	if a == nil {
-		a = &account{theirs: news.Epoch, listed: s.isListed(peer)}
-		s.reset(a)
-		s.peers[peer] = a
-	}
-	if news.Epoch.Before(a.theirs) {
-		return
-	}
-	if a.theirs.Before(news.Epoch) {
-		a.theirs = news.Epoch
-		a.given, a.received = 0, 0
-	}
-	a.heard = now
-	a.demand, a.held = int(news.Demand), int(news.Held)
-	if news.Seen == a.mine {
-		a.received = max(a.received, news.Given)
+// Members returns the number of processes that share the limit.
+func (s *Share) Members() int { return s.current.members }
+
+// Holders returns the number of processes that own a part of the limit.
+func (s *Share) Holders() int {
+	return max(1, holders(s.options.Limit, s.options.Roster.Members(), s.options.Rollouts))
+}
+
+// Accounts returns the number of peers with which the process has an account.
+func (s *Share) Accounts() int { return len(s.accounts) }
+
+// Usable returns how many requests this process may have in flight; none when
+// it owns and borrows nothing.
+func (s *Share) Usable(now time.Time) int { return max(0, s.balance(now)) }
+
+// Heard takes the news of a peer's heartbeat. Sent is zero, or the time of the
+// heartbeat of this process that the peer answered.
+func (s *Share) Heard(peer core.VMID, news core.LimitNews, sent, now time.Time) {
+	a := s.account(peer)
+	a.hear(news, now)
+	if sent.IsZero() {
+		a.reply = true
+	} else {
+		a.answeredTo(sent)
 	}
+	s.settle(now)
 }
 
-// Answered notes that a peer answered a heartbeat that was sent at the time.
-func (s *Share) Answered(peer core.VMID, sent time.Time) {
-	if a := s.peers[peer]; a != nil && sent.After(a.answered) {
-		a.answered = sent
+func (s *Share) account(peer core.VMID) *account {
+	a := s.accounts[peer]
+	if a == nil {
+		a = &account{mine: s.nextEpoch()}
+		s.accounts[peer] = a
 	}
+	return a
 }
 
 // News returns what a heartbeat to the peer carries, after it gave the peer
 // what this process can spare: borrowed units that it does not need, or, when
-// the peer is short, a part of its own.
-func (s *Share) News(deployment core.DeploymentName, peer core.VMID, demand int, now time.Time) core.LimitNews {
+// the peer is short, a part of its own. Answer tells that the heartbeat answers
+// one of the peer's. False means that there are no news.
+func (s *Share) News(peer core.VMID, demand int, answer bool, now time.Time) (core.LimitNews, bool) {
 	usable := s.Usable(now)
-	news := core.LimitNews{Deployment: deployment, Demand: uint32(demand), Held: uint32(usable)}
-	a := s.peers[peer]
-	if a == nil {
-		news.Epoch = s.epoch
-		return news
+	if !s.concerns(peer, demand > usable) {
+		return core.LimitNews{}, false
 	}
-	news.Epoch, news.Seen, news.Given = a.mine, a.theirs, a.given
-	if now.Sub(a.heard) >= s.timing.Borrowed {
-		return news
+	a := s.account(peer)
+	a.reply = false
+	given := 0
+	if now.Sub(a.heard) < s.options.Timing.Borrowed {
+		given = s.spare(a, usable-demand, now)
 	}
-	given := s.spare(a, usable-demand)
 	a.given += uint64(given)
-	news.Held -= uint32(given)
-	news.Given = a.given
-	return news
+	a.held += given
+	if !answer {
+		a.asked, a.carried = now, a.given
+	}
+	return core.LimitNews{
+		Deployment: s.options.Deployment, Epoch: a.mine, Seen: a.theirs, Given: a.given,
+		Demand: uint32(demand), Held: uint32(usable - given), Cleared: s.clears(now),
+	}, true
+}
+
+// concerns reports whether a heartbeat to the peer carries news.
+func (s *Share) concerns(peer core.VMID, short bool) bool {
+	a := s.accounts[peer]
+	if a != nil && (a.reply || a.open() || a.owed > 0) {
+		return true
+	}
+	if s.asksAll() && (a == nil || !a.cleared) {
+		return true
+	}
+	return short && s.owns(peer)
+}
+
+// clears reports whether this process uses no unit that another member owns and
+// does not lend it.
+func (s *Share) clears(now time.Time) bool {
+	return s.balance(now) >= 0 && (s.starting || s.settled == s.current)
 }
 
 // spare decides how many of the free units go to the peer.
-func (s *Share) spare(a *account, free int) int {
+func (s *Share) spare(a *account, free int, now time.Time) int {
 	if free <= 0 {
 		return 0
 	}
@@ -234,20 +306,30 @@
 		return min(net, (free+1)/2)
 	}
 	short := a.demand - a.held
-	if short <= 0 {
+	if short <= 0 || s.starting {
 		return 0
 	}
-	each := (2*short + len(s.peers) - 1) / len(s.peers)
-	return max(0, min(free/2, each, s.lendable()))
+	return max(0, min((free+1)/2, (short+1)/2, s.lendable(now)))
 }
 
 // lendable is what the process may still lend of its own part.
-func (s *Share) lendable() int {
+func (s *Share) lendable(now time.Time) int {
 	lent := 0
-	for _, a := range s.peers {
-		if net := a.net(); net < 0 {
-			lent -= net
-		}
+	for _, a := range s.accounts {
+		lent += a.owed + max(0, -a.net())
+	}
+	part := s.part(now)
+	return part - s.kept(part) - lent
+}
+
+// kept is what the process never lends of its own part.
+func (s *Share) kept(part int) int {
+	switch {
+	case s.Holders() == s.Members():
+		return part / equalKeepDivisor
+	case part < ownerKeepDivisor:
+		return 0
+	default:
+		return (part + ownerKeepDivisor - 1) / ownerKeepDivisor
 	}
-	return s.part - s.part/lendDivisor - lent
 }
--- a/internal/core/admission/share_test.go
+++ b/internal/core/admission/share_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -13,62 +14,121 @@
 type message struct {
 	from, to int
 	news     core.LimitNews
+	found    bool
 	sent     time.Time // of the heartbeat that an answer answers
 	answer   bool
 	due      time.Time
 }
 
+// fleetOptions size a fleet; the zero value of cut cuts nothing.
+type fleetOptions struct {
+	processes, limit int
+	rollouts         bool
+	timing           ShareTiming
+	loss             float64       // of each message
+	delay            time.Duration // longest of a message
+	everyone         bool          // heartbeats to all each 500 ms, without questions out of turn
+	listLag          time.Duration // longest until a process sees a change of the list
+}
+
+// process is one entry process of a fleet; share is nil while it is down.
+type process struct {
+	vm       core.VMID
+	roster   *Roster
+	share    *Share
+	demand   int
+	partners []int
+	seen     int // version of the list that it reads
+	seesAt   time.Time
+}
+
 // fleet runs Shares against each other on a virtual clock with lost and late
-// messages.
+// messages. Processes meet as in core/membership: two random partners a second
+// up to 32 processes, one of 16 beyond, and questions out of turn.
 type fleet struct {
-	random  *rand.Rand
-	now     time.Time
-	shares  []*Share // nil while the process is down
-	demand  []int
-	flying  []message
-	loss    float64
-	cut     func(a, b int) bool
-	listed  []core.VMID
-	highest int // largest sum of usable units over all processes
+	fleetOptions
+	random    *rand.Rand
+	now       time.Time
+	processes []*process
+	flying    []message
+	cut       func(a, b int) bool
+	lists     [][]core.VMID // all versions of the platform's list
+	highest   int           // largest sum of usable units over all processes
+	exchanges int           // heartbeats out of turn
+	carried   int           // news of the limit in all messages
 }
 
 const (
 	fleetTick  = 50 * time.Millisecond
-	beatTicks  = 10 // a heartbeat every 500 ms
+	beatTicks  = 10 // a heartbeat every 500 ms, of all to all
+	roundTicks = 20 // a round of gossip
+	askTicks   = 2  // looks for questions out of turn
 	fleetLimit = 100
 )
 
-var fleetTiming = ShareTiming{Borrowed: 3 * time.Second, Gone: 5 * time.Second, Settle: 2 * time.Second}
+var (
+	fleetTiming   = ShareTiming{Borrowed: 3 * time.Second, Gone: 5 * time.Second, Settle: 2 * time.Second}
+	productTiming = ShareTiming{Borrowed: 30 * time.Second, Gone: 35 * time.Second, Settle: 2 * time.Second}
+)
 
-func vmName(i int) core.VMID { return core.VMID(fmt.Sprintf("vm-%02d", i)) }
+func vmName(i int) core.VMID { return core.VMID(fmt.Sprintf("vm-%03d", i)) }
 
-func newFleet(seed uint64, processes int) *fleet {
+func newFleet(seed uint64, options fleetOptions) *fleet {
 	f := &fleet{
-		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(0, 0),
-		demand: make([]int, processes), loss: 0.1, cut: func(int, int) bool { return false },
+		fleetOptions: options, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1e6, 0),
+		cut: func(int, int) bool { return false },
 	}
-	for i := range processes {
-		f.listed = append(f.listed, vmName(i))
-		f.shares = append(f.shares, nil)
+	var all []core.VMID
+	for i := range options.processes {
+		all = append(all, vmName(i))
+		f.processes = append(f.processes, &process{vm: vmName(i)})
 	}
-	for i := range processes {
+	f.lists = [][]core.VMID{all}
+	for i := range f.processes {
 		f.start(i, 1)
 	}
 	return f
 }
 
 func (f *fleet) start(i int, incarnation core.Incarnation) {
-	f.shares[i] = NewShare(vmName(i), incarnation, fleetLimit, fleetTiming, f.now)
-	f.shares[i].ApplyListed(f.listed, f.now)
+	p := f.processes[i]
+	p.roster = NewRoster(p.vm, f.timing, f.now)
+	p.seen, p.partners = len(f.lists)-1, nil
+	p.roster.ApplyListed(f.lists[p.seen], f.now)
+	p.share = NewShare(ShareOptions{
+		Deployment: "d", Self: p.vm, Limit: f.limit, Rollouts: f.rollouts, Timing: f.timing,
+		Roster: p.roster, Epoch: &core.AccountEpoch{Incarnation: incarnation},
+	}, f.now)
+}
+
+func (f *fleet) kill(i int) { f.processes[i].share = nil }
+
+// list changes the platform's list; each process sees it after its own lag.
+func (f *fleet) list(vms []core.VMID) {
+	f.lists = append(f.lists, vms)
+	for _, p := range f.processes {
+		p.seesAt = f.now
+		if f.listLag > 0 {
+			p.seesAt = f.now.Add(time.Duration(f.random.Int64N(int64(f.listLag))))
+		}
+	}
+}
+
+func without(vms []core.VMID, vm core.VMID) []core.VMID {
+	return slices.DeleteFunc(slices.Clone(vms), func(other core.VMID) bool { return other == vm })
 }
 
 func (f *fleet) send(from, to int, answer bool, sent time.Time) {
-	news := f.shares[from].News("d", vmName(to), f.demand[from], f.now)
+	p := f.processes[from]
+	news, found := p.share.News(vmName(to), p.demand, answer, f.now)
+	if found {
+		f.carried++
+	}
 	if f.random.Float64() < f.loss || f.cut(from, to) {
 		return
 	}
-	delay := time.Duration(f.random.IntN(400)) * time.Millisecond
-	f.flying = append(f.flying, message{from, to, news, sent, answer, f.now.Add(delay)})
+	delay := time.Duration(f.random.Int64N(int64(f.delay)))
+	f.flying = append(f.flying, message{from, to, news, found, sent, answer, f.now.Add(delay)})
 }
 
 func (f *fleet) deliver() {
@@ -83,13 +143,20 @@
 	}
 	f.flying = kept
 	for _, m := range due {
-		if f.shares[m.to] == nil {
+		p := f.processes[m.to]
+		if p.share == nil {
 			continue
 		}
-		f.shares[m.to].Heard(vmName(m.from), m.news, f.now)
-		if m.answer {
-			f.shares[m.to].Answered(vmName(m.from), m.sent)
-		} else {
+		p.roster.Heard(vmName(m.from), f.now)
+		p.share.Tick(f.now)
+		if m.found {
+			sent := m.sent
+			if !m.answer {
+				sent = time.Time{}
+			}
+			p.share.Heard(vmName(m.from), m.news, sent, f.now)
+		}
+		if !m.answer {
 			f.send(m.to, m.from, true, m.sent)
 		}
 	}
@@ -98,46 +165,100 @@
 func (f *fleet) tick(number int) {
 	f.now = f.now.Add(fleetTick)
 	f.deliver()
-	for i, share := range f.shares {
-		if share == nil || number%beatTicks != i%beatTicks {
+	for i, p := range f.processes {
+		if p.share == nil {
 			continue
 		}
-		share.ApplyListed(f.listed, f.now)
-		for j := range f.shares {
+		if p.seen < len(f.lists)-1 && !f.now.Before(p.seesAt) {
+			p.seen = len(f.lists) - 1
+			p.roster.ApplyListed(f.lists[p.seen], f.now)
+		}
+		p.roster.Tick(f.now)
+		p.share.Tick(f.now)
+		f.beat(i, number)
+	}
+	f.highest = max(f.highest, f.sum())
+}
+
+func (f *fleet) beat(i, number int) {
+	switch {
+	case f.everyone && number%beatTicks == i%beatTicks:
+		for j := range f.processes {
 			if j != i {
 				f.send(i, j, false, f.now)
 			}
 		}
+	case !f.everyone && number%roundTicks == i%roundTicks:
+		f.round(i)
 	}
-	sum := 0
-	for _, share := range f.shares {
-		if share != nil {
-			sum += share.Usable(f.now)
+	if f.everyone || number%askTicks != i%askTicks {
+		return
+	}
+	p := f.processes[i]
+	for _, vm := range p.share.Asks(p.demand, f.now) {
+		f.exchanges++
+		f.send(i, f.number(vm), false, f.now)
+	}
+}
+
+func (f *fleet) round(i int) {
+	p, fanout, partners := f.processes[i], 2, f.fleetOptions.processes-1
+	if f.fleetOptions.processes > 32 {
+		fanout, partners = 1, 16
+	}
+	if len(p.partners) == 0 {
+		for _, j := range f.random.Perm(len(f.processes)) {
+			if j != i && len(p.partners) < partners {
+				p.partners = append(p.partners, j)
+			}
 		}
 	}
-	f.highest = max(f.highest, sum)
+	for range fanout {
+		f.send(i, p.partners[f.random.IntN(len(p.partners))], false, f.now)
+	}
+}
+
+func (f *fleet) number(vm core.VMID) int {
+	return slices.IndexFunc(f.processes, func(p *process) bool { return p.vm == vm })
+}
+
+// sum returns the usable units of all live processes.
+func (f *fleet) sum() (sum int) {
+	for _, p := range f.processes {
+		if p.share != nil {
+			sum += p.share.Usable(f.now)
+		}
+	}
+	return sum
 }
 
 // served is how much of the demand the shares allow.
 // Equal is what a fixed equal split would allow.
 func (f *fleet) served() (served, equal, possible int) {
-	for i, share := range f.shares {
-		if share != nil {
-			served += min(f.demand[i], share.Usable(f.now))
-			equal += min(f.demand[i], fleetLimit/len(f.shares))
-			possible += f.demand[i]
+	for _, p := range f.processes {
+		if p.share != nil {
+			served += min(p.demand, p.share.Usable(f.now))
+			equal += min(p.demand, f.limit/len(f.processes))
+			possible += p.demand
 		}
 	}
-	return served, equal, min(possible, fleetLimit)
+	return served, equal, min(possible, f.limit)
 }
 
 // shift gives a few processes most of the demand.
 func (f *fleet) shift() {
-	for i := range f.demand {
-		f.demand[i] = f.random.IntN(6)
+	for _, p := range f.processes {
+		p.demand = f.random.IntN(6)
 	}
 	for range 2 {
-		f.demand[f.random.IntN(len(f.demand))] = 30 + f.random.IntN(40)
+		f.processes[f.random.IntN(len(f.processes))].demand = 30 + f.random.IntN(40)
+	}
+}
+
+// smallFleet is a site of ten whose heartbeats go to all.
+func smallFleet(timing ShareTiming) fleetOptions {
+	return fleetOptions{
+		processes: 10, limit: fleetLimit, timing: timing, loss: 0.1, delay: 400 * time.Millisecond, everyone: true,
 	}
 }
 
@@ -145,37 +266,36 @@
 	cases := []struct {
 		name  string
 		event func(f *fleet, number int)
-		bound int // units that all processes together may use at any time
 	}{
-		{"demand shifts", func(*fleet, int) {}, fleetLimit},
+		{"demand shifts", func(*fleet, int) {}},
 		{"one dies and leaves the list", func(f *fleet, number int) {
 			if number == 300 {
-				f.shares[3] = nil
+				f.kill(3)
 			}
 			if number == 400 {
-				f.listed = append(append([]core.VMID(nil), f.listed[:3]...), f.listed[4:]...)
+				f.list(without(f.lists[0], vmName(3)))
 			}
-		}, fleetLimit},
+		}},
 		{"one restarts", func(f *fleet, number int) {
 			if number == 300 {
-				f.shares[3] = nil
+				f.kill(3)
 			}
 			if number == 340 {
 				f.start(3, 2)
 			}
-		}, fleetLimit + fleetLimit/unsettledDivisor},
+		}},
 		{"half is cut off and comes back", func(f *fleet, number int) {
 			f.cut = func(a, b int) bool { return number > 200 && number < 600 && a/5 != b/5 }
-		}, fleetLimit},
+		}},
 		{"one way is cut", func(f *fleet, number int) {
 			f.cut = func(a, b int) bool { return number > 200 && number < 600 && a == 0 && b > 4 }
-		}, fleetLimit},
+		}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			served, equal, possible := 0, 0, 0
 			for seed := uint64(1); seed <= 10; seed++ {
-				f := newFleet(seed, 10)
+				f := newFleet(seed, smallFleet(fleetTiming))
 				for number := range 1200 {
 					if number%120 == 0 {
 						f.shift()
@@ -187,8 +307,8 @@
 					equal += e
 					possible += p
 				}
-				if f.highest > c.bound {
-					t.Errorf("seed %d: %d units usable at once, want at most %d", seed, f.highest, c.bound)
+				if f.highest > fleetLimit {
+					t.Errorf("seed %d: %d units usable at once, want at most %d", seed, f.highest, fleetLimit)
 				}
 			}
 			t.Logf("served %.3f of the possible demand, a fixed equal split %.3f",
@@ -198,18 +318,18 @@
 }
 
 func TestShareGrowsAfterAProcessIsGone(t *testing.T) {
-	f := newFleet(1, 10)
+	f := newFleet(1, smallFleet(fleetTiming))
 	for number := range 1200 {
 		if number == 300 {
-			f.shares[3] = nil
-			f.listed = append(append([]core.VMID(nil), f.listed[:3]...), f.listed[4:]...)
+			f.kill(3)
+			f.list(without(f.lists[0], vmName(3)))
 		}
 		f.tick(number)
 	}
 	sum := 0
-	for _, share := range f.shares {
-		if share != nil {
-			sum += share.part
+	for _, p := range f.processes {
+		if p.share != nil {
+			sum += p.share.part(f.now)
 		}
 	}
 	if sum != fleetLimit {
--- a/internal/core/lease/candidate.go
+++ b/internal/core/lease/candidate.go
@@ -10,12 +10,15 @@
 // at the table service do not grow with the number of processes.
 const Candidates = 3
 
+// Name returns the name of the lease of a deployment's coordinator.
+func Name(deployment core.DeploymentName) string { return "deployment/" + string(deployment) }
+
 // IsCandidate reports whether a process is among the first Candidates of the
 // live ones in the named lease's own order of all processes (rendezvous hashing).
 func IsCandidate(name string, self core.VMID, live []core.Member) bool {
-	own, ahead := rank(name, self), 0
+	own, ahead := Rank(name, self), 0
 	for i := range live {
-		if rank(name, live[i].VM) < own {
+		if Rank(name, live[i].VM) < own {
 			ahead++
 		}
 		if ahead == Candidates {
@@ -25,7 +28,9 @@
 	return true
 }
 
-func rank(name string, vm core.VMID) uint64 {
+// Rank is a process's place in the named order of all processes: the lowest comes
+// first.
+func Rank(name string, vm core.VMID) uint64 {
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(name))
 	_, _ = hash.Write([]byte{0})
--- a/internal/tables/capacity_test.go
+++ b/internal/tables/capacity_test.go
@@ -107,15 +107,17 @@
 }
 
 // BenchmarkLimitsFleet reports the heap of a deployment's limit and the time of
-// one refresh of nine deployments for the number of entry processes.
+// one refresh of nine deployments for the number of entry processes, and with
+// units lent to some of them.
 func BenchmarkLimitsFleet(b *testing.B) {
 	const deployments = 9
 	timing := admission.ShareTiming{Borrowed: 30 * time.Second, Gone: 35 * time.Second, Settle: 2 * time.Second}
-	for _, members := range []int{10, 100, 610} {
-		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
+	for _, c := range []struct{ members, borrowers int }{{10, 0}, {100, 0}, {610, 0}, {10, 9}, {100, 24}, {610, 24}} {
+		b.Run(fmt.Sprintf("members=%d/borrowers=%d", c.members, c.borrowers), func(b *testing.B) {
 			now := time.Unix(1_000_000, 0)
-			before, table := heap(), NewLimits("entry-0", 1, timing)
-			fillLimits(b, table, deployments, members, now)
+			before, table := heap(), NewLimits("entry-0", 1, timing, now.Add(-time.Hour))
+			fillLimits(b, table, deployments, c.members, now)
+			lendTo(b, table, deployments, c.borrowers, now)
 			perDeployment := (heap() - before) / deployments
 			b.ResetTimer()
 			for range b.N {
@@ -131,7 +133,8 @@
 	for i := range vms {
 		vms[i] = core.VMID(fmt.Sprint("entry-", i))
 	}
-	table.ApplyListed(vms, now)
+	table.ApplyListed(vms, now.Add(-time.Hour))
+	table.Refresh(now)
 	for i := range deployments {
 		deployment := &core.Deployment{
 			Name: core.DeploymentName(fmt.Sprint("coach-", i)), Limits: core.Limits{Concurrent: 20000, QueueLength: 20000},
@@ -142,6 +145,25 @@
 		}
 	}
 	for _, vm := range vms[1:] {
-		table.Heard(vm, table.News(vm, now), now, now)
+		table.Heard(vm, table.News(vm, false, now), now, now)
+	}
+}
+
+// lendTo lends a unit of every deployment to so many peers.
+func lendTo(b *testing.B, table *Limits, deployments, borrowers int, now time.Time) {
+	for i := range borrowers {
+		vm := core.VMID(fmt.Sprint("entry-", i+1))
+		var asks []core.LimitNews
+		for d := range deployments {
+			asks = append(asks, core.LimitNews{
+				Deployment: core.DeploymentName(fmt.Sprint("coach-", d)), Epoch: core.AccountEpoch{Incarnation: 1, Reset: 1}, Demand: 1,
+			})
+		}
+		table.Heard(vm, asks, time.Time{}, now)
+		for _, news := range table.News(vm, true, now) {
+			if news.Given != 1 {
+				b.Fatalf("%d units lent to %s", news.Given, vm)
+			}
+		}
 	}
 }
--- a/internal/tables/limits.go
+++ b/internal/tables/limits.go
@@ -23,28 +23,31 @@
 	share     *admission.Share
 	budget    *retry.Budget
 	latencies retry.Latencies
+	absent    time.Time // since when the configuration lacks the deployment; zero when it does not
 }
 
 // Limits holds the admission state of every deployment and the adaptive
 // concurrency of every backend server.
 type Limits struct {
-	self        core.VMID
-	incarnation core.Incarnation
-	timing      admission.ShareTiming
+	self   core.VMID
+	timing admission.ShareTiming
 
 	// mu guards all fields below.
 	mu      lockrank.Mutex
 	rows    map[core.DeploymentName]*limitRow
 	servers map[core.ServerID]*admission.ServerLimit
-	listed  []core.VMID
+	roster  *admission.Roster
+	epoch   core.AccountEpoch   // newest of all accounts
 	cursor  core.DeploymentName // last deployment that News returned
 }
 
-// NewLimits returns a table that has seen no deployment.
-func NewLimits(self core.VMID, incarnation core.Incarnation, timing admission.ShareTiming) *Limits {
+// NewLimits returns the table of a process that starts now and has seen no
+// deployment.
+func NewLimits(self core.VMID, incarnation core.Incarnation, timing admission.ShareTiming, now time.Time) *Limits {
 	return &Limits{
-		self: self, incarnation: incarnation, timing: timing, mu: lockrank.New(lockrank.RankLimits),
+		self: self, timing: timing, mu: lockrank.New(lockrank.RankLimits),
 		rows: make(map[core.DeploymentName]*limitRow), servers: make(map[core.ServerID]*admission.ServerLimit),
+		roster: admission.NewRoster(self, timing, now), epoch: core.AccountEpoch{Incarnation: incarnation},
 	}
 }
 
@@ -108,8 +111,13 @@
 func (t *Limits) refresh(now time.Time) []Ready {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.roster.Tick(now)
 	var ready []Ready
-	for _, row := range t.rows {
+	for name, row := range t.rows {
+		if !row.absent.IsZero() && now.Sub(row.absent) >= t.timing.Gone && row.gate.Demand() == 0 {
+			delete(t.rows, name)
+			continue
+		}
 		row.share.Tick(now)
 		row.adapt(now)
 		ready = append(ready, row.dequeue(now)...)
@@ -118,8 +126,8 @@
 }
 
 // ApplyConfiguration adds a row for every deployment of a configuration, so that
-// a process without requests lends its part too, and drops the deployments that
-// the configuration no longer has and that have nothing in flight or waiting.
+// a process without requests lends its part too. Refresh drops a deployment
+// that the configuration lacks when nothing is in flight, waiting or lent.
 func (t *Limits) ApplyConfiguration(configuration *core.Configuration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -127,8 +135,11 @@
 		t.row(&configuration.Deployments[i], now)
 	}
 	for name, row := range t.rows {
-		if configuration.Find(name) == nil && row.gate.Demand() == 0 {
-			delete(t.rows, name)
+		switch {
+		case configuration.Find(name) != nil:
+			row.absent = time.Time{}
+		case row.absent.IsZero():
+			row.absent = now
 		}
 	}
 }
@@ -137,46 +148,78 @@
 func (t *Limits) ApplyListed(vms []core.VMID, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.listed = append(t.listed[:0], vms...)
+	t.roster.ApplyListed(vms, now)
 	for _, row := range t.rows {
-		row.share.ApplyListed(vms, now)
+		row.share.Tick(now)
+		row.adapt(now)
 	}
 }
 
 // News returns what a heartbeat to the peer carries, at most
-// core.HeartbeatLimits deployments in turn. Units that it gives away are no
-// longer usable here.
-func (t *Limits) News(peer core.VMID, now time.Time) []core.LimitNews {
+// core.HeartbeatLimits deployments in turn; answer tells that it answers one of
+// the peer's. Units that it gives away are no longer usable here.
+func (t *Limits) News(peer core.VMID, answer bool, now time.Time) []core.LimitNews {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	names := t.names()
 	from, _ := slices.BinarySearch(names, t.cursor+"\x00")
 	var news []core.LimitNews
-	for i := range min(len(names), core.HeartbeatLimits) {
-		t.cursor = names[(from+i)%len(names)]
-		row := t.rows[t.cursor]
-		news = append(news, row.share.News(t.cursor, peer, row.gate.Demand(), now))
+	for i := 0; i < len(names) && len(news) < core.HeartbeatLimits; i++ {
+		name := names[(from+i)%len(names)]
+		row := t.rows[name]
+		if !row.absent.IsZero() {
+			continue
+		}
+		one, found := row.share.News(peer, row.gate.Demand(), answer, now)
+		if !found {
+			continue
+		}
+		t.cursor = name
+		news = append(news, one)
 		row.adapt(now)
 	}
 	return news
 }
 
-// Heard takes the news of a peer's heartbeat or answer. Sent is when the
-// heartbeat that the peer answered was sent, zero for a heartbeat of its own.
+// Asks returns the peers that are to get a heartbeat out of turn.
+func (t *Limits) Asks(now time.Time) []core.VMID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var asks []core.VMID
+	for _, row := range t.rows {
+		if row.absent.IsZero() {
+			asks = append(asks, row.share.Asks(row.gate.Demand(), now)...)
+		}
+	}
+	slices.Sort(asks)
+	return slices.Compact(asks)
+}
+
+// Heard takes the news of a peer's heartbeat or answer and calls the requests
+// that may start. Sent is when the heartbeat that the peer answered was sent,
+// zero for a heartbeat of its own.
 func (t *Limits) Heard(peer core.VMID, news []core.LimitNews, sent, now time.Time) {
+	for _, ready := range t.heard(peer, news, sent, now) {
+		ready(nil)
+	}
+}
+
+func (t *Limits) heard(peer core.VMID, news []core.LimitNews, sent, now time.Time) []Ready {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.roster.Heard(peer, now)
+	var ready []Ready
 	for i := range news {
 		row := t.rows[news[i].Deployment]
 		if row == nil {
 			continue
 		}
-		row.share.Heard(peer, news[i], now)
-		if !sent.IsZero() {
-			row.share.Answered(peer, sent)
-		}
+		row.share.Tick(now)
+		row.share.Heard(peer, news[i], sent, now)
 		row.adapt(now)
+		ready = append(ready, row.dequeue(now)...)
 	}
+	return ready
 }
 
 // Withdraw takes the cost of a repeat or hedge out of a deployment's budget,
@@ -188,7 +231,7 @@
 	if row == nil {
 		return false
 	}
-	part := row.limits.Concurrent / row.share.Members()
+	part := row.limits.Concurrent / row.share.Holders()
 	return retry.Spare(row.gate.InUse(), part) || row.budget.Withdraw(cost, now)
 }
 
@@ -275,6 +318,8 @@
 	Deployment core.DeploymentName `json:"deployment"`
 	Gate       admission.GateState `json:"gate"`
 	Members    int                 `json:"members"`
+	Holders    int                 `json:"holders"`  // processes that own parts of the limit
+	Accounts   int                 `json:"accounts"` // peers with which units are lent or asked for
 	Budget     float64             `json:"retry_budget"`
 }
 
@@ -286,7 +331,8 @@
 	for _, name := range t.names() {
 		row := t.rows[name]
 		states = append(states, LimitState{
-			Deployment: name, Gate: row.gate.State(), Members: row.share.Members(), Budget: row.budget.Balance(),
+			Deployment: name, Gate: row.gate.State(), Members: row.share.Members(),
+			Holders: row.share.Holders(), Accounts: row.share.Accounts(), Budget: row.budget.Balance(),
 		})
 	}
 	return states
@@ -308,16 +354,18 @@
 		row = &limitRow{
 			limits: deployment.Limits,
 			gate:   admission.NewGate[Ready](admission.Bounds{}),
-			share:  admission.NewShare(t.self, t.incarnation, deployment.Limits.Concurrent, t.timing, now),
+			share: admission.NewShare(admission.ShareOptions{
+				Deployment: deployment.Name, Self: t.self, Limit: deployment.Limits.Concurrent,
+				Rollouts: deployment.Rollout != nil, Timing: t.timing, Roster: t.roster, Epoch: &t.epoch,
+			}, now),
 			budget: retry.NewBudget(now),
 		}
-		row.share.ApplyListed(t.listed, now)
 		row.adapt(now)
 		t.rows[deployment.Name] = row
 	}
 	if row.limits != deployment.Limits {
 		row.limits = deployment.Limits
-		row.share.SetLimit(deployment.Limits.Concurrent, now)
+		row.share.SetLimit(deployment.Limits.Concurrent, deployment.Rollout != nil, now)
 		row.adapt(now)
 	}
 	return row
@@ -325,10 +373,10 @@
 
 // adapt sets the gate's bounds from this process's share.
 func (r *limitRow) adapt(now time.Time) {
-	members := r.share.Members()
+	holders := r.share.Holders()
 	r.gate.SetBounds(admission.Bounds{
 		Concurrent:   r.share.Usable(now),
-		QueueLength:  (r.limits.QueueLength + members - 1) / members,
+		QueueLength:  (r.limits.QueueLength + holders - 1) / holders,
 		QueueTimeout: r.limits.QueueTimeout,
 	})
 }
--- a/internal/tables/limits_test.go
+++ b/internal/tables/limits_test.go
@@ -21,8 +21,11 @@
 }
 
 func TestLimitsStartWaitAndRefuse(t *testing.T) {
-	table := NewLimits("self", 1, shareTiming)
-	deployment := limitedDeployment()
+	longAgo := tableNow.Add(-shareTiming.Gone)
+	table := NewLimits("self", 1, shareTiming, longAgo)
+	table.ApplyListed([]core.VMID{"a", "b", "c", "self"}, longAgo)
+	deployment := limitedDeployment() // one place of four is this process's
+	deployment.Limits.QueueLength = 8 // two of them
 	var outcomes []error
 	admit := func(now time.Time) (bool, error) {
 		return table.Admit(deployment, &admission.Request[Ready]{
@@ -46,9 +49,15 @@
 		t.Errorf("after the queue timeout %v, want a refusal", outcomes)
 	}
 	_, _ = admit(tableNow.Add(2 * time.Second))
-	table.Refresh(tableNow.Add(3 * time.Second)) // alone since two seconds: the whole limit
-	if len(outcomes) != 3 || outcomes[2] != nil {
-		t.Errorf("after the share grew %v, want a start", outcomes)
+	table.ApplyListed([]core.VMID{"self"}, tableNow.Add(2*time.Second))
+	table.Refresh(tableNow.Add(3 * time.Second))
+	if len(outcomes) != 2 {
+		t.Errorf("%v while the others may still use their parts, want no start", outcomes)
+	}
+	_, _ = admit(tableNow.Add(6500 * time.Millisecond))
+	table.Refresh(tableNow.Add(2*time.Second + shareTiming.Gone)) // alone since then: the whole limit
+	if len(outcomes) != 4 || outcomes[2] != nil || outcomes[3] != nil {
+		t.Errorf("after the share grew %v, want two starts", outcomes)
 	}
 }
 
@@ -57,7 +66,7 @@
 	deployment := limitedDeployment()
 	deployment.Limits.Concurrent, deployment.Limits.QueueLength = 16, 64
 	configuration := &core.Configuration{Generation: 1, Deployments: []core.Deployment{*deployment}}
-	busy, idle := NewLimits("busy", 1, shareTiming), NewLimits("idle", 1, shareTiming)
+	busy, idle := NewLimits("busy", 1, shareTiming, tableNow), NewLimits("idle", 1, shareTiming, tableNow)
 	for _, table := range []*Limits{busy, idle} {
 		table.ApplyListed([]core.VMID{"busy", "idle"}, tableNow)
 		table.ApplyConfiguration(configuration, tableNow)
@@ -76,8 +85,8 @@
 	}
 	for beat := range 24 {
 		now := tableNow.Add(time.Duration(beat) * time.Second / 4)
-		idle.Heard("busy", busy.News("idle", now), time.Time{}, now)
-		busy.Heard("idle", idle.News("busy", now), now, now)
+		idle.Heard("busy", busy.News("idle", false, now), time.Time{}, now)
+		busy.Heard("idle", idle.News("busy", true, now), now, now)
 		idle.Refresh(now)
 		busy.Refresh(now)
 	}
@@ -130,7 +139,7 @@
 // TestServerPlacesBoundRolloutsOnly fills a server: rollouts are refused a
 // place, people are not, and a place given back is free again.
 func TestServerPlacesBoundRolloutsOnly(t *testing.T) {
-	limits := NewLimits("vm", 1, admission.ShareTiming{})
+	limits := NewLimits("vm", 1, admission.ShareTiming{}, time.Unix(1e9, 0))
 	now := time.Unix(1e9, 0)
 	places := 0
 	for limits.AcquireServer("e", core.ClassRollout, now) {
