Call lent places back for people who wait at their owners

A borrower returned places only when it needed them no more. Rollouts always need more, so people at the lenders waited behind loans: with a limit of 32 over ten processes, four people's requests a second and a coordinator that wants everything, their waits had p99 6.2 s and reached 20 s.

Lending less (docs/design/measurements.md: the coach's idle share grew from 0.06 to 0.16 and more). Ending rollouts' runs: work is lost.

News say how many people's requests wait at the sender. A borrower starts no rollout in so many of the lender's places and returns each as a run ends, within 250 ms; it keeps a fifth for rollouts, and all while people wait with it. A process whose people wait asks the borrowers of most of its places first. A lender whose loans were called back asks until the borrower has seen it.

--- a/internal/adapters/peerquic/wire.go
+++ b/internal/adapters/peerquic/wire.go
@@ -40,6 +40,7 @@
 	Given      uint64              `cbor:"4,keyasint,omitempty"`
 	Demand     uint32              `cbor:"5,keyasint,omitempty"`
 	Held       uint32              `cbor:"6,keyasint,omitempty"`
+	People     uint32              `cbor:"8,keyasint,omitempty"`
 	Cleared    bool                `cbor:"7,keyasint,omitempty"`
 }
 
--- a/internal/core/admission/account.go
+++ b/internal/core/admission/account.go
@@ -24,6 +24,7 @@
 
 	demand   int // of the peer
 	held     int // usable by the peer
+	people   int // people's requests that wait at the peer
 	heard    time.Time
 	answered time.Time // when the newest heartbeat that the peer answered was sent
 	asked    time.Time // when the newest heartbeat of this process with news was sent
@@ -55,7 +56,7 @@
 		a.given, a.received, a.carried, a.arrived = 0, 0, 0, 0
 	}
 	a.heard = now
-	a.demand, a.held = int(news.Demand), int(news.Held)
+	a.demand, a.held, a.people = int(news.Demand), int(news.Held), int(news.People)
 	a.cleared = a.cleared || (news.Cleared && news.Seen.Incarnation == a.mine.Incarnation)
 	if news.Seen == a.mine {
 		a.received = max(a.received, news.Given)
--- a/internal/core/admission/asking.go
+++ b/internal/core/admission/asking.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -14,6 +15,7 @@
 	renewInterval    = 15 * time.Second       // between heartbeats that keep a loan
 	returnInterval   = 2 * time.Second        // the same when units are to be returned
 	askedAtOnce      = 2                      // holders asked together
+	recallTime       = 10 * time.Second       // for it, people are believed to wait at a peer
 	maxLenders       = 16                     // peers of which a process borrows
 	maxAskedStarting = 32                     // members that a started process asks
 )
@@ -29,10 +31,10 @@
 // Asks returns the peers that are to get a heartbeat now, out of turn: holders
 // while the process is short, lenders whose trust must be renewed or who get
 // units back, and after a start all members of a small fleet.
-func (s *Share) Asks(demand int, now time.Time) []core.VMID {
+func (s *Share) Asks(need Need, now time.Time) []core.VMID {
 	usable := s.Usable(now)
-	asks := s.renewals(demand < usable, now)
-	short := demand > usable
+	asks := s.renewals(need, usable, now)
+	short := need.Demand > usable
 	if !short && !s.asksAll() {
 		s.asking.next, s.asking.interval = time.Time{}, 0
 		return asks
@@ -47,6 +49,9 @@
 	if short {
 		asks = append(asks, s.nextHolders()...)
 	}
+	if short && need.People > 0 {
+		asks = append(asks, s.borrowers()...)
+	}
 	return asks
 }
 
@@ -98,6 +103,20 @@
 	return asks
 }
 
+// borrowers returns the peers that have most of this process's units.
+func (s *Share) borrowers() []core.VMID {
+	var lent []core.VMID
+	for vm, a := range s.accounts {
+		if a.net() < 0 {
+			lent = append(lent, vm)
+		}
+	}
+	slices.SortFunc(lent, func(a, b core.VMID) int {
+		return cmp.Or(cmp.Compare(s.accounts[a].net(), s.accounts[b].net()), cmp.Compare(a, b))
+	})
+	return lent[:min(len(lent), askedAtOnce)]
+}
+
 func (s *Share) lenders() (lenders int) {
 	for _, a := range s.accounts {
 		if a.net() > 0 {
@@ -107,19 +126,24 @@
 	return lenders
 }
 
-// renewals returns the lenders that are due.
-func (s *Share) renewals(free bool, now time.Time) []core.VMID {
+// renewals returns the lenders that are due, and the borrowers that have not
+// seen that their loans were called back.
+func (s *Share) renewals(need Need, usable int, now time.Time) []core.VMID {
 	var asks []core.VMID
 	for vm, a := range s.accounts {
 		interval := renewInterval
-		if (free && a.net() > 0) || a.given > a.arrived {
+		if (need.Demand < usable && a.net() > 0) || a.given > a.arrived || a.owed > 0 {
 			interval = returnInterval
 		}
-		borrowed := a.net() > 0 || (a.given > a.arrived && a.received > 0)
-		if borrowed && now.Sub(a.asked) >= interval {
+		if s.recalled(a, usable-need.Firm, now) > 0 {
+			interval = firstAskInterval
+		}
+		concerned := a.net() > 0 || a.owed > 0 || (a.given > a.arrived && a.received > 0)
+		if concerned && now.Sub(a.asked) >= interval {
 			asks = append(asks, vm)
 		}
 	}
+	slices.Sort(asks)
 	return asks
 }
 
--- a/internal/core/admission/fleet_test.go
+++ b/internal/core/admission/fleet_test.go
@@ -59,6 +59,25 @@
 			f.start(number-1241, 2)
 		}
 	}},
+	{"most join few, of which one has all the demand", func(f *fleet, number int) {
+		const few = 3
+		for i := few; number == 0 && i < len(f.processes); i++ {
+			f.kill(i)
+		}
+		if number == 0 {
+			f.list(f.lists[0][:few])
+		}
+		if number < 1300 {
+			f.processes[0].demand, f.processes[1].demand, f.processes[2].demand = f.limit, 0, 0
+		}
+		if number == 1300 {
+			f.list(f.lists[0])
+			for i := few; i < len(f.processes); i++ {
+				f.processes[i].demand = f.limit
+				f.start(i, 2)
+			}
+		}
+	}},
 	{"every part grows and shrinks", func(f *fleet, number int) {
 		if number%800 == 400 {
 			f.list(f.lists[0][:len(f.processes)/2])
@@ -123,6 +142,68 @@
 // of more than maxAskedStarting waits for Gone.
 const warmTicks = 800
 
+// TestLentPlacesComeBack tells when lenders have their whole parts again.
+func TestLentPlacesComeBack(t *testing.T) {
+	cases := []struct {
+		name   string
+		event  func(f *fleet)
+		within time.Duration
+		wanted bool // the borrower goes on borrowing
+	}{
+		{"the borrower needs them no more", func(f *fleet) { f.processes[0].demand = 0 }, 15 * time.Second, false},
+		{"the borrower dies", func(f *fleet) { f.kill(0) }, productTiming.Gone + time.Second, false},
+		{"the borrower dies and starts again", func(f *fleet) {
+			f.processes[0].demand = 0
+			f.kill(0)
+			f.start(0, 2)
+		}, 5 * time.Second, false},
+		{"the borrower is cut off", func(f *fleet) { f.cut = func(a, b int) bool { return a == 0 || b == 0 } }, productTiming.Gone + time.Second, false},
+		{"the limit falls", func(f *fleet) {
+			for _, p := range f.processes {
+				p.share.SetLimit(50, false, f.now)
+			}
+		}, 5 * time.Second, true},
+	}
+	for _, c := range cases {
+		longest := time.Duration(0)
+		for seed := range uint64(5) {
+			f := newFleet(seed, siteOf(10, 100))
+			f.processes[0].demand = 100
+			number := 0
+			for ; number < 1200; number++ {
+				f.tick(number)
+			}
+			borrowed := f.processes[0].share.Usable(f.now)
+			c.event(f)
+			start := f.now
+			for ; f.outstanding(c.wanted) && number < 3000; number++ {
+				f.tick(number)
+			}
+			longest = max(longest, f.now.Sub(start))
+			if borrowed < 60 || f.highest > 100 {
+				t.Errorf("%s, seed %d: %d units usable by one, %d by all", c.name, seed, borrowed, f.highest)
+			}
+		}
+		t.Logf("%s: whole after %v at most", c.name, longest)
+		if longest > c.within {
+			t.Errorf("%s: whole after %v, want within %v", c.name, longest, c.within)
+		}
+	}
+}
+
+// outstanding reports whether a process misses units of its part that it lent
+// before the last recall or, when no one wants any, at all.
+func (f *fleet) outstanding(wanted bool) bool {
+	for _, p := range f.processes[1:] {
+		for _, a := range p.share.accounts {
+			if a.owed > 0 || (!wanted && a.net() < 0) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // fleetResult are the figures of one run.
 type fleetResult struct {
 	highest       int
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -127,6 +127,12 @@
 	return demand
 }
 
+// Need returns what the process needs of the limit.
+func (g *Gate[T]) Need() Need {
+	people := g.queues[core.ClassPeople].length
+	return Need{Demand: g.Demand(), People: people, Firm: g.total() + people}
+}
+
 // InUse returns the requests in flight.
 func (g *Gate[T]) InUse() int { return g.total() }
 
--- a/internal/core/admission/share.go
+++ b/internal/core/admission/share.go
@@ -38,6 +38,13 @@
 	Epoch      *core.AccountEpoch // newest of this process; all its shares count it up
 }
 
+// Need is what a process could use of a limit.
+type Need struct {
+	Demand int // requests in flight and waiting
+	People int // people's requests that wait
+	Firm   int // requests in flight and people's that wait
+}
+
 // Share decides how much of one deployment's limit this process may use. Some
 // or all processes own equal parts of it by the roster and lend what they do
 // not need. A unit is usable in one place only: whoever gives it stops using it
@@ -257,25 +264,26 @@
 // what this process can spare: borrowed units that it does not need, or, when
 // the peer is short, a part of its own. Answer tells that the heartbeat answers
 // one of the peer's. False means that there are no news.
-func (s *Share) News(peer core.VMID, demand int, answer bool, now time.Time) (core.LimitNews, bool) {
+func (s *Share) News(peer core.VMID, need Need, answer bool, now time.Time) (core.LimitNews, bool) {
 	usable := s.Usable(now)
-	if !s.concerns(peer, demand > usable) {
+	if !s.concerns(peer, need.Demand > usable) {
 		return core.LimitNews{}, false
 	}
 	a := s.account(peer)
 	a.reply = false
 	given := 0
 	if now.Sub(a.heard) < s.options.Timing.Borrowed {
-		given = s.spare(a, usable-demand, now)
+		given = max(s.spare(a, usable-need.Demand, now), s.recalled(a, usable-need.Firm, now))
 	}
 	a.given += uint64(given)
 	a.held += given
+	a.people -= min(a.people, given)
 	if !answer {
 		a.asked, a.carried = now, a.given
 	}
 	return core.LimitNews{
 		Deployment: s.options.Deployment, Epoch: a.mine, Seen: a.theirs, Given: a.given,
-		Demand: uint32(demand), Held: uint32(usable - given), Cleared: s.clears(now),
+		Demand: uint32(need.Demand), Held: uint32(usable - given), People: uint32(need.People), Cleared: s.clears(now),
 	}, true
 }
 
@@ -312,6 +320,31 @@
 	return max(0, min((free+1)/2, (short+1)/2, s.lendable(now)))
 }
 
+// recalled is what the peer gets back of its units for the people who wait
+// there: of the free places, those that only rollouts here wait for.
+func (s *Share) recalled(a *account, free int, now time.Time) int {
+	if now.Sub(a.heard) >= recallTime {
+		return 0
+	}
+	return max(0, min(a.net(), a.people, free))
+}
+
+// Withheld returns how many of the usable places no rollout may start in, since
+// people wait for them at their owners. A fifth stays for rollouts, and all when
+// people wait here too.
+func (s *Share) Withheld(need Need, now time.Time) int {
+	if need.People > 0 {
+		return 0
+	}
+	withheld, usable := 0, s.Usable(now)
+	for _, a := range s.accounts {
+		if now.Sub(a.heard) < recallTime {
+			withheld += max(0, min(a.net(), a.people))
+		}
+	}
+	return min(withheld, usable-(usable+trainingDivisor-1)/trainingDivisor)
+}
+
 // lendable is what the process may still lend of its own part.
 func (s *Share) lendable(now time.Time) int {
 	lent := 0
--- a/internal/core/admission/share_test.go
+++ b/internal/core/admission/share_test.go
@@ -37,11 +37,19 @@
 	roster   *Roster
 	share    *Share
 	demand   int
+	gate     *Gate[*lentJob] // nil when demand is given
 	partners []int
 	seen     int // version of the list that it reads
 	seesAt   time.Time
 }
 
+func (p *process) need() Need {
+	if p.gate != nil {
+		return p.gate.Need()
+	}
+	return Need{Demand: p.demand, Firm: p.demand}
+}
+
 // fleet runs Shares against each other on a virtual clock with lost and late
 // messages. Processes meet as in core/membership: two random partners a second
 // up to 32 processes, one of 16 beyond, and questions out of turn.
@@ -120,7 +128,7 @@
 
 func (f *fleet) send(from, to int, answer bool, sent time.Time) {
 	p := f.processes[from]
-	news, found := p.share.News(vmName(to), p.demand, answer, f.now)
+	news, found := p.share.News(vmName(to), p.need(), answer, f.now)
 	if found {
 		f.carried++
 	}
@@ -195,7 +203,7 @@
 		return
 	}
 	p := f.processes[i]
-	for _, vm := range p.share.Asks(p.demand, f.now) {
+	for _, vm := range p.share.Asks(p.need(), f.now) {
 		f.exchanges++
 		f.send(i, f.number(vm), false, f.now)
 	}
--- a/internal/core/limits.go
+++ b/internal/core/limits.go
@@ -29,5 +29,6 @@
 	Given      uint64       // units given to the receiver since both epochs began
 	Demand     uint32       // requests in flight and waiting
 	Held       uint32       // requests that the sender may have in flight
+	People     uint32       // people's requests that wait at the sender
 	Cleared    bool         // the sender uses no unit that another process owns and did not lend
 }
--- a/internal/tables/limits.go
+++ b/internal/tables/limits.go
@@ -170,7 +170,7 @@
 		if !row.absent.IsZero() {
 			continue
 		}
-		one, found := row.share.News(peer, row.gate.Demand(), answer, now)
+		one, found := row.share.News(peer, row.gate.Need(), answer, now)
 		if !found {
 			continue
 		}
@@ -188,7 +188,7 @@
 	var asks []core.VMID
 	for _, row := range t.rows {
 		if row.absent.IsZero() {
-			asks = append(asks, row.share.Asks(row.gate.Demand(), now)...)
+			asks = append(asks, row.share.Asks(row.gate.Need(), now)...)
 		}
 	}
 	slices.Sort(asks)
@@ -375,7 +375,7 @@
 func (r *limitRow) adapt(now time.Time) {
 	holders := r.share.Holders()
 	r.gate.SetBounds(admission.Bounds{
-		Concurrent:   r.share.Usable(now),
+		Concurrent:   r.share.Usable(now) - r.share.Withheld(r.gate.Need(), now),
 		QueueLength:  (r.limits.QueueLength + holders - 1) / holders,
 		QueueTimeout: r.limits.QueueTimeout,
 	})
