--- a/internal/core/admission/doc.go
+++ b/internal/core/admission/doc.go
@@ -4,7 +4,8 @@
 // rollouts, rollouts keep a share, callers of a class are served by deficit
 // round robin, and a request that cannot be answered in time is refused before
 // it is run. A Share decides how much of the deployment's limit this process
-// may use. A ServerLimit adapts the concurrency of one backend server to its
+// may use and which peers it asks for more; a Roster tells it who shares the
+// limit. A ServerLimit adapts the concurrency of one backend server to its
 // latency.
 //
 // Nothing here is safe for concurrent use; a table guards it.
