--- a/internal/app/leases.go
+++ b/internal/app/leases.go
@@ -27,7 +27,7 @@
 }
 
 // leaseName returns the name of the lease on coordinating a deployment.
-func leaseName(deployment core.DeploymentName) string { return "deployment/" + string(deployment) }
+func leaseName(deployment core.DeploymentName) string { return lease.Name(deployment) }
 
 // ordersLease returns the name of the lease on giving orders to the engines of
 // a model. It is one for all deployments that share them, since an engine knows
--- a/internal/app/service.go
+++ b/internal/app/service.go
@@ -154,7 +154,7 @@
 		vmList:        tables.NewVMList(),
 		servers:       tables.NewServers(rand.New(rand.NewPCG(random.Uint64(), 2))),
 		polls:         tables.NewPolls(options.Self, polling.DefaultPolicy(options.StatusEvery)),
-		limits:        tables.NewLimits(options.Self.VM, options.Self.Incarnation, shareTiming),
+		limits:        tables.NewLimits(options.Self.VM, options.Self.Incarnation, shareTiming, outside.Clock.Now()),
 		crashes:       tables.NewCrashes(options.Self.VM),
 		rollouts:      tables.NewRollouts(),
 		weights:       tables.NewWeights(),
--- a/internal/app/vmlist.go
+++ b/internal/app/vmlist.go
@@ -64,7 +64,6 @@
 	now := s.ports.Clock.Now()
 	entries := s.vmList.Entries()
 	s.members.ObserveVMs(now, entries)
-	s.listEntryVMs(entries, now)
 	for changed {
 		vms, version := s.vmList.VMs()
 		s.servers.ApplyVMs(vms)
@@ -73,14 +72,25 @@
 		// Whoever applies last sees whether a newer list was applied before.
 		changed = !s.vmList.IsNewest(version)
 	}
+	// Last, since requests that waited for a part of a limit start with it.
+	s.listEntryVMs(entries, now)
 }
 
-// listEntryVMs tells the limits the entry VMs of the platform's list.
+// listEntryVMs tells the limits the entry VMs of the platform's list and the
+// live processes that the list lacks, which use their parts all the same.
 func (s *Service) listEntryVMs(vms []core.VM, now time.Time) {
+	if len(vms) == 0 {
+		return
+	}
 	entries := make([]core.VMID, 0, len(vms))
 	for _, vm := range vms {
 		entries = append(entries, core.VMID(vm.ID))
 	}
+	for _, member := range s.members.Live() {
+		if member.VM != s.options.Self.VM {
+			entries = append(entries, member.VM)
+		}
+	}
 	s.limits.ApplyListed(entries, now)
 }
 
--- a/internal/core/lease/candidate.go
+++ b/internal/core/lease/candidate.go
@@ -9,6 +9,9 @@
 // at the table service do not grow with the number of processes.
 const Candidates = 3
 
+// Name returns the name of the lease of a deployment's coordinator.
+func Name(deployment core.DeploymentName) string { return "deployment/" + string(deployment) }
+
 // IsCandidate reports whether a process is among the first Candidates of the
 // live ones in the named lease's own order of all processes (rendezvous hashing).
 func IsCandidate(name string, self core.VMID, live []core.Member) bool {
--- a/internal/lockrank/check_on.go
+++ b/internal/lockrank/check_on.go
@@ -3,9 +3,7 @@
 package lockrank
 
 import (
-	"bytes"
 	"fmt"
-	"runtime"
 	"slices"
 	"sync"
 )
@@ -16,20 +14,11 @@
 // held maps a goroutine to the ranks that it holds, in order of acquisition.
 var held = struct {
 	sync.Mutex
-	ranks map[string][]Rank
-}{ranks: make(map[string][]Rank)}
-
-// stackHeaderBytes is enough for "goroutine N [" of a stack trace.
-const stackHeaderBytes = 64
-
-func goroutineID() string {
-	var header [stackHeaderBytes]byte
-	n := runtime.Stack(header[:], false)
-	return string(bytes.Fields(header[:n])[1])
-}
+	ranks map[goroutine][]Rank
+}{ranks: make(map[goroutine][]Rank)}
 
 func acquire(rank Rank) {
-	id := goroutineID()
+	id := current()
 	held.Lock()
 	defer held.Unlock()
 	for _, other := range held.ranks[id] {
@@ -41,7 +30,7 @@
 }
 
 func release(rank Rank) {
-	id := goroutineID()
+	id := current()
 	held.Lock()
 	defer held.Unlock()
 	at := slices.Index(held.ranks[id], rank)
--- a/tests/process/readme_test.go
+++ b/tests/process/readme_test.go
@@ -155,6 +155,7 @@
 	{"bin/fescuespar keys issue", "wrote certificate.pem"},
 	{"bin/fescuespar check", "no mistakes in 2 files"},
 	{"bin/fescuespar publish", "in force on all 1 live processes"},
+	{"curl -H", "{}"},
 	{"curl -N", "data: [DONE]"},
 	{"curl http", `"key":"s-1","run":1`},
 	{"bin/fescuespar status", "generation 1 in force"},
