--- a/bench/main.go
+++ b/bench/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"sync"
 
 	"github.com/jessevdk/go-flags"
@@ -15,6 +16,8 @@
 type options struct {
 	Seed     uint64 `long:"seed" default:"1" description:"seed of the workload and of all random choices"`
 	Examples string `long:"examples" default:"examples" description:"directory with the sites' operators' files"`
+	Site     string `long:"site" description:"only this site, such as anerie"`
+	Seeds    uint64 `long:"training" value-name:"SEEDS" description:"only the training rows, for so many seeds from 1 on"`
 }
 
 func main() {
@@ -33,6 +36,14 @@
 	if err != nil {
 		return err
 	}
+	found = slices.DeleteFunc(found, func(s *operator) bool { return opts.Site != "" && s.name != opts.Site })
+	if opts.Seeds > 0 {
+		for _, s := range found {
+			fmt.Fprintf(out, "\n%s, seeds 1 to %d\n\n", s.name, opts.Seeds)
+			printTraining(out, s, opts.Seeds)
+		}
+		return nil
+	}
 	tables := make([][]row, len(found))
 	var running sync.WaitGroup
 	for i, s := range found {
--- a/bench/results.go
+++ b/bench/results.go
@@ -14,7 +14,8 @@
 	outageTo        = 7 * time.Minute
 	outageShare     = 0.3 // of the engines, rounded up
 	recoveryWindow  = 10 * time.Second
-	recoveredWithin = 0.02 // of the answered share before the outage
+	peopleEnd       = time.Minute // before the run's end, when some people still wait
+	recoveredWithin = 0.02        // of the answered share before the outage
 )
 
 // results is what a run measured, after the warm-up.
@@ -28,7 +29,7 @@
 	crossedBytes              float64
 	firsts, repeats, attempts int // while servers are dead; attempts count moved samples too
 	lost                      int // servers lost to the killing request
-	overStale                 int // delivered samples over the bound
+	overStale                 int // delivered groups over the bound
 }
 
 func (w *world) measured() bool { return w.clock.Now() >= warmUp }
@@ -87,7 +88,8 @@
 	}
 }
 
-func (w *world) sampleDelivered(t *trainer, age uint64) {
+func (w *world) groupDelivered(t *trainer, age uint64) {
+	t.counts.delivered += t.deployment.Rollout.GroupSize
 	if age > t.deployment.Rollout.StalenessBound {
 		w.overStale++
 	}
@@ -101,6 +103,7 @@
 	if w.measured() && t.fixedAt > 0 {
 		w.intervals = append(w.intervals, (now - t.fixedAt).Seconds())
 		w.idle += now - t.askedAt
+		t.idle += now - t.askedAt
 		w.busy += t.askedAt - t.fixedAt
 	}
 }
@@ -130,6 +133,14 @@
 	return runTime - outageTo
 }
 
+func mean(values []float64) float64 {
+	sum := 0.0
+	for _, value := range values {
+		sum += value
+	}
+	return sum / float64(len(values))
+}
+
 // quantile returns NaN without values.
 func quantile(values []float64, q float64) float64 {
 	if len(values) == 0 {
--- a/bench/table.go
+++ b/bench/table.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"time"
 
 	"fescuespar/internal/core"
 )
@@ -50,16 +49,17 @@
 	return append(rows, killerRows(s, seed)...)
 }
 
-func trainingRows(s *operator, seed uint64, ours *world) []row {
-	waiting := plan{ahead: 1}.run(s, seed)
-	idle := fmt.Sprintf("idle share %s; staleness over the bound %d: %s",
-		verdict(ours.idleShare(), idleTarget*waiting.idleShare()), ours.overStale, metOr(ours.overStale == 0))
-	return []row{
-		trainingRow("ours", ours, idle),
-		trainingRow("wait for all samples", waiting, ""),
-		trainingRow("random routing", plan{choose: atRandom}.run(s, seed), ""),
-		trainingRow("least-loaded routing", plan{choose: leastLoaded}.run(s, seed), ""),
+func trainingRows(s *operator, seed uint64, ours *world) (rows []row) {
+	worlds := []*world{ours}
+	for _, policy := range trainingPolicies[1:] {
+		worlds = append(worlds, policy.plan.run(s, seed))
+	}
+	for i, policy := range trainingPolicies {
+		rows = append(rows, trainingRow(policy.name, worlds[i], ""))
 	}
+	rows[0].target = fmt.Sprintf("idle share %s; staleness over the bound %d: %s",
+		verdict(ours.idleShare(), idleTarget*worlds[1].idleShare()), ours.overStale, metOr(ours.overStale == 0))
+	return rows
 }
 
 func metOr(met bool) string {
@@ -103,7 +103,7 @@
 
 func peopleRow(policy string, w *world, target string) row {
 	return row{"people's latency p50, p99; answered", policy, fmt.Sprintf("%.2f s, %.2f s; %.4f", quantile(w.latencies, 0.5),
-		quantile(w.latencies, 0.99), w.answeredShare(warmUp, runTime-time.Minute)), target}
+		quantile(w.latencies, 0.99), w.answeredShare(warmUp, runTime-peopleEnd)), target}
 }
 
 func cacheRows(s *operator, seed uint64, ours *world) []row {
--- a/bench/trainer.go
+++ b/bench/trainer.go
@@ -21,6 +21,7 @@
 	asked(step core.Step, now time.Time)
 	published(version core.WeightVersion, now time.Time)
 	finished() []delivery.Finished
+	held() int // finished samples that are not delivered
 	delivered(record core.DeliveryRecord, now time.Time) (closed []rollout.Work)
 	tooOld(ids []core.GroupID, trainer core.WeightVersion)
 	// review returns the runs to be moved and to be ended; observe tells the
@@ -102,6 +103,17 @@
 	return whole
 }
 
+func (b *plannedBook) held() (count int) {
+	for _, samples := range b.states {
+		for _, s := range samples {
+			if s.done {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 func (b *plannedBook) delivered(record core.DeliveryRecord, _ time.Time) (closed []rollout.Work) {
 	b.record = record
 	for id, samples := range b.states {
@@ -146,6 +158,15 @@
 	askedAt    time.Duration
 	fixedAt    time.Duration
 	asking     bool
+	counts     sampleCounts
+	idle       time.Duration // after the warm-up
+}
+
+// sampleCounts counts samples of the whole run, its warm-up included.
+type sampleCounts struct {
+	generated int // to the end
+	delivered int
+	canceled  int // while they ran
 }
 
 type sampleRun struct {
@@ -190,7 +211,7 @@
 		oldest[group.ID] = group.Oldest
 	}
 	for _, id := range decision.Chosen {
-		t.w.sampleDelivered(t, uint64(t.version-min(t.version, oldest[id])))
+		t.w.groupDelivered(t, uint64(t.version-min(t.version, oldest[id])))
 	}
 	for _, write := range decision.Commit.Writes {
 		if record, ok := write.Record.(core.DeliveryRecord); ok {
@@ -258,6 +279,7 @@
 		t.book.retry(done)
 		return
 	}
+	t.counts.generated++
 	sample := core.Sample{Deployment: t.deployment.Name, ID: done.ID, Spans: []core.Span{{To: r.answer, Version: r.produced}}}
 	t.book.generated(done, sample, t.w.clock.Time())
 	t.tryBatch()
@@ -268,6 +290,7 @@
 	for _, ended := range byRun(runs) {
 		if run := t.running[ended.Run]; run != nil {
 			delete(t.running, ended.Run)
+			t.counts.canceled++
 			t.w.abandon(run.request)
 		}
 	}
