Lend a coordinator places for the samples that it could start

A coordinator runs all samples of its deployment in one process, which owns a tenth of the limit. Ruled out: prefix affinity and hot servers (engines were nearly idle); the idle weight and the number of open groups (a step's own samples came late); new weights (the steps after them did not wait). Change: the demand holds the coordinator's backlog, at most what its book would start; a lender whose callers are people keeps three fifths of its part from rollouts, since with three quarters lent so fast people were refused. Heartbeats name the rollouts' part of a demand (3 B a deployment). Broken on purpose: without the backlog in the demand TestBacklogIsLentAtOnce fails (10 places); with the people's share never kept TestShareLendsLessToRollouts fails (35 usable, want 28).

--- a/bench/book.go
+++ b/bench/book.go
@@ -37,6 +37,7 @@
 func (b ownBook) asked(step core.Step, now time.Time)                 { b.Asked(step, now) }
 func (b ownBook) published(version core.WeightVersion, now time.Time) { b.Published(version, now) }
 func (b ownBook) finished() []delivery.Finished                       { return b.Finished() }
+func (b ownBook) pending() int                                        { return b.Pending() }
 func (b ownBook) held() int                                           { return b.Summary().Done }
 func (b ownBook) tooOld(ids []core.GroupID, trainer core.WeightVersion) {
 	b.TooOld(ids, trainer, b.policy.Bound)
--- a/bench/trainer.go
+++ b/bench/trainer.go
@@ -21,7 +21,8 @@
 	asked(step core.Step, now time.Time)
 	published(version core.WeightVersion, now time.Time)
 	finished() []delivery.Finished
-	held() int // finished samples that are not delivered
+	pending() int // samples that could be started
+	held() int    // finished samples that are not delivered
 	delivered(record core.DeliveryRecord, now time.Time) (closed []rollout.Work)
 	tooOld(ids []core.GroupID, trainer core.WeightVersion)
 	// review returns the runs to be moved and to be ended; observe tells the
@@ -103,6 +104,17 @@
 	return whole
 }
 
+func (b *plannedBook) pending() (count int) {
+	for _, samples := range b.states {
+		for _, s := range samples {
+			if s.run == 0 && !s.done {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 func (b *plannedBook) held() (count int) {
 	for _, samples := range b.states {
 		for _, s := range samples {
@@ -268,6 +280,7 @@
 		r.ended = func(ok bool) { t.ended(started, r, ok) }
 		t.w.submit(r)
 	}
+	t.w.entries[t.entry].limits[t.deployment.Name].SetBacklog(t.deployment.Name, t.book.pending())
 }
 
 func (t *trainer) ended(done rollout.Work, r *request, ok bool) {
--- a/internal/adapters/peerquic/capacity_test.go
+++ b/internal/adapters/peerquic/capacity_test.go
@@ -35,6 +35,6 @@
 	epoch := core.AccountEpoch{Incarnation: 1_764_838_000_000, Reset: 40}
 	return core.LimitNews{
 		Deployment: core.DeploymentName(fmt.Sprint("coach-", i)), Epoch: epoch, Seen: epoch,
-		Given: 300, Demand: 40, Held: 33,
+		Given: 300, Demand: 40, Rollouts: 30, Held: 33,
 	}
 }
--- a/internal/adapters/peerquic/convert.go
+++ b/internal/adapters/peerquic/convert.go
@@ -80,14 +80,14 @@
 func toWireLimitNews(n core.LimitNews) wireLimitNews {
 	return wireLimitNews{
 		Deployment: n.Deployment, Epoch: wireAccountEpoch(n.Epoch), Seen: wireAccountEpoch(n.Seen),
-		Given: n.Given, Demand: n.Demand, Held: n.Held,
+		Given: n.Given, Demand: n.Demand, Held: n.Held, Rollouts: n.Rollouts,
 	}
 }
 
 func fromWireLimitNews(n wireLimitNews) core.LimitNews {
 	return core.LimitNews{
 		Deployment: n.Deployment, Epoch: core.AccountEpoch(n.Epoch), Seen: core.AccountEpoch(n.Seen),
-		Given: n.Given, Demand: n.Demand, Held: n.Held,
+		Given: n.Given, Demand: n.Demand, Held: n.Held, Rollouts: n.Rollouts,
 	}
 }
 
--- a/internal/adapters/peerquic/node_test.go
+++ b/internal/adapters/peerquic/node_test.go
@@ -120,7 +120,7 @@
 func fullBeat(vm core.VMID) core.Heartbeat {
 	return core.Heartbeat{Sender: fullMember(vm), Known: 5, Members: []core.Member{fullMember("x")}, Newest: 8,
 		Unreached: []core.VMID{"y"}, Applied: []core.MemberTag{1, 1 << 31}, Weights: []core.WeightNews{{Deployment: "d", Version: 2}},
-		Limits:  []core.LimitNews{{Deployment: "d", Epoch: core.AccountEpoch{Incarnation: 9, Reset: 2}, Seen: core.AccountEpoch{Incarnation: 8, Reset: 1}, Given: 7, Demand: 5, Held: 3}},
+		Limits:  []core.LimitNews{{Deployment: "d", Epoch: core.AccountEpoch{Incarnation: 9, Reset: 2}, Seen: core.AccountEpoch{Incarnation: 8, Reset: 1}, Given: 7, Demand: 5, Held: 3, Rollouts: 2}},
 		Crashes: []core.CrashNews{{Fingerprint: 1 << 63, Round: 1, State: core.CrashConvicted, First: "s", Second: "t", Age: 4, Trial: "y", TrialServer: "u", InFlight: true}}}
 }
 
--- a/internal/adapters/peerquic/wire.go
+++ b/internal/adapters/peerquic/wire.go
@@ -40,6 +40,7 @@
 	Given      uint64              `cbor:"4,keyasint,omitempty"`
 	Demand     uint32              `cbor:"5,keyasint,omitempty"`
 	Held       uint32              `cbor:"6,keyasint,omitempty"`
+	Rollouts   uint32              `cbor:"7,keyasint,omitempty"`
 }
 
 type wireCrashNews struct {
--- a/internal/app/coordinator.go
+++ b/internal/app/coordinator.go
@@ -29,6 +29,7 @@
 		}
 		holding, held := s.leases.Held(leaseName(deployment.Name), s.ports.Clock.Now())
 		if !held {
+			s.limits.SetBacklog(deployment.Name, 0)
 			s.cancelRuns(deployment.Name, s.rollouts.Close(deployment.Name))
 			s.weights.StopRolling(deployment.Name)
 			continue
@@ -50,6 +51,7 @@
 	for _, work := range s.rollouts.Start(deployment.Name, holding.Fence, rolloutPolicy(deployment.Rollout), newest, limit, now) {
 		s.startSample(deployment, holding.Fence, work)
 	}
+	s.limits.SetBacklog(deployment.Name, s.rollouts.Pending(deployment.Name, holding.Fence))
 }
 
 func rolloutPolicy(r *core.Rollout) rollout.Policy {
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -23,6 +23,13 @@
 	QueueTimeout time.Duration // longest wait
 }
 
+// Demand is what a process could use of a deployment's limit: requests in
+// flight, waiting and in the backlog.
+type Demand struct {
+	All      int
+	Rollouts int // of all
+}
+
 const (
 	// trainingDivisor gives rollouts that wait one part in so many of the
 	// concurrency, whatever people ask for.
@@ -42,6 +49,7 @@
 	inUse   [core.ClassCount]int
 	hold    [core.ClassCount]time.Duration // mean time in flight, zero when not known
 	peak    decayingPeak                   // of people's requests in flight
+	backlog int                            // rollouts that would start at once if there were room
 	refused uint64
 }
 
@@ -118,11 +126,17 @@
 	return g.waitBehind(class, g.queues[class].length) > g.bounds.QueueTimeout/2
 }
 
-// Demand is what the process could use: requests in flight and waiting.
-func (g *Gate[T]) Demand() int {
-	demand := g.total()
-	for _, queue := range g.queues {
-		demand += queue.length
+// SetBacklog says how many rollouts would be asked for if there were room.
+func (g *Gate[T]) SetBacklog(rollouts int) { g.backlog = rollouts }
+
+// Demand is what the process could use.
+func (g *Gate[T]) Demand() Demand {
+	rollouts := g.inUse[core.ClassRollout] + g.queues[core.ClassRollout].length + g.backlog
+	demand := Demand{All: g.inUse[core.ClassPeople] + rollouts, Rollouts: rollouts}
+	for class, queue := range g.queues {
+		if core.Class(class) != core.ClassRollout {
+			demand.All += queue.length
+		}
 	}
 	return demand
 }
--- a/internal/core/admission/share.go
+++ b/internal/core/admission/share.go
@@ -18,6 +18,9 @@
 const (
 	// lendDivisor: a process keeps one part in so many of its own part.
 	lendDivisor = 4
+	// rolloutsShare and rolloutsOf: of its own part in a deployment for people, a
+	// process lends so many parts of so many to rollouts of another.
+	rolloutsShare, rolloutsOf = 2, 5
 	// unsettledDivisor is the part of a process that does not know the members yet.
 	unsettledDivisor = 32
 )
@@ -29,7 +32,7 @@
 	theirs   core.AccountEpoch // of the peer's side
 	given    uint64            // units that this process gave to the peer
 	received uint64            // units that the peer gave to this process
-	demand   int
+	demand   Demand
 	held     int
 	heard    time.Time // when the peer's news came last
 	answered time.Time // when the newest heartbeat that the peer answered was sent
@@ -48,6 +51,7 @@
 	epoch     core.AccountEpoch // newest given to an account
 	timing    ShareTiming
 	limit     int
+	class     core.Class  // of the deployment's callers
 	listed    []core.VMID // entry VMs in the platform's list, sorted
 	others    int         // listed ones but this process
 	before    int         // of the others, those that sort before this process
@@ -69,6 +73,9 @@
 	return s
 }
 
+// SetClass says which class the deployment's callers have.
+func (s *Share) SetClass(class core.Class) { s.class = class }
+
 // SetLimit changes the limit; all loans end.
 func (s *Share) SetLimit(limit int, now time.Time) {
 	if limit == s.limit {
@@ -190,7 +197,7 @@
 		a.given, a.received = 0, 0
 	}
 	a.heard = now
-	a.demand, a.held = int(news.Demand), int(news.Held)
+	a.demand, a.held = Demand{All: int(news.Demand), Rollouts: int(news.Rollouts)}, int(news.Held)
 	if news.Seen == a.mine {
 		a.received = max(a.received, news.Given)
 	}
@@ -206,9 +213,11 @@
 // News returns what a heartbeat to the peer carries, after it gave the peer
 // what this process can spare: borrowed units that it does not need, or, when
 // the peer is short, a part of its own.
-func (s *Share) News(deployment core.DeploymentName, peer core.VMID, demand int, now time.Time) core.LimitNews {
+func (s *Share) News(deployment core.DeploymentName, peer core.VMID, demand Demand, now time.Time) core.LimitNews {
 	usable := s.Usable(now)
-	news := core.LimitNews{Deployment: deployment, Demand: uint32(demand), Held: uint32(usable)}
+	news := core.LimitNews{
+		Deployment: deployment, Demand: uint32(demand.All), Rollouts: uint32(demand.Rollouts), Held: uint32(usable),
+	}
 	a := s.peers[peer]
 	if a == nil {
 		news.Epoch = s.epoch
@@ -218,7 +227,7 @@
 	if now.Sub(a.heard) >= s.timing.Borrowed {
 		return news
 	}
-	given := s.spare(a, usable-demand)
+	given := s.spare(a, usable-demand.All)
 	a.given += uint64(given)
 	news.Held -= uint32(given)
 	news.Given = a.given
@@ -233,21 +242,27 @@
 	if net := a.net(); net > 0 {
 		return min(net, (free+1)/2)
 	}
-	short := a.demand - a.held
+	short := a.demand.All - a.held
 	if short <= 0 {
 		return 0
 	}
 	each := (2*short + len(s.peers) - 1) / len(s.peers)
-	return max(0, min(free/2, each, s.lendable()))
+	return max(0, min(free/2, each, s.lendable(a)))
 }
 
-// lendable is what the process may still lend of its own part.
-func (s *Share) lendable() int {
+// lendable is what the process may still lend the peer of its own part. People
+// come one by one and wait for no heartbeat, so it keeps more when only rollouts
+// are short.
+func (s *Share) lendable(a *account) int {
 	lent := 0
 	for _, a := range s.peers {
 		if net := a.net(); net < 0 {
 			lent -= net
 		}
 	}
+	people := a.demand.All - a.demand.Rollouts
+	if s.class == core.ClassPeople && people <= a.held {
+		return s.part*rolloutsShare/rolloutsOf - lent
+	}
 	return s.part - s.part/lendDivisor - lent
 }
--- a/internal/core/admission/share_test.go
+++ b/internal/core/admission/share_test.go
@@ -63,7 +63,7 @@
 }
 
 func (f *fleet) send(from, to int, answer bool, sent time.Time) {
-	news := f.shares[from].News("d", vmName(to), f.demand[from], f.now)
+	news := f.shares[from].News("d", vmName(to), Demand{All: f.demand[from]}, f.now)
 	if f.random.Float64() < f.loss || f.cut(from, to) {
 		return
 	}
@@ -216,3 +216,37 @@
 		t.Errorf("own parts sum to %d, want %d", sum, fleetLimit)
 	}
 }
+
+// A lender in a deployment for people keeps most of its part from rollouts.
+func TestShareLendsLessToRollouts(t *testing.T) {
+	cases := []struct {
+		name   string
+		class  core.Class
+		demand Demand
+		want   int // usable by the borrower of two parts of 20
+	}{
+		{"people", core.ClassPeople, Demand{All: 200}, 35},
+		{"people and rollouts", core.ClassPeople, Demand{All: 200, Rollouts: 100}, 35},
+		{"rollouts", core.ClassPeople, Demand{All: 200, Rollouts: 190}, 28},
+		{"rollouts where nobody else asks", core.ClassRollout, Demand{All: 200, Rollouts: 200}, 35},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			lender, borrower := NewShare("a", 1, 40, fleetTiming, start), NewShare("b", 1, 40, fleetTiming, start)
+			now := start
+			for range 20 {
+				now = now.Add(500 * time.Millisecond)
+				for _, share := range []*Share{lender, borrower} {
+					share.SetClass(c.class)
+					share.ApplyListed([]core.VMID{"a", "b"}, now)
+				}
+				lender.Heard("b", borrower.News("d", "a", c.demand, now), now)
+				borrower.Heard("a", lender.News("d", "b", Demand{}, now), now)
+				borrower.Answered("a", now)
+			}
+			if got := borrower.Usable(now); got != c.want {
+				t.Errorf("%d usable, want %d", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/core/limits.go
+++ b/internal/core/limits.go
@@ -27,6 +27,7 @@
 	Epoch      AccountEpoch // of the sender's accounts
 	Seen       AccountEpoch // of the receiver's accounts, as last heard
 	Given      uint64       // units given to the receiver since both epochs began
-	Demand     uint32       // requests in flight and waiting
+	Demand     uint32       // requests in flight, waiting and in the backlog of rollouts
+	Rollouts   uint32       // of the demand, rollouts
 	Held       uint32       // requests that the sender may have in flight
 }
--- a/internal/core/rollout/book.go
+++ b/internal/core/rollout/book.go
@@ -129,6 +129,20 @@
 	return work
 }
 
+// Pending returns the samples of planned groups that are not being generated or
+// done.
+func (b *Book) Pending() int {
+	pending := 0
+	for _, group := range b.groups {
+		for index := range group.samples {
+			if group.samples[index].state == samplePending {
+				pending++
+			}
+		}
+	}
+	return pending
+}
+
 // provision makes the plan unless it stands for the policy and the step.
 func (b *Book) provision(policy Policy) {
 	if b.planned != nil && *b.planned == policy {
--- a/internal/tables/limits.go
+++ b/internal/tables/limits.go
@@ -127,7 +127,11 @@
 		t.row(&configuration.Deployments[i], now)
 	}
 	for name, row := range t.rows {
-		if configuration.Find(name) == nil && row.gate.Demand() == 0 {
+		if configuration.Find(name) != nil {
+			continue
+		}
+		row.gate.SetBacklog(0)
+		if row.gate.Demand().All == 0 {
 			delete(t.rows, name)
 		}
 	}
@@ -179,6 +183,16 @@
 	}
 }
 
+// SetBacklog says how many of a deployment's rollouts would start at once if the
+// limit had room, so that other processes lend this one their room.
+func (t *Limits) SetBacklog(name core.DeploymentName, rollouts int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if row := t.rows[name]; row != nil {
+		row.gate.SetBacklog(rollouts)
+	}
+}
+
 // Withdraw takes the cost of a repeat or hedge out of a deployment's budget,
 // unless so little is in flight that the repeat is free.
 func (t *Limits) Withdraw(name core.DeploymentName, cost float64, now time.Time) bool {
@@ -315,6 +329,7 @@
 		row.adapt(now)
 		t.rows[deployment.Name] = row
 	}
+	row.share.SetClass(deployment.Class)
 	if row.limits != deployment.Limits {
 		row.limits = deployment.Limits
 		row.share.SetLimit(deployment.Limits.Concurrent, now)
--- a/internal/tables/limits_test.go
+++ b/internal/tables/limits_test.go
@@ -151,3 +151,44 @@
 		t.Errorf("%d servers kept that left the list", got)
 	}
 }
+
+// A trainer's samples must not wait for loans that follow only what was let in:
+// one exchange of heartbeats lends for the whole backlog.
+func TestBacklogIsLentAtOnce(t *testing.T) {
+	deployment := limitedDeployment()
+	deployment.Class, deployment.Limits.Concurrent = core.ClassPeople, 40
+	configuration := &core.Configuration{Generation: 1, Deployments: []core.Deployment{*deployment}}
+	names := []core.VMID{"coordinator", "b", "c", "d"}
+	var all []*Limits
+	for _, name := range names {
+		table := NewLimits(name, 1, shareTiming)
+		table.ApplyListed(names, tableNow)
+		table.ApplyConfiguration(configuration, tableNow)
+		all = append(all, table)
+	}
+	exchange := func(now time.Time) {
+		for i, table := range all {
+			table.Refresh(now)
+			if i > 0 {
+				all[0].Heard(names[i], table.News(names[0], now), now, now)
+				table.Heard(names[0], all[0].News(names[i], now), now, now)
+				all[0].Heard(names[i], table.News(names[0], now), now, now)
+			}
+		}
+	}
+	for second := range 3 {
+		exchange(tableNow.Add(time.Duration(second) * time.Second))
+	}
+	if got := all[0].State()[0].Gate.Concurrent; got != 10 {
+		t.Fatalf("%d places without a backlog, want the own 10", got)
+	}
+	all[0].SetBacklog("d", 64)
+	exchange(tableNow.Add(3 * time.Second))
+	if got := all[0].State()[0].Gate.Concurrent; got != 10+3*4 {
+		t.Errorf("%d places after one exchange, want the own 10 and 4 of each peer", got)
+	}
+	all[0].ApplyConfiguration(&core.Configuration{Generation: 2}, tableNow.Add(4*time.Second))
+	if states := all[0].State(); len(states) != 0 {
+		t.Errorf("%v kept of a deployment that is gone", states)
+	}
+}
--- a/internal/tables/rollouts.go
+++ b/internal/tables/rollouts.go
@@ -124,6 +124,16 @@
 	return row.book.Start(policy, limit, now)
 }
 
+// Pending returns how many samples of a deployment could be started.
+func (t *Rollouts) Pending(name core.DeploymentName, fence core.Fence) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if row := t.at(name, fence); row != nil {
+		return row.book.Pending()
+	}
+	return 0
+}
+
 // BeginReview returns the samples being generated when a review of them is due.
 func (t *Rollouts) BeginReview(name core.DeploymentName, fence core.Fence, now time.Time) ([]rollout.Work, bool) {
 	t.mu.Lock()
