Start samples on the newest weights where staleness weighs more

Cause: in the 6 s in which engines load new weights a step's samples were started on the old ones and were a version older at delivery; where every step brings new weights and the bound is 2 that took half of their life. The application asked for weights within the bound and not for those that the book wanted. Change: Pace learns the lag of a swap and lets samples wait for it if by the idle weight that costs less than the version saved; one sample at a time probes. The application asks for the book's version. Broken on purpose: with nine samples as probes TestOneProbeAtATimeLooksForNewWeights fails; with the idle weight ignored TestSamplesAwaitNewWeightsByTheIdleWeight fails. Conclusion: the weight decides what a swap costs.

--- a/internal/app/coordinator.go
+++ b/internal/app/coordinator.go
@@ -122,7 +122,7 @@
 			Deadline: s.ports.Clock.Now().Add(deployment.Limits.RequestTimeout),
 		},
 		deployment: deployment,
-		oldest:     s.oldestUseful(deployment),
+		oldest:     work.Oldest,
 	}
 	c.ended = func(err error) {
 		s.lifecycle.Exit()
@@ -139,17 +139,6 @@
 	return tables.AnswerKey{Caller: rolloutCaller(name), ID: id}
 }
 
-// oldestUseful returns the oldest weights on which a sample may start: with
-// older ones it would be too old once the trainer holds the next version.
-func (s *Service) oldestUseful(deployment *core.Deployment) core.WeightVersion {
-	newest := s.weights.Newest(deployment.Name)
-	bound := core.WeightVersion(deployment.Rollout.StalenessBound)
-	if newest <= bound {
-		return 1
-	}
-	return newest - bound
-}
-
 // sampleSeed makes the samples of one group differ and a repeated sample equal.
 func sampleSeed(name core.DeploymentName, id core.SampleID) int64 {
 	hash := fnv.New64a()
--- a/internal/core/rollout/book.go
+++ b/internal/core/rollout/book.go
@@ -87,6 +87,7 @@
 	skew      Skew
 	margin    Margin
 	reviewed  time.Time
+	probe     Work // latest sample that was started to find the newest weights in use
 }
 
 // NewBook returns an empty book whose runs have numbers above firstRun.
@@ -107,6 +108,8 @@
 
 // Start decides how many groups are open and starts their pending samples, the
 // earliest planned first, while fewer than limit samples are being generated.
+// While samples wait for the newest weights it starts one at a time, which fails
+// until an engine has them; Retry must be called for it before the next Start.
 func (b *Book) Start(policy Policy, limit int, now time.Time) []Work {
 	if len(b.prompts) == 0 {
 		return nil
@@ -114,21 +117,41 @@
 	b.provision(policy)
 	steps := (b.plan.Groups + policy.GroupsPerStep - 1) / policy.GroupsPerStep
 	through := b.record.LastStep + core.Step(steps)
+	most := limit - b.running
+	awaits := b.awaitsNewest(policy, now)
+	if awaits {
+		most = min(most, 1)
+	}
 	var work []Work
 	for place, id := range delivery.Open(b.record, through, policy.GroupsPerStep, b.plan.Groups) {
 		group := b.group(id, policy, now)
 		oldest := b.pace.OldestUseful(place/policy.GroupsPerStep, policy.Bound)
+		if awaits {
+			oldest = b.pace.Newest()
+		}
 		for index := range group.samples {
-			if group.samples[index].state == samplePending && b.running < limit {
+			if group.samples[index].state == samplePending && len(work) < most {
 				started := b.start(group, core.SampleID{Group: id, Index: index}, now)
 				started.Oldest = oldest
 				work = append(work, started)
 			}
 		}
 	}
+	if awaits && len(work) > 0 {
+		b.probe = work[0]
+	}
 	return work
 }
 
+// awaitsNewest reports whether samples wait for the newest weights, which are in
+// use once a probe was not given back.
+func (b *Book) awaitsNewest(policy Policy, now time.Time) bool {
+	if row, _ := b.find(b.probe); row != nil {
+		b.pace.Served(b.probe.Oldest, now)
+	}
+	return b.pace.AwaitsNewest(policy.Bound, policy.IdleWeight, now)
+}
+
 // Pending returns the samples of planned groups that are not being generated or
 // done.
 func (b *Book) Pending() int {
@@ -208,6 +231,7 @@
 	}
 	row.tokens = progress.Tokens
 	row.oldest = progress.Oldest
+	b.pace.Served(progress.Oldest, now)
 	if span := now.Sub(row.markAt); span >= settleTime || row.rate == 0 {
 		row.rate = float64(row.tokens-row.markTokens) / max(span.Seconds(), 1e-3)
 		if span >= rateWindow {
--- a/internal/core/rollout/pace.go
+++ b/internal/core/rollout/pace.go
@@ -10,17 +10,23 @@
 // paceGain is the weight of the newest observation in a moving average.
 const paceGain = 0.25
 
+// swapPatience is for how many times the usual lag of a swap samples wait for
+// the newest weights.
+const swapPatience = 2
+
 // Pace observes a trainer: how long it works on a step, how long it waits for
 // a batch, and how often it publishes weights. The zero value has seen nothing.
 type Pace struct {
 	Work         time.Duration // moving average of the work on one step
 	VersionEvery time.Duration // moving average between published versions
 	PerStep      float64       // moving average of the versions published in a step
+	SwapLag      time.Duration // moving average from a version's publication to its first use
 	Idle         time.Duration // sum of the waits for a batch
 	Busy         time.Duration // sum of the work on steps
 
 	newest      core.WeightVersion
 	publishedAt time.Time
+	served      bool // the newest version is in use, or was when first heard of
 	fixedAt     time.Time
 	fixed       core.WeightVersion
 	asked       core.Step
@@ -66,10 +72,32 @@
 		each := now.Sub(p.publishedAt) / time.Duration(version-p.newest)
 		p.VersionEvery = average(p.VersionEvery, each)
 	}
+	p.served = p.newest == 0
 	p.newest = version
 	p.publishedAt = now
 }
 
+// Served notes that a sample runs on a version.
+func (p *Pace) Served(version core.WeightVersion, now time.Time) {
+	if p.served || version < p.newest {
+		return
+	}
+	p.served = true
+	p.SwapLag = average(p.SwapLag, now.Sub(p.publishedAt))
+}
+
+// AwaitsNewest reports whether samples shall wait until the newest weights are
+// in use, rather than start on older ones. They wait if the step that this may
+// delay by the usual lag costs less than the version that it saves, by the same
+// weights as in Provision, and for a bounded time.
+func (p *Pace) AwaitsNewest(bound uint64, idleWeight float64, now time.Time) bool {
+	if p.served || p.SwapLag == 0 || p.Work <= 0 || now.Sub(p.publishedAt) > swapPatience*p.SwapLag {
+		return false
+	}
+	idle := p.SwapLag.Seconds() / p.Work.Seconds()
+	return idleWeight*idle < (1-idleWeight)/float64(max(bound, 1))
+}
+
 // Newest returns the newest version known.
 func (p *Pace) Newest() core.WeightVersion { return p.newest }
 
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -136,6 +136,73 @@
 	}
 }
 
+func TestSamplesAwaitNewWeightsByTheIdleWeight(t *testing.T) {
+	published := time.Unix(1000, 0)
+	const lag, work = 6 * time.Second, 24 * time.Second
+	tests := []struct {
+		name   string
+		lag    time.Duration
+		bound  uint64
+		weight float64
+		after  time.Duration
+		want   bool
+	}{
+		{"staleness only", lag, 2, 0, time.Second, true},
+		{"staleness more", lag, 2, 0.2, time.Second, true},
+		{"idle time more", lag, 3, 0.7, time.Second, false},
+		{"idle time only", lag, 1, 1, time.Second, false},
+		{"a version matters less under a wide bound", lag, 12, 0.4, time.Second, false},
+		{"a swap much longer than a step", 240 * time.Second, 2, 0.2, time.Second, false},
+		{"lag not known", 0, 2, 0, time.Second, false},
+		{"the swap takes too long", lag, 2, 0, swapPatience*lag + 1, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			pace := &Pace{Work: work, SwapLag: test.lag}
+			pace.Published(1, published.Add(-time.Hour))
+			if pace.AwaitsNewest(test.bound, test.weight, published.Add(-time.Hour)) {
+				t.Error("awaits a version that was there before")
+			}
+			pace.Published(2, published)
+			if got := pace.AwaitsNewest(test.bound, test.weight, published.Add(test.after)); got != test.want {
+				t.Errorf("awaits: %v, want %v", got, test.want)
+			}
+			pace.Served(1, published.Add(test.after))
+			if got := pace.AwaitsNewest(test.bound, test.weight, published.Add(test.after)); got != test.want {
+				t.Error("an older version ended the wait")
+			}
+			pace.Served(2, published.Add(test.after))
+			if pace.AwaitsNewest(test.bound, test.weight, published.Add(test.after)) {
+				t.Error("still awaits a version in use")
+			}
+		})
+	}
+}
+
+func TestOneProbeAtATimeLooksForNewWeights(t *testing.T) {
+	policy := Policy{GroupsPerStep: 2, GroupSize: 4, MaxTokens: 10, Bound: 1}
+	now := time.Unix(1000, 0)
+	book := NewBook(0)
+	book.Load(core.DeliveryRecord{}, []string{"p"})
+	book.pace.Work, book.pace.SwapLag = time.Minute, 6*time.Second
+	book.Published(1, now)
+	book.Published(2, now)
+	for range 3 {
+		probes := book.Start(policy, 100, now)
+		if len(probes) != 1 || probes[0].Oldest != 2 {
+			t.Fatalf("started %+v, want one sample on weights 2", probes)
+		}
+		book.Retry(probes[0]) // no engine has them
+	}
+	probe := book.Start(policy, 100, now)
+	if rest := book.Start(policy, 100, now.Add(8*time.Second)); len(probe) != 1 || len(rest) != 2*8-1 {
+		t.Errorf("%d started after the probe ran, want the other samples of two steps", len(rest))
+	}
+	if book.pace.SwapLag != 6500*time.Millisecond {
+		t.Errorf("lag %s after 6 s and 8 s, want 6.5 s", book.pace.SwapLag)
+	}
+}
+
 func TestBookIgnoresRunsThatWereReplaced(t *testing.T) {
 	policy := Policy{GroupsPerStep: 1, GroupSize: 1, MaxTokens: 10, Bound: 1}
 	now := time.Unix(0, 0)
