Start no more samples than the limits let in or queue

Cause: a coordinator asked for all of a step's samples at every look, and those beyond its places and queue were refused and tried again a second later. Change: the gate tells how many rollouts may be in flight or wait; the book starts no more. The rest stays pending and is told as backlog. Broken on purpose: with one more than the capacity TestRolloutCapacityIsRefusedNothing fails. Conclusion: refusals tell again of people who are turned away.

--- a/bench/trainer.go
+++ b/bench/trainer.go
@@ -179,6 +179,7 @@
 	generated int // to the end
 	delivered int
 	canceled  int // while they ran
+	refused   int // or failed, and tried again
 }
 
 type sampleRun struct {
@@ -272,15 +273,16 @@
 }
 
 func (t *trainer) start() {
-	limit := t.deployment.Limits.Concurrent
-	for _, started := range t.book.start(limit, t.w.clock.Time()) {
+	now, limits := t.w.clock.Time(), t.w.entries[t.entry].limits[t.deployment.Name]
+	limit := min(t.deployment.Limits.Concurrent, limits.RolloutCapacity(t.deployment, now))
+	for _, started := range t.book.start(limit, now) {
 		r := sampleOf(t.deployment, t.number, started.ID)
 		r.entry, r.oldest = t.entry, started.Oldest
 		t.running[started.Run] = &sampleRun{started, r}
 		r.ended = func(ok bool) { t.ended(started, r, ok) }
 		t.w.submit(r)
 	}
-	t.w.entries[t.entry].limits[t.deployment.Name].SetBacklog(t.deployment.Name, t.book.pending())
+	limits.SetBacklog(t.deployment.Name, t.book.pending())
 }
 
 func (t *trainer) ended(done rollout.Work, r *request, ok bool) {
@@ -289,6 +291,7 @@
 	}
 	delete(t.running, done.Run)
 	if !ok {
+		t.counts.refused++
 		t.book.retry(done)
 		return
 	}
--- a/bench/training.go
+++ b/bench/training.go
@@ -39,7 +39,7 @@
 	}
 	running.Wait()
 	fmt.Fprintln(out, "| policy | seed | idle share | by trainer, s | staleness mean, p50, p99, max | over the bound | "+
-		"samples generated, delivered, thrown away, canceled | people's p99; answered |\n|---|---|---|---|---|---|---|---|")
+		"samples generated, delivered, thrown away, canceled, refused | people's p99; answered |\n|---|---|---|---|---|---|---|---|")
 	for _, line := range lines {
 		fmt.Fprintln(out, line)
 	}
@@ -52,12 +52,13 @@
 		all.generated += t.counts.generated
 		all.delivered += t.counts.delivered
 		all.canceled += t.counts.canceled
+		all.refused += t.counts.refused
 		held += t.book.held()
 		idle += fmt.Sprintf("%s %.0f; ", t.deployment.Name, t.idle.Seconds())
 	}
-	return fmt.Sprintf("| %s | %d | %.4f | %s | %.3f, %.0f, %.0f, %.0f | %d | %d, %d, %d, %d | %.1f s; %.4f |",
+	return fmt.Sprintf("| %s | %d | %.4f | %s | %.3f, %.0f, %.0f, %.0f | %d | %d, %d, %d, %d, %d | %.1f s; %.4f |",
 		policy, seed, w.idleShare(), idle[:len(idle)-2],
 		mean(w.staleness), quantile(w.staleness, 0.5), quantile(w.staleness, 0.99), quantile(w.staleness, 1), w.overStale,
-		all.generated, all.delivered, all.generated-all.delivered-held, all.canceled,
+		all.generated, all.delivered, all.generated-all.delivered-held, all.canceled, all.refused,
 		quantile(w.latencies, 0.99), w.answeredShare(warmUp, runTime-peopleEnd))
 }
--- a/internal/app/coordinator.go
+++ b/internal/app/coordinator.go
@@ -45,9 +45,9 @@
 	}
 	s.orderWeights(deployment, holding)
 	s.reviewSamples(deployment, holding.Fence)
-	limit := s.options.Streams.InFlight / 2
 	newest := s.weights.Newest(deployment.Name)
 	now := s.ports.Clock.Now()
+	limit := min(s.options.Streams.InFlight/2, s.limits.RolloutCapacity(deployment, now))
 	for _, work := range s.rollouts.Start(deployment.Name, holding.Fence, rolloutPolicy(deployment.Rollout), newest, limit, now) {
 		s.startSample(deployment, holding.Fence, work)
 	}
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -129,6 +129,17 @@
 // SetBacklog says how many rollouts would be asked for if there were room.
 func (g *Gate[T]) SetBacklog(rollouts int) { g.backlog = rollouts }
 
+// RolloutCapacity returns how many rollouts may be in flight or wait without
+// being refused.
+func (g *Gate[T]) RolloutCapacity(now time.Time) int {
+	places := g.rolloutPlaces(now)
+	waiting := g.bounds.QueueLength
+	if hold := g.hold[core.ClassRollout]; hold > 0 {
+		waiting = min(waiting, int(float64(places)*g.bounds.QueueTimeout.Seconds()/hold.Seconds()))
+	}
+	return places + waiting
+}
+
 // Demand is what the process could use.
 func (g *Gate[T]) Demand() Demand {
 	rollouts := g.inUse[core.ClassRollout] + g.queues[core.ClassRollout].length + g.backlog
@@ -184,6 +195,11 @@
 	return min(max(least, wanted), g.bounds.Concurrent-g.training())
 }
 
+// rolloutPlaces is how many rollouts may be in flight beside people.
+func (g *Gate[T]) rolloutPlaces(now time.Time) int {
+	return max(g.bounds.Concurrent-max(g.headroom(now), g.inUse[core.ClassPeople]), g.training())
+}
+
 func (g *Gate[T]) hasRoom(class core.Class, now time.Time) bool {
 	total := g.total()
 	switch class {
@@ -191,8 +207,7 @@
 		return true
 	case core.ClassRollout:
 		used := g.inUse[core.ClassRollout]
-		free := g.bounds.Concurrent - max(g.headroom(now), g.inUse[core.ClassPeople])
-		return total < g.bounds.Concurrent && used < max(free, g.training())
+		return total < g.bounds.Concurrent && used < g.rolloutPlaces(now)
 	default:
 		return total < g.bounds.Concurrent
 	}
--- a/internal/core/admission/gate_test.go
+++ b/internal/core/admission/gate_test.go
@@ -247,3 +247,36 @@
 		})
 	}
 }
+
+// What RolloutCapacity allows is let in or waits: nothing of it is refused, and
+// one more would be.
+func TestRolloutCapacityIsRefusedNothing(t *testing.T) {
+	cases := []struct {
+		name   string
+		bounds Bounds
+		hold   time.Duration
+		people int
+		want   int
+	}{
+		{"queue of few", Bounds{Concurrent: 16, QueueLength: 3, QueueTimeout: time.Minute}, 0, 0, 14 + 3},
+		{"people in flight", Bounds{Concurrent: 16, QueueLength: 3, QueueTimeout: time.Minute}, 0, 6, 9 + 3},
+		{"slow samples", Bounds{Concurrent: 16, QueueLength: 100, QueueTimeout: 5 * time.Second}, 10 * time.Second, 0, 14 + 7},
+		{"fewest places", Bounds{Concurrent: 1, QueueLength: 2, QueueTimeout: time.Minute}, 0, 0, 1 + 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewGate[int](c.bounds)
+			g.hold[core.ClassRollout] = c.hold
+			admitAll(t, g, ask("p", core.ClassPeople, 0), c.people)
+			if got := g.RolloutCapacity(start); got != c.want {
+				t.Errorf("capacity %d, want %d", got, c.want)
+			}
+			if _, refused := admitAll(t, g, ask("r", core.ClassRollout, 0), c.want); refused != 0 {
+				t.Errorf("%d refused within the capacity", refused)
+			}
+			if _, refused := admitAll(t, g, ask("r", core.ClassRollout, 0), 2); refused == 0 {
+				t.Error("none refused beyond the capacity")
+			}
+		})
+	}
+}
--- a/internal/tables/limits.go
+++ b/internal/tables/limits.go
@@ -183,6 +183,14 @@
 	}
 }
 
+// RolloutCapacity returns how many of a deployment's rollouts may be in flight or
+// wait here without being refused.
+func (t *Limits) RolloutCapacity(deployment *core.Deployment, now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.row(deployment, now).gate.RolloutCapacity(now)
+}
+
 // SetBacklog says how many of a deployment's rollouts would start at once if the
 // limit had room, so that other processes lend this one their room.
 func (t *Limits) SetBacklog(name core.DeploymentName, rollouts int) {
