Give a deployment's rollouts a budget of repeats of their own

Cause: of single long stalls. A coordinator's samples shared the budget that each process has for its callers, with four repeats saved up. Ruled out: no budget for rollouts, and going back to the book when it is empty. Change: rollouts have their own budget, which saves up 16. Broken on purpose: with one budget for both TestRolloutsHaveTheirOwnRepeats fails (4 samples at once, want 16).

--- a/bench/requests.go
+++ b/bench/requests.go
@@ -243,7 +243,7 @@
 	}
 	w.clock.After(decision.Delay, func() {
 		cost := retry.Cost(r.done, r.most)
-		if w.plan.plainRetries || limits.Withdraw(name, cost, w.clock.Time()) {
+		if w.plan.plainRetries || limits.Withdraw(name, r.class, cost, w.clock.Time()) {
 			w.repeatAttempt()
 			w.try(r)
 			return
--- a/internal/app/admission.go
+++ b/internal/app/admission.go
@@ -136,7 +136,7 @@
 		return
 	}
 	s.timers.After(decision.Delay, r.class, func() {
-		if !s.limits.Withdraw(r.deployment, r.cost, s.ports.Clock.Now()) {
+		if !s.limits.Withdraw(r.deployment, r.class, r.cost, s.ports.Clock.Now()) {
 			r.failed.Waits++
 			s.repeatLater(r)
 			return
--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -11,6 +11,9 @@
 	budgetStart = 2
 	// budgetMost bounds what is saved up.
 	budgetMost = 4
+	// rolloutBudgetMost is the same for a deployment's rollouts: about as many
+	// samples as one engine runs.
+	rolloutBudgetMost = 16
 	// spareDivisor: a process that uses at most one part in so many of its
 	// concurrency has room for every repeat, so that none is denied.
 	spareDivisor = 4
@@ -35,18 +38,27 @@
 type Budget struct {
 	balance float64
 	last    time.Time
+	most    float64 // repeats saved up
 }
 
 // NewBudget returns a budget for a deployment without requests.
-func NewBudget(now time.Time) *Budget { return &Budget{balance: budgetStart, last: now} }
+func NewBudget(now time.Time) *Budget {
+	return &Budget{balance: budgetStart, last: now, most: budgetMost}
+}
+
+// NewRolloutBudget returns a budget for a deployment's rollouts. They all run in
+// one process, so that it saves up what callers' budgets do in several.
+func NewRolloutBudget(now time.Time) *Budget {
+	return &Budget{balance: budgetStart, last: now, most: rolloutBudgetMost}
+}
 
 // Deposit counts a request's first attempt.
-func (b *Budget) Deposit() { b.balance = min(budgetMost, b.balance+budgetShare) }
+func (b *Budget) Deposit() { b.balance = min(b.most, b.balance+budgetShare) }
 
 // Withdraw takes the cost of a repeat or hedge out of the budget, if it is there.
 func (b *Budget) Withdraw(cost float64, now time.Time) bool {
 	if passed := now.Sub(b.last); passed > 0 {
-		b.balance = min(budgetMost, b.balance+budgetPerSecond*passed.Seconds())
+		b.balance = min(b.most, b.balance+budgetPerSecond*passed.Seconds())
 		b.last = now
 	}
 	if b.balance < cost {
--- a/internal/tables/limits.go
+++ b/internal/tables/limits.go
@@ -21,7 +21,8 @@
 	limits    core.Limits
 	gate      *admission.Gate[Ready]
 	share     *admission.Share
-	budget    *retry.Budget
+	budget    *retry.Budget // of people's repeats
+	rollouts  *retry.Budget // of rollouts' repeats
 	latencies retry.Latencies
 }
 
@@ -57,7 +58,7 @@
 	row := t.row(deployment, now)
 	started, err := row.gate.Admit(request, now)
 	if started {
-		row.budget.Deposit()
+		row.budgetOf(request.Class).Deposit()
 	}
 	return started, err
 }
@@ -201,9 +202,10 @@
 	}
 }
 
-// Withdraw takes the cost of a repeat or hedge out of a deployment's budget,
+// Withdraw takes the cost of a repeat or hedge out of a deployment's budget for
+// the class,
 // unless so little is in flight that the repeat is free.
-func (t *Limits) Withdraw(name core.DeploymentName, cost float64, now time.Time) bool {
+func (t *Limits) Withdraw(name core.DeploymentName, class core.Class, cost float64, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row := t.rows[name]
@@ -211,7 +213,15 @@
 		return false
 	}
 	part := row.limits.Concurrent / row.share.Members()
-	return retry.Spare(row.gate.InUse(), part) || row.budget.Withdraw(cost, now)
+	return retry.Spare(row.gate.InUse(), part) || row.budgetOf(class).Withdraw(cost, now)
+}
+
+// budgetOf returns the budget of a class's repeats.
+func (r *limitRow) budgetOf(class core.Class) *retry.Budget {
+	if class == core.ClassRollout {
+		return r.rollouts
+	}
+	return r.budget
 }
 
 // Overloaded reports whether a deployment's queue of the class is behind.
@@ -331,7 +341,7 @@
 			limits: deployment.Limits,
 			gate:   admission.NewGate[Ready](admission.Bounds{}),
 			share:  admission.NewShare(t.self, t.incarnation, deployment.Limits.Concurrent, t.timing, now),
-			budget: retry.NewBudget(now),
+			budget: retry.NewBudget(now), rollouts: retry.NewRolloutBudget(now),
 		}
 		row.share.ApplyListed(t.listed, now)
 		row.adapt(now)
@@ -358,8 +368,8 @@
 
 func (r *limitRow) dequeue(now time.Time) []Ready {
 	var ready []Ready
-	for next, _, ok := r.gate.Dequeue(now); ok; next, _, ok = r.gate.Dequeue(now) {
-		r.budget.Deposit()
+	for next, class, ok := r.gate.Dequeue(now); ok; next, class, ok = r.gate.Dequeue(now) {
+		r.budgetOf(class).Deposit()
 		ready = append(ready, next)
 	}
 	return ready
--- a/internal/tables/limits_test.go
+++ b/internal/tables/limits_test.go
@@ -192,3 +192,34 @@
 		t.Errorf("%v kept of a deployment that is gone", states)
 	}
 }
+
+// An engine's worth of samples is repeated at once, and people's repeats are
+// neither used up by it nor raised.
+func TestRolloutsHaveTheirOwnRepeats(t *testing.T) {
+	table := NewLimits("self", 1, shareTiming)
+	deployment := limitedDeployment()
+	deployment.Limits.Concurrent, deployment.Limits.QueueLength = 1000, 1000
+	table.ApplyConfiguration(&core.Configuration{Deployments: []core.Deployment{*deployment}}, tableNow)
+	now := tableNow.Add(3 * time.Second)
+	table.Refresh(now)
+	for _, class := range []core.Class{core.ClassPeople, core.ClassRollout} {
+		for range 400 {
+			request := &admission.Request[Ready]{Caller: "c", Class: class, Cost: 1, Deadline: now.Add(time.Minute), Payload: func(error) {}}
+			if started, err := table.Admit(deployment, request, now); !started || err != nil {
+				t.Fatalf("class %s: %v %v", class, started, err)
+			}
+		}
+	}
+	repeats := func(class core.Class) (count int) {
+		for table.Withdraw("d", class, 1, now) {
+			count++
+		}
+		return count
+	}
+	if got := repeats(core.ClassRollout); got != 16 {
+		t.Errorf("%d samples repeated at once, want 16", got)
+	}
+	if got := repeats(core.ClassPeople); got != 4 {
+		t.Errorf("%d people's requests repeated at once, want 4", got)
+	}
+}
