--- a/bench/requests.go
+++ b/bench/requests.go
@@ -243,7 +243,7 @@
 	}
 	w.clock.After(decision.Delay, func() {
 		cost := retry.Cost(r.done, r.most)
-		if w.plan.plainRetries || limits.Withdraw(name, cost, w.clock.Time()) {
+		if w.plan.plainRetries || limits.Withdraw(name, r.class, cost, w.clock.Time()) {
 			w.repeatAttempt()
 			w.try(r)
 			return
@@ -269,7 +269,7 @@
 	e, d := w.entries[r.entry], r.deployment
 	done, _ := w.progress(r)
 	if !w.plan.plainRetries && e.router.short(d.Kind, d.Service) &&
-		!e.limits[d.Name].Withdraw(d.Name, retry.Cost(done, r.most), w.clock.Time()) {
+		!e.limits[d.Name].Withdraw(d.Name, r.class, retry.Cost(done, r.most), w.clock.Time()) {
 		return
 	}
 	if w.take(r) {
--- a/bench/trainer.go
+++ b/bench/trainer.go
@@ -21,6 +21,8 @@
 	asked(step core.Step, now time.Time)
 	published(version core.WeightVersion, now time.Time)
 	finished() []delivery.Finished
+	pending() int // samples that could be started
+	held() int    // finished samples that are not delivered
 	delivered(record core.DeliveryRecord, now time.Time) (closed []rollout.Work)
 	tooOld(ids []core.GroupID, trainer core.WeightVersion)
 	// review returns the runs to be moved and to be ended; observe tells the
@@ -102,6 +104,28 @@
 	return whole
 }
 
+func (b *plannedBook) pending() (count int) {
+	for _, samples := range b.states {
+		for _, s := range samples {
+			if s.run == 0 && !s.done {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func (b *plannedBook) held() (count int) {
+	for _, samples := range b.states {
+		for _, s := range samples {
+			if s.done {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 func (b *plannedBook) delivered(record core.DeliveryRecord, _ time.Time) (closed []rollout.Work) {
 	b.record = record
 	for id, samples := range b.states {
@@ -146,6 +170,16 @@
 	askedAt    time.Duration
 	fixedAt    time.Duration
 	asking     bool
+	counts     sampleCounts
+	idle       time.Duration // after the warm-up
+}
+
+// sampleCounts counts samples of the whole run, its warm-up included.
+type sampleCounts struct {
+	generated int // to the end
+	delivered int
+	canceled  int // while they ran
+	refused   int // or failed, and tried again
 }
 
 type sampleRun struct {
@@ -190,7 +224,7 @@
 		oldest[group.ID] = group.Oldest
 	}
 	for _, id := range decision.Chosen {
-		t.w.sampleDelivered(t, uint64(t.version-min(t.version, oldest[id])))
+		t.w.groupDelivered(t, uint64(t.version-min(t.version, oldest[id])))
 	}
 	for _, write := range decision.Commit.Writes {
 		if record, ok := write.Record.(core.DeliveryRecord); ok {
@@ -239,14 +273,16 @@
 }
 
 func (t *trainer) start() {
-	limit := t.deployment.Limits.Concurrent
-	for _, started := range t.book.start(limit, t.w.clock.Time()) {
+	now, limits := t.w.clock.Time(), t.w.entries[t.entry].limits[t.deployment.Name]
+	limit := min(t.deployment.Limits.Concurrent, limits.RolloutCapacity(t.deployment, now))
+	for _, started := range t.book.start(limit, now) {
 		r := sampleOf(t.deployment, t.number, started.ID)
 		r.entry, r.oldest = t.entry, started.Oldest
 		t.running[started.Run] = &sampleRun{started, r}
 		r.ended = func(ok bool) { t.ended(started, r, ok) }
 		t.w.submit(r)
 	}
+	limits.SetBacklog(t.deployment.Name, t.book.pending())
 }
 
 func (t *trainer) ended(done rollout.Work, r *request, ok bool) {
@@ -255,9 +291,11 @@
 	}
 	delete(t.running, done.Run)
 	if !ok {
+		t.counts.refused++
 		t.book.retry(done)
 		return
 	}
+	t.counts.generated++
 	sample := core.Sample{Deployment: t.deployment.Name, ID: done.ID, Spans: []core.Span{{To: r.answer, Version: r.produced}}}
 	t.book.generated(done, sample, t.w.clock.Time())
 	t.tryBatch()
@@ -268,6 +306,7 @@
 	for _, ended := range byRun(runs) {
 		if run := t.running[ended.Run]; run != nil {
 			delete(t.running, ended.Run)
+			t.counts.canceled++
 			t.w.abandon(run.request)
 		}
 	}
--- a/internal/app/cluster_test.go
+++ b/internal/app/cluster_test.go
@@ -123,9 +123,32 @@
 		}
 		return true
 	})
+	c.awaitParts()
 	return c
 }
 
+// mostOwners is the largest number of processes that all own a part of every limit.
+const mostOwners = 16
+
+// awaitParts waits until every service may use its part of every limit, which it
+// does once all others have said that they use nothing of it.
+func (c *cluster) awaitParts() {
+	c.t.Helper()
+	if len(c.services) > mostOwners {
+		return
+	}
+	c.await("parts of the limits in use", func() bool {
+		for _, s := range c.services {
+			for _, limit := range s.State().(app.State).Limits {
+				if limit.Gate.Concurrent == 0 {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
 // add starts one more service.
 func (c *cluster) add() *app.Service {
 	number := len(c.services) + 1
--- a/internal/app/coordinator.go
+++ b/internal/app/coordinator.go
@@ -30,6 +30,7 @@
 		}
 		holding, held := s.leases.Held(leaseName(deployment.Name), s.ports.Clock.Now())
 		if !held {
+			s.limits.SetBacklog(deployment.Name, 0)
 			s.cancelRuns(deployment.Name, s.rollouts.Close(deployment.Name))
 			continue
 		}
@@ -43,12 +44,13 @@
 		return
 	}
 	s.reviewSamples(deployment, holding.Fence)
-	limit := s.options.Streams.InFlight / 2
 	newest := s.weights.Newest(deployment.Name)
 	now := s.ports.Clock.Now()
+	limit := min(s.options.Streams.InFlight/2, s.limits.RolloutCapacity(deployment, now))
 	for _, work := range s.rollouts.Start(deployment.Name, holding.Fence, rolloutPolicy(deployment.Rollout), newest, limit, now) {
 		s.startSample(deployment, holding.Fence, work)
 	}
+	s.limits.SetBacklog(deployment.Name, s.rollouts.Pending(deployment.Name, holding.Fence))
 }
 
 func rolloutPolicy(r *core.Rollout) rollout.Policy {
@@ -119,7 +121,7 @@
 			Deadline: s.ports.Clock.Now().Add(deployment.Limits.RequestTimeout),
 		},
 		deployment: deployment,
-		oldest:     s.oldestUseful(deployment),
+		oldest:     work.Oldest,
 	}
 	c.ended = func(err error) {
 		s.lifecycle.Exit()
@@ -136,17 +138,6 @@
 	return tables.AnswerKey{Caller: rolloutCaller(name), ID: id}
 }
 
-// oldestUseful returns the oldest weights on which a sample may start: with
-// older ones it would be too old once the trainer holds the next version.
-func (s *Service) oldestUseful(deployment *core.Deployment) core.WeightVersion {
-	newest := s.weights.Newest(deployment.Name)
-	bound := core.WeightVersion(deployment.Rollout.StalenessBound)
-	if newest <= bound {
-		return 1
-	}
-	return newest - bound
-}
-
 // sampleSeed makes the samples of one group differ and a repeated sample equal.
 func sampleSeed(name core.DeploymentName, id core.SampleID) int64 {
 	hash := fnv.New64a()
--- a/internal/app/leaving_test.go
+++ b/internal/app/leaving_test.go
@@ -155,7 +155,7 @@
 	c.await("samples wait for the budget", func() bool {
 		limits := s.State().(app.State).Limits
 		at := slices.IndexFunc(limits, func(l tables.LimitState) bool { return l.Deployment == model })
-		return at >= 0 && limits[at].Budget < 1 && limits[at].Gate.InFlight[core.ClassRollout] > 4
+		return at >= 0 && limits[at].Rollouts < 1 && limits[at].Gate.InFlight[core.ClassRollout] > 4
 	})
 	began := time.Now()
 	s.Shutdown(c.ctx)
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -23,6 +23,13 @@
 	QueueTimeout time.Duration // longest wait
 }
 
+// Demand is what a process could use of a deployment's limit: requests in
+// flight, waiting and in the backlog.
+type Demand struct {
+	All      int
+	Rollouts int // of all
+}
+
 const (
 	// trainingDivisor gives rollouts that wait one part in so many of the
 	// concurrency, whatever people ask for.
@@ -44,6 +51,7 @@
 	peak      decayingPeak                   // of people's requests in flight
 	refused   uint64
 	refusedAt time.Time // of the newest refusal
+	backlog   int       // rollouts that would start at once if there were room
 }
 
 // NewGate returns a gate without requests.
@@ -128,9 +136,24 @@
 	return g.waitBehind(class, g.queues[class].length) > g.bounds.QueueTimeout/2
 }
 
-// Demand is what the process could use: requests in flight and waiting.
+// SetBacklog says how many rollouts would be asked for if there were room.
+func (g *Gate[T]) SetBacklog(rollouts int) { g.backlog = rollouts }
+
+// RolloutCapacity returns how many rollouts may be in flight or wait without
+// being refused.
+func (g *Gate[T]) RolloutCapacity(now time.Time) int {
+	places := g.rolloutPlaces(now)
+	waiting := g.bounds.QueueLength
+	if hold := g.hold[core.ClassRollout]; hold > 0 {
+		waiting = min(waiting, int(float64(places)*g.bounds.QueueTimeout.Seconds()/hold.Seconds()))
+	}
+	return places + waiting
+}
+
+// Demand is what the process could use: requests in flight, waiting, and those
+// that would be asked for if there were room.
 func (g *Gate[T]) Demand() int {
-	demand := g.total()
+	demand := g.total() + g.backlog
 	for _, queue := range g.queues {
 		demand += queue.length
 	}
@@ -187,6 +210,11 @@
 	return min(max(least, wanted), g.bounds.Concurrent-g.training())
 }
 
+// rolloutPlaces is how many rollouts may be in flight beside people.
+func (g *Gate[T]) rolloutPlaces(now time.Time) int {
+	return max(g.bounds.Concurrent-max(g.headroom(now), g.inUse[core.ClassPeople]), g.training())
+}
+
 func (g *Gate[T]) hasRoom(class core.Class, now time.Time) bool {
 	total := g.total()
 	switch class {
@@ -194,8 +222,7 @@
 		return true
 	case core.ClassRollout:
 		used := g.inUse[core.ClassRollout]
-		free := g.bounds.Concurrent - max(g.headroom(now), g.inUse[core.ClassPeople])
-		return total < g.bounds.Concurrent && used < max(free, g.training())
+		return total < g.bounds.Concurrent && used < g.rolloutPlaces(now)
 	default:
 		return total < g.bounds.Concurrent
 	}
--- a/internal/tables/limits.go
+++ b/internal/tables/limits.go
@@ -19,11 +19,12 @@
 
 // limitRow is one deployment's state.
 type limitRow struct {
-	limits core.Limits
-	gate   *admission.Gate[Ready]
-	share  *admission.Share
-	budget *retry.Budget
-	absent time.Time // since when the configuration lacks the deployment; zero when it does not
+	limits   core.Limits
+	gate     *admission.Gate[Ready]
+	share    *admission.Share
+	budget   *retry.Budget // of people's repeats
+	rollouts *retry.Budget // of rollouts' repeats
+	absent   time.Time     // since when the configuration lacks the deployment; zero when it does not
 }
 
 // Limits holds the admission state of every deployment and the adaptive
@@ -60,7 +61,7 @@
 	row := t.row(deployment, now)
 	started, err := row.gate.Admit(request, now)
 	if started {
-		row.budget.Deposit()
+		row.budgetOf(request.Class).Deposit()
 	}
 	return started, err
 }
@@ -140,6 +141,7 @@
 			row.absent = time.Time{}
 		case row.absent.IsZero():
 			row.absent = now
+			row.gate.SetBacklog(0)
 		}
 	}
 }
@@ -222,16 +224,34 @@
 	return ready
 }
 
-// Withdraw takes the cost of a repeat out of a deployment's budget,
+// RolloutCapacity returns how many of a deployment's rollouts may be in flight or
+// wait here without being refused.
+func (t *Limits) RolloutCapacity(deployment *core.Deployment, now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.row(deployment, now).gate.RolloutCapacity(now)
+}
+
+// SetBacklog says how many of a deployment's rollouts would start at once if the
+// limit had room, so that other processes lend this one their room.
+func (t *Limits) SetBacklog(name core.DeploymentName, rollouts int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if row := t.rows[name]; row != nil {
+		row.gate.SetBacklog(rollouts)
+	}
+}
+
+// Withdraw takes the cost of a repeat out of a deployment's budget for the class,
 // unless so little is in flight that the repeat is free.
-func (t *Limits) Withdraw(name core.DeploymentName, cost float64, now time.Time) bool {
+func (t *Limits) Withdraw(name core.DeploymentName, class core.Class, cost float64, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row := t.rows[name]
 	if row == nil {
 		return false
 	}
-	return row.spare() || row.budget.Withdraw(cost, now)
+	return row.spare() || row.budgetOf(class).Withdraw(cost, now)
 }
 
 // spare reports whether so little is in flight that repeats are free.
@@ -239,8 +259,9 @@
 	return retry.Spare(r.gate.InUse(), r.limits.Concurrent/r.share.Holders())
 }
 
-// Affordable returns how many whole repeats a deployment's budget has room for.
-func (t *Limits) Affordable(name core.DeploymentName, now time.Time) int {
+// Affordable returns how many whole repeats a deployment's budget for the class
+// has room for.
+func (t *Limits) Affordable(name core.DeploymentName, class core.Class, now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row := t.rows[name]
@@ -250,8 +271,17 @@
 	if row.spare() {
 		return math.MaxInt
 	}
-	row.budget.Withdraw(0, now)
-	return int(row.budget.Balance())
+	budget := row.budgetOf(class)
+	budget.Withdraw(0, now)
+	return int(budget.Balance())
+}
+
+// budgetOf returns the budget of a class's repeats.
+func (r *limitRow) budgetOf(class core.Class) *retry.Budget {
+	if class == core.ClassRollout {
+		return r.rollouts
+	}
+	return r.budget
 }
 
 // Overloaded reports whether a deployment's queue of the class is behind.
@@ -320,6 +350,7 @@
 	Holders    int                 `json:"holders"`  // processes that own parts of the limit
 	Accounts   int                 `json:"accounts"` // peers with which units are lent or asked for
 	Budget     float64             `json:"retry_budget"`
+	Rollouts   float64             `json:"rollout_retry_budget"`
 }
 
 // State returns every deployment's state, sorted by name.
@@ -332,6 +363,7 @@
 		states = append(states, LimitState{
 			Deployment: name, Gate: row.gate.State(), Members: row.share.Members(),
 			Holders: row.share.Holders(), Accounts: row.share.Accounts(), Budget: row.budget.Balance(),
+			Rollouts: row.rollouts.Balance(),
 		})
 	}
 	return states
@@ -357,7 +389,7 @@
 				Deployment: deployment.Name, Self: t.self, Limit: deployment.Limits.Concurrent,
 				Rollouts: deployment.Rollout != nil, Timing: t.timing, Roster: t.roster, Epoch: &t.epoch,
 			}, now),
-			budget: retry.NewBudget(now),
+			budget: retry.NewBudget(now), rollouts: retry.NewRolloutBudget(now),
 		}
 		row.adapt(now)
 		t.rows[deployment.Name] = row
@@ -382,8 +414,8 @@
 
 func (r *limitRow) dequeue(now time.Time) []Ready {
 	var ready []Ready
-	for next, _, ok := r.gate.Dequeue(now); ok; next, _, ok = r.gate.Dequeue(now) {
-		r.budget.Deposit()
+	for next, class, ok := r.gate.Dequeue(now); ok; next, class, ok = r.gate.Dequeue(now) {
+		r.budgetOf(class).Deposit()
 		ready = append(ready, next)
 	}
 	return ready
--- a/internal/tables/limits_test.go
+++ b/internal/tables/limits_test.go
@@ -211,3 +211,78 @@
 		t.Errorf("%d of 8 people started beside %d waiting rollouts, want all but one", *people, 64-*rollouts)
 	}
 }
+
+// A trainer's samples must not wait for loans that follow only what was let in:
+// one exchange of heartbeats lends for the whole backlog.
+func TestBacklogIsLentAtOnce(t *testing.T) {
+	deployment := limitedDeployment()
+	deployment.Class, deployment.Limits.Concurrent = core.ClassPeople, 40
+	configuration := &core.Configuration{Generation: 1, Deployments: []core.Deployment{*deployment}}
+	names := []core.VMID{"coordinator", "b", "c", "d"}
+	var all []*Limits
+	for _, name := range names {
+		table := NewLimits(name, 1, shareTiming, tableNow)
+		table.ApplyListed(names, tableNow)
+		table.ApplyConfiguration(configuration, tableNow)
+		all = append(all, table)
+	}
+	exchange := func(now time.Time) {
+		for i, table := range all {
+			table.Refresh(now)
+			if i > 0 {
+				table.Heard(names[0], all[0].News(names[i], false, now), time.Time{}, now)
+				all[0].Heard(names[i], table.News(names[0], true, now), now, now)
+			}
+		}
+	}
+	const settled = 8 // seconds after which every process uses its part
+	for second := range settled {
+		exchange(tableNow.Add(time.Duration(second) * time.Second))
+	}
+	if got := all[0].State()[0].Gate.Concurrent; got != 10 {
+		t.Fatalf("%d places without a backlog, want the own 10", got)
+	}
+	all[0].SetBacklog("d", 64)
+	exchange(tableNow.Add(settled * time.Second))
+	if got := all[0].State()[0].Gate.Concurrent; got != 10+3*5 {
+		t.Errorf("%d places after one exchange, want the own 10 and 5 of each peer", got)
+	}
+	gone := tableNow.Add((settled + 1) * time.Second)
+	all[0].ApplyConfiguration(&core.Configuration{Generation: 2}, gone)
+	all[0].Refresh(gone.Add(shareTiming.Gone))
+	if states := all[0].State(); len(states) != 0 {
+		t.Errorf("%v kept of a deployment that is gone", states)
+	}
+}
+
+// An engine's worth of samples is repeated at once, and people's repeats are
+// neither used up by it nor raised.
+func TestRolloutsHaveTheirOwnRepeats(t *testing.T) {
+	table := NewLimits("self", 1, shareTiming, tableNow)
+	deployment := limitedDeployment()
+	deployment.Limits.Concurrent, deployment.Limits.QueueLength = 1000, 1000
+	table.ApplyListed([]core.VMID{"self"}, tableNow)
+	table.ApplyConfiguration(&core.Configuration{Deployments: []core.Deployment{*deployment}}, tableNow)
+	now := tableNow.Add(3 * time.Second)
+	table.Refresh(now)
+	for _, class := range []core.Class{core.ClassPeople, core.ClassRollout} {
+		for range 400 {
+			request := &admission.Request[Ready]{Caller: "c", Class: class, Cost: 1, Deadline: now.Add(time.Minute), Payload: func(error) {}}
+			if started, err := table.Admit(deployment, request, now); !started || err != nil {
+				t.Fatalf("class %s: %v %v", class, started, err)
+			}
+		}
+	}
+	repeats := func(class core.Class) (count int) {
+		for table.Withdraw("d", class, 1, now) {
+			count++
+		}
+		return count
+	}
+	if got := repeats(core.ClassRollout); got != 16 {
+		t.Errorf("%d samples repeated at once, want 16", got)
+	}
+	if got := repeats(core.ClassPeople); got != 4 {
+		t.Errorf("%d people's requests repeated at once, want 4", got)
+	}
+}
