--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -131,7 +131,7 @@
 }
 
 // Overloaded reports whether requests of the class wait for more than half of
-// the longest wait. Nothing is retried or hedged then.
+// the longest wait. Nothing is retried then.
 func (g *Gate[T]) Overloaded(class core.Class) bool {
 	return g.waitBehind(class, g.queues[class].length) > g.bounds.QueueTimeout/2
 }
