Give the README's test ports that no connection takes

Cause: the test asked the system for free ports, closed them and had its processes listen on them seconds later; in 1 of 4 runs beside other tests another socket had one by then (address already in use). Ruled out: the product; it said so and ended. Change: the ports come from below the range that Linux gives to connections and to listeners that ask for any. Another program that listens there can still take one between the look and the use.

--- a/tests/process/readme_test.go
+++ b/tests/process/readme_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -19,17 +20,28 @@
 // readmePorts are the ports that the README and its settings name.
 var readmePorts = []string{"7000", "7101", "7201"}
 
+// Ports below those that systems give to connections and to listeners that ask
+// for any port: what is free among them stays free until it is used here.
+const (
+	firstPort = 12000
+	portCount = 16000
+)
+
 // freePorts returns ports that nothing listens on.
 func freePorts(t *testing.T, count int) []string {
 	t.Helper()
 	var ports []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(ports) < count; tries++ {
+		port := strconv.Itoa(firstPort + rand.IntN(portCount))
+		listener, err := net.Listen("tcp", "127.0.0.1:"+port)
 		if err != nil {
-			t.Fatal(err)
+			if tries > portCount {
+				t.Fatal(err)
+			}
+			continue
 		}
 		defer listener.Close()
-		ports = append(ports, strconv.Itoa(listener.Addr().(*net.TCPAddr).Port))
+		ports = append(ports, port)
 	}
 	return ports
 }
