--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -110,26 +110,20 @@
 // statusTimeout bounds a status call; a server that takes longer is silent.
 const statusTimeout = 2 * time.Second
 
-// askPlain finds out whether a plain service can be reached.
+// askPlain finds out whether a plain service can be reached, one call at a time.
 func (s *Service) askPlain(vm core.VM) {
-	s.askServer(vm, func(ctx context.Context) error {
-		err := s.ports.Plain.Probe(ctx, vm)
-		if err == nil {
-			s.servers.Reachable(vm.ID, s.ports.Clock.Now())
-		}
-		return err
-	})
-}
-
-// askServer asks a server something that it answers at once when it is well, one
-// call at a time.
-func (s *Service) askServer(vm core.VM, ask func(context.Context) error) {
 	if !s.servers.BeginAsk(vm.ID) {
 		return
 	}
 	err := s.lanes.control.Go(func(ctx context.Context) {
 		defer s.servers.EndAsk(vm.ID)
-		_ = s.ask(ctx, vm.ID, ask)
+		_ = s.ask(ctx, vm.ID, func(ctx context.Context) error {
+			err := s.ports.Plain.Probe(ctx, vm)
+			if err == nil {
+				s.servers.Reachable(vm.ID, s.ports.Clock.Now())
+			}
+			return err
+		})
 	})
 	if err != nil {
 		s.servers.EndAsk(vm.ID)
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -23,13 +23,6 @@
 	QueueTimeout time.Duration // longest wait
 }
 
-// Demand is what a process could use of a deployment's limit: requests in
-// flight, waiting and in the backlog.
-type Demand struct {
-	All      int
-	Rollouts int // of all
-}
-
 const (
 	// trainingDivisor gives rollouts that wait one part in so many of the
 	// concurrency, whatever people ask for.
--- a/internal/tables/limits.go
+++ b/internal/tables/limits.go
@@ -1,7 +1,6 @@
 package tables
 
 import (
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -157,73 +156,6 @@
 	}
 }
 
-// News returns what a heartbeat to the peer carries, at most
-// core.HeartbeatLimits deployments in turn; answer tells that it answers one of
-// the peer's. Units that it gives away are no longer usable here.
-func (t *Limits) News(peer core.VMID, answer bool, now time.Time) []core.LimitNews {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	names := t.names()
-	from, _ := slices.BinarySearch(names, t.cursor+"\x00")
-	var news []core.LimitNews
-	for i := 0; i < len(names) && len(news) < core.HeartbeatLimits; i++ {
-		name := names[(from+i)%len(names)]
-		row := t.rows[name]
-		if !row.absent.IsZero() {
-			continue
-		}
-		one, found := row.share.News(peer, row.gate.Need(), answer, now)
-		if !found {
-			continue
-		}
-		t.cursor = name
-		news = append(news, one)
-		row.adapt(now)
-	}
-	return news
-}
-
-// Asks returns the peers that are to get a heartbeat out of turn.
-func (t *Limits) Asks(now time.Time) []core.VMID {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var asks []core.VMID
-	for _, row := range t.rows {
-		if row.absent.IsZero() {
-			asks = append(asks, row.share.Asks(row.gate.Need(), now)...)
-		}
-	}
-	slices.Sort(asks)
-	return slices.Compact(asks)
-}
-
-// Heard takes the news of a peer's heartbeat or answer and calls the requests
-// that may start. Sent is when the heartbeat that the peer answered was sent,
-// zero for a heartbeat of its own.
-func (t *Limits) Heard(peer core.VMID, news []core.LimitNews, sent, now time.Time) {
-	for _, ready := range t.heard(peer, news, sent, now) {
-		ready(nil)
-	}
-}
-
-func (t *Limits) heard(peer core.VMID, news []core.LimitNews, sent, now time.Time) []Ready {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.roster.Heard(peer, now)
-	var ready []Ready
-	for i := range news {
-		row := t.rows[news[i].Deployment]
-		if row == nil {
-			continue
-		}
-		row.share.Tick(now)
-		row.share.Heard(peer, news[i], sent, now)
-		row.adapt(now)
-		ready = append(ready, row.dequeue(now)...)
-	}
-	return ready
-}
-
 // RolloutCapacity returns how many of a deployment's rollouts may be in flight or
 // wait here without being refused.
 func (t *Limits) RolloutCapacity(deployment *core.Deployment, now time.Time) int {
@@ -242,48 +174,6 @@
 	}
 }
 
-// Withdraw takes the cost of a repeat out of a deployment's budget for the class,
-// unless so little is in flight that the repeat is free.
-func (t *Limits) Withdraw(name core.DeploymentName, class core.Class, cost float64, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	row := t.rows[name]
-	if row == nil {
-		return false
-	}
-	return row.spare() || row.budgetOf(class).Withdraw(cost, now)
-}
-
-// spare reports whether so little is in flight that repeats are free.
-func (r *limitRow) spare() bool {
-	return retry.Spare(r.gate.InUse(), r.limits.Concurrent/r.share.Holders())
-}
-
-// Affordable returns how many whole repeats a deployment's budget for the class
-// has room for.
-func (t *Limits) Affordable(name core.DeploymentName, class core.Class, now time.Time) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	row := t.rows[name]
-	if row == nil {
-		return 0
-	}
-	if row.spare() {
-		return math.MaxInt
-	}
-	budget := row.budgetOf(class)
-	budget.Withdraw(0, now)
-	return int(budget.Balance())
-}
-
-// budgetOf returns the budget of a class's repeats.
-func (r *limitRow) budgetOf(class core.Class) *retry.Budget {
-	if class == core.ClassRollout {
-		return r.rollouts
-	}
-	return r.budget
-}
-
 // Overloaded reports whether a deployment's queue of the class is behind.
 func (t *Limits) Overloaded(name core.DeploymentName, class core.Class) bool {
 	t.mu.Lock()
@@ -292,56 +182,6 @@
 	return row != nil && row.gate.Overloaded(class)
 }
 
-// AcquireServer takes a place at a backend server. Rollouts get one only if the
-// server's latency allows it; people always do, as servers run them first.
-func (t *Limits) AcquireServer(id core.ServerID, class core.Class, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	limit := t.servers[id]
-	if limit == nil {
-		limit = admission.NewServerLimit(now)
-		t.servers[id] = limit
-	}
-	if class == core.ClassRollout {
-		return limit.Acquire(class)
-	}
-	limit.Take()
-	return true
-}
-
-// ReleaseServer gives a place back. Latency is of comparable work, such as the
-// time per token; zero when the run tells nothing.
-func (t *Limits) ReleaseServer(id core.ServerID, latency time.Duration, overloaded bool, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	limit := t.servers[id]
-	if limit == nil {
-		return
-	}
-	limit.Release()
-	if overloaded {
-		limit.Failed()
-	}
-	if latency > 0 {
-		limit.Observe(latency, now)
-	}
-}
-
-// RetainServers drops the limits of servers that left the platform's list.
-func (t *Limits) RetainServers(vms []core.VM) {
-	listed := make(map[core.ServerID]bool, len(vms))
-	for _, vm := range vms {
-		listed[vm.ID] = true
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for id := range t.servers {
-		if !listed[id] {
-			delete(t.servers, id)
-		}
-	}
-}
-
 // LimitState is one deployment's part of the state dump.
 type LimitState struct {
 	Deployment core.DeploymentName `json:"deployment"`
--- a/tests/process/night_test.go
+++ b/tests/process/operations_test.go
@@ -20,8 +20,8 @@
 	"fescuespar/standin/trainer"
 )
 
-// night is a site during the faults that docs/OPERATIONS.md lists.
-type night struct {
+// operations is a site during the faults that docs/OPERATIONS.md lists.
+type operations struct {
 	t       *testing.T
 	ctx     context.Context
 	site    *site.Site
@@ -37,7 +37,7 @@
 func TestOperationsPage(t *testing.T) {
 	t.Parallel()
 	ctx, s, entries := startSite(t, 2)
-	n := &night{t: t, ctx: ctx, site: s, entries: entries}
+	n := &operations{t: t, ctx: ctx, site: s, entries: entries}
 	for _, step := range []struct {
 		name string
 		run  func()
@@ -59,13 +59,13 @@
 	}
 }
 
-func (n *night) addEntry() {
+func (n *operations) addEntry() {
 	n.entries = append(n.entries, join(n.ctx, n.t, n.site))
 	awaitAllAlive(n.ctx, n.t, n.site, n.entries)
 	n.awaitParts(len(n.entries))
 }
 
-func (n *night) addRegion() {
+func (n *operations) addRegion() {
 	place := site.Server{ID: "engine-far", Service: "coach-model", Zone: "f1", Region: "far"}
 	var err error
 	n.engine, n.control, err = n.site.StartServer(n.ctx, "engine", place, "--model", "coach-model", "--step", "10ms")
@@ -81,7 +81,7 @@
 }
 
 // badWeights has one engine refuse the orders of a new version.
-func (n *night) badWeights() {
+func (n *operations) badWeights() {
 	n.faults(engine.Faults{Refuse: true})
 	summary, err := trainer.Run(n.ctx, trainers(n.entries, 2))
 	if err != nil || !summary.Sound() || summary.Steps != 2 {
@@ -93,7 +93,7 @@
 }
 
 // cutRegion freezes the second region: to the first one it is cut off.
-func (n *night) cutRegion() {
+func (n *operations) cutRegion() {
 	if err := n.far.Freeze(); err != nil {
 		n.t.Fatal(err)
 	}
@@ -108,14 +108,14 @@
 }
 
 // loseEntry kills the second region's entry process without notice.
-func (n *night) loseEntry() {
+func (n *operations) loseEntry() {
 	n.far.Kill()
 	n.awaitWarning(core.WarnMemberSilent, string(n.far.VM), true)
 	n.whole(callers(n.entries, "lost", 20))
 }
 
 // terminateTwice asks an entry process twice to leave while it serves.
-func (n *night) terminateTwice() {
+func (n *operations) terminateTwice() {
 	leaving := n.entries[len(n.entries)-1]
 	options := callers([]*site.Entry{leaving}, "leaving", 8)
 	options.Concurrency, options.MaxTokens = 8, 120
@@ -153,7 +153,7 @@
 
 // fillQueue publishes small limits and sends more than they hold. The lost entry
 // process is waited for, the one that has left is not.
-func (n *night) fillQueue() {
+func (n *operations) fillQueue() {
 	folder := filepath.Join(n.t.TempDir(), "small")
 	copyReplaced(n.t, "../../examples/demo", folder, strings.NewReplacer("= 64\n", "= 4\n"))
 	publish := exec.CommandContext(n.ctx, filepath.Join(binaries, "fescuespar"), "publish", folder,
@@ -173,7 +173,7 @@
 }
 
 // whole sends requests and wants every answer whole.
-func (n *night) whole(options caller.Options) {
+func (n *operations) whole(options caller.Options) {
 	n.t.Helper()
 	summary, err := caller.Run(n.ctx, options)
 	if err != nil || summary.Whole != options.Count {
@@ -181,7 +181,7 @@
 	}
 }
 
-func (n *night) faults(faults engine.Faults) {
+func (n *operations) faults(faults engine.Faults) {
 	n.t.Helper()
 	body, err := json.Marshal(faults)
 	if err != nil {
@@ -196,7 +196,7 @@
 
 // awaitWarning waits until some entry process warns of a kind and a subject, or
 // until none does.
-func (n *night) awaitWarning(kind core.WarningKind, subject string, present bool) {
+func (n *operations) awaitWarning(kind core.WarningKind, subject string, present bool) {
 	n.t.Helper()
 	for n.ctx.Err() == nil {
 		if n.warns(kind, subject) == present {
@@ -207,7 +207,7 @@
 	n.t.Fatalf("warning %s of %s: never %v", kind, subject, present)
 }
 
-func (n *night) warns(kind core.WarningKind, subject string) bool {
+func (n *operations) warns(kind core.WarningKind, subject string) bool {
 	return slices.ContainsFunc(n.entries, func(entry *site.Entry) bool {
 		status, err := statusOf(n.ctx, n.site, entry)
 		return err == nil && slices.ContainsFunc(status.Warnings, func(w configjson.Warning) bool {
@@ -217,7 +217,7 @@
 }
 
 // awaitParts waits until the limits are divided among so many processes.
-func (n *night) awaitParts(count int) {
+func (n *operations) awaitParts(count int) {
 	n.t.Helper()
 	client := operatorclient.New(n.entries[0].Address, site.OperatorToken, http.DefaultClient)
 	for n.ctx.Err() == nil {
