--- /dev/null
+++ b/cmd/fescuespar/relay.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+
+	"fescuespar/internal/adapters/bodycodec"
+	"fescuespar/internal/adapters/bootclock"
+	"fescuespar/internal/adapters/httpfront"
+	"fescuespar/internal/app/relay"
+	"fescuespar/internal/core"
+	"fescuespar/platform/front"
+	"fescuespar/platform/settings"
+	"fescuespar/platform/store"
+	"fescuespar/platform/worker"
+)
+
+// relayCommand runs the service on an entry VM of the users' platform.
+type relayCommand struct{}
+
+func init() {
+	register("relay", "Run the service on an entry VM of the users' platform until SIGTERM; "+
+		settings.PathVariable+" names the settings file", &relayCommand{})
+}
+
+const (
+	storeTimeout  = 3 * time.Second // a slow store answers within it
+	relayWorkers  = 4
+	memoryShare   = 0.6     // of the VM's memory that the heap may take
+	bodyShare     = 0.2     // of it that bodies of callers may take
+	logLines      = 4096    // lines that wait for standard output; further ones are dropped and counted
+	headerBytes   = 1 << 16 // of a caller's header; routes' own limit is lower
+	headerArrival = 10 * time.Second
+	closeAfter    = 500 * time.Millisecond // of the grace, kept for closing connections
+)
+
+// Execute runs until a signal asks for the shutdown.
+func (*relayCommand) Execute([]string) error {
+	loaded, err := settings.Load(os.Getenv(settings.PathVariable))
+	if err != nil {
+		return err
+	}
+	log, flush := relayLogger(loaded)
+	defer flush()
+	debug.SetMemoryLimit(int64(float64(loaded.MemoryBytes) * memoryShare))
+	service, servers, err := wireRelay(loaded, log)
+	if err != nil {
+		return err
+	}
+	service.Start()
+	log.Info().Str("callers", loaded.Callers).Str("zone", string(loaded.Zone)).Str("store", loaded.Store).
+		Int64("memory_bytes", loaded.MemoryBytes).Msg("started")
+	return relayUntilSignal(loaded, service, servers, log)
+}
+
+// relayLogger returns a logger that never blocks, and what writes its last lines.
+func relayLogger(loaded *settings.Settings) (zerolog.Logger, func()) {
+	writer := diode.NewWriter(os.Stdout, logLines, 0, func(missed int) {
+		fmt.Printf("{\"level\":\"warn\",\"dropped\":%d,\"message\":\"log lines dropped\"}\n", missed)
+	})
+	log := zerolog.New(writer).Level(zerolog.InfoLevel).With().Timestamp().Str("vm", string(loaded.VM)).Logger()
+	return log, func() { _ = writer.Close() }
+}
+
+func wireRelay(loaded *settings.Settings, log zerolog.Logger) (*relay.Service, []*http.Server, error) {
+	incarnation := newIncarnation()
+	platform := store.New(loaded.Store, storeTimeout, loaded.Regions, log)
+	service := relay.New(relay.Options{
+		Self: core.Member{
+			VM: loaded.VM, Incarnation: incarnation, Zone: loaded.Zone, Region: loaded.Region, CallAddress: loaded.Callers,
+		},
+		Seed: uint64(incarnation), Workers: relayWorkers, AddressKeep: loaded.AddressKeep,
+		OrdersApart: loaded.OrdersApart, Grace: loaded.Grace, RegistryBack: loaded.RegistryBack,
+		ResultBytes: loaded.RowBytes * 3 / 4,
+	}, relay.Ports{
+		Tables: platform, Objects: platform, Registry: platform, Bodies: bodycodec.Codec{},
+		Backend: worker.New(), Clock: bootclock.Clock{},
+	}, log)
+	bodies := int64(float64(loaded.MemoryBytes) * bodyShare)
+	callers := front.New(service, service, bootclock.Clock{}, bodies, log)
+	var servers []*http.Server
+	for _, served := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{loaded.Callers, callers.Callers()}, {loaded.Directory, callers.Directory()}, {loaded.Ready, callers.Readiness()},
+	} {
+		if served.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", served.address)
+		if err != nil {
+			return nil, nil, err
+		}
+		server := httpfront.NewServer(served.handler, httpfront.ServerLimits{HeaderBytes: headerBytes, Arrival: headerArrival})
+		servers = append(servers, server)
+		go func() {
+			if err := server.Serve(listener); err != http.ErrServerClosed {
+				log.Error().Err(err).Str("address", served.address).Msg("serving ended")
+			}
+		}()
+	}
+	return service, servers, nil
+}
+
+func relayUntilSignal(loaded *settings.Settings, service *relay.Service, servers []*http.Server, log zerolog.Logger) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	for received := range signals {
+		if received == syscall.SIGHUP {
+			log.Info().Msg("reload")
+			continue
+		}
+		log.Info().Str("signal", received.String()).Msg("stop asked for")
+		ctx, cancel := context.WithTimeout(context.Background(), loaded.Grace-closeAfter)
+		service.Shutdown(ctx)
+		cancel()
+		closing, cancelClose := context.WithTimeout(context.Background(), closeAfter/2)
+		for _, server := range servers {
+			if err := server.Shutdown(closing); err != nil {
+				log.Info().Err(err).Msg("connections closed with requests in flight")
+			}
+		}
+		cancelClose()
+		service.Stop()
+		return nil
+	}
+	return nil
+}
--- a/internal/adapters/bodycodec/bodycodec.go
+++ b/internal/adapters/bodycodec/bodycodec.go
@@ -35,3 +35,41 @@
 	err := cbor.Unmarshal(body, &batch)
 	return batch, errkind.Wrap(errkind.Internal, err, "decoding a batch")
 }
+
+// EncodeJob returns a job's CBOR.
+func (Codec) EncodeJob(job core.Job) ([]byte, error) {
+	body, err := cbor.Marshal(job)
+	return body, errkind.Wrap(errkind.Internal, err, "encoding a job")
+}
+
+// DecodeJob reads what EncodeJob wrote. Errors: Internal.
+func (Codec) DecodeJob(body []byte) (core.Job, error) {
+	var job core.Job
+	err := textMode.Unmarshal(body, &job)
+	return job, errkind.Wrap(errkind.Internal, err, "decoding a job")
+}
+
+// EncodeResult returns a result's CBOR.
+func (Codec) EncodeResult(result core.ItemResult) ([]byte, error) {
+	body, err := cbor.Marshal(result)
+	return body, errkind.Wrap(errkind.Internal, err, "encoding a result")
+}
+
+// DecodeResult reads what EncodeResult wrote. Errors: Internal.
+func (Codec) DecodeResult(body []byte) (core.ItemResult, error) {
+	var result core.ItemResult
+	err := textMode.Unmarshal(body, &result)
+	return result, errkind.Wrap(errkind.Internal, err, "decoding a result")
+}
+
+// textMode takes text of any bytes: header values and generated text need not
+// be UTF-8.
+var textMode = mustDecode(cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid, MaxArrayElements: 1 << 20})
+
+func mustDecode(options cbor.DecOptions) cbor.DecMode {
+	mode, err := options.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
--- a/internal/adapters/peerquic/wire.go
+++ b/internal/adapters/peerquic/wire.go
@@ -181,6 +181,7 @@
 	Zone    core.ZoneName   `cbor:"5,keyasint,omitempty"`
 	Region  core.RegionName `cbor:"6,keyasint,omitempty"`
 	State   core.VMState    `cbor:"7,keyasint,omitempty"`
+	Slots   int             `cbor:"8,keyasint,omitempty"`
 }
 
 type wireVMNewsRequest struct {
--- a/internal/adapters/platformhttp/client.go
+++ b/internal/adapters/platformhttp/client.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -64,17 +65,25 @@
 	Changes  bool  // the call changes the platform's state
 	MaxBody  int64 // largest body that may be sent, in bytes
 	MaxReply int64 // largest reply that is taken, in bytes
+	Header   http.Header
+	Answers  []int // statuses besides 200 whose reply is returned as an answer
 }
 
-// Do sends a call once and returns the reply's body.
+// Do is DoStatus for a call that has one answer.
+func (c *Client) Do(ctx context.Context, call Call) ([]byte, error) {
+	_, answer, err := c.DoStatus(ctx, call)
+	return answer, err
+}
+
+// DoStatus sends a call once and returns the reply's status and body.
 //
 // Errors: StoreUnavailable when the call surely had no effect, because it was
 // not sent, was refused or changes nothing; OutcomeUnknown for any other loss
 // of the reply; BadRequest, NotFound and TooLarge as the platform answers, or
 // TooLarge for a body over MaxBody, which is not sent.
-func (c *Client) Do(ctx context.Context, call Call) ([]byte, error) {
+func (c *Client) DoStatus(ctx context.Context, call Call) (int, []byte, error) {
 	if int64(len(call.Body)) > call.MaxBody {
-		return nil, errkind.New(errkind.TooLarge, "%s %s: body of %d bytes, at most %d may be sent",
+		return 0, nil, errkind.New(errkind.TooLarge, "%s %s: body of %d bytes, at most %d may be sent",
 			call.Method, call.Path, len(call.Body), call.MaxBody)
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
@@ -83,14 +92,15 @@
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	request, err := c.request(httptrace.WithClientTrace(ctx, trace), call)
 	if err != nil {
-		return nil, errkind.Wrap(errkind.BadRequest, err, "%s %s", call.Method, call.Path)
+		return 0, nil, errkind.Wrap(errkind.BadRequest, err, "%s %s", call.Method, call.Path)
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return nil, call.lost(err, connected.Load())
+		return 0, nil, call.lost(err, connected.Load())
 	}
 	defer response.Body.Close()
-	return call.readReply(response)
+	answer, err := call.readReply(response)
+	return response.StatusCode, answer, err
 }
 
 // DoJSON sends message as JSON and decodes the reply into reply. Errors as Do;
@@ -122,17 +132,22 @@
 	if len(call.Query) > 0 {
 		target += "?" + call.Query.Encode()
 	}
-	return http.NewRequestWithContext(ctx, call.Method, target, bytes.NewReader(call.Body))
+	request, err := http.NewRequestWithContext(ctx, call.Method, target, bytes.NewReader(call.Body))
+	if err == nil && call.Header != nil {
+		request.Header = call.Header.Clone()
+	}
+	return request, err
 }
 
 // readReply returns the body of a success and the error of anything else.
 func (call Call) readReply(response *http.Response) ([]byte, error) {
 	limit := call.MaxReply
-	if response.StatusCode != http.StatusOK {
+	answered := response.StatusCode == http.StatusOK || slices.Contains(call.Answers, response.StatusCode)
+	if !answered {
 		limit = maxErrorText
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
-	if response.StatusCode != http.StatusOK {
+	if !answered {
 		return nil, call.refused(response.StatusCode, body)
 	}
 	if err != nil {
@@ -160,6 +175,9 @@
 	http.StatusNotFound:              errkind.NotFound,
 	http.StatusRequestEntityTooLarge: errkind.TooLarge,
 	http.StatusServiceUnavailable:    errkind.StoreUnavailable,
+	http.StatusTooManyRequests:       errkind.StoreUnavailable,
+	http.StatusInsufficientStorage:   errkind.StoreUnavailable,
+	http.StatusForbidden:             errkind.BadRequest,
 }
 
 func (call Call) refused(status int, text []byte) error {
--- a/internal/adapters/tablehttp/records.go
+++ b/internal/adapters/recordcodec/recordcodec.go
@@ -1,8 +1,7 @@
-package tablehttp
+// Package recordcodec encodes the records of the table service's rows as CBOR.
+package recordcodec
 
 import (
-	"unicode/utf8"
-
 	"github.com/fxamacker/cbor/v2"
 
 	"fescuespar/internal/core"
@@ -23,6 +22,9 @@
 	core.TableDelivery: codecFor[core.DeliveryRecord](),
 	core.TableConfig:   codecFor[core.ConfigRecord](),
 	core.TableWeight:   codecFor[core.WeightRecord](),
+	core.TableJob:      codecFor[core.JobRecord](),
+	core.TableResult:   codecFor[core.ResultRecord](),
+	core.TableMember:   codecFor[core.MemberRecord](),
 }
 
 // Header values of answers may hold any bytes, so text is not checked for
@@ -70,10 +72,28 @@
 	return c, nil
 }
 
-// checkText refuses text that JSON cannot carry unchanged.
-func checkText(text string) error {
-	if !utf8.ValidString(text) {
-		return errkind.New(errkind.BadRequest, "%q is not UTF-8", text)
+// Check returns BadRequest for an unknown table.
+func Check(table core.TableName) error {
+	_, err := codecOf(table)
+	return err
+}
+
+// Encode returns a record's CBOR. Errors: BadRequest for an unknown table or a
+// record of another one.
+func Encode(table core.TableName, record core.Record) ([]byte, error) {
+	c, err := codecOf(table)
+	if err != nil {
+		return nil, err
+	}
+	return c.encode(record)
+}
+
+// Decode reads what Encode wrote. Errors: BadRequest for an unknown table,
+// Internal when the value is no record of the table.
+func Decode(table core.TableName, value []byte) (core.Record, error) {
+	c, err := codecOf(table)
+	if err != nil {
+		return nil, err
 	}
-	return nil
+	return c.decode(value)
 }
--- a/internal/adapters/serverhttp/errors.go
+++ b/internal/adapters/serverhttp/errors.go
@@ -86,3 +86,13 @@
 	}
 	return raw, err
 }
+
+// maxDrained bounds what is read of a body that nobody wants, so that its
+// connection can be kept.
+const maxDrained = 4 << 10
+
+// Drain reads the rest of a short body and closes it.
+func Drain(body io.ReadCloser) {
+	_, _ = io.CopyN(io.Discard, body, maxDrained)
+	_ = body.Close()
+}
--- a/internal/adapters/tablehttp/messages.go
+++ b/internal/adapters/tablehttp/messages.go
@@ -1,6 +1,9 @@
 package tablehttp
 
 import (
+	"unicode/utf8"
+
+	"fescuespar/internal/adapters/recordcodec"
 	"fescuespar/internal/core"
 	"fescuespar/internal/errkind"
 )
@@ -58,7 +61,7 @@
 func (m keyMessage) key() core.RowKey { return core.RowKey{Table: m.Table, ID: m.ID} }
 
 func encodeKey(key core.RowKey) (keyMessage, error) {
-	if _, err := codecOf(key.Table); err != nil {
+	if err := recordcodec.Check(key.Table); err != nil {
 		return keyMessage{}, err
 	}
 	return keyMessage{key.Table, key.ID}, checkText(key.ID)
@@ -77,7 +80,7 @@
 }
 
 func encodeScan(table core.TableName, prefix, after string, limit int) (scanMessage, error) {
-	if _, err := codecOf(table); err != nil {
+	if err := recordcodec.Check(table); err != nil {
 		return scanMessage{}, err
 	}
 	if err := checkText(prefix + after); err != nil {
@@ -113,7 +116,7 @@
 	if write.Record == nil {
 		return writeMessage{keyMessage: key, Delete: true}, nil
 	}
-	value, err := codecs[write.Key.Table].encode(write.Record)
+	value, err := recordcodec.Encode(write.Key.Table, write.Record)
 	return writeMessage{keyMessage: key, Value: value}, err
 }
 
@@ -124,12 +127,12 @@
 	if message.Version == 0 {
 		return row, nil
 	}
-	table, err := codecOf(message.Table)
+	record, err := recordcodec.Decode(message.Table, message.Value)
 	if err != nil {
 		return core.Row{}, errkind.Wrap(errkind.Internal, err, "row %q", message.ID)
 	}
-	row.Record, err = table.decode(message.Value)
-	return row, err
+	row.Record = record
+	return row, nil
 }
 
 func decodeRows(message rowsMessage) ([]core.Row, error) {
@@ -151,3 +154,11 @@
 	}
 	return result
 }
+
+// checkText refuses text that JSON cannot carry unchanged.
+func checkText(text string) error {
+	if !utf8.ValidString(text) {
+		return errkind.New(errkind.BadRequest, "%q is not UTF-8", text)
+	}
+	return nil
+}
--- a/internal/app/commit.go
+++ b/internal/app/commit.go
@@ -4,105 +4,35 @@
 	"context"
 	"time"
 
+	"fescuespar/internal/app/commits"
 	"fescuespar/internal/core"
-	"fescuespar/internal/core/attempt"
-	"fescuespar/internal/errkind"
+	"fescuespar/internal/ports"
 )
 
-// settleDelay separates the tries to find out what became of a commit.
-const (
-	settleFirstDelay = 20 * time.Millisecond
-	settleMaxDelay   = 500 * time.Millisecond
-)
+// newCommitter returns the committer of this process, which feeds the metrics.
+func (s *Service) newCommitter(tables ports.TableService) commits.Committer {
+	return commits.Committer{
+		Tables:    tables,
+		OnCommit:  func() { s.metrics.TableCommits.Inc(1) },
+		OnRead:    func(rows int) { s.metrics.TableReads.Inc(int64(rows)) },
+		OnUnknown: func() { s.metrics.TableUnknown.Inc(1) },
+	}
+}
 
 // newAttemptID names a commit so that no other one has the same name.
 func (s *Service) newAttemptID() core.AttemptID {
 	return core.AttemptID(s.newAttempt())
 }
 
-// commit sends a commit and, when its reply is lost, finds out what became of
-// it by re-reading its rows, until the context ends. It runs on a lane.
-// Errors: StoreUnavailable when it surely had no effect, OutcomeUnknown.
+// commit sends a commit and settles a lost reply. It runs on a lane.
 func (s *Service) commit(ctx context.Context, commit core.Commit) (core.CommitResult, error) {
-	s.metrics.TableCommits.Inc(1)
-	result, err := s.ports.Tables.Commit(ctx, commit)
-	if !errkind.Is(err, errkind.OutcomeUnknown) {
-		return result, err
-	}
-	s.metrics.TableUnknown.Inc(1)
-	for delay := settleFirstDelay; ; delay = min(2*delay, settleMaxDelay) {
-		if !waitFor(ctx, delay) {
-			return core.CommitResult{}, errkind.Wrap(errkind.OutcomeUnknown, err, "attempt %s was not settled in time", commit.Attempt)
-		}
-		result, settled, giveUp := s.settle(ctx, commit)
-		if settled {
-			return result, nil
-		}
-		if giveUp {
-			return core.CommitResult{}, errkind.New(errkind.OutcomeUnknown, "the rows of attempt %s were changed since", commit.Attempt)
-		}
-	}
-}
-
-// settle re-reads the rows of a commit once, and repeats it when it has not
-// taken effect yet.
-func (s *Service) settle(ctx context.Context, commit core.Commit) (result core.CommitResult, settled, giveUp bool) {
-	rows, err := s.read(ctx, attempt.Keys(commit)...)
-	if err != nil {
-		return core.CommitResult{}, false, false
-	}
-	switch attempt.Judge(commit, rows) {
-	case attempt.Applied:
-		return core.CommitResult{Applied: true, Version: versionOf(rows, commit.Attempt)}, true, false
-	case attempt.Superseded:
-		return core.CommitResult{Failed: changedKeys(commit, rows)}, true, false
-	case attempt.MaybeApplied:
-		return core.CommitResult{}, false, true
-	default:
-		s.metrics.TableCommits.Inc(1)
-		result, err := s.ports.Tables.Commit(ctx, commit)
-		return result, err == nil && result.Applied, false
-	}
+	return s.committer.Commit(ctx, commit)
 }
 
 // read reads rows, counting them.
 func (s *Service) read(ctx context.Context, keys ...core.RowKey) ([]core.Row, error) {
-	s.metrics.TableReads.Inc(int64(len(keys)))
-	return s.ports.Tables.Read(ctx, keys)
-}
-
-func versionOf(rows []core.Row, id core.AttemptID) core.RowVersion {
-	for _, row := range rows {
-		if row.Attempt == id {
-			return row.Version
-		}
-	}
-	return 0
-}
-
-// changedKeys returns the keys whose condition no longer holds.
-func changedKeys(commit core.Commit, rows []core.Row) []core.RowKey {
-	versions := make(map[core.RowKey]core.RowVersion, len(rows))
-	for _, row := range rows {
-		versions[row.Key] = row.Version
-	}
-	var failed []core.RowKey
-	for _, condition := range commit.Conditions {
-		if versions[condition.Key] != condition.Version {
-			failed = append(failed, condition.Key)
-		}
-	}
-	return failed
+	return s.committer.Read(ctx, keys...)
 }
 
 // waitFor waits on a timer. It returns false when the context ended first.
-func waitFor(ctx context.Context, delay time.Duration) bool {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
+func waitFor(ctx context.Context, delay time.Duration) bool { return commits.Wait(ctx, delay) }
--- a/internal/app/leases.go
+++ b/internal/app/leases.go
@@ -1,11 +1,9 @@
 package app
 
 import (
-	"context"
-
+	"fescuespar/internal/app/tenure"
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/lease"
-	"fescuespar/internal/errkind"
 )
 
 // leaseTicksPerRenewal is how often in a renewal interval leases are looked at.
@@ -78,75 +76,24 @@
 		if !wanted[name] && !s.leases.Forget(name) {
 			s.leases.Leave(name)
 		}
-		s.tendLease(name)
+		s.tenure.Tend(name)
 	}
 	s.coordinateAll()
 	s.orderAll()
 }
 
-// tendLease carries out a lease's next action, and the one after it.
-func (s *Service) tendLease(name string) {
-	action := s.leases.Begin(name, s.ports.Clock.Now(), s.newAttemptID())
-	switch action.Kind {
-	case lease.ActionWait:
-		return
-	case lease.ActionRead:
-		s.onLeaseLane(name, func(ctx context.Context) func(*lease.Tracker) { return s.readLease(ctx, name) })
-	default:
-		s.onLeaseLane(name, func(ctx context.Context) func(*lease.Tracker) { return s.commitLease(ctx, action) })
-	}
-}
-
-// onLeaseLane runs a call whose result goes to the lease's tracker. A full
-// lane counts as a failed read.
-func (s *Service) onLeaseLane(name string, call func(context.Context) func(*lease.Tracker)) {
-	err := s.lanes.leases.Go(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, controlTimeout)
-		defer cancel()
-		outcome := call(ctx)
-		s.pool.MustEnqueue(core.ClassControl, func() { s.leaseEnded(name, outcome) })
-	})
-	if err != nil {
-		s.leases.End(name, func(t *lease.Tracker) { t.CommitLost(s.ports.Clock.Now()) })
-	}
-}
-
-func (s *Service) leaseEnded(name string, outcome func(*lease.Tracker)) {
-	now := s.ports.Clock.Now()
-	_, before := s.leases.Held(name, now)
-	s.leases.End(name, outcome)
-	holding, after := s.leases.Held(name, now)
-	switch {
-	case after && !before:
-		s.metrics.LeasesAcquired.Inc(1)
-		s.log.Info().Str("lease", name).Uint64("fence", uint64(holding.Fence)).Msg("lease acquired")
-	case before && !after:
-		s.metrics.LeasesLost.Inc(1)
-		s.log.Info().Str("lease", name).Msg("lease lost")
-	}
-	s.tendLease(name)
-}
-
-func (s *Service) readLease(ctx context.Context, name string) func(*lease.Tracker) {
-	leaseKey, fenceKey := lease.Keys(name)
-	rows, err := s.read(ctx, leaseKey, fenceKey)
-	now := s.ports.Clock.Now()
-	if err != nil {
-		return func(t *lease.Tracker) { t.ReadFailed(now) }
-	}
-	return func(t *lease.Tracker) { t.Observe(rows[0], rows[1], now) }
-}
-
-func (s *Service) commitLease(ctx context.Context, action lease.Action) func(*lease.Tracker) {
-	s.metrics.TableCommits.Inc(1)
-	result, err := s.ports.Tables.Commit(ctx, action.Commit)
-	now := s.ports.Clock.Now()
-	switch {
-	case err == nil:
-		return func(t *lease.Tracker) { t.Committed(result, now) }
-	case errkind.Is(err, errkind.StoreUnavailable):
-		return func(t *lease.Tracker) { t.CommitRefused(now) }
-	default:
-		return func(t *lease.Tracker) { t.CommitLost(now) }
+// newTenure returns what follows this process's leases.
+func (s *Service) newTenure() *tenure.Keeper {
+	return &tenure.Keeper{
+		Leases: s.leases, Pool: s.pool, Lane: s.lanes.leases, Store: &s.committer, Clock: s.ports.Clock,
+		Timeout: controlTimeout, NewAttempt: s.newAttemptID,
+		Acquired: func(name string, holding lease.Holding) {
+			s.metrics.LeasesAcquired.Inc(1)
+			s.log.Info().Str("lease", name).Uint64("fence", uint64(holding.Fence)).Msg("lease acquired")
+		},
+		Lost: func(name string) {
+			s.metrics.LeasesLost.Inc(1)
+			s.log.Info().Str("lease", name).Msg("lease lost")
+		},
 	}
 }
--- /dev/null
+++ b/internal/app/relay/orders.go
@@ -0,0 +1,154 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/core/weights"
+	"fescuespar/internal/errkind"
+)
+
+// Rolling of weight versions. Engines load more slowly while more than two
+// load, and steps take samples of the version before, so that a version is
+// rolled two engines at a time.
+const (
+	loadsAtOnce  = 2
+	swapTarget   = 6 * time.Second // as the users' aim for new weights on all engines
+	swapTimeout  = 5 * time.Second // several times the longest load
+	swapBackoff  = 500 * time.Millisecond
+	swapBackMax  = 4 * time.Second
+	orderTimeout = 500 * time.Millisecond
+	reportEvery  = 150 * time.Millisecond // of engines that load
+)
+
+func rollPolicy() weights.Policy {
+	return weights.Policy{
+		Target: swapTarget, SwapTimeout: swapTimeout, BackoffBase: swapBackoff, BackoffMax: swapBackMax,
+		AtOnce: loadsAtOnce,
+	}
+}
+
+// orderVersions orders the engines of a service to load the newest versions of
+// their models.
+func (s *Service) orderVersions(service string) {
+	now := s.ports.Clock.Now()
+	byModel, vms := s.enginesOf(service)
+	for model, engines := range byModel {
+		name := core.DeploymentName(model)
+		version := s.weights.Newest(name)
+		if version == 0 {
+			continue
+		}
+		decision := s.weights.Roll(name, engines, version, rollPolicy(), now)
+		for _, id := range decision.Failed {
+			s.metrics.OrdersFailed.Inc(1)
+			s.log.Warn().Str("server", string(id)).Str("model", string(model)).Uint64("version", uint64(version)).Msg("load failed")
+		}
+		for _, id := range decision.Orders {
+			s.orderVersion(service, vms[id], model, version)
+		}
+	}
+}
+
+// enginesOf returns the live engines of a service by the models that they hold.
+func (s *Service) enginesOf(service string) (map[core.ModelName][]weights.Engine, map[core.ServerID]core.VM) {
+	byModel := make(map[core.ModelName][]weights.Engine)
+	vms := make(map[core.ServerID]core.VM)
+	for _, view := range s.servers.EnginesOf(service) {
+		if view.VM.State != core.VMLive {
+			continue
+		}
+		vms[view.VM.ID] = view.VM
+		for _, held := range view.Status.Versions {
+			model := core.ModelName(held.Adapter)
+			byModel[model] = append(byModel[model], weights.Engine{
+				Server: view.VM.ID, Zone: view.VM.Zone, Region: view.VM.Region,
+				Version: held.Version, Loading: held.Loading, InFlight: view.InFlight, Measured: view.Reported,
+			})
+		}
+	}
+	return byModel, vms
+}
+
+// orderVersion sends one order while the lease is trusted.
+func (s *Service) orderVersion(service string, vm core.VM, model core.ModelName, version core.WeightVersion) {
+	name := core.DeploymentName(model)
+	lease := coordinatorLease(service)
+	until, allowed := s.leases.StartOrder(lease, s.ports.Clock.Now())
+	holding, held := s.leases.Held(lease, s.ports.Clock.Now())
+	if !allowed || !held {
+		s.weights.WithdrawOrder(name, vm.ID)
+		return
+	}
+	order := core.Order{
+		Kind: core.OrderLoadVersion, Model: model, Version: version, Mode: core.SwapRetain,
+		Holder: s.options.Self.VM, Fence: holding.Fence,
+	}
+	err := s.lanes.orders.Go(func(ctx context.Context) {
+		if !s.ports.Clock.Now().Before(until) {
+			s.weights.WithdrawOrder(name, vm.ID)
+			return
+		}
+		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		err := s.ports.Backend.Order(ctx, vm, order)
+		s.pool.MustEnqueue(core.ClassControl, func() { s.ordered(service, vm, order, err) })
+	})
+	if err != nil {
+		s.weights.WithdrawOrder(name, vm.ID)
+	}
+}
+
+func (s *Service) ordered(service string, vm core.VM, order core.Order, err error) {
+	s.metrics.WeightOrders.Inc(1)
+	line := s.log.Info()
+	if err != nil {
+		line = s.log.Warn().Err(err)
+	}
+	line.Str("server", string(vm.ID)).Str("model", string(order.Model)).Uint64("version", uint64(order.Version)).
+		Uint64("fence", uint64(order.Fence)).Str("mode", string(order.Mode)).Msg("order given")
+	if err != nil && !errkind.Is(err, errkind.OutcomeUnknown) {
+		s.metrics.OrdersFailed.Inc(1)
+		s.weights.OrderRefused(core.DeploymentName(order.Model), vm.ID, order.Version, rollPolicy(), s.ports.Clock.Now())
+		return
+	}
+	s.timers.After(reportEvery, core.ClassControl, func() { s.askReport(service, vm, order, s.ports.Clock.Now().Add(swapTimeout)) })
+}
+
+// askReport asks an engine that loads until its report shows the version, which
+// its registration tells much later.
+func (s *Service) askReport(service string, vm core.VM, order core.Order, until time.Time) {
+	if !s.ports.Clock.Now().Before(until) {
+		return
+	}
+	err := s.lanes.orders.Go(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		began := s.ports.Clock.Now()
+		report, err := s.ports.Backend.Report(ctx, vm)
+		s.pool.MustEnqueue(core.ClassControl, func() {
+			if err == nil && s.applyReport(service, vm, order, &report, began) {
+				return
+			}
+			s.timers.After(reportEvery, core.ClassControl, func() { s.askReport(service, vm, order, until) })
+		})
+	})
+	if err != nil {
+		s.log.Debug().Err(err).Str("server", string(vm.ID)).Msg("report passed over")
+	}
+}
+
+// applyReport takes in a report. It returns true when the order's version is loaded.
+func (s *Service) applyReport(service string, vm core.VM, order core.Order, report *core.EngineReport, began time.Time) bool {
+	status := statusOf(&core.ServerEntry{VM: vm, Models: report.Models})
+	s.servers.ApplyStatus(status, began)
+	held, _ := status.Holds(core.AdapterName(order.Model))
+	if held.Version < order.Version {
+		return false
+	}
+	s.log.Info().Str("server", string(vm.ID)).Str("model", string(order.Model)).
+		Uint64("version", uint64(held.Version)).Msg("version loaded")
+	s.tendService(service)
+	return true
+}
--- /dev/null
+++ b/internal/app/relay/service.go
@@ -0,0 +1,215 @@
+// Package relay is the application layer of entry processes that pass requests
+// on unchanged by routes and run submitted jobs. Decisions are the core's,
+// state lies in the tables, and all I/O goes through lanes.
+package relay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fescuespar/internal/app/commits"
+	"fescuespar/internal/app/tenure"
+	"fescuespar/internal/core"
+	"fescuespar/internal/core/lease"
+	"fescuespar/internal/metrics"
+	"fescuespar/internal/ports"
+	"fescuespar/internal/tables"
+	"fescuespar/internal/workers"
+)
+
+// Ports are the outside things that the service needs.
+type Ports struct {
+	Tables   ports.TableService
+	Objects  ports.ObjectStore
+	Bodies   ports.JobBodies
+	Registry ports.Registry
+	Backend  ports.Backend
+	Clock    ports.Clock
+}
+
+// Options are the settings of one entry process.
+type Options struct {
+	Self         core.Member
+	Seed         uint64        // of the random source
+	Workers      int           // workers of the pool
+	AddressKeep  time.Duration // how long callers may keep the entry addresses
+	OrdersApart  time.Duration // between the orders of two holders to one engine
+	Grace        time.Duration // from the signal to stop until the process is killed
+	ResultBytes  int           // longest result that a row holds
+	RegistryBack time.Duration // after an outage, until all living servers are registered again
+}
+
+// Bounds of the pool's queues and the lanes. The calls in flight to backend
+// servers are bounded by their slots; the rest bounds memory.
+const (
+	queueLength   = 4096
+	callsInFlight = 256
+	callsWaiting  = 256
+	runsInFlight  = 512
+	scoresAtOnce  = 12 // of texts that wait for a score, so that people's calls find a slot
+	storeInFlight = 16
+	storeWaiting  = 1024
+	leaseInFlight = 4
+	leaseWaiting  = 16
+	ordersAtOnce  = 8
+	ordersWaiting = 64
+	watchInFlight = 4
+)
+
+// Timing of leases: a holder that dies is replaced within the term and its
+// margin, during which no job moves.
+const (
+	leaseTerm    = 2 * time.Second
+	leaseRenewal = 500 * time.Millisecond
+	leaseMargin  = 200 * time.Millisecond
+)
+
+// Intervals of the periodic work.
+const (
+	watchEvery = 300 * time.Millisecond // an eighth of the time in which a change must be in force
+	tendEvery  = 100 * time.Millisecond
+	sweepEvery = time.Second
+)
+
+type lanes struct {
+	calls  *workers.Lane // requests of callers
+	runs   *workers.Lane // items of jobs
+	scores *workers.Lane // scores of texts
+	store  *workers.Lane // jobs and results
+	leases *workers.Lane
+	orders *workers.Lane
+	watch  *workers.Lane // registry and members
+}
+
+// Service is one entry process without its front ends.
+type Service struct {
+	options Options
+	ports   Ports
+	log     zerolog.Logger
+	metrics *metrics.Relay
+
+	pool   *workers.Pool
+	timers *workers.Timers
+	lanes  lanes
+
+	lifecycle *tables.Lifecycle
+	routes    *tables.Routes
+	members   *tables.Announced
+	leases    *tables.Leases
+	servers   *tables.Servers
+	registry  *tables.Registry
+	jobs      *tables.Jobs
+	runs      *tables.Runs
+	weights   *tables.Weights
+	stored    *tables.Stored
+	platform  *tables.Platform
+
+	committer commits.Committer
+	tenure    *tenure.Keeper
+	attempts  atomic.Uint64
+	beats     atomic.Uint64
+}
+
+var (
+	_ ports.Relay = (*Service)(nil)
+	_ ports.Jobs  = (*Service)(nil)
+)
+
+// New returns a service that is not yet running.
+func New(options Options, outside Ports, log zerolog.Logger) *Service {
+	pool := workers.NewPool(options.Workers, queueLength)
+	random := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(options.Seed, stream)) }
+	s := &Service{
+		options: options, ports: outside, log: log, metrics: metrics.NewRelay(),
+		pool: pool, timers: workers.NewTimers(pool),
+		lanes: lanes{
+			calls:  workers.NewLane("calls", callsInFlight, callsWaiting),
+			runs:   workers.NewLane("runs", runsInFlight, 0),
+			scores: workers.NewLane("scores", scoresAtOnce, 0),
+			store:  workers.NewLane("store", storeInFlight, storeWaiting),
+			leases: workers.NewLane("leases", leaseInFlight, leaseWaiting),
+			orders: workers.NewLane("orders", ordersAtOnce, ordersWaiting),
+			watch:  workers.NewLane("watch", watchInFlight, watchInFlight),
+		},
+		lifecycle: tables.NewLifecycle(),
+		routes:    tables.NewRoutes(random(1)),
+		members:   tables.NewAnnounced(),
+		leases: tables.NewLeases(
+			lease.Self{VM: options.Self.VM, Incarnation: options.Self.Incarnation, Address: options.Self.CallAddress},
+			lease.Timing{Term: leaseTerm, RenewEvery: leaseRenewal, Margin: leaseMargin, LongestOrder: options.OrdersApart}),
+		servers:  tables.NewServersWith(routingPolicy(), random(2)),
+		registry: tables.NewRegistry(options.RegistryBack),
+		jobs:     tables.NewJobs(),
+		runs:     tables.NewRuns(),
+		weights:  tables.NewWeights(),
+		stored:   tables.NewStored(),
+		platform: tables.NewPlatform(),
+	}
+	s.committer = commits.Committer{
+		Tables:    outside.Tables,
+		OnCommit:  func() { s.metrics.TableCommits.Inc(1) },
+		OnRead:    func(rows int) { s.metrics.TableReads.Inc(int64(rows)) },
+		OnUnknown: func() { s.metrics.TableUnknown.Inc(1) },
+	}
+	s.tenure = s.newTenure()
+	return s
+}
+
+// Metrics returns the process's metrics.
+func (s *Service) Metrics() *metrics.Relay { return s.metrics }
+
+// Start begins the periodic work.
+func (s *Service) Start() {
+	s.every(watchEvery, s.watchPublished)
+	s.every(watchEvery, s.watchServers)
+	s.every(watchEvery, s.watchMembers)
+	s.every(tendEvery, s.tend)
+	s.every(sweepEvery, func() { s.servers.Sweep(s.ports.Clock.Now()) })
+	s.announce()
+}
+
+// every runs a step now and then at an interval until the process has stopped.
+func (s *Service) every(interval time.Duration, step workers.Step) {
+	s.pool.MustEnqueue(core.ClassControl, func() {
+		if phase, _ := s.lifecycle.Phase(); phase == tables.PhaseStopped {
+			return
+		}
+		step()
+		s.timers.After(interval, core.ClassControl, func() { s.every(interval, step) })
+	})
+}
+
+// newAttemptID names a commit so that no other one has the same name.
+func (s *Service) newAttemptID() core.AttemptID {
+	return core.AttemptID(fmt.Sprintf("%s/%d/%d", s.options.Self.VM, s.options.Self.Incarnation, s.attempts.Add(1)))
+}
+
+// State is the dump of this process's state.
+type State struct {
+	Phase    string              `json:"phase"`
+	InFlight int                 `json:"in_flight"`
+	Routes   uint64              `json:"routes_version"`
+	Members  []core.Member       `json:"members"`
+	Leases   []tables.LeaseState `json:"leases"`
+	Jobs     any                 `json:"jobs"`
+	Servers  any                 `json:"servers"`
+	Pool     workers.PoolState   `json:"pool"`
+}
+
+// State returns the dump of this process's state, ready for JSON.
+func (s *Service) State() any {
+	phase, inFlight := s.lifecycle.Phase()
+	state := State{
+		Phase: phase.String(), InFlight: inFlight, Members: s.members.Live(),
+		Leases: s.leases.State(s.ports.Clock.Now()), Jobs: s.jobs.Summaries(),
+		Servers: s.servers.Views(), Pool: s.pool.State(),
+	}
+	if table := s.routes.InForce(); table != nil {
+		state.Routes = table.Version
+	}
+	return state
+}
--- /dev/null
+++ b/internal/app/relay/watch.go
@@ -0,0 +1,186 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/core/announce"
+	"fescuespar/internal/tables"
+)
+
+// watchTimeout bounds one read of what others publish: a read that hangs must
+// not delay the next one beyond the time in which a change must be in force.
+const watchTimeout = time.Second
+
+// onWatch runs one read on its lane and hands its outcome to a step.
+func (s *Service) onWatch(what string, read func(ctx context.Context) (apply func(), err error)) {
+	err := s.lanes.watch.Go(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+		defer cancel()
+		apply, err := read(ctx)
+		if s.storeAnswered(what, err); err == nil {
+			s.pool.MustEnqueue(core.ClassControl, apply)
+		}
+	})
+	if err != nil {
+		s.log.Debug().Err(err).Str("what", what).Msg("read passed over")
+	}
+}
+
+// storeAnswered notes whether the platform answered, and logs the changes.
+func (s *Service) storeAnswered(what string, err error) {
+	now := s.ports.Clock.Now()
+	service := core.PlatformService(what)
+	if err == nil {
+		if s.platform.Recovered(service, now) {
+			s.log.Info().Str("what", what).Msg("platform answers again")
+		}
+		return
+	}
+	s.metrics.StoreFailures.Inc(1)
+	if s.platform.Lost(service, now) {
+		s.log.Warn().Str("what", what).Err(err).Msg("platform does not answer")
+	}
+}
+
+// watchPublished reads routes and weight versions.
+func (s *Service) watchPublished() {
+	s.onWatch("published", func(ctx context.Context) (func(), error) {
+		published, err := s.ports.Registry.Published(ctx)
+		return func() { s.applyPublished(published) }, err
+	})
+}
+
+func (s *Service) applyPublished(published core.Published) {
+	if s.routes.Apply(published.Table) {
+		s.log.Info().Uint64("version", published.Table.Version).Int("routes", len(published.Table.Routes)).
+			Msg("route table in force")
+		s.listServers()
+	}
+	for _, named := range published.Versions {
+		if s.weights.Learn(core.DeploymentName(named.Model), named.Version, s.ports.Clock.Now()) {
+			s.log.Info().Str("model", string(named.Model)).Uint64("version", uint64(named.Version)).Msg("weight version named")
+		}
+	}
+	s.tendAll()
+}
+
+// watchServers reads the registrations of backend servers.
+func (s *Service) watchServers() {
+	s.onWatch("servers", func(ctx context.Context) (func(), error) {
+		began := s.ports.Clock.Now()
+		entries, err := s.ports.Registry.Servers(ctx)
+		if err != nil {
+			s.registry.Failed()
+		}
+		return func() { s.applyServers(entries, began) }, err
+	})
+}
+
+func (s *Service) applyServers(entries []core.ServerEntry, began time.Time) {
+	_, gone := s.registry.Observe(entries, began)
+	for _, id := range gone {
+		s.log.Info().Str("server", string(id)).Msg("backend server gone")
+	}
+	s.listServers()
+	s.tendAll()
+}
+
+// listServers gives routing the believed servers with what the route table
+// says of their services.
+func (s *Service) listServers() {
+	table := s.routes.InForce()
+	if table == nil {
+		return
+	}
+	entries, _ := s.registry.Entries()
+	vms := make([]core.VM, 0, len(entries))
+	for i := range entries {
+		vm := entries[i].VM
+		if slots := table.Services[vm.Service].Slots; slots > 0 {
+			vm.Slots = slots
+		}
+		vms = append(vms, vm)
+	}
+	s.servers.ApplyVMs(vms)
+	for i := range entries {
+		if entries[i].VM.Kind == core.KindEngine {
+			s.servers.ApplyStatus(statusOf(&entries[i].ServerEntry), entries[i].Since)
+		}
+	}
+}
+
+// statusOf returns what a registration tells of an engine's weights. A model's
+// weights are what the product's own engines call an adapter: what one engine
+// holds several of, each with a version.
+func statusOf(entry *core.ServerEntry) core.EngineStatus {
+	status := core.EngineStatus{Server: entry.VM.ID, Model: core.ModelName(entry.VM.Service)}
+	for _, held := range entry.Models {
+		status.Versions = append(status.Versions, core.AdapterVersion{
+			Adapter: core.AdapterName(held.Model), Version: held.Version,
+		})
+	}
+	return status
+}
+
+// membersPrefix holds the announcements in one part of the table service.
+const membersPrefix = "members|"
+
+// membersLimit bounds one read of the members.
+const membersLimit = 500
+
+// watchMembers reads the announcements of the entry processes.
+func (s *Service) watchMembers() {
+	s.onWatch("members", func(ctx context.Context) (func(), error) {
+		rows, err := s.ports.Tables.Scan(ctx, core.TableMember, membersPrefix, "", membersLimit)
+		return func() { s.applyMembers(rows) }, err
+	})
+}
+
+func (s *Service) applyMembers(rows []core.Row) {
+	records := make(map[core.VMID]core.MemberRecord, len(rows))
+	for _, row := range rows {
+		if record, ok := row.Record.(core.MemberRecord); ok {
+			records[core.VMID(row.Key.ID[len(membersPrefix):])] = record
+		}
+	}
+	s.members.Observe(records, s.ports.Clock.Now())
+}
+
+// announce rewrites this process's row, again and again until it has stopped.
+func (s *Service) announce() {
+	phase, _ := s.lifecycle.Phase()
+	if phase == tables.PhaseStopped {
+		return
+	}
+	every := announce.Every(len(s.members.Live()))
+	err := s.lanes.store.Go(func(ctx context.Context) { s.writeMember(ctx, every) })
+	if err != nil {
+		s.log.Debug().Err(err).Msg("announcement passed over")
+	}
+	s.timers.After(every, core.ClassControl, s.announce)
+}
+
+// writeMember writes this process's row. The newest write counts, so that it
+// needs no condition.
+func (s *Service) writeMember(ctx context.Context, every time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	self := s.options.Self
+	record := core.MemberRecord{
+		Incarnation: self.Incarnation, Zone: self.Zone, Region: self.Region, CallAddress: self.CallAddress,
+		Beat: s.beats.Add(1), Every: every, Leaving: !s.servesNewWork(),
+	}
+	s.metrics.TableCommits.Inc(1)
+	_, err := s.ports.Tables.Commit(ctx, core.Commit{
+		Attempt: s.newAttemptID(),
+		Writes:  []core.Write{{Key: core.RowKey{Table: core.TableMember, ID: membersPrefix + string(self.VM)}, Record: record}},
+	})
+	s.storeAnswered("announcement", err)
+}
+
+func (s *Service) servesNewWork() bool {
+	phase, _ := s.lifecycle.Phase()
+	return phase == tables.PhaseServing
+}
--- a/internal/app/service.go
+++ b/internal/app/service.go
@@ -7,6 +7,8 @@
 
 	"github.com/rs/zerolog"
 
+	"fescuespar/internal/app/commits"
+	"fescuespar/internal/app/tenure"
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/membership"
 	"fescuespar/internal/core/polling"
@@ -103,6 +105,9 @@
 	platform      *tables.Platform
 	random        *tables.Random
 
+	committer commits.Committer
+	tenure    *tenure.Keeper
+
 	requestCounter atomic.Uint64
 	crashPush      atomic.Bool // a heartbeat out of turn is due
 	attemptCounter atomic.Uint64
@@ -163,6 +168,8 @@
 		platform:      platform,
 		random:        tables.NewRandom(random),
 	}
+	s.committer = s.newCommitter(s.ports.Tables)
+	s.tenure = s.newTenure()
 	s.metrics.Feed(s.gauges())
 	return s
 }
--- /dev/null
+++ b/internal/core/announce/view.go
@@ -0,0 +1,108 @@
+// Package announce decides which entry processes live, from rows that each of
+// them rewrites at an interval.
+//
+// No clocks are compared: a member is gone when its row has not changed over
+// several of its own intervals in which this process could read. Time in which
+// the rows could not be read or written counts for nobody.
+package announce
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"fescuespar/internal/core"
+)
+
+const (
+	// missedBeats is how many intervals without a change make a member gone:
+	// one may be lost and one late.
+	missedBeats = 3
+	// smallestEvery is the interval of a small system.
+	smallestEvery = 500 * time.Millisecond
+	// beatsPerSecond bounds the announcements of all members together, a
+	// sixteenth of the writes that the table service takes.
+	beatsPerSecond = 50
+)
+
+// Every returns the interval between the announcements of one of so many members.
+func Every(members int) time.Duration {
+	return max(smallestEvery, time.Duration(members)*time.Second/beatsPerSecond)
+}
+
+type row struct {
+	record core.MemberRecord
+	still  time.Duration // for which the row was seen unchanged
+}
+
+// View is what one process knows of the others. It is not safe for concurrent
+// use.
+type View struct {
+	rows   map[core.VMID]*row
+	readAt time.Time
+}
+
+// NewView returns an empty view.
+func NewView() *View { return &View{rows: make(map[core.VMID]*row)} }
+
+// Observe takes the rows of all members as read at a time.
+func (v *View) Observe(rows map[core.VMID]core.MemberRecord, now time.Time) {
+	var passed time.Duration
+	if !v.readAt.IsZero() {
+		passed = now.Sub(v.readAt)
+	}
+	v.readAt = now
+	for id := range v.rows {
+		if _, listed := rows[id]; !listed {
+			delete(v.rows, id)
+		}
+	}
+	for id, record := range rows {
+		known := v.rows[id]
+		if known == nil || known.record != record {
+			v.rows[id] = &row{record: record}
+			continue
+		}
+		// A longer gap between two reads tells that reads failed, and perhaps
+		// writes too.
+		known.still += min(passed, 2*record.Every)
+	}
+}
+
+// Live returns the members that live and stay, sorted by VM.
+func (v *View) Live() []core.Member {
+	var live []core.Member
+	for id, known := range v.rows {
+		if known.record.Leaving || known.gone() {
+			continue
+		}
+		live = append(live, core.Member{
+			VM: id, Incarnation: known.record.Incarnation, CallAddress: known.record.CallAddress,
+			Zone: known.record.Zone, Region: known.record.Region,
+		})
+	}
+	slices.SortFunc(live, func(a, b core.Member) int { return cmp.Compare(a.VM, b.VM) })
+	return live
+}
+
+func (r *row) gone() bool { return r.still >= missedBeats*r.record.Every }
+
+// Addresses returns the callers' addresses of the members nearest to a place:
+// those of the region if it has enough, else all.
+func Addresses(live []core.Member, region core.RegionName) []string {
+	var near, all []string
+	for _, member := range live {
+		all = append(all, member.CallAddress)
+		if member.Region == region {
+			near = append(near, member.CallAddress)
+		}
+	}
+	if len(near) >= enoughNear {
+		return near
+	}
+	return all
+}
+
+// enoughNear is how many members of a caller's own region make a choice that
+// outlives the loss of one.
+const enoughNear = 2
--- a/internal/core/routing/candidate.go
+++ b/internal/core/routing/candidate.go
@@ -11,6 +11,7 @@
 	Lag      uint64             // versions behind the newest of the adapter in the pool
 	Ejected  bool
 	Weight   float64 // share of the usual work that it may get, above 0 and up to 1
+	Streams  int     // this process's requests in flight there
 	Load     float64 // estimated tokens of prompts and answers before the request
 	Base     float64 // seconds for a token of work on an idle server
 	Slope    float64 // further seconds for each token of load
--- a/internal/core/routing/decide.go
+++ b/internal/core/routing/decide.go
@@ -106,6 +106,7 @@
 		VM: &row.vm, Holds: holds, Version: version, Lag: row.lag(d.query.Adapter, version),
 		Ejected:  row.health.Ejected(),
 		Weight:   row.health.Weight(d.pool.detector.Ramp(), d.now),
+		Streams:  row.load.own.streams,
 		Load:     s.loadOf(row, d.peers, d.now),
 		Base:     d.pool.speed.base,
 		Slope:    d.pool.speed.slopeFor(d.pool.tokensPerStream),
--- a/internal/core/routing/query.go
+++ b/internal/core/routing/query.go
@@ -22,6 +22,7 @@
 	Prefix  []uint64        // core.PrefixHashes of the prompt; nil when it has no whole block
 	LagCost time.Duration   // waiting that is as dear as one version behind the newest
 	Exclude []core.ServerID // servers that must not be chosen
+	InSlot  bool            // only servers on which this process has a slot free
 }
 
 // allows reports whether weights of a version may serve the request.
--- a/internal/core/routing/state.go
+++ b/internal/core/routing/state.go
@@ -42,7 +42,7 @@
 		prefixes:  newPrefixIndex(&policy),
 		link:      newLink(policy.Link),
 		processes: 1,
-		filters:   []Filter{LiveFilter{}, HealthFilter{}, VersionFilter{}, ExcludeFilter{}, LinkFilter{}},
+		filters:   []Filter{LiveFilter{}, HealthFilter{}, VersionFilter{}, ExcludeFilter{}, SlotFilter{}, LinkFilter{}},
 		scorers: []Scorer{
 			WaitScorer{}, LinkScorer{Policy: policy.Link}, ZoneScorer{Trip: policy.ZoneTrip}, LagScorer{},
 		},
--- a/internal/core/row.go
+++ b/internal/core/row.go
@@ -14,6 +14,9 @@
 	TableDelivery TableName = "delivery" // DeliveryRecord
 	TableConfig   TableName = "config"   // ConfigRecord
 	TableWeight   TableName = "weight"   // WeightRecord
+	TableJob      TableName = "job"      // JobRecord
+	TableResult   TableName = "result"   // ResultRecord
+	TableMember   TableName = "member"   // MemberRecord
 )
 
 // RowKey names one row.
@@ -139,3 +142,6 @@
 func (DeliveryRecord) isRecord() {}
 func (ConfigRecord) isRecord()   {}
 func (WeightRecord) isRecord()   {}
+func (JobRecord) isRecord()      {}
+func (ResultRecord) isRecord()   {}
+func (MemberRecord) isRecord()   {}
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -29,6 +29,7 @@
 	Zone    ZoneName
 	Region  RegionName
 	State   VMState
+	Slots   int // requests that it runs at a time; zero when not told
 }
 
 // EngineStatus is an engine's own report. It lags by the engine's reporting
@@ -97,5 +98,19 @@
 	Adapter AdapterName
 	Version WeightVersion
 	Role    string
+	Mode    SwapMode
+	Holder  VMID // holder of the lease under which the order is given
 	Fence   Fence
+	Orders  *uint64 // orders that the engine must have accepted before; nil for any number
 }
+
+// SwapMode says what happens to an engine's running requests when it swaps
+// weights.
+type SwapMode string
+
+// The modes of a swap. Empty leaves the choice to the engine.
+const (
+	SwapAwait  SwapMode = "await"  // they finish first
+	SwapCut    SwapMode = "cut"    // their streams are reset
+	SwapRetain SwapMode = "retain" // they go on with the new weights
+)
--- a/internal/core/weights/roll.go
+++ b/internal/core/weights/roll.go
@@ -26,6 +26,7 @@
 	BackoffMax  time.Duration
 	IdleWeight  float64 // weight of trainer idle time against staleness, 0 to 1
 	Exact       bool    // an engine that serves a newer version is ordered back
+	AtOnce      int     // most engines that load at one time, zero for any number
 	PerRegion   int     // most engines of a region that load at one time, zero for any number
 }
 
--- a/internal/core/weights/wave.go
+++ b/internal/core/weights/wave.go
@@ -33,6 +33,7 @@
 	zones    map[core.ZoneName]int // engines in all
 	loading  map[core.ZoneName]int
 	inRegion map[core.RegionName]int // engines loading
+	all      int                     // engines loading
 }
 
 func newRegionLoad(engines []Engine) *regionLoad {
@@ -50,15 +51,19 @@
 func (l *regionLoad) start(engine *Engine) {
 	l.loading[engine.Zone]++
 	l.inRegion[engine.Region]++
+	l.all++
 }
 
 // room reports whether another engine may begin to load.
-func (l *regionLoad) room(engine *Engine, share float64, perRegion int) bool {
+func (l *regionLoad) room(engine *Engine, share float64, policy *Policy) bool {
+	if policy.AtOnce > 0 && l.all >= policy.AtOnce {
+		return false
+	}
 	most := max(1, int(math.Ceil(share*float64(l.zones[engine.Zone]))))
 	if l.loading[engine.Zone] >= most {
 		return false
 	}
-	return perRegion == 0 || l.inRegion[engine.Region] < perRegion
+	return policy.PerRegion == 0 || l.inRegion[engine.Region] < policy.PerRegion
 }
 
 // order begins swaps of engines that are ready, those with the least work in
@@ -71,7 +76,7 @@
 	share := Share(policy, r.loadTime)
 	var orders []core.ServerID
 	for _, engine := range ready {
-		if !load.room(engine, share, policy.PerRegion) {
+		if !load.room(engine, share, &policy) {
 			continue
 		}
 		load.start(engine)
--- a/internal/lockrank/lockrank.go
+++ b/internal/lockrank/lockrank.go
@@ -22,6 +22,7 @@
 	RankLimits        Rank = 60
 	RankCrashes       Rank = 70
 	RankRollouts      Rank = 80
+	RankRuns          Rank = 85
 	RankWeights       Rank = 90
 	RankClaims        Rank = 100
 	RankAnswers       Rank = 110
--- a/internal/ports/ports.go
+++ b/internal/ports/ports.go
@@ -48,6 +48,14 @@
 	DecodeBatch([]byte) (core.Batch, error)
 }
 
+// JobBodies encodes submitted jobs and results that are too long for a row.
+type JobBodies interface {
+	EncodeJob(core.Job) ([]byte, error)
+	DecodeJob([]byte) (core.Job, error)
+	EncodeResult(core.ItemResult) ([]byte, error)
+	DecodeResult([]byte) (core.ItemResult, error)
+}
+
 // VMList is the platform's list of VMs, which lags.
 type VMList interface {
 	// VMs returns all live and leaving VMs. Errors: StoreUnavailable.
--- /dev/null
+++ b/internal/tables/announced.go
@@ -0,0 +1,35 @@
+package tables
+
+import (
+	"time"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/core/announce"
+	"fescuespar/internal/lockrank"
+)
+
+// Announced holds the entry processes that announce themselves.
+type Announced struct {
+	// mu guards all fields below.
+	mu   lockrank.Mutex
+	view *announce.View
+}
+
+// NewAnnounced returns a table without members.
+func NewAnnounced() *Announced {
+	return &Announced{mu: lockrank.New(lockrank.RankMembers), view: announce.NewView()}
+}
+
+// Observe takes the rows of all members as read at a time.
+func (t *Announced) Observe(rows map[core.VMID]core.MemberRecord, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.view.Observe(rows, now)
+}
+
+// Live returns the members that live and stay.
+func (t *Announced) Live() []core.Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.view.Live()
+}
--- /dev/null
+++ b/internal/tables/jobs.go
@@ -0,0 +1,62 @@
+package tables
+
+import (
+	"time"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/core/job"
+	"fescuespar/internal/lockrank"
+)
+
+// Jobs holds the jobs that this process coordinates, a book for each service.
+type Jobs struct {
+	// mu guards all fields below.
+	mu    lockrank.Mutex
+	books map[string]*job.Book
+}
+
+// NewJobs returns a table without jobs.
+func NewJobs() *Jobs {
+	return &Jobs{mu: lockrank.New(lockrank.RankRollouts), books: make(map[string]*job.Book)}
+}
+
+// With runs an action on a service's book. The action must not block.
+func (t *Jobs) With(service string, action func(*job.Book)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	book := t.books[service]
+	if book == nil {
+		book = job.NewBook()
+		t.books[service] = book
+	}
+	action(book)
+}
+
+// Add takes a run's next event; false ends the run.
+func (t *Jobs) Add(service string, work job.Work, event core.Event) (wanted bool) {
+	t.With(service, func(b *job.Book) { wanted = b.Add(work, event) })
+	return wanted
+}
+
+// Next returns runs that are to begin.
+func (t *Jobs) Next(service string, limit int, now time.Time) (starts []job.Start) {
+	t.With(service, func(b *job.Book) { starts = b.Next(limit, now) })
+	return starts
+}
+
+// NextScores returns texts that are to be scored.
+func (t *Jobs) NextScores(service string, limit int, now time.Time) (starts []job.ScoreStart) {
+	t.With(service, func(b *job.Book) { starts = b.NextScores(limit, now) })
+	return starts
+}
+
+// Summaries counts the items of every open job.
+func (t *Jobs) Summaries() []job.Summary {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all []job.Summary
+	for _, book := range t.books {
+		all = append(all, book.Summaries()...)
+	}
+	return all
+}
--- a/internal/tables/platform.go
+++ b/internal/tables/platform.go
@@ -54,6 +54,37 @@
 	row.seen = now
 }
 
+// Lost notes a failed call that ended now. It returns true for the first one
+// since the last answer.
+func (t *Platform) Lost(service core.PlatformService, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row := t.row(service)
+	first := row.since.IsZero()
+	if first {
+		row.since = now
+	}
+	row.seen = now
+	return first
+}
+
+// Recovered notes an answer. It returns true for the first one after a failure.
+func (t *Platform) Recovered(service core.PlatformService, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row := t.row(service)
+	first := !row.since.IsZero()
+	row.answered, row.since = now, time.Time{}
+	return first
+}
+
+// Failing reports whether a service's newest call failed.
+func (t *Platform) Failing(service core.PlatformService) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.row(service).since.IsZero()
+}
+
 // Outages returns the services that have not answered since a call failed.
 func (t *Platform) Outages() []core.PlatformOutage {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/tables/registry.go
@@ -0,0 +1,48 @@
+package tables
+
+import (
+	"time"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/core/registration"
+	"fescuespar/internal/lockrank"
+)
+
+// Registry holds the registrations of backend servers that are believed.
+type Registry struct {
+	// mu guards all fields below.
+	mu      lockrank.Mutex
+	view    *registration.View
+	entries []registration.Server
+	readAt  time.Time
+}
+
+// NewRegistry returns a table without servers. Back is the time after an outage
+// in which all living servers register again.
+func NewRegistry(back time.Duration) *Registry {
+	return &Registry{mu: lockrank.New(lockrank.RankVMList), view: registration.NewView(back)}
+}
+
+// Observe takes all registrations as read by a call that began at a time.
+func (t *Registry) Observe(entries []core.ServerEntry, began time.Time) (believed []registration.Server, gone []core.ServerID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	believed, gone = t.view.Observe(entries, began)
+	t.entries, t.readAt = believed, began
+	return believed, gone
+}
+
+// Failed notes that the registrations could not be read.
+func (t *Registry) Failed() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.view.Failed()
+}
+
+// Entries returns the believed servers and when they were read. The result
+// must not be changed.
+func (t *Registry) Entries() ([]registration.Server, time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.entries, t.readAt
+}
--- a/internal/tables/servers.go
+++ b/internal/tables/servers.go
@@ -22,8 +22,13 @@
 
 // NewServers returns a table without servers.
 func NewServers(random *rand.Rand) *Servers {
+	return NewServersWith(routing.DefaultPolicy(), random)
+}
+
+// NewServersWith returns a table without servers that routes by a policy.
+func NewServersWith(policy routing.Policy, random *rand.Rand) *Servers {
 	return &Servers{
-		mu: lockrank.New(lockrank.RankServers), state: routing.NewState(routing.DefaultPolicy()), random: random,
+		mu: lockrank.New(lockrank.RankServers), state: routing.NewState(policy), random: random,
 		asked: make(map[core.ServerID]bool),
 	}
 }
--- a/standin/platform/vms.go
+++ b/standin/platform/vms.go
@@ -16,6 +16,7 @@
 	Zone    core.ZoneName   `json:"zone"`
 	Region  core.RegionName `json:"region"`
 	State   core.VMState    `json:"state"`
+	Slots   int             `json:"slots,omitempty"`
 }
 
 type vmsMessage struct {
