--- a/cmd/fescuespar/relay.go
+++ b/cmd/fescuespar/relay.go
@@ -30,7 +30,7 @@
 
 func init() {
 	register("relay", "Run the service on an entry VM of the users' platform until SIGTERM; "+
-		settings.PathVariable+" names the settings file", &relayCommand{})
+		settings.PathVariable+" names the settings file. Example: fescuespar relay", &relayCommand{})
 }
 
 const (
