Move runs off slow engines, start long items first, keep a lease through an outage

Change: job.Paces compares engines by the time between events while runs go on; runs on slow ones are ended and go on elsewhere, each once; engines that load are left out of placement and comparison; items start by their estimated length; texts of ended jobs are kept for groups that come back; a challenger counts only the time in which it could read (lease).

--- a/internal/app/relay/coordinate.go
+++ b/internal/app/relay/coordinate.go
@@ -101,6 +101,7 @@
 func (s *Service) tendService(service string) {
 	s.findJobs(service)
 	s.orderVersions(service)
+	s.moveSlow(service)
 	s.runItems(service)
 }
 
--- a/internal/app/relay/orders.go
+++ b/internal/app/relay/orders.go
@@ -16,6 +16,7 @@
 	loadsAtOnce  = 2
 	swapTarget   = 6 * time.Second // as the users' aim for new weights on all engines
 	swapTimeout  = 5 * time.Second // several times the longest load
+	loadTime     = 2 * time.Second // for which an engine that tells nothing is taken to load
 	swapBackoff  = 500 * time.Millisecond
 	swapBackMax  = 4 * time.Second
 	orderTimeout = 500 * time.Millisecond
@@ -92,6 +93,7 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
+		s.paces.BeginLoad(vm.ID, s.ports.Clock.Now().Add(loadTime))
 		err := s.ports.Backend.Order(ctx, vm, order)
 		s.pool.MustEnqueue(core.ClassControl, func() { s.ordered(service, vm, order, err) })
 	})
@@ -109,6 +111,7 @@
 	line.Str("server", string(vm.ID)).Str("model", string(order.Model)).Uint64("version", uint64(order.Version)).
 		Uint64("fence", uint64(order.Fence)).Str("mode", string(order.Mode)).Msg("order given")
 	if err != nil && !errkind.Is(err, errkind.OutcomeUnknown) {
+		s.paces.EndLoad(vm.ID, s.ports.Clock.Now())
 		s.metrics.OrdersFailed.Inc(1)
 		s.weights.OrderRefused(core.DeploymentName(order.Model), vm.ID, order.Version, rollPolicy(), s.ports.Clock.Now())
 		return
@@ -147,6 +150,7 @@
 	if held.Version < order.Version {
 		return false
 	}
+	s.paces.EndLoad(vm.ID, s.ports.Clock.Now())
 	s.log.Info().Str("server", string(vm.ID)).Str("model", string(order.Model)).
 		Uint64("version", uint64(held.Version)).Msg("version loaded")
 	s.tendService(service)
--- a/internal/app/relay/run.go
+++ b/internal/app/relay/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"slices"
 	"strconv"
 	"time"
 
@@ -21,8 +22,9 @@
 // runItems begins the runs, scores and commits that are due.
 func (s *Service) runItems(service string) {
 	now := s.ports.Clock.Now()
+	avoid := placement{slow: s.paces.Slow(service, now), loading: s.paces.Loading(now)}
 	for _, start := range s.jobs.Next(service, startsAtOnce, now) {
-		if err := s.placeItem(service, start, now); err != nil {
+		if err := s.placeItem(service, start, avoid, now); err != nil {
 			s.jobs.With(service, func(b *job.Book) { b.Unplaced(start.Work, now) })
 			if !errkind.Is(err, errkind.NoServer) {
 				s.log.Debug().Err(err).Str("item", string(start.Item.ID)).Msg("item not placed")
@@ -33,8 +35,51 @@
 	s.storeResults(service)
 }
 
+// placement says which engines new runs keep away from.
+type placement struct {
+	slow    []core.ServerID
+	loading []core.ServerID
+}
+
+// slowWait is how long an item waits for a slot at an engine that is not slow:
+// the time in which most runs end.
+const slowWait = time.Second
+
+// excluded returns the engines on which an item must not start.
+func (p placement) excluded(start *job.Start) []core.ServerID {
+	excluded := slices.Clone(p.loading)
+	if start.Waited < slowWait {
+		excluded = append(excluded, p.slow...)
+	}
+	if start.Avoid != "" {
+		excluded = append(excluded, start.Avoid)
+	}
+	return excluded
+}
+
+// moveSlow ends runs on slow engines, as many as have a slot elsewhere. They go
+// on where they were.
+func (s *Service) moveSlow(service string) {
+	slow := s.paces.Slow(service, s.ports.Clock.Now())
+	if len(slow) == 0 {
+		return
+	}
+	free := 0
+	for _, view := range s.servers.EnginesOf(service) {
+		if view.VM.State == core.VMLive && !slices.Contains(slow, view.VM.ID) {
+			free += max(0, view.VM.Slots-view.Streams)
+		}
+	}
+	var moves []job.Work
+	s.jobs.With(service, func(b *job.Book) { moves = b.Moves(slow, free) })
+	if len(moves) > 0 {
+		s.log.Info().Str("service", service).Int("runs", len(moves)).Any("slow", slow).Msg("runs moved off slow engines")
+	}
+	s.runs.Cancel(moves)
+}
+
 // placeItem routes one run and begins it.
-func (s *Service) placeItem(service string, start job.Start, now time.Time) error {
+func (s *Service) placeItem(service string, start job.Start, avoid placement, now time.Time) error {
 	target, err := s.itemService(&start)
 	if err != nil {
 		return err
@@ -43,15 +88,13 @@
 		Kind: s.kindOf(target), Service: target, Adapter: core.AdapterName(start.Model),
 		Version: start.Oldest, Exact: start.Exact, InSlot: true,
 		Zone: s.options.Self.Zone, Region: s.options.Self.Region, Class: core.ClassRollout,
-		Tokens: start.Item.Tokens, Prefix: partHashes(start.Item.Parts),
-	}
-	if start.Avoid != "" {
-		query.Exclude = []core.ServerID{start.Avoid}
+		Tokens: start.Item.Tokens, Prefix: partHashes(start.Item.Parts), Exclude: avoid.excluded(&start),
 	}
 	begun, err := s.servers.Acquire(query, now)
 	if err != nil {
 		return err
 	}
+	s.jobs.With(service, func(b *job.Book) { b.Placed(start.Work, begun.VM.ID) })
 	err = s.lanes.runs.Go(func(lane context.Context) {
 		ctx, cancel := context.WithTimeout(lane, runTimeout)
 		defer cancel()
@@ -75,6 +118,14 @@
 	}}
 	began := s.ports.Clock.Now()
 	sink := &itemSink{add: func(event core.Event) bool { return s.jobs.Add(service, start.Work, event) }}
+	last := began
+	sink.seen = func() {
+		now := s.ports.Clock.Now()
+		if sink.events > 1 {
+			s.paces.Observe(service, begun.VM.ID, now.Sub(last), now)
+		}
+		last = now
+	}
 	response, err := s.ports.Backend.Events(ctx, begun.VM, request, sink)
 	ended := runEnd{status: response.Status, err: err, events: sink.events, took: s.ports.Clock.Now().Sub(began)}
 	s.pool.MustEnqueue(core.ClassRollout, func() { s.runEnded(service, start, begun, ended) })
@@ -83,6 +134,7 @@
 // itemSink takes an item's events.
 type itemSink struct {
 	add    func(core.Event) bool
+	seen   func()
 	events int
 }
 
@@ -92,6 +144,7 @@
 // Event implements ports.EventSink.
 func (k *itemSink) Event(event core.Event) error {
 	k.events++
+	k.seen()
 	if !k.add(event) {
 		return errkind.New(errkind.Canceled, "event %d is not wanted", event.ID)
 	}
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -104,6 +104,7 @@
 	registry  *tables.Registry
 	jobs      *tables.Jobs
 	runs      *tables.Runs
+	paces     *tables.Paces
 	weights   *tables.Weights
 	stored    *tables.Stored
 	platform  *tables.Platform
@@ -145,6 +146,7 @@
 		registry: tables.NewRegistry(options.RegistryBack),
 		jobs:     tables.NewJobs(),
 		runs:     tables.NewRuns(),
+		paces:    tables.NewPaces(),
 		weights:  tables.NewWeights(),
 		stored:   tables.NewStored(),
 		platform: tables.NewPlatform(),
--- a/internal/core/job/book.go
+++ b/internal/core/job/book.go
@@ -21,20 +21,23 @@
 	policy Policy
 	opened time.Time
 	order  uint64 // of opening, so that jobs of one priority run in turn
-	ended  bool   // by its trainer
 	items  []item
-	next   int // position of the next result
+	turns  []int // items in the order in which they start
+	next   int   // position of the next result
 }
 
 // Book holds the jobs of one service that this process coordinates.
 type Book struct {
 	jobs  map[core.JobID]*open
+	kept  map[core.ItemID]keptText // of jobs that have ended
 	runs  uint64
 	order uint64
 }
 
 // NewBook returns an empty book.
-func NewBook() *Book { return &Book{jobs: make(map[core.JobID]*open)} }
+func NewBook() *Book {
+	return &Book{jobs: make(map[core.JobID]*open), kept: make(map[core.ItemID]keptText)}
+}
 
 // Open takes in a job with the results that are listed already, in order.
 // A job that is open stays as it is.
@@ -47,8 +50,11 @@
 	for i := range job.Items {
 		if slices.Contains(listed, job.Items[i].ID) {
 			row.items[i].phase = stored
+			continue
 		}
+		b.takeKept(row, i)
 	}
+	row.turns = turns(row)
 	b.jobs[job.ID] = row
 }
 
@@ -75,6 +81,7 @@
 		if p := row.items[i].phase; p == running || p == scoring {
 			cancel = append(cancel, Work{id, i, row.items[i].run})
 		}
+		b.keep(row, i)
 	}
 	delete(b.jobs, id)
 	return cancel
@@ -101,13 +108,11 @@
 }
 
 // Next returns up to limit runs that are to begin, in the order of jobs and
-// of their groups: a group counts for its trainer only when it is whole, so
-// that its items run next to each other. An item whose life is over is given
-// up instead.
+// then of turns. An item whose life is over is given up instead.
 func (b *Book) Next(limit int, now time.Time) []Start {
 	var starts []Start
 	for _, row := range b.inOrder() {
-		for i := range row.items {
+		for _, i := range row.turns {
 			if len(starts) == limit {
 				return starts
 			}
@@ -118,7 +123,7 @@
 				row.items[i].end(row.job.Items[i].ID, core.ItemFailed, "")
 				continue
 			}
-			starts = append(starts, b.start(row, i))
+			starts = append(starts, b.start(row, i, now))
 		}
 	}
 	return starts
@@ -128,13 +133,16 @@
 	return row.policy.ItemLife > 0 && now.Sub(row.opened) >= row.policy.ItemLife
 }
 
-func (b *Book) start(row *open, index int) Start {
+func (b *Book) start(row *open, index int, now time.Time) Start {
 	b.runs++
 	state := &row.items[index]
-	state.phase, state.run = running, b.runs
+	state.phase, state.run, state.server = running, b.runs, ""
+	if state.since.IsZero() {
+		state.since = now
+	}
 	start := Start{
 		Work: Work{row.job.ID, index, b.runs}, Item: &row.job.Items[index],
-		Host: row.job.Host, Model: row.job.Model, Oldest: row.job.Oldest, After: len(state.text), Avoid: state.avoid,
+		Host: row.job.Host, Model: row.job.Model, Oldest: row.job.Oldest, After: len(state.text), Avoid: state.avoid, Waited: now.Sub(state.since),
 	}
 	if row.policy.SingleVersion && len(state.text) > 0 {
 		start.Oldest, start.Exact = state.newest, true
@@ -156,6 +164,38 @@
 	state.notBefore = now.Add(refusedDelay)
 }
 
+// Placed notes on which engine a run is.
+func (b *Book) Placed(work Work, engine core.ServerID) {
+	if _, state := b.find(work); state != nil {
+		state.server, state.since = engine, time.Time{}
+	}
+}
+
+// maxMoves is how often an item is moved: engines that all turn slow in turn
+// must not keep it from ending.
+const maxMoves = 4
+
+// Moves returns up to limit runs on slow engines that are to go on elsewhere.
+// An engine reads what a run has made so far within some ms, so that a run
+// that has more than a few events left is done sooner elsewhere.
+func (b *Book) Moves(slow []core.ServerID, limit int) []Work {
+	var moves []Work
+	for _, row := range b.inOrder() {
+		for _, i := range row.turns {
+			state := &row.items[i]
+			if len(moves) == limit {
+				return moves
+			}
+			if state.phase == running && state.moves < maxMoves && slices.Contains(slow, state.server) {
+				state.moves++
+				state.server = "" // it is chosen once for each run
+				moves = append(moves, Work{row.job.ID, i, state.run})
+			}
+		}
+	}
+	return moves
+}
+
 // find returns the item of a run that was not replaced, or nil.
 func (b *Book) find(work Work) (*open, *item) {
 	row := b.jobs[work.Job]
--- a/internal/core/job/doc.go
+++ b/internal/core/job/doc.go
@@ -39,6 +39,7 @@
 	Exact  bool               // only the weights of Oldest may
 	After  int                // number of the last event that is already there
 	Avoid  core.ServerID      // backend server that cut the last run; empty for none
+	Waited time.Duration      // since the item first could not start
 }
 
 // Ending says how a run of an item ended.
--- a/internal/core/job/item.go
+++ b/internal/core/job/item.go
@@ -31,6 +31,9 @@
 	misses    int                // failures of the scorer
 	notBefore time.Time          // of the next run or score
 	avoid     core.ServerID
+	server    core.ServerID // that runs it
+	moves     int
+	since     time.Time // when it first could not start, zero once it has
 	result    core.ItemResult
 }
 
--- a/internal/core/lease/decide.go
+++ b/internal/core/lease/decide.go
@@ -35,6 +35,9 @@
 }
 
 func (t *Tracker) decideWaiting(now time.Time, id core.AttemptID) Action {
+	if t.unread {
+		return Action{Kind: ActionRead}
+	}
 	takeover := t.takeoverAt()
 	if !now.Before(takeover) {
 		return Action{Kind: ActionAcquire, Commit: t.acquireCommit(id)}
--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -172,3 +172,25 @@
 		t.Error("Validate takes a term shorter than margin and two renewals")
 	}
 }
+
+// TestOutageGivesTheHolderTheFirstTry lets the table service go away for longer
+// than the term: the holder could not renew, so the challenger must see the
+// lease unchanged for the whole term after the outage.
+func TestOutageGivesTheHolderTheFirstTry(t *testing.T) {
+	tracker := newTracker()
+	leaseRow, fenceRow := taken(8, false)
+	tracker.Observe(leaseRow, fenceRow, at(0))
+	tracker.ReadFailed(at(4))
+	if got := tracker.Decide(at(20), "a1").Kind; got != ActionRead {
+		t.Fatalf("after an outage longer than the term: %v, want a read", got)
+	}
+	tracker.Observe(leaseRow, fenceRow, at(20))
+	for _, c := range []struct {
+		seconds float64
+		want    ActionKind
+	}{{20.5, ActionWait}, {30.9, ActionRead}, {31, ActionAcquire}} {
+		if got := tracker.Decide(at(c.seconds), "a1").Kind; got != c.want {
+			t.Errorf("at %v s: %v, want %v", c.seconds, got, c.want)
+		}
+	}
+}
--- a/internal/core/lease/tracker.go
+++ b/internal/core/lease/tracker.go
@@ -19,6 +19,7 @@
 	lease     core.Row // as last read or written
 	fence     core.Row
 	firstSeen time.Time // when this version of the lease row was first seen
+	unread    bool      // the table service did not answer since
 	readAt    time.Time
 	retryAt   time.Time // no call before this time
 
@@ -81,9 +82,10 @@
 
 // adopt takes over the rows as the newest known.
 func (t *Tracker) adopt(leaseRow, fenceRow core.Row, now time.Time) {
-	if !t.known || t.lease.Version != leaseRow.Version {
+	if !t.known || t.lease.Version != leaseRow.Version || t.unread {
 		t.firstSeen = now
 	}
+	t.unread = false
 	t.known = true
 	t.lease = leaseRow
 	t.fence = fenceRow
@@ -162,6 +164,7 @@
 		return
 	}
 	t.pending.flying = false
+	t.unread = true
 	if !t.pending.unknown {
 		t.mine = t.mine || t.pending.action.Kind == ActionRelease
 		t.pending = nil
@@ -169,8 +172,13 @@
 	t.delay(now)
 }
 
-// ReadFailed records that the rows could not be read.
-func (t *Tracker) ReadFailed(now time.Time) { t.delay(now) }
+// ReadFailed records that the rows could not be read. A holder may be as unable
+// to renew, so that the time before the next read counts for no takeover: a
+// holder that lives keeps its lease through an outage of the table service.
+func (t *Tracker) ReadFailed(now time.Time) {
+	t.unread = true
+	t.delay(now)
+}
 
 func (t *Tracker) delay(now time.Time) {
 	t.retryAt = now.Add(t.timing.RenewEvery / retryFraction)
--- a/internal/core/routing/server.go
+++ b/internal/core/routing/server.go
@@ -60,6 +60,7 @@
 	VM       core.VM           `json:"vm"`
 	Status   core.EngineStatus `json:"status"`
 	InFlight int               `json:"in_flight_tokens"` // of this process's requests
+	Streams  int               `json:"streams"`          // of this process's requests
 	Others   int               `json:"others_tokens"`    // of other processes' requests, by the newest report
 	Polled   bool              `json:"polled"`           // an engine that this process asks for reports
 	Reported time.Time         `json:"reported"`         // when the report in Status was measured, zero for none
@@ -71,7 +72,7 @@
 
 func (r *server) view() View {
 	return View{
-		VM: r.vm, Status: r.status, InFlight: r.load.own.tokens, Others: int(r.load.others),
+		VM: r.vm, Status: r.status, InFlight: r.load.own.tokens, Streams: r.load.own.streams, Others: int(r.load.others),
 		Polled: r.vm.Kind == core.KindEngine && !r.unpolled, Reported: r.load.reported,
 		Ejected: r.health.Ejected(), Until: r.health.Until(),
 		Unreachable: !r.health.UnreachableSince().IsZero(),
--- /dev/null
+++ b/internal/tables/paces.go
@@ -0,0 +1,85 @@
+package tables
+
+import (
+	"time"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/core/job"
+	"fescuespar/internal/lockrank"
+)
+
+// Paces holds how fast engines make events, and which engines take no new runs
+// while they load weights.
+type Paces struct {
+	// mu guards all fields below.
+	mu       lockrank.Mutex
+	services map[string]*job.Paces
+	loading  map[core.ServerID]time.Time // until when at the latest
+	settled  map[core.ServerID]time.Time // when intervals after a load count again
+}
+
+// NewPaces returns an empty table.
+func NewPaces() *Paces {
+	return &Paces{
+		mu: lockrank.New(lockrank.RankPolls), services: make(map[string]*job.Paces),
+		loading: make(map[core.ServerID]time.Time), settled: make(map[core.ServerID]time.Time),
+	}
+}
+
+// Observe takes the time between two events of a run. While an engine loads
+// weights its streams stand still, which tells nothing of its speed.
+func (t *Paces) Observe(service string, engine core.ServerID, interval time.Duration, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Before(t.loading[engine]) || now.Before(t.settled[engine]) {
+		return
+	}
+	if t.services[service] == nil {
+		t.services[service] = job.NewPaces()
+	}
+	t.services[service].Observe(engine, interval, now)
+}
+
+// Slow returns the engines of a service that are slow beside the others.
+func (t *Paces) Slow(service string, now time.Time) []core.ServerID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.services[service] == nil {
+		return nil
+	}
+	return t.services[service].Slow(now)
+}
+
+// BeginLoad notes that an engine refuses new runs, until EndLoad or a time.
+func (t *Paces) BeginLoad(engine core.ServerID, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.loading[engine] = until
+}
+
+// afterLoad is the time in which the first events after a load arrive, whose
+// intervals began before its end.
+const afterLoad = 200 * time.Millisecond
+
+// EndLoad notes that an engine has loaded its weights.
+func (t *Paces) EndLoad(engine core.ServerID, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.loading, engine)
+	t.settled[engine] = now.Add(afterLoad)
+}
+
+// Loading returns the engines that load weights.
+func (t *Paces) Loading(now time.Time) []core.ServerID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var engines []core.ServerID
+	for engine, until := range t.loading {
+		if now.After(until) {
+			delete(t.loading, engine)
+			continue
+		}
+		engines = append(engines, engine)
+	}
+	return engines
+}
