--- a/cmd/fescuespar/relay.go
+++ b/cmd/fescuespar/relay.go
@@ -16,7 +16,9 @@
 
 	"fescuespar/internal/adapters/bodycodec"
 	"fescuespar/internal/adapters/bootclock"
+	"fescuespar/internal/adapters/detour"
 	"fescuespar/internal/adapters/httpfront"
+	"fescuespar/internal/adapters/platformhttp"
 	"fescuespar/internal/app/relay"
 	"fescuespar/internal/core"
 	"fescuespar/platform/front"
@@ -74,10 +76,18 @@
 
 func wireRelay(loaded *settings.Settings, log zerolog.Logger) (*relay.Service, []*http.Server, error) {
 	incarnation := newIncarnation()
-	platform := store.New(loaded.Store, storeTimeout, loaded.Regions, log)
-	service := relay.New(relay.Options{
+	direct := platformhttp.NewTransport()
+	node, err := detour.Listen(loaded.Peers, loaded.Store, direct)
+	if err != nil {
+		return nil, nil, err
+	}
+	var service *relay.Service
+	way := detour.NewWay(direct, node, func() []string { return service.PeerAddresses() })
+	platform := store.New(way, loaded.Store, storeTimeout, loaded.Regions, log)
+	service = relay.New(relay.Options{
 		Self: core.Member{
 			VM: loaded.VM, Incarnation: incarnation, Zone: loaded.Zone, Region: loaded.Region, CallAddress: loaded.Callers,
+			PeerAddress: loaded.Peers,
 		},
 		Seed: uint64(incarnation), Workers: relayWorkers, AddressKeep: loaded.AddressKeep,
 		OrdersApart: loaded.OrdersApart, Grace: loaded.Grace, RegistryBack: loaded.RegistryBack,
--- /dev/null
+++ b/internal/adapters/detour/detour_test.go
@@ -0,0 +1,178 @@
+package detour
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// switched is a direct way that can be cut, as by a partition: calls hang until
+// their context ends.
+type switched struct {
+	cut, refuse atomic.Bool
+	calls       atomic.Int64
+}
+
+func (s *switched) RoundTrip(request *http.Request) (*http.Response, error) {
+	s.calls.Add(1)
+	if s.cut.Load() {
+		<-request.Context().Done()
+		return nil, request.Context().Err()
+	}
+	if s.refuse.Load() {
+		return &http.Response{StatusCode: http.StatusServiceUnavailable, Body: http.NoBody, Header: http.Header{}}, nil
+	}
+	return http.DefaultTransport.RoundTrip(request)
+}
+
+// pair returns a way whose direct path can be cut, and one peer that reaches
+// the platform.
+func pair(t *testing.T, platform *httptest.Server) (*Way, *switched, *switched) {
+	t.Helper()
+	host := strings.TrimPrefix(platform.URL, "http://")
+	own, others := &switched{}, &switched{}
+	peer, err := Listen("127.0.0.1:0", host, others)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(peer.Close)
+	node, err := Listen("127.0.0.1:0", host, own)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(node.Close)
+	return NewWay(own, node, func() []string { return []string{peer.Address()} }), own, others
+}
+
+func platformServer(t *testing.T, changes *atomic.Int64) *httptest.Server {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if r.Method == http.MethodPost {
+			changes.Add(1)
+		}
+		_, _ = io.WriteString(w, r.URL.Path+":"+string(body))
+	}))
+	t.Cleanup(server.Close)
+	return server
+}
+
+func send(t *testing.T, way *Way, method, url, body string, timeout time.Duration) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := way.RoundTrip(request)
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if response.StatusCode != http.StatusOK {
+		return "", errors.New(response.Status)
+	}
+	return string(answer), err
+}
+
+func TestReadsGoThroughAPeerWhileTheWayIsCut(t *testing.T) {
+	var changes atomic.Int64
+	platform := platformServer(t, &changes)
+	way, own, _ := pair(t, platform)
+	own.cut.Store(true)
+	for i := range 3 {
+		if got, err := send(t, way, http.MethodGet, platform.URL+"/rows", "", 2*time.Second); err != nil || got != "/rows:" {
+			t.Fatalf("read %d: %q, %v", i, got, err)
+		}
+	}
+	if !way.Down() {
+		t.Error("the direct way does not count as down")
+	}
+	if got, err := send(t, way, http.MethodPost, platform.URL+"/tx", "x", 2*time.Second); err != nil || got != "/tx:x" {
+		t.Errorf("a change while the way is down: %q, %v", got, err)
+	}
+	own.cut.Store(false)
+	deadline := time.Now().Add(5 * time.Second)
+	for way.Down() && time.Now().Before(deadline) {
+		if _, err := send(t, way, http.MethodGet, platform.URL+"/rows", "", 2*time.Second); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if way.Down() {
+		t.Error("the direct way stays down after the cut")
+	}
+}
+
+// TestAChangeIsNotRepeatedWhenItMayHaveBeenMade cuts the way while a change is
+// on it: the caller must learn that its outcome is unknown.
+func TestAChangeIsNotRepeatedWhenItMayHaveBeenMade(t *testing.T) {
+	var changes atomic.Int64
+	platform := platformServer(t, &changes)
+	way, own, others := pair(t, platform)
+	own.cut.Store(true)
+	if _, err := send(t, way, http.MethodPost, platform.URL+"/tx", "x", 300*time.Millisecond); err == nil {
+		t.Error("a change that hung gave an answer")
+	}
+	if others.calls.Load() != 0 || changes.Load() != 0 {
+		t.Errorf("the peer made %d calls, the platform took %d changes", others.calls.Load(), changes.Load())
+	}
+}
+
+func TestARefusedChangeGoesThroughAPeer(t *testing.T) {
+	var changes atomic.Int64
+	platform := platformServer(t, &changes)
+	way, own, _ := pair(t, platform)
+	own.refuse.Store(true)
+	if got, err := send(t, way, http.MethodPost, platform.URL+"/tx", "x", 2*time.Second); err != nil || got != "/tx:x" {
+		t.Errorf("got %q, %v", got, err)
+	}
+	if changes.Load() != 1 {
+		t.Errorf("%d changes, want 1", changes.Load())
+	}
+}
+
+func TestAnOutageOfAllIsAnError(t *testing.T) {
+	var changes atomic.Int64
+	platform := platformServer(t, &changes)
+	way, own, others := pair(t, platform)
+	own.cut.Store(true)
+	others.cut.Store(true)
+	if _, err := send(t, way, http.MethodGet, platform.URL+"/rows", "", time.Second); err == nil {
+		t.Error("a read gave an answer in an outage of all")
+	}
+}
+
+// TestAHangingChangeEndsOnceTheWayIsKnownToBeDown begins a change just before a
+// read finds that the way is cut.
+func TestAHangingChangeEndsOnceTheWayIsKnownToBeDown(t *testing.T) {
+	var changes atomic.Int64
+	platform := platformServer(t, &changes)
+	way, own, _ := pair(t, platform)
+	own.cut.Store(true)
+	ended := make(chan time.Duration, 1)
+	began := time.Now()
+	go func() {
+		_, _ = send(t, way, http.MethodPost, platform.URL+"/tx", "x", 10*time.Second)
+		ended <- time.Since(began)
+	}()
+	for own.calls.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if _, err := send(t, way, http.MethodGet, platform.URL+"/rows", "", 2*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-ended:
+	case <-time.After(2 * time.Second):
+		t.Error("the change hangs although the way is known to be down")
+	}
+}
--- a/internal/adapters/platformhttp/client.go
+++ b/internal/adapters/platformhttp/client.go
@@ -37,7 +37,13 @@
 // New returns a client of the platform at a base URL such as
 // "http://10.0.0.1:80". The timeout bounds each call.
 func New(base string, timeout time.Duration) *Client {
-	transport := &http.Transport{
+	return NewOver(NewTransport(), base, timeout)
+}
+
+// NewTransport returns a transport with the connection policy of the platform's
+// clients.
+func NewTransport() *http.Transport {
+	return &http.Transport{
 		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConns:           maxIdleConnections,
 		MaxIdleConnsPerHost:    maxIdleConnections,
@@ -45,6 +51,10 @@
 		MaxResponseHeaderBytes: maxReplyHeader,
 		DisableCompression:     true,
 	}
+}
+
+// NewOver is New with a transport of its own.
+func NewOver(transport http.RoundTripper, base string, timeout time.Duration) *Client {
 	keepRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{
 		base:    base,
--- a/internal/app/relay/watch.go
+++ b/internal/app/relay/watch.go
@@ -170,7 +170,8 @@
 	self := s.options.Self
 	record := core.MemberRecord{
 		Incarnation: self.Incarnation, Zone: self.Zone, Region: self.Region, CallAddress: self.CallAddress,
-		Beat: s.beats.Add(1), Every: every, Leaving: !s.servesNewWork(),
+		PeerAddress: self.PeerAddress,
+		Beat:        s.beats.Add(1), Every: every, Leaving: !s.servesNewWork(),
 	}
 	s.metrics.TableCommits.Inc(1)
 	_, err := s.ports.Tables.Commit(ctx, core.Commit{
@@ -184,3 +185,14 @@
 	phase, _ := s.lifecycle.Phase()
 	return phase == tables.PhaseServing
 }
+
+// PeerAddresses returns the addresses of the other entry processes.
+func (s *Service) PeerAddresses() []string {
+	var addresses []string
+	for _, member := range s.members.Live() {
+		if member.VM != s.options.Self.VM && member.PeerAddress != "" {
+			addresses = append(addresses, member.PeerAddress)
+		}
+	}
+	return addresses
+}
--- a/internal/core/announce/view.go
+++ b/internal/core/announce/view.go
@@ -78,7 +78,8 @@
 		}
 		live = append(live, core.Member{
 			VM: id, Incarnation: known.record.Incarnation, CallAddress: known.record.CallAddress,
-			Zone: known.record.Zone, Region: known.record.Region,
+			PeerAddress: known.record.PeerAddress,
+			Zone:        known.record.Zone, Region: known.record.Region,
 		})
 	}
 	slices.SortFunc(live, func(a, b core.Member) int { return cmp.Compare(a.VM, b.VM) })
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -95,6 +95,7 @@
 	Zone        ZoneName
 	Region      RegionName
 	CallAddress string
+	PeerAddress string
 	Beat        uint64        // grows with every announcement
 	Every       time.Duration // until the next one
 	Leaving     bool
