Checkpoint running texts, take an own lease back at once, mend the detour's way back

Ruled out: longer leases (detection of a dead coordinator would be later).

Change: texts of half a second or more are saved each second to the object store and restored by the next coordinator; a restarted VM takes its own lease without waiting out the term, but waits with orders; the direct way is probed apart from the reads; peers without a way refuse at once; lease term 1.5 s.

Conclusion: the lease's model failed when the own lease allowed orders at once; it waits now.

--- a/internal/adapters/bodycodec/bodycodec.go
+++ b/internal/adapters/bodycodec/bodycodec.go
@@ -62,6 +62,19 @@
 	return result, errkind.Wrap(errkind.Internal, err, "decoding a result")
 }
 
+// EncodeCheckpoint returns a checkpoint's CBOR.
+func (Codec) EncodeCheckpoint(checkpoint core.Checkpoint) ([]byte, error) {
+	body, err := cbor.Marshal(checkpoint)
+	return body, errkind.Wrap(errkind.Internal, err, "encoding a checkpoint")
+}
+
+// DecodeCheckpoint reads what EncodeCheckpoint wrote. Errors: Internal.
+func (Codec) DecodeCheckpoint(body []byte) (core.Checkpoint, error) {
+	var checkpoint core.Checkpoint
+	err := textMode.Unmarshal(body, &checkpoint)
+	return checkpoint, errkind.Wrap(errkind.Internal, err, "decoding a checkpoint")
+}
+
 // textMode takes text of any bytes: header values and generated text need not
 // be UTF-8.
 var textMode = mustDecode(cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid, MaxArrayElements: 1 << 20})
--- a/internal/adapters/detour/detour.go
+++ b/internal/adapters/detour/detour.go
@@ -13,6 +13,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"fescuespar/internal/lockrank"
@@ -23,10 +24,12 @@
 	// asked too: ten times the store's usual time, which a slow store may take.
 	hedgeAfter = 350 * time.Millisecond
 	// probeEvery separates the tries of a direct way that is down.
-	probeEvery = 500 * time.Millisecond
-	// peersAsked bounds the peers that are asked for one call. In an outage all
-	// fail, and each costs a call to the platform.
-	peersAsked = 2
+	probeEvery = 250 * time.Millisecond
+	// probeTimeout bounds such a try.
+	probeTimeout = time.Second
+	// peersAsked bounds the peers that are asked for one call: of a third that
+	// have no way either, three are seldom met in a row.
+	peersAsked = 3
 )
 
 // Way is a transport that can go through peers. It is safe for concurrent use.
@@ -35,6 +38,8 @@
 	node   *Node
 	peers  func() []string // addresses of the other entry processes
 
+	blocked atomic.Bool // a copy of down that the node reads
+
 	// mu guards all fields below.
 	mu      lockrank.Mutex
 	down    bool
@@ -44,13 +49,15 @@
 
 var _ http.RoundTripper = (*Way)(nil)
 
-// NewWay returns a transport whose direct way is down until the first answer
-// only if told so; peers returns whom to ask.
+// NewWay returns a transport over a node's peers. The node makes no calls for
+// peers while its own way is down.
 func NewWay(direct http.RoundTripper, node *Node, peers func() []string) *Way {
-	return &Way{
+	way := &Way{
 		direct: direct, node: node, peers: peers,
 		mu: lockrank.New(lockrank.RankAdapter), cut: make(chan struct{}),
 	}
+	node.blocked.Store(&way.blocked)
+	return way
 }
 
 // Down reports whether the direct way is down.
@@ -63,6 +70,7 @@
 func (w *Way) set(down bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.blocked.Store(down)
 	switch {
 	case down && !w.down:
 		w.probeAt = time.Now().Add(probeEvery)
@@ -93,19 +101,33 @@
 
 var errCut = errors.New("the direct way went down")
 
-// probeDue reports whether the direct way is to be tried, at most once for each
-// interval while it is down.
+// probeDue reports whether the direct way, which is down, is to be tried now.
 func (w *Way) probeDue() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
 	if !w.down || now.Before(w.probeAt) {
-		return !w.down
+		return false
 	}
 	w.probeAt = now.Add(probeEvery)
 	return true
 }
 
+// probe tries the direct way with a copy of a read, whose own answer does not
+// wait for it.
+func (w *Way) probe(request *http.Request) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	response, err := w.direct.RoundTrip(request.Clone(ctx))
+	if err != nil {
+		return
+	}
+	if !refused(response) {
+		w.set(false)
+	}
+	discard(response)
+}
+
 // RoundTrip implements http.RoundTripper.
 func (w *Way) RoundTrip(request *http.Request) (*http.Response, error) {
 	if request.Method == http.MethodGet {
@@ -156,91 +178,66 @@
 	direct   bool
 }
 
-func (a answer) good() bool { return a.err == nil && !refused(a.response) }
+func (a answer) good() bool { return a.err == nil && a.response != nil && !refused(a.response) }
 
 // read sends a read the direct way, and through a peer when that takes long or
-// fails.
+// fails. While the direct way is down it goes through a peer.
 func (w *Way) read(request *http.Request) (*http.Response, error) {
-	answers := make(chan answer, 2)
-	waiting := 0
-	send := func(direct bool) {
-		waiting++
-		go func() {
-			if direct {
-				response, err := w.direct.RoundTrip(request.Clone(request.Context()))
-				answers <- answer{response, err, true}
-				return
-			}
-			response, err := w.aside(request)
-			answers <- answer{response, err, false}
-		}()
-	}
-	straight := w.probeDue()
-	if straight {
-		send(true)
-	}
-	asked := !straight || w.Down()
-	if asked {
-		send(false)
+	if w.Down() {
+		if w.probeDue() {
+			go w.probe(request)
+		}
+		return w.aside(request)
 	}
+	answers := make(chan answer, 2)
+	go func() {
+		response, err := w.direct.RoundTrip(request.Clone(request.Context()))
+		answers <- answer{response, err, true}
+	}()
 	hedge := time.NewTimer(hedgeAfter)
 	defer hedge.Stop()
-	var last answer
-	for waiting > 0 {
-		select {
-		case <-hedge.C:
-			if !asked {
-				asked = true
-				send(false)
-			}
-			continue
-		case last = <-answers:
-		}
-		waiting--
-		w.learn(request.Context(), last)
-		if last.good() {
-			w.dropRest(answers, waiting)
-			return last.response, nil
-		}
-		if !asked {
-			asked = true
-			send(false)
-		}
-		if waiting > 0 && last.err == nil {
-			discard(last.response)
+	var first answer
+	select {
+	case first = <-answers:
+		if first.good() {
+			return first.response, nil
 		}
+	case <-hedge.C:
 	}
-	return last.response, last.err
-}
-
-// learn takes what an answer tells of the direct way: a peer that answers while
-// the direct way does not shows that the platform is there.
-func (w *Way) learn(ctx context.Context, a answer) {
-	switch {
-	case a.direct && a.good():
-		w.set(false)
-	case a.direct && a.err != nil && !errors.Is(ctx.Err(), context.Canceled):
-		w.set(true)
-	case !a.direct && a.good():
+	aside, err := w.aside(request)
+	if second := (answer{aside, err, false}); second.good() {
+		return aside, w.overtaken(answers, first)
+	}
+	if err == nil {
+		discard(aside)
+	}
+	if first == (answer{}) {
+		first = <-answers
+	}
+	if first.err != nil && !errors.Is(first.err, context.Canceled) {
 		w.set(true)
 	}
+	return first.response, first.err
 }
 
-// dropRest closes the answers that are not used.
-func (w *Way) dropRest(answers <-chan answer, waiting int) {
-	if waiting == 0 {
-		return
-	}
-	go func() {
-		for range waiting {
-			if a := <-answers; a.err == nil {
-				if a.direct && a.good() {
-					w.set(false)
-				}
-				discard(a.response)
-			}
+// overtaken notes that a peer has answered and the direct way has not, which
+// shows that the platform is there and the way is not.
+func (w *Way) overtaken(answers <-chan answer, first answer) error {
+	if first == (answer{}) {
+		select {
+		case first = <-answers:
+		default:
 		}
-	}()
+	}
+	if first.good() {
+		discard(first.response)
+		return nil
+	}
+	w.set(true)
+	if first.response != nil {
+		discard(first.response)
+	}
+	return nil
 }
 
 var errNoPeer = errors.New("no peer can make the call")
--- a/internal/adapters/detour/node.go
+++ b/internal/adapters/detour/node.go
@@ -14,6 +14,7 @@
 	"math/big"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -43,6 +44,7 @@
 	host      string // of the platform, host:port
 	transport *quic.Transport
 	tls       *tls.Config
+	blocked   atomic.Pointer[atomic.Bool] // set while the own way is down
 
 	// mu guards conns.
 	mu    lockrank.Mutex
@@ -148,6 +150,9 @@
 func sentAnyway(err error) bool { return !errors.Is(err, errUnsent) }
 
 func (n *Node) forward(stream io.Reader) (*http.Response, error) {
+	if blocked := n.blocked.Load(); blocked != nil && blocked.Load() {
+		return nil, errors.Join(errUnsent, errCut)
+	}
 	incoming, err := http.ReadRequest(bufio.NewReader(stream))
 	if err != nil {
 		return nil, errors.Join(errUnsent, err)
--- a/internal/app/relay/coordinate.go
+++ b/internal/app/relay/coordinate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"fescuespar/internal/app/tenure"
@@ -24,6 +25,7 @@
 		Acquired: func(name string, holding lease.Holding) {
 			s.metrics.LeasesAcquired.Inc(1)
 			s.log.Info().Str("lease", name).Uint64("fence", uint64(holding.Fence)).Msg("lease acquired")
+			s.restoreTexts(strings.TrimPrefix(name, coordinatorLease("")))
 		},
 		Lost: func(name string) {
 			s.metrics.LeasesLost.Inc(1)
@@ -100,6 +102,7 @@
 
 func (s *Service) tendService(service string) {
 	s.findJobs(service)
+	s.saveTexts(service)
 	s.orderVersions(service)
 	s.moveSlow(service)
 	s.runItems(service)
@@ -107,7 +110,7 @@
 
 // findJobs looks for jobs of the service that are new or have ended.
 func (s *Service) findJobs(service string) {
-	if !s.stored.BeginSearch(service) {
+	if s.stored.Restoring(service) || !s.stored.BeginSearch(service) {
 		return
 	}
 	err := s.lanes.store.Go(func(ctx context.Context) {
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -63,9 +63,9 @@
 // Timing of leases: a holder that dies is replaced within the term and its
 // margin, during which no job moves.
 const (
-	leaseTerm    = 2 * time.Second
-	leaseRenewal = 500 * time.Millisecond
-	leaseMargin  = 200 * time.Millisecond
+	leaseTerm    = 1500 * time.Millisecond
+	leaseRenewal = 400 * time.Millisecond
+	leaseMargin  = 150 * time.Millisecond
 )
 
 // Intervals of the periodic work.
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -66,6 +66,21 @@
 	Score    string // signature of the scorer's answer
 }
 
+// Checkpoint is what the items of a service's jobs have made so far, kept so
+// that another coordinator can go on with it.
+type Checkpoint struct {
+	Texts []CheckpointText
+}
+
+// CheckpointText is one item's text.
+type CheckpointText struct {
+	Item     ItemID
+	Text     []string // data of the events so far
+	Versions []WeightVersion
+	Newest   WeightVersion // weights of the last event
+	Whole    bool          // the text is complete and waits for its score
+}
+
 // ResultPage is a part of a job's results.
 type ResultPage struct {
 	Total   int // items of the job
--- a/internal/core/job/book.go
+++ b/internal/core/job/book.go
@@ -29,14 +29,14 @@
 // Book holds the jobs of one service that this process coordinates.
 type Book struct {
 	jobs  map[core.JobID]*open
-	kept  map[core.ItemID]keptText // of jobs that have ended
+	kept  map[core.ItemID]core.CheckpointText // of jobs that have ended or were another's
 	runs  uint64
 	order uint64
 }
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{jobs: make(map[core.JobID]*open), kept: make(map[core.ItemID]keptText)}
+	return &Book{jobs: make(map[core.JobID]*open), kept: make(map[core.ItemID]core.CheckpointText)}
 }
 
 // Open takes in a job with the results that are listed already, in order.
--- a/internal/core/job/carry.go
+++ b/internal/core/job/carry.go
@@ -10,14 +10,6 @@
 // maxKept bounds the texts kept of jobs that have ended.
 const maxKept = 512
 
-// keptText is what an item of an ended job had made.
-type keptText struct {
-	text     []string
-	versions []core.WeightVersion
-	newest   core.WeightVersion
-	whole    bool
-}
-
 // keep keeps an item's text, since groups that were not complete come back in
 // a later job with the same items.
 func (b *Book) keep(row *open, index int) {
@@ -28,9 +20,48 @@
 	if len(b.kept) >= maxKept {
 		clear(b.kept)
 	}
-	b.kept[row.job.Items[index].ID] = keptText{
-		text: state.text, versions: state.versions, newest: state.newest,
-		whole: state.phase == unscored || state.phase == scoring,
+	id := row.job.Items[index].ID
+	b.kept[id] = state.checkpoint(id)
+}
+
+// checkpoint returns what an item has made so far.
+func (i *item) checkpoint(id core.ItemID) core.CheckpointText {
+	return core.CheckpointText{
+		Item: id, Text: i.text, Versions: i.versions, Newest: i.newest,
+		Whole: i.phase == unscored || i.phase == scoring,
+	}
+}
+
+// Checkpoint returns the texts of open jobs that have at least so many events,
+// up to a sum of their bytes, the longest running jobs first.
+func (b *Book) Checkpoint(events, bytes int) core.Checkpoint {
+	var checkpoint core.Checkpoint
+	for _, row := range b.inOrder() {
+		for _, i := range row.turns {
+			state := &row.items[i]
+			if len(state.text) < events {
+				continue
+			}
+			for _, data := range state.text {
+				bytes -= len(data)
+			}
+			if bytes < 0 {
+				return checkpoint
+			}
+			// The events are only ever added to, so that the copy may share them.
+			text := state.checkpoint(row.job.Items[i].ID)
+			text.Versions = slices.Clone(text.Versions)
+			checkpoint.Texts = append(checkpoint.Texts, text)
+		}
+	}
+	return checkpoint
+}
+
+// Restore takes the texts of a former coordinator, for jobs that are opened
+// after it.
+func (b *Book) Restore(checkpoint core.Checkpoint) {
+	for _, text := range checkpoint.Texts {
+		b.kept[text.Item] = text
 	}
 }
 
@@ -43,12 +74,12 @@
 		return
 	}
 	delete(b.kept, id)
-	if slices.ContainsFunc(kept.versions, func(v core.WeightVersion) bool { return v < row.job.Oldest }) {
+	if slices.ContainsFunc(kept.Versions, func(v core.WeightVersion) bool { return v < row.job.Oldest }) {
 		return
 	}
 	state := &row.items[index]
-	state.text, state.versions, state.newest = kept.text, kept.versions, kept.newest
-	if kept.whole {
+	state.text, state.versions, state.newest = kept.Text, kept.Versions, kept.Newest
+	if kept.Whole {
 		state.phase = unscored
 	}
 }
--- a/internal/core/lease/decide.go
+++ b/internal/core/lease/decide.go
@@ -62,10 +62,11 @@
 }
 
 // takeoverAt returns the time from which the lease may be taken: at once when
-// nobody holds it, otherwise after the holder's term was waited out.
+// nobody holds it or an earlier process of this VM did, which has ended, and
+// otherwise after the holder's term was waited out.
 func (t *Tracker) takeoverAt() time.Time {
 	record, found := t.lease.Record.(core.LeaseRecord)
-	if !found || record.Released {
+	if !found || record.Released || record.Holder == t.self.VM {
 		return time.Time{}
 	}
 	return t.firstSeen.Add(record.Term + t.timing.Margin)
@@ -73,7 +74,11 @@
 
 // orderWaitOut returns the time from which a taker may give orders to engines
 // that ignore fencing numbers: the former holder's last order has ended then.
-func (t *Tracker) orderWaitOut() time.Time {
+func (t *Tracker) orderWaitOut(now time.Time) time.Time {
+	record, found := t.lease.Record.(core.LeaseRecord)
+	if found && !record.Released && record.Holder == t.self.VM {
+		return now.Add(t.timing.LongestOrder)
+	}
 	takeover := t.takeoverAt()
 	if takeover.IsZero() {
 		return takeover
--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -194,3 +194,26 @@
 		}
 	}
 }
+
+// TestARestartedHolderTakesItsLeaseAtOnce kills all VMs: the one that held the
+// lease need not wait for a process of its own that is gone.
+func TestARestartedHolderTakesItsLeaseAtOnce(t *testing.T) {
+	tracker := New("x", Self{VM: "vm2", Incarnation: 9, Address: "127.0.0.1:2"}, timing)
+	leaseRow, fenceRow := taken(8, false)
+	tracker.Observe(leaseRow, fenceRow, at(0))
+	action := tracker.Decide(at(0), "a1")
+	if action.Kind != ActionAcquire {
+		t.Fatalf("the restarted holder: %v, want acquire", action.Kind)
+	}
+	tracker.CommitSent(action, at(0))
+	tracker.Committed(core.CommitResult{Applied: true, Version: 10}, at(0))
+	if holding, held := tracker.Held(at(1)); !held || holding.Fence != 8 {
+		t.Errorf("held %v with %+v, want fence 8", held, holding)
+	}
+	if _, allowed := tracker.StartOrder(at(4.9)); allowed {
+		t.Error("an order is allowed while the ended process's last one may take effect")
+	}
+	if _, allowed := tracker.StartOrder(at(5)); !allowed {
+		t.Error("no order is allowed once the ended process's last one has ended")
+	}
+}
--- a/internal/core/lease/tracker.go
+++ b/internal/core/lease/tracker.go
@@ -117,7 +117,7 @@
 // called before the first byte leaves: the lease is trusted from this time on.
 func (t *Tracker) CommitSent(action Action, now time.Time) {
 	if t.pending == nil {
-		t.pending = &pendingCommit{action: action, sentAt: now, ordersFrom: t.orderWaitOut()}
+		t.pending = &pendingCommit{action: action, sentAt: now, ordersFrom: t.orderWaitOut(now)}
 	}
 	t.pending.flying = true
 	t.pending.resend = false
--- a/internal/ports/ports.go
+++ b/internal/ports/ports.go
@@ -48,12 +48,15 @@
 	DecodeBatch([]byte) (core.Batch, error)
 }
 
-// JobBodies encodes submitted jobs and results that are too long for a row.
+// JobBodies encodes submitted jobs, results that are too long for a row, and
+// checkpoints.
 type JobBodies interface {
 	EncodeJob(core.Job) ([]byte, error)
 	DecodeJob([]byte) (core.Job, error)
 	EncodeResult(core.ItemResult) ([]byte, error)
 	DecodeResult([]byte) (core.ItemResult, error)
+	EncodeCheckpoint(core.Checkpoint) ([]byte, error)
+	DecodeCheckpoint([]byte) (core.Checkpoint, error)
 }
 
 // VMList is the platform's list of VMs, which lags.
--- a/internal/tables/stored.go
+++ b/internal/tables/stored.go
@@ -1,6 +1,8 @@
 package tables
 
 import (
+	"time"
+
 	"fescuespar/internal/core"
 	"fescuespar/internal/lockrank"
 )
@@ -14,8 +16,9 @@
 	// mu guards all fields below.
 	mu    lockrank.Mutex
 	jobs  map[core.JobID]storedJob
-	busy  map[string]bool // work with the platform that goes on
-	order []core.JobID    // oldest first
+	busy  map[string]bool  // work with the platform that goes on
+	saves map[string]*save // by service
+	order []core.JobID     // oldest first
 	bytes int
 }
 
@@ -26,7 +29,7 @@
 
 // NewStored returns an empty table.
 func NewStored() *Stored {
-	return &Stored{mu: lockrank.New(lockrank.RankAnswers), jobs: make(map[core.JobID]storedJob), busy: make(map[string]bool)}
+	return &Stored{mu: lockrank.New(lockrank.RankAnswers), jobs: make(map[core.JobID]storedJob), busy: make(map[string]bool), saves: make(map[string]*save)}
 }
 
 // Job returns a kept job.
@@ -90,3 +93,48 @@
 	defer t.mu.Unlock()
 	delete(t.busy, work)
 }
+
+// save is how far a service's checkpoints are.
+type save struct {
+	number uint64
+	at     time.Time
+	kept   core.ObjectKey // newest one that is stored
+}
+
+// BeginSave reports whether a service's texts are to be saved now, under which
+// number, and which checkpoint the new one replaces.
+func (t *Stored) BeginSave(service string, now time.Time, every time.Duration) (number uint64, before core.ObjectKey, due bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row := t.saves[service]
+	if row == nil {
+		row = &save{}
+		t.saves[service] = row
+	}
+	if now.Sub(row.at) < every {
+		return 0, "", false
+	}
+	row.at = now
+	row.number++
+	return row.number, row.kept, true
+}
+
+// Saved notes that a checkpoint is stored.
+func (t *Stored) Saved(service string, key core.ObjectKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.saves[service].kept = key
+}
+
+// BeginRestore notes that a service's texts are being read.
+func (t *Stored) BeginRestore(service string) { t.begin("restore " + service) }
+
+// EndRestore ends what BeginRestore began.
+func (t *Stored) EndRestore(service string) { t.end("restore " + service) }
+
+// Restoring reports whether a service's texts are being read.
+func (t *Stored) Restoring(service string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.busy["restore "+service]
+}
