--- a/internal/adapters/recordcodec/recordcodec.go
+++ b/internal/adapters/recordcodec/recordcodec.go
@@ -2,6 +2,8 @@
 package recordcodec
 
 import (
+	"unicode/utf8"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"fescuespar/internal/core"
@@ -72,10 +74,21 @@
 	return c, nil
 }
 
-// Check returns BadRequest for an unknown table.
-func Check(table core.TableName) error {
-	_, err := codecOf(table)
-	return err
+// CheckKey returns BadRequest for an unknown table, and for an id that JSON
+// cannot carry unchanged.
+func CheckKey(key core.RowKey) error {
+	if _, err := codecOf(key.Table); err != nil {
+		return err
+	}
+	return CheckText(key.ID)
+}
+
+// CheckText returns BadRequest for text that JSON cannot carry unchanged.
+func CheckText(text string) error {
+	if !utf8.ValidString(text) {
+		return errkind.New(errkind.BadRequest, "%q is not UTF-8", text)
+	}
+	return nil
 }
 
 // Encode returns a record's CBOR. Errors: BadRequest for an unknown table or a
--- a/internal/adapters/tablehttp/messages.go
+++ b/internal/adapters/tablehttp/messages.go
@@ -1,8 +1,6 @@
 package tablehttp
 
 import (
-	"unicode/utf8"
-
 	"fescuespar/internal/adapters/recordcodec"
 	"fescuespar/internal/core"
 	"fescuespar/internal/errkind"
@@ -61,10 +59,7 @@
 func (m keyMessage) key() core.RowKey { return core.RowKey{Table: m.Table, ID: m.ID} }
 
 func encodeKey(key core.RowKey) (keyMessage, error) {
-	if err := recordcodec.Check(key.Table); err != nil {
-		return keyMessage{}, err
-	}
-	return keyMessage{key.Table, key.ID}, checkText(key.ID)
+	return keyMessage{key.Table, key.ID}, recordcodec.CheckKey(key)
 }
 
 func encodeRead(keys []core.RowKey) (readMessage, error) {
@@ -80,10 +75,7 @@
 }
 
 func encodeScan(table core.TableName, prefix, after string, limit int) (scanMessage, error) {
-	if err := recordcodec.Check(table); err != nil {
-		return scanMessage{}, err
-	}
-	if err := checkText(prefix + after); err != nil {
+	if err := recordcodec.CheckKey(core.RowKey{Table: table, ID: prefix + after}); err != nil {
 		return scanMessage{}, err
 	}
 	return scanMessage{table, prefix, after, limit}, nil
@@ -105,7 +97,7 @@
 		}
 		message.Writes = append(message.Writes, encoded)
 	}
-	return message, checkText(string(commit.Attempt))
+	return message, recordcodec.CheckText(string(commit.Attempt))
 }
 
 func encodeWrite(write core.Write) (writeMessage, error) {
@@ -154,11 +146,3 @@
 	}
 	return result
 }
-
-// checkText refuses text that JSON cannot carry unchanged.
-func checkText(text string) error {
-	if !utf8.ValidString(text) {
-		return errkind.New(errkind.BadRequest, "%q is not UTF-8", text)
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/core/announce/view_test.go
@@ -0,0 +1,79 @@
+package announce
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"fescuespar/internal/core"
+)
+
+const every = 500 * time.Millisecond
+
+func at(seconds float64) time.Time {
+	return time.Unix(1000, 0).Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func rows(beats map[core.VMID]uint64) map[core.VMID]core.MemberRecord {
+	found := make(map[core.VMID]core.MemberRecord)
+	for id, beat := range beats {
+		found[id] = core.MemberRecord{CallAddress: string(id), Region: "r", Beat: beat, Every: every}
+	}
+	return found
+}
+
+func TestAMemberThatStopsIsGone(t *testing.T) {
+	view := NewView()
+	for i := range 10 {
+		view.Observe(rows(map[core.VMID]uint64{"a": uint64(i), "b": 1}), at(0.3*float64(i)))
+	}
+	live := view.Live()
+	if len(live) != 1 || live[0].VM != "a" {
+		t.Errorf("live %+v, want a alone", live)
+	}
+}
+
+// TestAnOutageCountsForNobody reads nothing for ten seconds, in which nobody
+// could write either.
+func TestAnOutageCountsForNobody(t *testing.T) {
+	view := NewView()
+	view.Observe(rows(map[core.VMID]uint64{"a": 1, "b": 1}), at(0))
+	view.Observe(rows(map[core.VMID]uint64{"a": 1, "b": 1}), at(10))
+	if live := view.Live(); len(live) != 2 {
+		t.Errorf("%d members live after an outage, want 2", len(live))
+	}
+}
+
+func TestALeavingMemberIsNotListed(t *testing.T) {
+	found := rows(map[core.VMID]uint64{"a": 1, "b": 1})
+	leaving := found["b"]
+	leaving.Leaving = true
+	found["b"] = leaving
+	view := NewView()
+	view.Observe(found, at(0))
+	if live := view.Live(); len(live) != 1 || live[0].VM != "a" {
+		t.Errorf("live %+v, want a alone", live)
+	}
+}
+
+func TestAddressesAreOfTheRegionWhileItHasEnough(t *testing.T) {
+	member := func(id int, region core.RegionName) core.Member {
+		return core.Member{VM: core.VMID(fmt.Sprint(id)), CallAddress: fmt.Sprint(region, id), Region: region}
+	}
+	live := []core.Member{member(1, "east"), member(2, "east"), member(3, "west")}
+	if got := Addresses(live, "east"); len(got) != 2 {
+		t.Errorf("east gets %v", got)
+	}
+	if got := Addresses(live, "west"); len(got) != 3 {
+		t.Errorf("west, with one member, gets %v, want all", got)
+	}
+}
+
+func TestAnnouncementsStayWithinTheStoresRate(t *testing.T) {
+	for _, members := range []int{1, 10, 100, 610} {
+		perSecond := float64(members) / Every(members).Seconds()
+		if perSecond > beatsPerSecond {
+			t.Errorf("%d members write %.0f rows a second, at most %d", members, perSecond, beatsPerSecond)
+		}
+	}
+}
