--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -5,6 +5,7 @@
 	"go/parser"
 	"go/token"
 	"io/fs"
+	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -43,6 +44,8 @@
 		"internal/ports", "internal/tables", "internal/workers", "internal/app", "internal/metrics"}},
 	{"internal/adapters", []string{"internal/core", "internal/errkind", "internal/lockrank",
 		"internal/ports", "internal/adapters"}},
+	{"platform", []string{"internal/core", "internal/errkind", "internal/lockrank",
+		"internal/ports", "internal/adapters", "platform"}},
 }
 
 type goFile struct {
@@ -127,7 +130,7 @@
 }
 
 func TestProductStartsNoProcessAndNeedsNoStandin(t *testing.T) {
-	for _, folder := range []string{"internal", "cmd/fescuespar"} {
+	for _, folder := range []string{"internal", "cmd/fescuespar", "platform"} {
 		for _, file := range readFiles(t, "../..", folder) {
 			for _, name := range file.imports {
 				fake := testOnly(name) && !testOnly(file.path)
@@ -139,6 +142,62 @@
 	}
 }
 
+// platformNames are names of the users' platform that no other protocol of ours
+// spells. They are decoded in platform/ and known nowhere else.
+var platformNames = []string{
+	"Attempt-Id", "Server-Stamp", "Expect-Instance", "Not-Executed", "Weight-Versions", "Token-Count",
+	"Prompt-Prefix", "Deadline-Ms", "rows-tx", "rows-get", "rows-feed", "blob-put", "ScorerUri", "TrafficSplit",
+	"TargetLatencyMs", "MinVersion", "DesiredCount", "FESCUESPAR_CONFIG", "/api/lots",
+}
+
+// outsidePlatform returns the Go files that must not know the platform's names.
+func outsidePlatform(t *testing.T) []goFile {
+	t.Helper()
+	var files []goFile
+	for _, folder := range []string{"internal", "cmd", "standin", "bench"} {
+		files = append(files, readFiles(t, "../..", folder)...)
+	}
+	return files
+}
+
+func TestOnlyTheWiringImportsThePlatform(t *testing.T) {
+	for _, file := range outsidePlatform(t) {
+		if strings.Contains(filepath.ToSlash(file.path), "/cmd/fescuespar/") {
+			continue
+		}
+		for _, name := range file.imports {
+			if strings.HasPrefix(name, module+"platform") {
+				t.Errorf("%s imports %s", file.path, name)
+			}
+		}
+	}
+}
+
+func TestPlatformNamesStayInItsFolder(t *testing.T) {
+	for _, file := range outsidePlatform(t) {
+		content, err := os.ReadFile(file.path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, name := range spelled(string(content)) {
+			t.Errorf("%s spells %q", file.path, name)
+		}
+	}
+	if got := spelled(`header.Get("Attempt-Id")`); len(got) != 1 {
+		t.Error("a planted name is not found")
+	}
+}
+
+func spelled(content string) []string {
+	var found []string
+	for _, name := range platformNames {
+		if strings.Contains(content, name) {
+			found = append(found, name)
+		}
+	}
+	return found
+}
+
 func TestRulesRefuseAWrongImport(t *testing.T) {
 	planted := []goFile{{"x.go", []string{"encoding/json", module + "internal/adapters/tablehttp", "time"}}}
 	if got := violations(planted, rules[0]); len(got) != 2 {
--- a/internal/ports/porttest/records.go
+++ b/internal/ports/porttest/records.go
@@ -21,6 +21,9 @@
 	core.TableDelivery: copyWith(copyDelivery),
 	core.TableConfig:   copyWith(flat[core.ConfigRecord]),
 	core.TableWeight:   copyWith(flat[core.WeightRecord]),
+	core.TableJob:      copyWith(flat[core.JobRecord]),
+	core.TableResult:   copyWith(copyResult),
+	core.TableMember:   copyWith(flat[core.MemberRecord]),
 }
 
 // copyRecord returns a deep copy of a record; nil stays nil. Errors:
@@ -73,3 +76,8 @@
 	record.Delivered = slices.Clone(record.Delivered)
 	return record
 }
+
+func copyResult(record core.ResultRecord) core.ResultRecord {
+	record.Result.Versions = slices.Clone(record.Result.Versions)
+	return record
+}
--- a/internal/ports/porttest/tablesuite.go
+++ b/internal/ports/porttest/tablesuite.go
@@ -82,6 +82,16 @@
 	},
 	core.TableConfig: core.ConfigRecord{Generation: 6, Parent: 5, Operator: "ops", Body: "config/6"},
 	core.TableWeight: core.WeightRecord{Version: 1<<63 + 1},
+	core.TableJob:    core.JobRecord{Service: "engines", Items: 7, Body: "job-1", Ended: true},
+	core.TableResult: core.ResultRecord{
+		Result: core.ItemResult{
+			Item: "item-1", State: core.ItemCompleted, Text: "not UTF-8: \xff", Versions: []core.WeightVersion{3, 4}, Score: "signed",
+		},
+		Overflow: "result-1",
+	},
+	core.TableMember: core.MemberRecord{
+		Incarnation: 5, Zone: "z", Region: "r", CallAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2", Beat: 9, Every: time.Second, Leaving: true,
+	},
 }
 
 func tableRecords(t *testing.T, factory TableFactory) {
