Divide the engines of a service among the models that are trained on it

Change: loads are marked for each model; engines that load another model get no order; weights.Split gives each model a steady part of the engines by the work asked of it.

--- a/internal/app/relay/orders.go
+++ b/internal/app/relay/orders.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/job"
 	"fescuespar/internal/core/weights"
 	"fescuespar/internal/errkind"
 )
@@ -35,13 +38,17 @@
 func (s *Service) orderVersions(service string) {
 	now := s.ports.Clock.Now()
 	byModel, vms := s.enginesOf(service)
+	parts := s.divide(service, byModel, vms)
 	for model, engines := range byModel {
+		engines = slices.DeleteFunc(engines, func(e weights.Engine) bool { return !slices.Contains(parts[model], e.Server) })
 		name := core.DeploymentName(model)
 		version := s.weights.Newest(name)
 		if version == 0 {
 			continue
 		}
-		decision := s.weights.Roll(name, engines, version, rollPolicy(), now)
+		policy := rollPolicy()
+		engines = s.withoutOtherLoads(model, engines, &policy, now)
+		decision := s.weights.Roll(name, engines, version, policy, now)
 		for _, id := range decision.Failed {
 			s.metrics.OrdersFailed.Inc(1)
 			s.log.Warn().Str("server", string(id)).Str("model", string(model)).Uint64("version", uint64(version)).Msg("load failed")
@@ -52,6 +59,29 @@
 	}
 }
 
+// divide returns which engines of a service serve which of its models.
+func (s *Service) divide(service string, byModel map[core.ModelName][]weights.Engine, vms map[core.ServerID]core.VM) map[core.ModelName][]core.ServerID {
+	var demand map[core.ModelName]float64
+	s.jobs.With(service, func(b *job.Book) { demand = b.Demand() })
+	for model := range byModel {
+		demand[model] += 0 // a model that nobody has asked for keeps the fewest engines
+	}
+	return s.weights.Divide(service, slices.Sorted(maps.Keys(vms)), demand)
+}
+
+// withoutOtherLoads leaves out the engines that load another model, which take
+// no order, and counts them among those that may load at one time.
+func (s *Service) withoutOtherLoads(model core.ModelName, engines []weights.Engine, policy *weights.Policy, now time.Time) []weights.Engine {
+	for other, loading := range s.paces.Loads(now) {
+		if other == model {
+			continue
+		}
+		policy.AtOnce = max(1, policy.AtOnce-len(loading))
+		engines = slices.DeleteFunc(engines, func(e weights.Engine) bool { return slices.Contains(loading, e.Server) })
+	}
+	return engines
+}
+
 // enginesOf returns the live engines of a service by the models that they hold.
 func (s *Service) enginesOf(service string) (map[core.ModelName][]weights.Engine, map[core.ServerID]core.VM) {
 	byModel := make(map[core.ModelName][]weights.Engine)
@@ -93,7 +123,7 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		s.paces.BeginLoad(vm.ID, s.ports.Clock.Now().Add(loadTime))
+		s.paces.BeginLoad(vm.ID, order.Model, s.ports.Clock.Now().Add(loadTime))
 		err := s.ports.Backend.Order(ctx, vm, order)
 		s.pool.MustEnqueue(core.ClassControl, func() { s.ordered(service, vm, order, err) })
 	})
@@ -111,7 +141,7 @@
 	line.Str("server", string(vm.ID)).Str("model", string(order.Model)).Uint64("version", uint64(order.Version)).
 		Uint64("fence", uint64(order.Fence)).Str("mode", string(order.Mode)).Msg("order given")
 	if err != nil && !errkind.Is(err, errkind.OutcomeUnknown) {
-		s.paces.EndLoad(vm.ID, s.ports.Clock.Now())
+		s.paces.EndLoad(vm.ID, order.Model, s.ports.Clock.Now())
 		s.metrics.OrdersFailed.Inc(1)
 		s.weights.OrderRefused(core.DeploymentName(order.Model), vm.ID, order.Version, rollPolicy(), s.ports.Clock.Now())
 		return
@@ -150,7 +180,7 @@
 	if held.Version < order.Version {
 		return false
 	}
-	s.paces.EndLoad(vm.ID, s.ports.Clock.Now())
+	s.paces.EndLoad(vm.ID, order.Model, s.ports.Clock.Now())
 	s.log.Info().Str("server", string(vm.ID)).Str("model", string(order.Model)).
 		Uint64("version", uint64(held.Version)).Msg("version loaded")
 	s.tendService(service)
--- a/internal/app/relay/run.go
+++ b/internal/app/relay/run.go
@@ -22,7 +22,7 @@
 // runItems begins the runs, scores and commits that are due.
 func (s *Service) runItems(service string) {
 	now := s.ports.Clock.Now()
-	avoid := placement{slow: s.paces.Slow(service, now), loading: s.paces.Loading(now)}
+	avoid := placement{slow: s.paces.Slow(service, now), loading: s.paces.Loads(now)}
 	for _, start := range s.jobs.Next(service, startsAtOnce, now) {
 		if err := s.placeItem(service, start, avoid, now); err != nil {
 			s.jobs.With(service, func(b *job.Book) { b.Unplaced(start.Work, now) })
@@ -38,7 +38,7 @@
 // placement says which engines new runs keep away from.
 type placement struct {
 	slow    []core.ServerID
-	loading []core.ServerID
+	loading map[core.ModelName][]core.ServerID
 }
 
 // slowWait is how long an item waits for a slot at an engine that is not slow:
@@ -47,7 +47,7 @@
 
 // excluded returns the engines on which an item must not start.
 func (p placement) excluded(start *job.Start) []core.ServerID {
-	excluded := slices.Clone(p.loading)
+	excluded := slices.Clone(p.loading[start.Model])
 	if start.Waited < slowWait {
 		excluded = append(excluded, p.slow...)
 	}
--- a/internal/core/job/book.go
+++ b/internal/core/job/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -30,13 +31,17 @@
 type Book struct {
 	jobs  map[core.JobID]*open
 	kept  map[core.ItemID]core.CheckpointText // of jobs that have ended or were another's
+	asked map[core.ModelName]float64          // tokens of all jobs opened here
 	runs  uint64
 	order uint64
 }
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{jobs: make(map[core.JobID]*open), kept: make(map[core.ItemID]core.CheckpointText)}
+	return &Book{
+		jobs: make(map[core.JobID]*open), asked: make(map[core.ModelName]float64),
+		kept: make(map[core.ItemID]core.CheckpointText),
+	}
 }
 
 // Open takes in a job with the results that are listed already, in order.
@@ -54,10 +59,24 @@
 		}
 		b.takeKept(row, i)
 	}
+	for i := range job.Items {
+		b.asked[job.Model] += work(&job.Items[i])
+	}
 	row.turns = turns(row)
 	b.jobs[job.ID] = row
 }
 
+// work returns an item's expected tokens of answer.
+func work(item *core.JobItem) float64 {
+	if item.Length > 0 {
+		return float64(item.Length)
+	}
+	return float64(item.Tokens)
+}
+
+// Demand returns the tokens asked for each model by the jobs opened here.
+func (b *Book) Demand() map[core.ModelName]float64 { return maps.Clone(b.asked) }
+
 // Has reports whether a job is open here.
 func (b *Book) Has(id core.JobID) bool { return b.jobs[id] != nil }
 
--- a/internal/tables/paces.go
+++ b/internal/tables/paces.go
@@ -14,15 +14,21 @@
 	// mu guards all fields below.
 	mu       lockrank.Mutex
 	services map[string]*job.Paces
-	loading  map[core.ServerID]time.Time // until when at the latest
+	loading  map[load]time.Time          // until when at the latest
 	settled  map[core.ServerID]time.Time // when intervals after a load count again
 }
 
+// load is one engine's load of one model's weights.
+type load struct {
+	engine core.ServerID
+	model  core.ModelName
+}
+
 // NewPaces returns an empty table.
 func NewPaces() *Paces {
 	return &Paces{
 		mu: lockrank.New(lockrank.RankPolls), services: make(map[string]*job.Paces),
-		loading: make(map[core.ServerID]time.Time), settled: make(map[core.ServerID]time.Time),
+		loading: make(map[load]time.Time), settled: make(map[core.ServerID]time.Time),
 	}
 }
 
@@ -31,7 +37,7 @@
 func (t *Paces) Observe(service string, engine core.ServerID, interval time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if now.Before(t.loading[engine]) || now.Before(t.settled[engine]) {
+	if now.Before(t.settled[engine]) || t.loads(engine, now) {
 		return
 	}
 	if t.services[service] == nil {
@@ -50,36 +56,47 @@
 	return t.services[service].Slow(now)
 }
 
-// BeginLoad notes that an engine refuses new runs, until EndLoad or a time.
-func (t *Paces) BeginLoad(engine core.ServerID, until time.Time) {
+// loads reports whether an engine loads any model. The lock is held.
+func (t *Paces) loads(engine core.ServerID, now time.Time) bool {
+	for l, until := range t.loading {
+		if l.engine == engine && now.Before(until) {
+			return true
+		}
+	}
+	return false
+}
+
+// BeginLoad notes that an engine refuses new runs of a model, until EndLoad or
+// a time.
+func (t *Paces) BeginLoad(engine core.ServerID, model core.ModelName, until time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.loading[engine] = until
+	t.loading[load{engine, model}] = until
 }
 
 // afterLoad is the time in which the first events after a load arrive, whose
 // intervals began before its end.
 const afterLoad = 200 * time.Millisecond
 
-// EndLoad notes that an engine has loaded its weights.
-func (t *Paces) EndLoad(engine core.ServerID, now time.Time) {
+// EndLoad notes that an engine has loaded a model's weights.
+func (t *Paces) EndLoad(engine core.ServerID, model core.ModelName, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.loading, engine)
+	delete(t.loading, load{engine, model})
 	t.settled[engine] = now.Add(afterLoad)
 }
 
-// Loading returns the engines that load weights.
-func (t *Paces) Loading(now time.Time) []core.ServerID {
+// Loads returns the engines that load weights, by model.
+func (t *Paces) Loads(now time.Time) map[core.ModelName][]core.ServerID {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var engines []core.ServerID
-	for engine, until := range t.loading {
+	engines := make(map[core.ModelName][]core.ServerID)
+	for l, until := range t.loading {
 		if now.After(until) {
-			delete(t.loading, engine)
+			delete(t.loading, l)
 			continue
 		}
-		engines = append(engines, engine)
+		engines[l.model] = append(engines[l.model], l.engine)
 	}
 	return engines
 }
--- a/internal/tables/weights.go
+++ b/internal/tables/weights.go
@@ -16,6 +16,7 @@
 	newest  map[core.DeploymentName]core.WeightVersion
 	learned map[core.DeploymentName]time.Time // when the newest became known
 	rolls   map[core.DeploymentName]*weights.Roll
+	splits  map[string]*weights.Split // by service
 }
 
 // NewWeights returns a table that knows no version.
@@ -25,6 +26,7 @@
 		newest:  make(map[core.DeploymentName]core.WeightVersion),
 		learned: make(map[core.DeploymentName]time.Time),
 		rolls:   make(map[core.DeploymentName]*weights.Roll),
+		splits:  make(map[string]*weights.Split),
 	}
 }
 
@@ -82,6 +84,16 @@
 	return roll.Decide(engines, version, policy, now)
 }
 
+// Divide returns which engines of a service serve which model.
+func (t *Weights) Divide(service string, engines []core.ServerID, demand map[core.ModelName]float64) map[core.ModelName][]core.ServerID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.splits[service] == nil {
+		t.splits[service] = weights.NewSplit()
+	}
+	return t.splits[service].Divide(engines, demand)
+}
+
 // OrderRefused notes that an engine did not accept an order, or that its reply
 // was lost.
 func (t *Weights) OrderRefused(name core.DeploymentName, server core.ServerID, version core.WeightVersion,
