Give lost orders again with the count of orders before them; metrics as text

Change: an engine is asked for its count of orders before the first one; orders carry it; two reports without a trace of an order show that it was not accepted, and it is given again. Texts are saved four times a second while a process leaves. Metrics are served as text on the address of the deploy file.

--- a/cmd/fescuespar/relay.go
+++ b/cmd/fescuespar/relay.go
@@ -18,6 +18,7 @@
 	"fescuespar/internal/adapters/bootclock"
 	"fescuespar/internal/adapters/detour"
 	"fescuespar/internal/adapters/httpfront"
+	"fescuespar/internal/adapters/metricstext"
 	"fescuespar/internal/adapters/platformhttp"
 	"fescuespar/internal/app/relay"
 	"fescuespar/internal/core"
@@ -104,6 +105,7 @@
 		handler http.Handler
 	}{
 		{loaded.Callers, callers.Callers()}, {loaded.Directory, callers.Directory()}, {loaded.Ready, callers.Readiness()},
+		{loaded.Metrics, metricstext.Handler(service.Metrics().Registry)},
 	} {
 		if served.address == "" {
 			continue
--- a/internal/app/relay/checkpoint.go
+++ b/internal/app/relay/checkpoint.go
@@ -13,12 +13,13 @@
 // change of coordinator would cost again, and a step waits for them.
 const (
 	saveEvery       = time.Second
-	saveEvents      = 16              // of a text that is worth keeping, about half a second of an engine
-	saveBytes       = 1 << 20         // of one checkpoint
-	saveTimeout     = 2 * time.Second // the object store takes 25 ms, and much longer when it is slow
-	restoreTimeout  = 1 * time.Second // jobs wait for it
-	checkpointLimit = 100             // read of one list
-	checkpointSaves = 1_000_000_000   // more than one coordinator ever makes
+	saveLeaving     = 250 * time.Millisecond // of a process that is about to hand its jobs on
+	saveEvents      = 16                     // of a text that is worth keeping, about half a second of an engine
+	saveBytes       = 1 << 20                // of one checkpoint
+	saveTimeout     = 2 * time.Second        // the object store takes 25 ms, and much longer when it is slow
+	restoreTimeout  = 1 * time.Second        // jobs wait for it
+	checkpointLimit = 100                    // read of one list
+	checkpointSaves = 1_000_000_000          // more than one coordinator ever makes
 )
 
 func checkpointPrefix(service string) core.ObjectKey { return core.ObjectKey("texts-" + service + "-") }
@@ -33,7 +34,11 @@
 // the one before.
 func (s *Service) saveTexts(service string) {
 	holding, held := s.leases.Held(coordinatorLease(service), s.ports.Clock.Now())
-	number, before, due := s.stored.BeginSave(service, s.ports.Clock.Now(), saveEvery)
+	every := saveEvery
+	if !s.servesNewWork() {
+		every = saveLeaving
+	}
+	number, before, due := s.stored.BeginSave(service, s.ports.Clock.Now(), every)
 	if !held || !due {
 		return
 	}
--- a/internal/app/relay/fakes_test.go
+++ b/internal/app/relay/fakes_test.go
@@ -32,6 +32,7 @@
 	ran       map[core.RequestID][]int                                     // first event of each run of an item
 	exchange  func(core.VM, core.RelayRequest) (core.RelayResponse, error) // nil for a plain success
 	unreach   func(core.VM) bool                                           // engines that take no runs
+	loseOrder func(core.VM) bool                                           // orders that get no answer and are not accepted
 	running   int
 }
 
@@ -138,6 +139,9 @@
 func (s *site) Order(_ context.Context, server core.VM, order core.Order) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.loseOrder != nil && s.loseOrder(server) {
+		return errkind.New(errkind.OutcomeUnknown, "lost")
+	}
 	s.orders = append(s.orders, order)
 	for i := range s.servers {
 		if s.servers[i].VM.ID == server.ID {
--- a/internal/app/relay/orders.go
+++ b/internal/app/relay/orders.go
@@ -116,6 +116,15 @@
 		Kind: core.OrderLoadVersion, Model: model, Version: version, Mode: core.SwapRetain,
 		Holder: s.options.Self.VM, Fence: holding.Fence,
 	}
+	// An order that is carried out late, after newer ones, would take the engine
+	// back to older weights: the count of orders before it keeps it from that.
+	accepted, known := s.registry.Orders(vm.ID)
+	if !known {
+		s.weights.WithdrawOrder(name, vm.ID)
+		s.learnOrders(vm)
+		return
+	}
+	order.Orders = &accepted
 	err := s.lanes.orders.Go(func(ctx context.Context) {
 		if !s.ports.Clock.Now().Before(until) {
 			s.weights.WithdrawOrder(name, vm.ID)
@@ -132,6 +141,28 @@
 	}
 }
 
+// learnOrders asks an engine how many orders it has accepted, once at a time.
+func (s *Service) learnOrders(vm core.VM) {
+	if !s.servers.BeginAsk(vm.ID) {
+		return
+	}
+	err := s.lanes.orders.Go(func(ctx context.Context) {
+		defer s.servers.EndAsk(vm.ID)
+		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		report, err := s.ports.Backend.Report(ctx, vm)
+		if err != nil {
+			s.log.Info().Err(err).Str("server", string(vm.ID)).Msg("no report before the first order")
+			return
+		}
+		s.registry.Ordered(vm.ID, report.Orders)
+		s.pool.MustEnqueue(core.ClassControl, s.tendAll)
+	})
+	if err != nil {
+		s.servers.EndAsk(vm.ID)
+	}
+}
+
 func (s *Service) ordered(service string, vm core.VM, order core.Order, err error) {
 	s.metrics.WeightOrders.Inc(1)
 	line := s.log.Info()
@@ -140,49 +171,85 @@
 	}
 	line.Str("server", string(vm.ID)).Str("model", string(order.Model)).Uint64("version", uint64(order.Version)).
 		Uint64("fence", uint64(order.Fence)).Str("mode", string(order.Mode)).Msg("order given")
-	if err != nil && !errkind.Is(err, errkind.OutcomeUnknown) {
-		s.paces.EndLoad(vm.ID, order.Model, s.ports.Clock.Now())
-		s.metrics.OrdersFailed.Inc(1)
-		s.weights.OrderRefused(core.DeploymentName(order.Model), vm.ID, order.Version, rollPolicy(), s.ports.Clock.Now())
-		return
+	switch {
+	case err == nil:
+		s.registry.Ordered(vm.ID, *order.Orders+1)
+	case !errkind.Is(err, errkind.OutcomeUnknown):
+		s.orderRefused(vm, order)
 	}
-	s.timers.After(reportEvery, core.ClassControl, func() { s.askReport(service, vm, order, s.ports.Clock.Now().Add(swapTimeout)) })
+	asking := reportAsk{service: service, vm: vm, order: order, unknown: err != nil, until: s.ports.Clock.Now().Add(swapTimeout)}
+	s.timers.After(reportEvery, core.ClassControl, func() { s.askReport(asking) })
+}
+
+// orderRefused notes that an order will not be carried out.
+func (s *Service) orderRefused(vm core.VM, order core.Order) {
+	s.metrics.OrdersFailed.Inc(1)
+	s.paces.EndLoad(vm.ID, order.Model, s.ports.Clock.Now())
+	s.weights.OrderRefused(core.DeploymentName(order.Model), vm.ID, order.Version, rollPolicy(), s.ports.Clock.Now())
+}
+
+// reportAsk is what is asked of an engine that was given an order.
+type reportAsk struct {
+	service string
+	vm      core.VM
+	order   core.Order
+	unknown bool // whether the order was accepted is not known
+	idle    int  // reports since then in which the engine did nothing
+	until   time.Time
 }
 
+// idleReports is how many reports without a trace of an order show that it was
+// not accepted: they lag by less than one interval.
+const idleReports = 2
+
 // askReport asks an engine that loads until its report shows the version, which
 // its registration tells much later.
-func (s *Service) askReport(service string, vm core.VM, order core.Order, until time.Time) {
-	if !s.ports.Clock.Now().Before(until) {
+func (s *Service) askReport(asking reportAsk) {
+	if !s.ports.Clock.Now().Before(asking.until) {
 		return
 	}
 	err := s.lanes.orders.Go(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
 		began := s.ports.Clock.Now()
-		report, err := s.ports.Backend.Report(ctx, vm)
+		report, err := s.ports.Backend.Report(ctx, asking.vm)
 		s.pool.MustEnqueue(core.ClassControl, func() {
-			if err == nil && s.applyReport(service, vm, order, &report, began) {
+			if err == nil && s.applyReport(&asking, &report, began) {
 				return
 			}
-			s.timers.After(reportEvery, core.ClassControl, func() { s.askReport(service, vm, order, until) })
+			s.timers.After(reportEvery, core.ClassControl, func() { s.askReport(asking) })
 		})
 	})
 	if err != nil {
-		s.log.Debug().Err(err).Str("server", string(vm.ID)).Msg("report passed over")
+		s.log.Debug().Err(err).Str("server", string(asking.vm.ID)).Msg("report passed over")
 	}
 }
 
-// applyReport takes in a report. It returns true when the order's version is loaded.
-func (s *Service) applyReport(service string, vm core.VM, order core.Order, report *core.EngineReport, began time.Time) bool {
+// applyReport takes in a report. It returns true when nothing more is to be
+// asked: the version is loaded, or the order was not accepted.
+func (s *Service) applyReport(asking *reportAsk, report *core.EngineReport, began time.Time) bool {
+	order, vm := &asking.order, asking.vm
+	s.registry.Ordered(vm.ID, report.Orders)
 	status := statusOf(&core.ServerEntry{VM: vm, Models: report.Models})
 	s.servers.ApplyStatus(status, began)
 	held, _ := status.Holds(core.AdapterName(order.Model))
-	if held.Version < order.Version {
+	if held.Version >= order.Version {
+		s.paces.EndLoad(vm.ID, order.Model, s.ports.Clock.Now())
+		s.log.Info().Str("server", string(vm.ID)).Str("model", string(order.Model)).
+			Uint64("version", uint64(held.Version)).Msg("version loaded")
+		s.tendService(asking.service)
+		return true
+	}
+	accepted := report.Orders > *order.Orders
+	if !asking.unknown || report.Busy || accepted {
+		asking.idle = 0
 		return false
 	}
-	s.paces.EndLoad(vm.ID, order.Model, s.ports.Clock.Now())
-	s.log.Info().Str("server", string(vm.ID)).Str("model", string(order.Model)).
-		Uint64("version", uint64(held.Version)).Msg("version loaded")
-	s.tendService(service)
+	if asking.idle++; asking.idle < idleReports {
+		return false
+	}
+	s.log.Info().Str("server", string(vm.ID)).Uint64("version", uint64(order.Version)).Uint64("orders", report.Orders).
+		Msg("order was not accepted")
+	s.orderRefused(vm, *order)
 	return true
 }
--- a/internal/app/relay/service_test.go
+++ b/internal/app/relay/service_test.go
@@ -292,3 +292,33 @@
 		t.Errorf("after the stop: %v, want %s", err, errkind.ShuttingDown)
 	}
 }
+
+// TestALostOrderIsGivenAgain loses every engine's first order before it is
+// accepted, without an answer.
+func TestALostOrderIsGivenAgain(t *testing.T) {
+	s := newSite(t)
+	lost := make(map[core.ServerID]bool)
+	s.loseOrder = func(server core.VM) bool {
+		first := !lost[server.ID]
+		lost[server.ID] = true
+		return first
+	}
+	s.ready(s.start("vm-1"))
+	began := time.Now()
+	s.mu.Lock()
+	s.published.Versions = []core.ModelVersion{{Model: "m", Version: 2}}
+	s.mu.Unlock()
+	s.eventually("version 2 on all engines", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, entry := range s.servers {
+			if len(entry.Models) > 0 && entry.Models[0].Version != 2 {
+				return false
+			}
+		}
+		return true
+	})
+	if took := time.Since(began); took > swapTimeout {
+		t.Errorf("it took %v, as long as a load may last", took)
+	}
+}
--- a/internal/core/registration/view.go
+++ b/internal/core/registration/view.go
@@ -16,7 +16,9 @@
 // Server is a believed registration.
 type Server struct {
 	core.ServerEntry
-	Since time.Time // when it was first read as it is
+	Since   time.Time // when it was first read as it is
+	Orders  uint64    // orders accepted since its start, as it reported
+	Ordered bool      // it has reported them
 }
 
 // View is what one process believes. It is not safe for concurrent use.
@@ -44,8 +46,13 @@
 	listed := make(map[core.ServerID]bool, len(entries))
 	for _, entry := range entries {
 		listed[entry.VM.ID] = true
-		if before, found := v.known[entry.VM.ID]; !found || !same(before.ServerEntry, entry) {
-			v.known[entry.VM.ID] = Server{entry, now}
+		before, found := v.known[entry.VM.ID]
+		if !found || !same(before.ServerEntry, entry) {
+			server := Server{ServerEntry: entry, Since: now}
+			if before.Born == entry.Born {
+				server.Orders, server.Ordered = before.Orders, before.Ordered
+			}
+			v.known[entry.VM.ID] = server
 		}
 	}
 	settled := now.Sub(v.steady) >= v.back
@@ -62,7 +69,22 @@
 }
 
 func same(a, b core.ServerEntry) bool {
-	return a.VM == b.VM && a.Born == b.Born && a.Orders == b.Orders && slices.Equal(a.Models, b.Models)
+	return a.VM == b.VM && a.Born == b.Born && slices.Equal(a.Models, b.Models)
+}
+
+// Ordered notes how many orders a server has accepted, as it reported. Reports
+// lag, so that a smaller number than before tells nothing.
+func (v *View) Ordered(id core.ServerID, orders uint64) {
+	if server, found := v.known[id]; found && (orders > server.Orders || !server.Ordered) {
+		server.Orders, server.Ordered = orders, true
+		v.known[id] = server
+	}
+}
+
+// Orders returns how many orders a server has accepted, if it has reported.
+func (v *View) Orders(id core.ServerID) (orders uint64, known bool) {
+	server := v.known[id]
+	return server.Orders, server.Ordered
 }
 
 // replaced reports whether another server is registered at a missing one's
--- a/internal/core/registration/view_test.go
+++ b/internal/core/registration/view_test.go
@@ -75,3 +75,26 @@
 		}
 	}
 }
+
+// TestReportedOrdersOutliveRegistrations reads a registration that has changed,
+// a report that lags, and a registration of a later start.
+func TestReportedOrdersOutliveRegistrations(t *testing.T) {
+	view := settled()
+	if _, known := view.Orders("a"); known {
+		t.Error("the orders of a server that has not reported are known")
+	}
+	view.Ordered("a", 3)
+	view.Ordered("a", 2)
+	changed := entry("a", "1")
+	changed.VM.State = core.VMLeaving
+	view.Observe([]core.ServerEntry{changed, entry("b", "2")}, at(5))
+	if orders, known := view.Orders("a"); orders != 3 || !known {
+		t.Errorf("%d orders, known %v, want 3", orders, known)
+	}
+	restarted := entry("a", "1")
+	restarted.Born = 7
+	view.Observe([]core.ServerEntry{restarted, entry("b", "2")}, at(6))
+	if _, known := view.Orders("a"); known {
+		t.Error("the orders before a restart count after it")
+	}
+}
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -123,7 +123,6 @@
 type ServerEntry struct {
 	VM     VM
 	Models []ModelVersion // weights that it holds; empty for plain services
-	Orders uint64         // orders accepted since its start
 	Born   int64          // start of this incarnation, Unix milliseconds
 }
 
--- a/internal/tables/registry.go
+++ b/internal/tables/registry.go
@@ -46,3 +46,17 @@
 	defer t.mu.Unlock()
 	return t.entries, t.readAt
 }
+
+// Ordered notes how many orders a server has accepted, as it said itself.
+func (t *Registry) Ordered(id core.ServerID, orders uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.view.Ordered(id, orders)
+}
+
+// Orders returns how many orders a server has accepted, as far as known.
+func (t *Registry) Orders(id core.ServerID) (orders uint64, known bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.view.Orders(id)
+}
