Look up a lost reply early, store each result once, move runs only where they may go

A test failed once in eight runs: the guard of a transaction of results was given back before its results were marked, so that the next one held them again and was refused, and the refusal threw whole texts away. Runs on slow engines moved to and fro, since free slots on engines with too old weights were counted.

Ruled out: load on the machine (the log shows the second transaction), large bodies through a peer (a test sends 900 KB).

TestEachResultIsStoredOnce fails without the change of the guard's place.

--- a/internal/adapters/detour/detour_test.go
+++ b/internal/adapters/detour/detour_test.go
@@ -176,3 +176,18 @@
 		t.Error("the change hangs although the way is known to be down")
 	}
 }
+
+// TestLargeChangesGoThroughAPeer sends as much as a transaction may hold.
+func TestLargeChangesGoThroughAPeer(t *testing.T) {
+	var changes atomic.Int64
+	platform := platformServer(t, &changes)
+	way, own, _ := pair(t, platform)
+	own.cut.Store(true)
+	if _, err := send(t, way, http.MethodGet, platform.URL+"/rows", "", 2*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	body := strings.Repeat("x", 900<<10)
+	if got, err := send(t, way, http.MethodPost, platform.URL+"/tx", body, 2*time.Second); err != nil || len(got) < len(body) {
+		t.Errorf("got %d bytes, %v", len(got), err)
+	}
+}
--- a/internal/app/commits/commits.go
+++ b/internal/app/commits/commits.go
@@ -22,6 +22,7 @@
 // lane. The hooks count calls.
 type Committer struct {
 	Tables    ports.TableService
+	Try       time.Duration  // longest wait for one reply to a commit; zero for the context's time
 	OnCommit  func()         // a commit is sent
 	OnRead    func(rows int) // rows are read
 	OnUnknown func()         // a commit's reply was lost
@@ -31,8 +32,7 @@
 // it by re-reading its rows, until the context ends. Errors: StoreUnavailable
 // when it surely had no effect, OutcomeUnknown.
 func (c *Committer) Commit(ctx context.Context, commit core.Commit) (core.CommitResult, error) {
-	c.OnCommit()
-	result, err := c.Tables.Commit(ctx, commit)
+	result, err := c.send(ctx, commit)
 	if !errkind.Is(err, errkind.OutcomeUnknown) {
 		return result, err
 	}
@@ -51,6 +51,17 @@
 	}
 }
 
+// send sends a commit once.
+func (c *Committer) send(ctx context.Context, commit core.Commit) (core.CommitResult, error) {
+	c.OnCommit()
+	if c.Try > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.Try)
+		defer cancel()
+	}
+	return c.Tables.Commit(ctx, commit)
+}
+
 // settle re-reads the rows of a commit once, and repeats it when it has not
 // taken effect yet.
 func (c *Committer) settle(ctx context.Context, commit core.Commit) (result core.CommitResult, settled, giveUp bool) {
@@ -66,8 +77,7 @@
 	case attempt.MaybeApplied:
 		return core.CommitResult{}, false, true
 	default:
-		c.OnCommit()
-		result, err := c.Tables.Commit(ctx, commit)
+		result, err := c.send(ctx, commit)
 		return result, err == nil && result.Applied, false
 	}
 }
--- a/internal/app/relay/coordinate.go
+++ b/internal/app/relay/coordinate.go
@@ -21,7 +21,7 @@
 func (s *Service) newTenure() *tenure.Keeper {
 	return &tenure.Keeper{
 		Leases: s.leases, Pool: s.pool, Lane: s.lanes.leases, Store: &s.committer, Clock: s.ports.Clock,
-		Timeout: watchTimeout, NewAttempt: s.newAttemptID,
+		Timeout: commitTry, NewAttempt: s.newAttemptID,
 		Acquired: func(name string, holding lease.Holding) {
 			s.metrics.LeasesAcquired.Inc(1)
 			s.log.Info().Str("lease", name).Uint64("fence", uint64(holding.Fence)).Msg("lease acquired")
--- a/internal/app/relay/jobs.go
+++ b/internal/app/relay/jobs.go
@@ -96,9 +96,8 @@
 	if err != nil {
 		return err
 	}
-	// The body alone means nothing, so that a lost reply to it is a refusal.
-	if err := s.ports.Objects.Put(ctx, jobBody(job.ID), body); err != nil && !errkind.Is(err, errkind.BadRequest) {
-		return errkind.New(errkind.StoreUnavailable, "the job's body was not stored: %v", err)
+	if err := s.putBody(ctx, jobBody(job.ID), body); err != nil {
+		return err
 	}
 	record := core.JobRecord{Service: route.Heaviest(taken), Items: len(job.Items), Body: jobBody(job.ID)}
 	_, err = s.committer.Commit(ctx, core.Commit{
@@ -109,6 +108,28 @@
 	return err
 }
 
+// putTry is how long a reply to one try to store a job's body is awaited: the
+// object store takes 25 ms, sixty times that when it is slow.
+const putTry = 1500 * time.Millisecond
+
+// putBody stores a job's body, which means nothing without its row, so that a
+// failure is a refusal. One that was stored before may be encoded otherwise.
+func (s *Service) putBody(ctx context.Context, key core.ObjectKey, body []byte) error {
+	put := func() error {
+		ctx, cancel := context.WithTimeout(ctx, putTry)
+		defer cancel()
+		return s.ports.Objects.Put(ctx, key, body)
+	}
+	err := put()
+	if errkind.Is(err, errkind.OutcomeUnknown) {
+		err = put()
+	}
+	if err == nil || errkind.Is(err, errkind.BadRequest) {
+		return nil
+	}
+	return errkind.New(errkind.StoreUnavailable, "the job's body was not stored: %v", err)
+}
+
 // readJob reads a job's row. Errors: UnknownRequest, StoreUnavailable.
 func (s *Service) readJob(ctx context.Context, id core.JobID) (core.Row, core.JobRecord, error) {
 	rows, err := s.committer.Read(ctx, jobKey(id))
--- a/internal/app/relay/listing.go
+++ b/internal/app/relay/listing.go
@@ -100,7 +100,6 @@
 		s.timers.After(listPause, core.ClassRollout, func() { s.list(service, listings, commit) })
 		return
 	}
-	s.stored.EndList(service)
 	switch {
 	case err != nil:
 		s.log.Debug().Err(err).Str("service", service).Int("results", len(listings)).Msg("results not stored yet")
@@ -116,6 +115,8 @@
 				Any("versions", listing.Result.Versions).Msg("result listed")
 		}
 	}
+	// Only now: the next transaction must see which results are stored.
+	s.stored.EndList(service)
 	s.timers.After(listPause, core.ClassRollout, func() { s.storeResults(service) })
 }
 
--- a/internal/app/relay/run.go
+++ b/internal/app/relay/run.go
@@ -57,27 +57,55 @@
 	return excluded
 }
 
-// moveSlow ends runs on slow engines, as many as have a slot elsewhere. They go
-// on where they were.
+// moveSlow ends runs on slow engines, as many as have a slot at an engine that
+// may run them. They go on where they were.
 func (s *Service) moveSlow(service string) {
-	slow := s.paces.Slow(service, s.ports.Clock.Now())
+	now := s.ports.Clock.Now()
+	slow := s.paces.Slow(service, now)
 	if len(slow) == 0 {
 		return
 	}
-	free := 0
-	for _, view := range s.servers.EnginesOf(service) {
-		if view.VM.State == core.VMLive && !slices.Contains(slow, view.VM.ID) {
-			free += max(0, view.VM.Slots-view.Streams)
-		}
-	}
+	free := freeSlots(s.servers.EnginesOf(service), slow, s.paces.Loads(now))
 	var moves []job.Work
-	s.jobs.With(service, func(b *job.Book) { moves = b.Moves(slow, free) })
+	s.jobs.With(service, func(b *job.Book) { moves = b.Moves(slow, free.take) })
 	if len(moves) > 0 {
 		s.log.Info().Str("service", service).Int("runs", len(moves)).Any("slow", slow).Msg("runs moved off slow engines")
 	}
 	s.runs.Cancel(moves)
 }
 
+// slots are the free slots of engines.
+type slots struct {
+	engines []routing.View
+	free    []int // of the engine at the same place
+	loading map[core.ModelName][]core.ServerID
+}
+
+// freeSlots returns the free slots of the live engines that are not slow.
+func freeSlots(engines []routing.View, slow []core.ServerID, loading map[core.ModelName][]core.ServerID) *slots {
+	found := &slots{loading: loading}
+	for _, view := range engines {
+		if view.VM.State == core.VMLive && !view.Ejected && !slices.Contains(slow, view.VM.ID) {
+			found.engines = append(found.engines, view)
+			found.free = append(found.free, view.VM.Slots-view.Streams)
+		}
+	}
+	return found
+}
+
+// take takes a slot at an engine that holds a model's weights of a version or
+// newer ones. It returns false when there is none.
+func (f *slots) take(model core.ModelName, oldest core.WeightVersion) bool {
+	for i := range f.engines {
+		held, holds := f.engines[i].Status.Holds(core.AdapterName(model))
+		if holds && held.Version >= oldest && f.free[i] > 0 && !slices.Contains(f.loading[model], f.engines[i].VM.ID) {
+			f.free[i]--
+			return true
+		}
+	}
+	return false
+}
+
 // placeItem routes one run and begins it.
 func (s *Service) placeItem(service string, start job.Start, avoid placement, now time.Time) error {
 	target, err := s.itemService(&start)
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -68,6 +68,11 @@
 	leaseMargin  = 150 * time.Millisecond
 )
 
+// commitTry is how long a reply to a commit is awaited before its rows are read
+// again: a store that is slowed eighty times still answers within it, and a
+// lease must outlast one lost reply.
+const commitTry = 700 * time.Millisecond
+
 // Intervals of the periodic work.
 const (
 	watchEvery = 300 * time.Millisecond // an eighth of the time in which a change must be in force
@@ -152,7 +157,7 @@
 		platform: tables.NewPlatform(),
 	}
 	s.committer = commits.Committer{
-		Tables:    outside.Tables,
+		Tables: outside.Tables, Try: commitTry,
 		OnCommit:  func() { s.metrics.TableCommits.Inc(1) },
 		OnRead:    func(rows int) { s.metrics.TableReads.Inc(int64(rows)) },
 		OnUnknown: func() { s.metrics.TableUnknown.Inc(1) },
--- a/internal/app/relay/service_test.go
+++ b/internal/app/relay/service_test.go
@@ -322,3 +322,26 @@
 		t.Errorf("it took %v, as long as a load may last", took)
 	}
 }
+
+// TestEachResultIsStoredOnce ends many items close together: a result that is
+// being stored must not enter the next transaction.
+func TestEachResultIsStoredOnce(t *testing.T) {
+	s := newSite(t)
+	s.length = 1
+	service := s.ready(s.start("vm-1"))
+	for _, id := range []core.JobID{"a", "b", "c"} {
+		if err := service.Submit(t.Context(), jobOf(id, 40)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, id := range []core.JobID{"a", "b", "c"} {
+		s.eventually("all results of "+string(id), func() bool { return len(s.results(service, id).Results) == 40 })
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, starts := range s.ran {
+		if len(starts) != 1 {
+			t.Errorf("item %s ran %d times", id, len(starts))
+		}
+	}
+}
--- a/internal/app/relay/watch.go
+++ b/internal/app/relay/watch.go
@@ -91,10 +91,10 @@
 // says of their services.
 func (s *Service) listServers() {
 	table := s.routes.InForce()
-	if table == nil {
+	entries, readAt := s.registry.Entries()
+	if table == nil || readAt.IsZero() {
 		return
 	}
-	entries, _ := s.registry.Entries()
 	vms := make([]core.VM, 0, len(entries))
 	for i := range entries {
 		vm := entries[i].VM
--- a/internal/core/job/book.go
+++ b/internal/core/job/book.go
@@ -194,22 +194,24 @@
 // must not keep it from ending.
 const maxMoves = 4
 
-// Moves returns up to limit runs on slow engines that are to go on elsewhere.
-// An engine reads what a run has made so far within some ms, so that a run
-// that has more than a few events left is done sooner elsewhere.
-func (b *Book) Moves(slow []core.ServerID, limit int) []Work {
+// Moves returns runs on slow engines that are to go on elsewhere; room takes a
+// free slot at another engine that may run a job's items. An engine reads what
+// a run has made so far within some ms, so that a run that has more than a few
+// events left is done sooner elsewhere.
+func (b *Book) Moves(slow []core.ServerID, room func(model core.ModelName, oldest core.WeightVersion) bool) []Work {
 	var moves []Work
 	for _, row := range b.inOrder() {
 		for _, i := range row.turns {
 			state := &row.items[i]
-			if len(moves) == limit {
-				return moves
+			if state.phase != running || state.moves >= maxMoves || !slices.Contains(slow, state.server) {
+				continue
 			}
-			if state.phase == running && state.moves < maxMoves && slices.Contains(slow, state.server) {
-				state.moves++
-				state.server = "" // it is chosen once for each run
-				moves = append(moves, Work{row.job.ID, i, state.run})
+			if !room(row.job.Model, row.job.Oldest) {
+				break
 			}
+			state.moves++
+			state.server = "" // it is chosen once for each run
+			moves = append(moves, Work{row.job.ID, i, state.run})
 		}
 	}
 	return moves
@@ -331,7 +333,7 @@
 			if row.items[i].phase != ended || len(listings) == limit {
 				continue
 			}
-			listings = append(listings, Listing{row.job.ID, position, i, row.items[i].result})
+			listings = append(listings, Listing{row.job.ID, position, i, row.items[i].listed()})
 			position++
 		}
 	}
@@ -347,6 +349,7 @@
 		}
 		row.items[listing.Index].phase = stored
 		row.items[listing.Index].result = core.ItemResult{}
+		row.items[listing.Index].text = nil
 		row.next = listing.Position + 1
 	}
 }
--- a/internal/core/job/book_test.go
+++ b/internal/core/job/book_test.go
@@ -245,6 +245,25 @@
 	}
 }
 
+// TestATextThatIsNotListedYetIsKept drops a job whose result could not be
+// stored: the text is scored again and not made again.
+func TestATextThatIsNotListedYetIsKept(t *testing.T) {
+	book := NewBook()
+	book.Open(jobOf("j", 1, 10), nil, policy, at(0))
+	finish(t, book, book.Next(1, at(0))[0].Work, 3)
+	if len(book.Results(1)) != 1 {
+		t.Fatal("no result")
+	}
+	book.Clear()
+	book.Open(jobOf("j", 1, 10), nil, policy, at(1))
+	if starts := book.Next(1, at(1)); len(starts) != 0 {
+		t.Errorf("the text is made again after event %d", starts[0].After)
+	}
+	if scores := book.NextScores(1, at(1)); len(scores) != 1 {
+		t.Error("the text is not scored")
+	}
+}
+
 func TestScorersThatFail(t *testing.T) {
 	book := NewBook()
 	book.Open(jobOf("j", 1, 10), nil, policy, at(0))
--- a/internal/core/job/carry.go
+++ b/internal/core/job/carry.go
@@ -28,7 +28,7 @@
 func (i *item) checkpoint(id core.ItemID) core.CheckpointText {
 	return core.CheckpointText{
 		Item: id, Text: i.text, Versions: i.versions, Newest: i.newest,
-		Whole: i.phase == unscored || i.phase == scoring,
+		Whole: i.phase == unscored || i.phase == scoring || i.phase == ended && i.result.State == core.ItemCompleted,
 	}
 }
 
--- a/internal/core/job/item.go
+++ b/internal/core/job/item.go
@@ -57,14 +57,20 @@
 	i.text, i.versions, i.newest = nil, nil, 0
 }
 
-// end fixes the item's result.
+// end fixes the item's result, whose text stays apart until it is stored.
 func (i *item) end(id core.ItemID, state core.ItemState, score string) {
 	i.phase = ended
 	i.result = core.ItemResult{Item: id, State: state}
 	if state == core.ItemCompleted {
-		i.result.Text = strings.Join(i.text, "\n")
-		i.result.Versions = i.versions
-		i.result.Score = score
+		i.result.Versions, i.result.Score = i.versions, score
 	}
-	i.text = nil
+}
+
+// listed returns the result with its text.
+func (i *item) listed() core.ItemResult {
+	result := i.result
+	if result.State == core.ItemCompleted {
+		result.Text = strings.Join(i.text, "\n")
+	}
+	return result
 }
--- a/internal/core/job/pace_test.go
+++ b/internal/core/job/pace_test.go
@@ -62,13 +62,37 @@
 		book.Placed(start.Work, core.ServerID(fmt.Sprint("e", i)))
 	}
 	slow := []core.ServerID{"e0", "e2"}
-	if got := book.Moves(slow, 1); len(got) != 1 || got[0].Index != 0 {
+	if got := book.Moves(slow, roomFor(1)); len(got) != 1 || got[0].Index != 0 {
 		t.Errorf("moves %+v with room for one, want the longest", got)
 	}
-	if got := book.Moves(slow, 10); len(got) != 1 || got[0].Index != 2 {
+	if got := book.Moves(slow, roomFor(10)); len(got) != 1 || got[0].Index != 2 {
 		t.Errorf("moves %+v, want the one not moved yet", got)
 	}
-	if got := book.Moves(slow, 10); len(got) != 0 {
+	if got := book.Moves(slow, roomFor(10)); len(got) != 0 {
 		t.Errorf("moves %+v after all were moved", got)
 	}
 }
+
+// roomFor returns free slots for any job.
+func roomFor(slots int) func(core.ModelName, core.WeightVersion) bool {
+	return func(core.ModelName, core.WeightVersion) bool {
+		slots--
+		return slots >= 0
+	}
+}
+
+// TestRunsMoveOnlyWhereTheirJobMayRun leaves free slots on engines with older
+// weights than one of two jobs allows: its runs stay where they are.
+func TestRunsMoveOnlyWhereTheirJobMayRun(t *testing.T) {
+	book := NewBook()
+	book.Open(jobOf("older", 1, 10), nil, policy, at(0))
+	book.Open(jobOf("newer", 2, 10), nil, policy, at(0))
+	for _, start := range book.Next(2, at(0)) {
+		book.Placed(start.Work, "slow")
+	}
+	onlyOld := func(_ core.ModelName, oldest core.WeightVersion) bool { return oldest <= 1 }
+	got := book.Moves([]core.ServerID{"slow"}, onlyOld)
+	if len(got) != 1 || got[0].Job != "older" {
+		t.Errorf("moves %+v, want the older job's run alone", got)
+	}
+}
