--- a/cmd/fescuespar/relay.go
+++ b/cmd/fescuespar/relay.go
@@ -37,6 +37,7 @@
 }
 
 const (
+	logTime       = "2006-01-02T15:04:05.000Z07:00" // lines of several VMs are put in order by it
 	storeTimeout  = 3 * time.Second // a slow store answers within it
 	relayWorkers  = 4
 	memoryShare   = 0.6     // of the VM's memory that the heap may take
@@ -68,6 +69,7 @@
 
 // relayLogger returns a logger that never blocks, and what writes its last lines.
 func relayLogger(loaded *settings.Settings) (zerolog.Logger, func()) {
+	zerolog.TimeFieldFormat = logTime
 	writer := diode.NewWriter(os.Stdout, logLines, 0, func(missed int) {
 		fmt.Printf("{\"level\":\"warn\",\"dropped\":%d,\"message\":\"log lines dropped\"}\n", missed)
 	})
