--- a/cmd/fescuespar/relay.go
+++ b/cmd/fescuespar/relay.go
@@ -38,7 +38,7 @@
 
 const (
 	logTime       = "2006-01-02T15:04:05.000Z07:00" // lines of several VMs are put in order by it
-	storeTimeout  = 3 * time.Second // a slow store answers within it
+	storeTimeout  = 3 * time.Second                 // a slow store answers within it
 	relayWorkers  = 4
 	memoryShare   = 0.6     // of the VM's memory that the heap may take
 	bodyShare     = 0.2     // of it that bodies of callers may take
--- a/internal/app/relay/fakes_test.go
+++ b/internal/app/relay/fakes_test.go
@@ -20,6 +20,7 @@
 // engines and plain servers that do as they are told.
 type site struct {
 	t       *testing.T
+	log     zerolog.Logger
 	tables  *porttest.Tables
 	objects *porttest.Objects
 
@@ -44,7 +45,7 @@
 
 func newSite(t *testing.T) *site {
 	s := &site{
-		t: t, tables: porttest.NewTables(), objects: porttest.NewObjects(),
+		t: t, log: zerolog.Nop(), tables: porttest.NewTables(), objects: porttest.NewObjects(),
 		pace: time.Millisecond, length: 5, ran: make(map[core.RequestID][]int),
 	}
 	s.published = core.Published{Table: &core.RouteTable{
@@ -163,7 +164,7 @@
 		Grace: time.Second, ResultBytes: 1000, RegistryBack: time.Second,
 	}, Ports{
 		Tables: s.tables, Objects: s.objects, Bodies: bodycodec.Codec{}, Registry: s, Backend: s, Clock: systemClock{},
-	}, zerolog.Nop())
+	}, s.log)
 	service.Start()
 	s.t.Cleanup(service.Stop)
 	return service
--- a/internal/app/relay/forward.go
+++ b/internal/app/relay/forward.go
@@ -114,17 +114,22 @@
 	return end
 }
 
-// firstTryShare is the part of the time left after which a request that may be
-// repeated is given up at one backend server, so that a second one has as long.
-const firstTryShare = 0.5
+// A request that may be repeated is given up at one backend server after a part
+// of the time left, but not before an answer that is late twice over: a server
+// that hangs must not cost a caller half of the wait.
+const (
+	firstTryShare   = 0.25
+	firstTryTargets = 2
+)
 
 // tryUntil returns when one attempt ends.
 func (c *call) tryUntil(now time.Time) time.Time {
 	if c.route.Kind != core.RouteIdempotent || c.attempt >= c.route.Attempts {
 		return c.until
 	}
-	share := time.Duration(float64(c.until.Sub(now)) * firstTryShare)
-	return now.Add(max(share, min(c.route.Target, c.until.Sub(now))))
+	left := c.until.Sub(now)
+	share := time.Duration(float64(left) * firstTryShare)
+	return now.Add(min(left, max(share, firstTryTargets*c.route.Target)))
 }
 
 // dispatch sends the call's next attempt.
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -26,6 +26,7 @@
 	for name := range (Gauges{}).byName() {
 		registered = append(registered, name)
 	}
+	NewRelay().Registry.Each(func(name string, _ any) { registered = append(registered, name) })
 	slices.Sort(listed)
 	slices.Sort(registered)
 	if !slices.Equal(listed, registered) {
@@ -56,6 +57,18 @@
 	}
 }
 
+// TestEveryRelayMetricIsFed does the same for processes that relay by routes.
+func TestEveryRelayMetricIsFed(t *testing.T) {
+	source := readSource(t, "../app/relay")
+	set := reflect.TypeFor[Relay]()
+	for i := range set.NumField() {
+		name := set.Field(i).Name
+		if name != "Registry" && !strings.Contains(source, "metrics."+name+".Inc(") && !strings.Contains(source, "metrics."+name+".Update(") {
+			t.Errorf("nothing counts %s", name)
+		}
+	}
+}
+
 func readSource(t *testing.T, folder string) string {
 	t.Helper()
 	paths, err := filepath.Glob(folder + "/*.go")
