Prefer kept connections and strong VMs, score and load by a service's size

A test saw 4 orders for 3 engines: two workers decided, one on an older view.

Change: routing offers the servers used last and costs a new connection 15 ms; coordinators are chosen among the strong VMs; a fifth of a large service's engines load at a time; scores take half of the plain servers' slots; orders are decided one at a time.

--- a/cmd/fescuespar/relay.go
+++ b/cmd/fescuespar/relay.go
@@ -90,7 +90,7 @@
 	service = relay.New(relay.Options{
 		Self: core.Member{
 			VM: loaded.VM, Incarnation: incarnation, Zone: loaded.Zone, Region: loaded.Region, CallAddress: loaded.Callers,
-			PeerAddress: loaded.Peers,
+			PeerAddress: loaded.Peers, Power: loaded.Power,
 		},
 		Seed: uint64(incarnation), Workers: relayWorkers, AddressKeep: loaded.AddressKeep,
 		OrdersApart: loaded.OrdersApart, Grace: loaded.Grace, RegistryBack: loaded.RegistryBack,
--- a/internal/adapters/peerquic/wire.go
+++ b/internal/adapters/peerquic/wire.go
@@ -21,6 +21,7 @@
 	Sequence    uint64           `cbor:"8,keyasint,omitempty"`
 	Generation  core.Generation  `cbor:"9,keyasint,omitempty"`
 	Load        uint32           `cbor:"10,keyasint,omitempty"`
+	Power       int              `cbor:"11,keyasint,omitempty"`
 }
 
 type wireWeightNews struct {
--- a/internal/app/relay/coordinate.go
+++ b/internal/app/relay/coordinate.go
@@ -7,6 +7,7 @@
 
 	"fescuespar/internal/app/tenure"
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/announce"
 	"fescuespar/internal/core/job"
 	"fescuespar/internal/core/lease"
 	"fescuespar/internal/core/route"
@@ -54,7 +55,7 @@
 func (s *Service) tend() {
 	wanted := make(map[string]bool)
 	if s.servesNewWork() {
-		live := s.members.Live()
+		live := announce.Strong(s.members.Live())
 		for _, service := range s.coordinated() {
 			if name := coordinatorLease(service); lease.IsCandidate(name, s.options.Self.VM, live) {
 				wanted[name] = true
--- a/internal/app/relay/forward.go
+++ b/internal/app/relay/forward.go
@@ -15,9 +15,14 @@
 func routingPolicy() routing.Policy {
 	policy := routing.DefaultPolicy()
 	policy.PrefixEntries = 1 << 12 // prompts of the running steps; small VMs have little memory
+	policy.Connect = connectCost
 	return policy
 }
 
+// connectCost is the waiting that a new connection is worth: less than a short
+// request takes, so that kept connections do not gather load on few servers.
+const connectCost = 15 * time.Millisecond
+
 // defaultTimeout bounds requests whose caller and route set no time.
 const defaultTimeout = 30 * time.Second
 
--- a/internal/app/relay/orders.go
+++ b/internal/app/relay/orders.go
@@ -12,11 +12,12 @@
 	"fescuespar/internal/errkind"
 )
 
-// Rolling of weight versions. Engines load more slowly while more than two
-// load, and steps take samples of the version before, so that a version is
-// rolled two engines at a time.
+// Rolling of weight versions. Engines load more slowly while many load (more than
+// 2 of 9, more than 9 of 44), and steps take samples of the version before, so
+// that a version is rolled over a part of the engines at a time.
 const (
-	loadsAtOnce  = 2
+	loadsAtOnce  = 2               // in a small service
+	loadsShare   = 0.2             // of the engines of a large one
 	swapTarget   = 6 * time.Second // as the users' aim for new weights on all engines
 	swapTimeout  = 5 * time.Second // several times the longest load
 	loadTime     = 2 * time.Second // for which an engine that tells nothing is taken to load
@@ -26,16 +27,22 @@
 	reportEvery  = 150 * time.Millisecond // of engines that load
 )
 
-func rollPolicy() weights.Policy {
+func rollPolicy(engines int) weights.Policy {
 	return weights.Policy{
 		Target: swapTarget, SwapTimeout: swapTimeout, BackoffBase: swapBackoff, BackoffMax: swapBackMax,
-		AtOnce: loadsAtOnce,
+		AtOnce: max(loadsAtOnce, int(loadsShare*float64(engines))),
 	}
 }
 
 // orderVersions orders the engines of a service to load the newest versions of
 // their models.
 func (s *Service) orderVersions(service string) {
+	// A decision on an older view of the engines than the one before it would
+	// order what they hold already.
+	if !s.stored.BeginOrders(service) {
+		return
+	}
+	defer s.stored.EndOrders(service)
 	now := s.ports.Clock.Now()
 	byModel, vms := s.enginesOf(service)
 	parts := s.divide(service, byModel, vms)
@@ -46,7 +53,7 @@
 		if version == 0 {
 			continue
 		}
-		policy := rollPolicy()
+		policy := rollPolicy(len(vms))
 		engines = s.withoutOtherLoads(model, engines, &policy, now)
 		decision := s.weights.Roll(name, engines, version, policy, now)
 		for _, id := range decision.Failed {
@@ -185,7 +192,7 @@
 func (s *Service) orderRefused(vm core.VM, order core.Order) {
 	s.metrics.OrdersFailed.Inc(1)
 	s.paces.EndLoad(vm.ID, order.Model, s.ports.Clock.Now())
-	s.weights.OrderRefused(core.DeploymentName(order.Model), vm.ID, order.Version, rollPolicy(), s.ports.Clock.Now())
+	s.weights.OrderRefused(core.DeploymentName(order.Model), vm.ID, order.Version, rollPolicy(0), s.ports.Clock.Now())
 }
 
 // reportAsk is what is asked of an engine that was given an order.
--- a/internal/app/relay/run.go
+++ b/internal/app/relay/run.go
@@ -249,7 +249,8 @@
 
 // scoreTexts sends whole texts to their scorers.
 func (s *Service) scoreTexts(service string, now time.Time) {
-	free := scoresAtOnce - s.lanes.scores.State().Running
+	most := min(scoresAtOnce, max(fewestScores, int(s.plain.Load())/scoresShare))
+	free := most - s.lanes.scores.State().Running
 	for _, start := range s.jobs.NextScores(service, max(0, free), now) {
 		err := s.lanes.scores.Go(func(lane context.Context) { s.score(lane, service, start) })
 		if err != nil {
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -50,7 +50,9 @@
 	callsInFlight = 256
 	callsWaiting  = 256
 	runsInFlight  = 512
-	scoresAtOnce  = 12 // of texts that wait for a score, so that people's calls find a slot
+	scoresAtOnce  = 64 // texts being scored
+	scoresShare   = 2  // part of the plain servers' slots that scores leave to callers: one of so many
+	fewestScores  = 4  // before the slots are known
 	storeInFlight = 16
 	storeWaiting  = 1024
 	leaseInFlight = 4
@@ -117,6 +119,7 @@
 	committer commits.Committer
 	tenure    *tenure.Keeper
 	attempts  atomic.Uint64
+	plain     atomic.Int64 // slots of all plain servers
 	beats     atomic.Uint64
 }
 
--- a/internal/app/relay/watch.go
+++ b/internal/app/relay/watch.go
@@ -96,13 +96,18 @@
 		return
 	}
 	vms := make([]core.VM, 0, len(entries))
+	plain := 0
 	for i := range entries {
 		vm := entries[i].VM
 		if slots := table.Services[vm.Service].Slots; slots > 0 {
 			vm.Slots = slots
 		}
+		if vm.Kind == core.KindPlain {
+			plain += vm.Slots
+		}
 		vms = append(vms, vm)
 	}
+	s.plain.Store(int64(plain))
 	s.servers.ApplyVMs(vms)
 	for i := range entries {
 		if entries[i].VM.Kind == core.KindEngine {
@@ -170,8 +175,8 @@
 	self := s.options.Self
 	record := core.MemberRecord{
 		Incarnation: self.Incarnation, Zone: self.Zone, Region: self.Region, CallAddress: self.CallAddress,
-		PeerAddress: self.PeerAddress,
-		Beat:        s.beats.Add(1), Every: every, Leaving: !s.servesNewWork(),
+		PeerAddress: self.PeerAddress, Power: self.Power,
+		Beat: s.beats.Add(1), Every: every, Leaving: !s.servesNewWork(),
 	}
 	s.metrics.TableCommits.Inc(1)
 	_, err := s.ports.Tables.Commit(ctx, core.Commit{
--- a/internal/core/announce/view.go
+++ b/internal/core/announce/view.go
@@ -107,3 +107,23 @@
 // enoughNear is how many members of a caller's own region make a choice that
 // outlives the loss of one.
 const enoughNear = 2
+
+// strongShare is the part of the strongest VM's power from which on a VM
+// counts as strong.
+const strongShare = 0.75
+
+// Strong returns the members on strong VMs. A coordinator reads all events of
+// a service's runs: on a VM of a fifth of a core it would be the bottleneck.
+func Strong(live []core.Member) []core.Member {
+	most := 0
+	for i := range live {
+		most = max(most, live[i].Power)
+	}
+	var strong []core.Member
+	for _, member := range live {
+		if float64(member.Power) >= strongShare*float64(most) {
+			strong = append(strong, member)
+		}
+	}
+	return strong
+}
--- a/internal/core/announce/view_test.go
+++ b/internal/core/announce/view_test.go
@@ -77,3 +77,14 @@
 		}
 	}
 }
+
+func TestStrongMembersCoordinate(t *testing.T) {
+	live := []core.Member{{VM: "a", Power: 800}, {VM: "b", Power: 192}, {VM: "c", Power: 700}}
+	if got := Strong(live); len(got) != 2 || got[0].VM != "a" || got[1].VM != "c" {
+		t.Errorf("strong %+v, want a and c", got)
+	}
+	untold := []core.Member{{VM: "a"}, {VM: "b"}}
+	if got := Strong(untold); len(got) != 2 {
+		t.Errorf("%d of two members count where no power is told", len(got))
+	}
+}
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -111,6 +111,7 @@
 	Region      RegionName
 	CallAddress string
 	PeerAddress string
+	Power       int           // thousandths of a core that the VM gives the process; zero when not told
 	Beat        uint64        // grows with every announcement
 	Every       time.Duration // until the next one
 	Leaving     bool
--- a/internal/core/peer.go
+++ b/internal/core/peer.go
@@ -31,6 +31,7 @@
 	Sequence    uint64 // grows with every change that the member reports of itself
 	Generation  Generation
 	Load        uint32 // requests in flight
+	Power       int    // thousandths of a core that the VM gives the process; zero when not told
 }
 
 // MemberTag is a short hash of a member's VM and incarnation. Two members may
--- a/internal/core/routing/candidate.go
+++ b/internal/core/routing/candidate.go
@@ -12,6 +12,7 @@
 	Ejected  bool
 	Weight   float64 // share of the usual work that it may get, above 0 and up to 1
 	Streams  int     // this process's requests in flight there
+	Warm     bool    // a connection to it is probably kept
 	Load     float64 // estimated tokens of prompts and answers before the request
 	Base     float64 // seconds for a token of work on an idle server
 	Slope    float64 // further seconds for each token of load
--- a/internal/core/routing/decide.go
+++ b/internal/core/routing/decide.go
@@ -107,6 +107,7 @@
 		Ejected:  row.health.Ejected(),
 		Weight:   row.health.Weight(d.pool.detector.Ramp(), d.now),
 		Streams:  row.load.own.streams,
+		Warm:     row.load.warm(d.now),
 		Load:     s.loadOf(row, d.peers, d.now),
 		Base:     d.pool.speed.base,
 		Slope:    d.pool.speed.slopeFor(d.pool.tokensPerStream),
--- a/internal/core/routing/gather.go
+++ b/internal/core/routing/gather.go
@@ -10,11 +10,26 @@
 func (s *State) gatherLocal(random *rand.Rand) {
 	d := &s.decision
 	s.gatherAffine(random)
+	s.gatherRecent()
 	if region := d.pool.region(d.query.Region); region != nil {
 		s.draw(region, s.policy.Draws, random)
 	}
 }
 
+// gatherRecent offers the region's servers that were used last, if connections
+// to them are probably kept.
+func (s *State) gatherRecent() {
+	d := &s.decision
+	if s.policy.Connect == 0 {
+		return
+	}
+	for _, row := range d.pool.recent {
+		if row != nil && row.vm.Region == d.query.Region && row.load.warm(d.now) {
+			s.offer(row, 0)
+		}
+	}
+}
+
 // gatherAffine offers servers that hold a part of the prompt, those with the
 // longest part first.
 func (s *State) gatherAffine(random *rand.Rand) {
--- a/internal/core/routing/load.go
+++ b/internal/core/routing/load.go
@@ -24,6 +24,9 @@
 	ticks   [historySlots]int64   // the tick of each entry
 	newest  int
 
+	peak   int       // most own streams at a time since peakAt
+	peakAt time.Time // when the peak was last reached
+
 	others   float64   // tokens of other processes' requests, by the last report
 	begunAt  int       // own.begun when the last report was measured
 	reported time.Time // when the last report was measured; zero for none
@@ -36,6 +39,9 @@
 	if streams > 0 {
 		l.own.begun += tokens
 	}
+	if l.own.streams >= l.peak || now.Sub(l.peakAt) > connectionLife {
+		l.peak, l.peakAt = l.own.streams, now
+	}
 	tick := now.UnixNano() / int64(historyTick)
 	if l.ticks[l.newest] != tick {
 		l.newest = (l.newest + 1) % historySlots
@@ -77,3 +83,13 @@
 	unseen := float64(min(l.own.begun-l.begunAt, l.own.tokens))
 	return own + l.others + peers*unseen
 }
+
+// connectionLife is how long a connection is taken to be kept after its last
+// use: well below the idle time-outs of servers.
+const connectionLife = 5 * time.Second
+
+// warm reports whether a connection is probably kept that a further request can
+// use: more requests were in flight not long ago than are now.
+func (l *load) warm(now time.Time) bool {
+	return l.own.streams < l.peak && now.Sub(l.peakAt) <= connectionLife
+}
--- a/internal/core/routing/policy.go
+++ b/internal/core/routing/policy.go
@@ -11,6 +11,7 @@
 	Draws      int           // servers drawn at random from the caller's region
 	Speed      float64       // tokens of work a second on an idle server, until measured
 	ZoneTrip   time.Duration // round trip to another availability zone of the region
+	Connect    time.Duration // waiting that is as dear as a new connection
 	ReportLife time.Duration // age from which an engine's report of load no longer counts
 
 	PrefixEntries  int           // bound of the prefix index; a power of two
--- a/internal/core/routing/pool.go
+++ b/internal/core/routing/pool.go
@@ -21,6 +21,8 @@
 	size     int
 	newest   []core.AdapterVersion // newest version ever reported of each adapter
 
+	recent [recentServers]*server // last used by this process
+
 	speed           speed
 	tokensPerStream float64 // smoothed over this process's requests
 	reportedStreams float64 // smoothed streams in a report
@@ -62,8 +64,24 @@
 	p.size++
 }
 
+// recentServers is how many of the servers last used are candidates of every
+// decision, so that kept connections are used again.
+const recentServers = 2
+
+// used notes that a server was chosen.
+func (p *pool) used(row *server) {
+	if p.recent[0] != row {
+		p.recent[0], p.recent[1] = row, p.recent[0]
+	}
+}
+
 // leave removes a server.
 func (p *pool) leave(row *server) {
+	for i := range p.recent {
+		if p.recent[i] == row {
+			p.recent[i] = nil
+		}
+	}
 	row.region.unplace(row)
 	row.region.size--
 	if row.region.size == 0 {
--- a/internal/core/routing/state.go
+++ b/internal/core/routing/state.go
@@ -44,7 +44,7 @@
 		processes: 1,
 		filters:   []Filter{LiveFilter{}, HealthFilter{}, VersionFilter{}, ExcludeFilter{}, SlotFilter{}, LinkFilter{}},
 		scorers: []Scorer{
-			WaitScorer{}, LinkScorer{Policy: policy.Link}, ZoneScorer{Trip: policy.ZoneTrip}, LagScorer{},
+			WaitScorer{}, LinkScorer{Policy: policy.Link}, ZoneScorer{Trip: policy.ZoneTrip}, LagScorer{}, ConnectScorer{Cost: policy.Connect},
 		},
 		picker: LeastCost{},
 	}
@@ -206,6 +206,7 @@
 		s.link.take(begun.bytes)
 	}
 	row.load.change(1, query.Tokens, now)
+	row.pool.used(row)
 	smooth(&row.pool.tokensPerStream, float64(query.Tokens))
 	s.learnDispatch(row, query.Prefix, now)
 	return begun
--- a/internal/core/routing/state_test.go
+++ b/internal/core/routing/state_test.go
@@ -217,3 +217,47 @@
 		t.Errorf("%d tokens in flight, want the 100 of the second dispatch", got)
 	}
 }
+
+// TestKeptConnectionsAreUsedAgain sends requests one after the other: with a
+// cost for new connections they keep to one server, and leave it while it is
+// busy.
+func TestKeptConnectionsAreUsedAgain(t *testing.T) {
+	policy := DefaultPolicy()
+	policy.Connect = 15 * time.Millisecond
+	state := NewState(policy)
+	var vms []core.VM
+	for i := range 8 {
+		vms = append(vms, core.VM{ID: core.ServerID(fmt.Sprint("desk-", i)), Kind: core.KindPlain, Service: "desk", Region: "east", State: core.VMLive})
+	}
+	state.ApplyVMs(vms)
+	random := rand.New(rand.NewPCG(7, 7))
+	query := Query{Kind: core.KindPlain, Service: "desk", Region: "east", Tokens: 1}
+	used := make(map[core.ServerID]int)
+	now := epoch
+	for range 50 {
+		vm, err := state.Pick(query, now, random)
+		if err != nil {
+			t.Fatal(err)
+		}
+		begun := state.Begin(vm.ID, query, now)
+		now = now.Add(25 * time.Millisecond)
+		state.End(begun, Result{Outcome: outlier.Succeeded}, now, random)
+		used[vm.ID]++
+		now = now.Add(time.Second)
+	}
+	if len(used) > 2 {
+		t.Errorf("%d servers were used for requests one after the other", len(used))
+	}
+	busy := make(map[core.ServerID]int)
+	for range 40 {
+		vm, err := state.Pick(query, now, random)
+		if err != nil {
+			t.Fatal(err)
+		}
+		state.Begin(vm.ID, query, now)
+		busy[vm.ID]++
+	}
+	if len(busy) < 6 {
+		t.Errorf("40 requests at a time went to %d of 8 servers", len(busy))
+	}
+}
--- a/internal/tables/stored.go
+++ b/internal/tables/stored.go
@@ -78,6 +78,13 @@
 // EndList ends what BeginList began.
 func (t *Stored) EndList(service string) { t.end("list " + service) }
 
+// BeginOrders reports whether orders to a service's engines may be decided now.
+// EndOrders must follow after true.
+func (t *Stored) BeginOrders(service string) bool { return t.begin("orders " + service) }
+
+// EndOrders ends what BeginOrders began.
+func (t *Stored) EndOrders(service string) { t.end("orders " + service) }
+
 func (t *Stored) begin(work string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
