Test that a caller that leaves frees its server; drop fields that nothing reads

Cause: the rule on callers that leave had no test; three fields of services were decoded and read by nothing. Change: a test with the rule's half second as its bound; the fields are gone; two tests share the look at loaded versions.

--- a/internal/app/relay/fakes_test.go
+++ b/internal/app/relay/fakes_test.go
@@ -33,6 +33,7 @@
 	ran       map[core.RequestID][]int                                     // first event of each run of an item
 	exchange  func(core.VM, core.RelayRequest) (core.RelayResponse, error) // nil for a plain success
 	unreach   func(core.VM) bool                                           // engines that take no runs
+	hang      chan struct{}                                                // told when an exchange begins to hang and when it ends
 	loseOrder func(core.VM) bool                                           // orders that get no answer and are not accepted
 	running   int
 }
@@ -86,10 +87,16 @@
 }
 
 // Exchange implements ports.Backend.
-func (s *site) Exchange(_ context.Context, server core.VM, request core.RelayRequest) (core.RelayResponse, error) {
+func (s *site) Exchange(ctx context.Context, server core.VM, request core.RelayRequest) (core.RelayResponse, error) {
 	s.mu.Lock()
-	answer := s.exchange
+	answer, hang := s.exchange, s.hang
 	s.mu.Unlock()
+	if hang != nil {
+		hang <- struct{}{}
+		<-ctx.Done()
+		hang <- struct{}{}
+		return core.RelayResponse{}, errkind.Wrap(errkind.Canceled, ctx.Err(), "exchange")
+	}
 	if answer != nil {
 		return answer(server, request)
 	}
@@ -218,3 +225,15 @@
 		}
 	}
 }
+
+// loaded reports whether all engines hold a version.
+func (s *site) loaded(version core.WeightVersion) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, entry := range s.servers {
+		if len(entry.Models) > 0 && entry.Models[0].Version != version {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/app/relay/service_test.go
+++ b/internal/app/relay/service_test.go
@@ -227,16 +227,7 @@
 	s.mu.Lock()
 	s.published.Versions = []core.ModelVersion{{Model: "m", Version: 2}}
 	s.mu.Unlock()
-	s.eventually("version 2 on all engines", func() bool {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		for _, entry := range s.servers {
-			if len(entry.Models) > 0 && entry.Models[0].Version != 2 {
-				return false
-			}
-		}
-		return true
-	})
+	s.eventually("version 2 on all engines", func() bool { return s.loaded(2) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.orders) != 3 {
@@ -308,16 +299,7 @@
 	s.mu.Lock()
 	s.published.Versions = []core.ModelVersion{{Model: "m", Version: 2}}
 	s.mu.Unlock()
-	s.eventually("version 2 on all engines", func() bool {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		for _, entry := range s.servers {
-			if len(entry.Models) > 0 && entry.Models[0].Version != 2 {
-				return false
-			}
-		}
-		return true
-	})
+	s.eventually("version 2 on all engines", func() bool { return s.loaded(2) })
 	if took := time.Since(began); took > swapTimeout {
 		t.Errorf("it took %v, as long as a load may last", took)
 	}
@@ -345,3 +327,30 @@
 		}
 	}
 }
+
+// TestACallerThatLeavesFreesItsServer closes a request while a backend server
+// works on it.
+func TestACallerThatLeavesFreesItsServer(t *testing.T) {
+	s := newSite(t)
+	service := s.ready(s.start("vm-1"))
+	s.mu.Lock()
+	s.hang = make(chan struct{}, 4)
+	s.mu.Unlock()
+	ctx, leave := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := service.Forward(ctx, core.RelayRequest{ID: "r-1", Host: host, Target: "/lookup/x"})
+		ended <- err
+	}()
+	<-s.hang
+	leave()
+	const bound = 500 * time.Millisecond // in which a server must be free again
+	select {
+	case <-s.hang:
+	case <-time.After(bound):
+		t.Errorf("the exchange goes on %v after its caller left", bound)
+	}
+	if err := <-ended; !errkind.Is(err, errkind.Canceled) {
+		t.Errorf("the request ended with %v", err)
+	}
+}
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -39,11 +39,8 @@
 
 // ServiceInfo is what operators publish of a service.
 type ServiceInfo struct {
-	Name        string
-	HealthPath  string
-	Connections int // most connections that one backend server takes from all entry processes
-	Slots       int // requests that one engine runs at a time; zero for plain services
-	CacheTokens int // KV cache of one engine in tokens; zero for plain services
+	Name  string
+	Slots int // requests that one engine runs at a time; zero for plain services
 }
 
 // CallerLimits bound what callers may send.
