--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -18,6 +18,7 @@
   "claim"
   "configuration"
   "configuration RACE"
+  "results"
 )
 
 # Runs with a guard removed: file and defines.
@@ -40,6 +41,7 @@
   "configuration NO_INCARNATION_CHECK"
   "configuration RACE NO_HEAD_CONDITION"
   "configuration RACE NO_ATTEMPT_ID"
+  "results NO_SETTLE NO_ABSENT"
 )
 
 install_checker() {
