Begin with what peers remember in an outage; read the settings again

Cause: a process that started while the store was away knew no routes and no servers and refused people's lookups; changed settings were not read.

Ruled out: taking old answers in general: a server whose registration lapsed would be forgotten right after the outage.

Change: reads of routes and registrations are marked; a peer without a way answers them with what it read last, told apart by its status; only a process that knows nothing takes that. Peers are found by the settings' seeds until the members can be read. Settings are read at SIGHUP and every two seconds.

Conclusion: families are answered by new processes, too, while the store is away.

--- a/cmd/fescuespar/relay.go
+++ b/cmd/fescuespar/relay.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -92,7 +93,7 @@
 			VM: loaded.VM, Incarnation: incarnation, Zone: loaded.Zone, Region: loaded.Region, CallAddress: loaded.Callers,
 			PeerAddress: loaded.Peers, Power: loaded.Power,
 		},
-		Seed: uint64(incarnation), Workers: relayWorkers, AddressKeep: loaded.AddressKeep,
+		Seed: uint64(incarnation), Seeds: loaded.Seeds, Workers: relayWorkers, AddressKeep: loaded.AddressKeep,
 		OrdersApart: loaded.OrdersApart, Grace: loaded.Grace, RegistryBack: loaded.RegistryBack,
 		ResultBytes: loaded.RowBytes * 3 / 4,
 	}, relay.Ports{
@@ -127,12 +128,22 @@
 	return service, servers, nil
 }
 
+// reloadEvery is how often the settings file is looked at without a signal.
+const reloadEvery = 2 * time.Second
+
 func relayUntilSignal(loaded *settings.Settings, service *relay.Service, servers []*http.Server, log zerolog.Logger) error {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	for received := range signals {
-		if received == syscall.SIGHUP {
-			log.Info().Msg("reload")
+	look := time.NewTicker(reloadEvery)
+	defer look.Stop()
+	for {
+		var received os.Signal
+		select {
+		case received = <-signals:
+		case <-look.C:
+		}
+		if received == nil || received == syscall.SIGHUP {
+			loaded = reload(loaded, service, received != nil, log)
 			continue
 		}
 		log.Info().Str("signal", received.String()).Msg("stop asked for")
@@ -149,5 +160,21 @@
 		service.Stop()
 		return nil
 	}
-	return nil
+}
+
+// reload reads the settings again and takes what a running process can. Settings
+// that cannot be read leave those in use as they are.
+func reload(used *settings.Settings, service *relay.Service, asked bool, log zerolog.Logger) *settings.Settings {
+	read, err := settings.Load(os.Getenv(settings.PathVariable))
+	if err != nil {
+		log.Error().Err(err).Msg("changed settings are not taken")
+		return used
+	}
+	changed := !reflect.DeepEqual(read, used)
+	if asked || changed {
+		log.Info().Bool("asked", asked).Bool("changed", changed).
+			Bool("needs_start", !reflect.DeepEqual(read.Fixed(), used.Fixed())).Msg("reload")
+	}
+	service.Retime(read.AddressKeep, read.Grace)
+	return read
 }
--- a/internal/adapters/detour/detour.go
+++ b/internal/adapters/detour/detour.go
@@ -32,6 +32,11 @@
 	peersAsked = 3
 )
 
+// RememberHeader, with any value, marks a read whose older answer is better than
+// none. A peer that has no way to the platform either answers it with what it
+// read last, and with the status 203. The platform never sees the header.
+const RememberHeader = "X-Detour-Remember"
+
 // Way is a transport that can go through peers. It is safe for concurrent use.
 type Way struct {
 	direct http.RoundTripper
@@ -118,7 +123,7 @@
 func (w *Way) probe(request *http.Request) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	response, err := w.direct.RoundTrip(request.Clone(ctx))
+	response, err := w.node.straight(request.Clone(ctx))
 	if err != nil {
 		return
 	}
@@ -191,7 +196,7 @@
 	}
 	answers := make(chan answer, 2)
 	go func() {
-		response, err := w.direct.RoundTrip(request.Clone(request.Context()))
+		response, err := w.node.straight(request.Clone(request.Context()))
 		answers <- answer{response, err, true}
 	}()
 	hedge := time.NewTimer(hedgeAfter)
@@ -205,21 +210,34 @@
 	case <-hedge.C:
 	}
 	aside, err := w.aside(request)
-	if second := (answer{aside, err, false}); second.good() {
+	second := answer{aside, err, false}
+	if second.good() && !old(aside) {
 		return aside, w.overtaken(answers, first)
 	}
-	if err == nil {
-		discard(aside)
-	}
 	if first == (answer{}) {
 		first = <-answers
 	}
 	if first.err != nil && !errors.Is(first.err, context.Canceled) {
 		w.set(true)
 	}
+	if second.good() && !first.good() {
+		// What a peer remembers is better than nothing.
+		if first.response != nil {
+			discard(first.response)
+		}
+		return aside, nil
+	}
+	if err == nil {
+		discard(aside)
+	}
 	return first.response, first.err
 }
 
+// old reports whether a peer only remembers an answer.
+func old(response *http.Response) bool {
+	return response.StatusCode == http.StatusNonAuthoritativeInfo
+}
+
 // overtaken notes that a peer has answered and the direct way has not, which
 // shows that the platform is there and the way is not.
 func (w *Way) overtaken(answers <-chan answer, first answer) error {
--- a/internal/adapters/detour/detour_test.go
+++ b/internal/adapters/detour/detour_test.go
@@ -191,3 +191,86 @@
 		t.Errorf("got %d bytes, %v", len(got), err)
 	}
 }
+
+// TestAPeerRemembersMarkedReadsInAnOutage begins a process while nobody reaches
+// the platform: it learns what a peer read before, and is told that it is old.
+func TestAPeerRemembersMarkedReadsInAnOutage(t *testing.T) {
+	var changes atomic.Int64
+	platform := platformServer(t, &changes)
+	host := strings.TrimPrefix(platform.URL, "http://")
+	older, newborn := &switched{}, &switched{}
+	peer, err := Listen("127.0.0.1:0", host, older)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(peer.Close)
+	before := NewWay(older, peer, func() []string { return nil })
+	node, err := Listen("127.0.0.1:0", host, newborn)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(node.Close)
+	way := NewWay(newborn, node, func() []string { return []string{peer.Address()} })
+	read := func(way *Way, path string) (int, string) {
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, platform.URL+path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set(RememberHeader, "1")
+		response, err := way.RoundTrip(request)
+		if err != nil {
+			return 0, ""
+		}
+		defer response.Body.Close()
+		body, _ := io.ReadAll(response.Body)
+		return response.StatusCode, string(body)
+	}
+	if status, body := read(before, "/op"); status != http.StatusOK || body != "/op:" {
+		t.Fatalf("before the outage: %d %q", status, body)
+	}
+	older.refuse.Store(true)
+	newborn.refuse.Store(true)
+	if status, body := read(way, "/op"); status != http.StatusNonAuthoritativeInfo || body != "/op:" {
+		t.Errorf("in the outage: %d %q, want what the peer read before, as such", status, body)
+	}
+	if status, _ := read(way, "/servers"); status == http.StatusOK || status == http.StatusNonAuthoritativeInfo {
+		t.Errorf("what nobody has read is answered with %d", status)
+	}
+}
+
+// TestASlowAnswerIsBetterThanAnOldOne asks a peer without a way while the own
+// way is only slow.
+func TestASlowAnswerIsBetterThanAnOldOne(t *testing.T) {
+	var slow atomic.Bool
+	platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if slow.Load() {
+			time.Sleep(2 * hedgeAfter)
+		}
+		_, _ = io.WriteString(w, "rows")
+	}))
+	t.Cleanup(platform.Close)
+	way, _, others := pair(t, platform)
+	// The peer remembers the rows and then loses its way.
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, platform.URL+"/rows", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set(RememberHeader, "1")
+	way.set(true)
+	if response, err := way.aside(request); err != nil || old(response) {
+		t.Fatalf("the peer's first read: %v", err)
+	}
+	way.set(false)
+	others.refuse.Store(true)
+	slow.Store(true)
+	request.Header.Set(RememberHeader, "1")
+	response, err := way.RoundTrip(request)
+	if err != nil || old(response) {
+		t.Fatalf("got %+v, %v, want the slow answer", response, err)
+	}
+	if way.Down() {
+		t.Error("a slow way counts as down")
+	}
+}
--- a/internal/adapters/detour/node.go
+++ b/internal/adapters/detour/node.go
@@ -46,9 +46,53 @@
 	tls       *tls.Config
 	blocked   atomic.Pointer[atomic.Bool] // set while the own way is down
 
-	// mu guards conns.
-	mu    lockrank.Mutex
-	conns map[string]*quic.Conn // to peers, by address
+	// mu guards all fields below.
+	mu         lockrank.Mutex
+	conns      map[string]*quic.Conn // to peers, by address
+	remembered map[string][]byte     // newest answers to marked reads, by path and query
+}
+
+// maxRemembered bounds the reads that are remembered.
+const maxRemembered = 16
+
+// straight makes a call the direct way and remembers the answer to a marked read.
+func (n *Node) straight(request *http.Request) (*http.Response, error) {
+	marked := request.Header.Get(RememberHeader) != ""
+	request.Header.Del(RememberHeader)
+	response, err := n.direct.RoundTrip(request)
+	if err != nil || !marked || response.StatusCode != http.StatusOK {
+		return response, err
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
+	_ = response.Body.Close()
+	if err != nil {
+		return nil, err
+	}
+	response.Body = io.NopCloser(bytes.NewReader(body))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	name := request.URL.RequestURI()
+	if _, known := n.remembered[name]; known || len(n.remembered) < maxRemembered {
+		n.remembered[name] = body
+	}
+	return response, nil
+}
+
+// recall returns the remembered answer to a marked read, or nil.
+func (n *Node) recall(incoming *http.Request) *http.Response {
+	if incoming == nil || incoming.Header.Get(RememberHeader) == "" {
+		return nil
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	body, known := n.remembered[incoming.RequestURI]
+	if !known {
+		return nil
+	}
+	return &http.Response{
+		StatusCode: http.StatusNonAuthoritativeInfo, ProtoMajor: 1, ProtoMinor: 1,
+		Header: http.Header{}, Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body)),
+	}
 }
 
 // Listen opens the UDP address and makes calls for peers to one host only,
@@ -73,6 +117,7 @@
 			InsecureSkipVerify: true, // see Node
 		},
 		mu: lockrank.New(lockrank.RankAdapter), conns: make(map[string]*quic.Conn),
+		remembered: make(map[string][]byte),
 	}
 	listener, err := node.transport.Listen(node.tls, quicConfig())
 	if err != nil {
@@ -130,7 +175,12 @@
 // handle makes one call for a peer and writes its answer.
 func (n *Node) handle(stream *quic.Stream) {
 	defer stream.Close()
-	response, err := n.forward(stream)
+	incoming, response, err := n.forward(stream)
+	if err != nil || refused(response) {
+		if known := n.recall(incoming); known != nil {
+			response, err = known, nil
+		}
+	}
 	if err != nil {
 		response = &http.Response{
 			StatusCode: http.StatusServiceUnavailable, ProtoMajor: 1, ProtoMinor: 1,
@@ -149,38 +199,38 @@
 
 func sentAnyway(err error) bool { return !errors.Is(err, errUnsent) }
 
-func (n *Node) forward(stream io.Reader) (*http.Response, error) {
-	if blocked := n.blocked.Load(); blocked != nil && blocked.Load() {
-		return nil, errors.Join(errUnsent, errCut)
-	}
+func (n *Node) forward(stream io.Reader) (*http.Request, *http.Response, error) {
 	incoming, err := http.ReadRequest(bufio.NewReader(stream))
 	if err != nil {
-		return nil, errors.Join(errUnsent, err)
+		return nil, nil, errors.Join(errUnsent, err)
+	}
+	if blocked := n.blocked.Load(); blocked != nil && blocked.Load() {
+		return incoming, nil, errors.Join(errUnsent, errCut)
 	}
 	body, err := io.ReadAll(io.LimitReader(incoming.Body, maxBodyBytes))
 	if err != nil {
-		return nil, errors.Join(errUnsent, err)
+		return incoming, nil, errors.Join(errUnsent, err)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	outgoing, err := http.NewRequestWithContext(ctx, incoming.Method, "http://"+n.host+incoming.RequestURI, bytes.NewReader(body))
 	if err != nil {
-		return nil, errors.Join(errUnsent, err)
+		return incoming, nil, errors.Join(errUnsent, err)
 	}
-	outgoing.Header = incoming.Header
-	response, err := n.direct.RoundTrip(outgoing)
+	outgoing.Header = incoming.Header.Clone()
+	response, err := n.straight(outgoing)
 	if err != nil {
-		return nil, err
+		return incoming, nil, err
 	}
 	// The whole answer is read before the context ends.
 	answer, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
 	_ = response.Body.Close()
 	if err != nil {
-		return nil, err
+		return incoming, nil, err
 	}
 	response.Body, response.ContentLength = io.NopCloser(bytes.NewReader(answer)), int64(len(answer))
 	response.TransferEncoding = nil
-	return response, nil
+	return incoming, response, nil
 }
 
 // call makes a call through a peer. Sent tells whether the peer may have made it.
--- a/internal/adapters/logread/logread.go
+++ b/internal/adapters/logread/logread.go
@@ -43,8 +43,7 @@
 	return &Reader{story: Story{ID: id}, first: func(line Line) bool { return names(line, id) }}
 }
 
-// names reports whether a field holds the id, alone or as the end of a longer
-// name such as a score's.
+// names reports whether a field holds the id.
 func names(line Line, id string) bool {
 	for _, value := range line.Fields {
 		if text, ok := value.(string); ok && text == id {
--- a/internal/app/relay/fakes_test.go
+++ b/internal/app/relay/fakes_test.go
@@ -80,10 +80,10 @@
 }
 
 // Servers implements ports.Registry.
-func (s *site) Servers(context.Context) ([]core.ServerEntry, error) {
+func (s *site) Servers(context.Context) (core.Registrations, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]core.ServerEntry(nil), s.servers...), nil
+	return core.Registrations{Entries: append([]core.ServerEntry(nil), s.servers...), Old: s.published.Old}, nil
 }
 
 // Exchange implements ports.Backend.
--- a/internal/app/relay/forward.go
+++ b/internal/app/relay/forward.go
@@ -262,5 +262,5 @@
 
 // EntryAddresses implements ports.Relay.
 func (s *Service) EntryAddresses(_ core.ZoneName, region core.RegionName) core.AddressList {
-	return core.AddressList{Addresses: s.addresses(region), Keep: s.options.AddressKeep}
+	return core.AddressList{Addresses: s.addresses(region), Keep: time.Duration(s.keep.Load())}
 }
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -35,6 +35,7 @@
 type Options struct {
 	Self         core.Member
 	Seed         uint64        // of the random source
+	Seeds        []string      // peer addresses of some other processes, which may be stale
 	Workers      int           // workers of the pool
 	AddressKeep  time.Duration // how long callers may keep the entry addresses
 	OrdersApart  time.Duration // between the orders of two holders to one engine
@@ -120,6 +121,8 @@
 	tenure    *tenure.Keeper
 	attempts  atomic.Uint64
 	plain     atomic.Int64 // slots of all plain servers
+	keep      atomic.Int64 // how long callers may keep the entry addresses, in nanoseconds
+	grace     atomic.Int64 // from the signal to stop until the process is killed, in nanoseconds
 	beats     atomic.Uint64
 }
 
@@ -166,9 +169,17 @@
 		OnUnknown: func() { s.metrics.TableUnknown.Inc(1) },
 	}
 	s.tenure = s.newTenure()
+	s.Retime(options.AddressKeep, options.Grace)
 	return s
 }
 
+// Retime changes how long callers may keep the entry addresses and the grace of
+// a planned stop.
+func (s *Service) Retime(addressKeep, grace time.Duration) {
+	s.keep.Store(int64(addressKeep))
+	s.grace.Store(int64(grace))
+}
+
 // Metrics returns the process's metrics.
 func (s *Service) Metrics() *metrics.Relay { return s.metrics }
 
--- a/internal/app/relay/service_test.go
+++ b/internal/app/relay/service_test.go
@@ -354,3 +354,21 @@
 		t.Errorf("the request ended with %v", err)
 	}
 }
+
+// TestANewProcessBeginsWithWhatPeersRemember starts a process in an outage, and
+// lets servers lapse from what peers remember: one that knows them keeps them.
+func TestANewProcessBeginsWithWhatPeersRemember(t *testing.T) {
+	s := newSite(t)
+	s.published.Old = true
+	service := s.ready(s.start("vm-1"))
+	if _, err := forward(t, service, "/lookup/x"); err != nil {
+		t.Errorf("a request with remembered routes and servers: %v", err)
+	}
+	s.mu.Lock()
+	s.servers = nil
+	s.mu.Unlock()
+	time.Sleep(3 * watchEvery)
+	if _, err := forward(t, service, "/lookup/x"); err != nil {
+		t.Errorf("after an old answer without servers: %v", err)
+	}
+}
--- a/internal/app/relay/shutdown.go
+++ b/internal/app/relay/shutdown.go
@@ -21,7 +21,7 @@
 	s.log.Info().Str("phase", "leaving").Msg("shutdown")
 	s.pool.MustEnqueue(core.ClassControl, s.announceNow)
 	s.pool.MustEnqueue(core.ClassControl, s.tend)
-	commits.Wait(ctx, time.Duration(float64(s.options.Grace)*leaveShare))
+	commits.Wait(ctx, time.Duration(float64(s.grace.Load())*leaveShare))
 	s.lifecycle.Advance(tables.PhaseDraining)
 	s.log.Info().Str("phase", "draining").Msg("shutdown")
 	select {
--- a/internal/app/relay/watch.go
+++ b/internal/app/relay/watch.go
@@ -6,6 +6,7 @@
 
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/announce"
+	"fescuespar/internal/errkind"
 	"fescuespar/internal/tables"
 )
 
@@ -48,6 +49,9 @@
 func (s *Service) watchPublished() {
 	s.onWatch("published", func(ctx context.Context) (func(), error) {
 		published, err := s.ports.Registry.Published(ctx)
+		if err == nil && published.Old && s.routes.InForce() != nil {
+			err = errOld
+		}
 		return func() { s.applyPublished(published) }, err
 	})
 }
@@ -70,16 +74,27 @@
 func (s *Service) watchServers() {
 	s.onWatch("servers", func(ctx context.Context) (func(), error) {
 		began := s.ports.Clock.Now()
-		entries, err := s.ports.Registry.Servers(ctx)
+		read, err := s.ports.Registry.Servers(ctx)
+		if _, readAt := s.registry.Entries(); err == nil && read.Old && !readAt.IsZero() {
+			err = errOld
+		}
 		if err != nil {
 			s.registry.Failed()
 		}
-		return func() { s.applyServers(entries, began) }, err
+		return func() { s.applyServers(read, began) }, err
 	})
 }
 
-func (s *Service) applyServers(entries []core.ServerEntry, began time.Time) {
-	_, gone := s.registry.Observe(entries, began)
+// errOld says that only what a peer read before an outage could be read. A
+// process that knows nothing begins with that; any other one knows as much.
+var errOld = errkind.New(errkind.StoreUnavailable, "the platform is away; a peer remembers an earlier answer")
+
+func (s *Service) applyServers(read core.Registrations, began time.Time) {
+	_, gone := s.registry.Observe(read.Entries, began)
+	if read.Old {
+		s.registry.Failed()
+		s.log.Info().Int("servers", len(read.Entries)).Msg("backend servers as a peer remembers them")
+	}
 	for _, id := range gone {
 		s.log.Info().Str("server", string(id)).Msg("backend server gone")
 	}
@@ -199,5 +214,8 @@
 			addresses = append(addresses, member.PeerAddress)
 		}
 	}
+	if len(addresses) == 0 {
+		return s.options.Seeds
+	}
 	return addresses
 }
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -133,6 +133,13 @@
 type Published struct {
 	Table    *RouteTable    // nil when none can be read
 	Versions []ModelVersion // newest named version of each model
+	Old      bool           // as another entry process read it before the platform went away
+}
+
+// Registrations is what backend servers have registered.
+type Registrations struct {
+	Entries []ServerEntry
+	Old     bool // as another entry process read it before the platform went away
 }
 
 // EngineReport is an engine's own report.
--- a/internal/ports/relay.go
+++ b/internal/ports/relay.go
@@ -77,5 +77,5 @@
 	// StoreUnavailable.
 	Published(ctx context.Context) (core.Published, error)
 	// Servers returns all registered backend servers. Errors: StoreUnavailable.
-	Servers(ctx context.Context) ([]core.ServerEntry, error)
+	Servers(ctx context.Context) (core.Registrations, error)
 }
