Keep the mark of remembered reads from the platform in every case

Cause: read in the diff: a process without peers sent marked reads straight with the mark, against what the package says.

--- a/internal/adapters/detour/detour.go
+++ b/internal/adapters/detour/detour.go
@@ -264,7 +264,7 @@
 func (w *Way) aside(request *http.Request) (*http.Response, error) {
 	peers := w.peers()
 	if len(peers) == 0 {
-		return w.direct.RoundTrip(request)
+		return w.node.straight(request.Clone(request.Context()))
 	}
 	var last error = errNoPeer
 	first := rand.IntN(len(peers))
--- a/internal/adapters/detour/detour_test.go
+++ b/internal/adapters/detour/detour_test.go
@@ -274,3 +274,37 @@
 		t.Error("a slow way counts as down")
 	}
 }
+
+// TestThePlatformNeverSeesTheMark sends a marked read straight, and while the
+// way is down with nobody to ask.
+func TestThePlatformNeverSeesTheMark(t *testing.T) {
+	var marked atomic.Int64
+	platform := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(RememberHeader) != "" {
+			marked.Add(1)
+		}
+	}))
+	t.Cleanup(platform.Close)
+	node, err := Listen("127.0.0.1:0", strings.TrimPrefix(platform.URL, "http://"), http.DefaultTransport)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(node.Close)
+	way := NewWay(http.DefaultTransport, node, func() []string { return nil })
+	for _, down := range []bool{false, true} {
+		way.set(down)
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, platform.URL+"/op", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set(RememberHeader, "1")
+		response, err := way.RoundTrip(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+	}
+	if marked.Load() != 0 {
+		t.Errorf("%d of 2 reads reached the platform with the mark", marked.Load())
+	}
+}
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -52,7 +52,7 @@
 	callsWaiting  = 256
 	runsInFlight  = 512
 	scoresAtOnce  = 64 // texts being scored
-	scoresShare   = 2  // part of the plain servers' slots that scores leave to callers: one of so many
+	scoresShare   = 2  // scores take one in so many of the plain servers' slots, so that callers find the rest
 	fewestScores  = 4  // before the slots are known
 	storeInFlight = 16
 	storeWaiting  = 1024
