Let a coordinator keep its lease when others come back; look for an own lease after a restart

Ruled out: fewer candidates (a loss of all three would leave nobody).

Change: a holder stays a candidate; for ten seconds after its start a process follows every lease, of which it may take its VM's own at once.

TestACoordinatorStaysWhenOthersComeBack fails without the change.

--- a/cmd/fescuespar/relay.go
+++ b/cmd/fescuespar/relay.go
@@ -41,10 +41,11 @@
 	logTime       = "2006-01-02T15:04:05.000Z07:00" // lines of several VMs are put in order by it
 	storeTimeout  = 3 * time.Second                 // a slow store answers within it
 	relayWorkers  = 4
-	memoryShare   = 0.6     // of the VM's memory that the heap may take
-	bodyShare     = 0.2     // of it that bodies of callers may take
-	logLines      = 4096    // lines that wait for standard output; further ones are dropped and counted
-	headerBytes   = 1 << 16 // of a caller's header; routes' own limit is lower
+	reclaimTime   = 10 * time.Second // longer than most outages of the store in which processes restart
+	memoryShare   = 0.6              // of the VM's memory that the heap may take
+	bodyShare     = 0.2              // of it that bodies of callers may take
+	logLines      = 4096             // lines that wait for standard output; further ones are dropped and counted
+	headerBytes   = 1 << 16          // of a caller's header; routes' own limit is lower
 	headerArrival = 10 * time.Second
 	closeAfter    = 500 * time.Millisecond // of the grace, kept for closing connections
 )
@@ -94,7 +95,7 @@
 			PeerAddress: loaded.Peers, Power: loaded.Power,
 		},
 		Seed: uint64(incarnation), Seeds: loaded.Seeds, Workers: relayWorkers, AddressKeep: loaded.AddressKeep,
-		OrdersApart: loaded.OrdersApart, Grace: loaded.Grace, RegistryBack: loaded.RegistryBack,
+		OrdersApart: loaded.OrdersApart, Grace: loaded.Grace, RegistryBack: loaded.RegistryBack, Reclaim: reclaimTime,
 		ResultBytes: loaded.RowBytes * 3 / 4,
 	}, relay.Ports{
 		Tables: platform, Objects: platform, Registry: platform, Bodies: bodycodec.Codec{},
--- a/internal/app/relay/coordinate.go
+++ b/internal/app/relay/coordinate.go
@@ -57,7 +57,12 @@
 	if s.servesNewWork() {
 		live := announce.Strong(s.members.Live())
 		for _, service := range s.coordinated() {
-			if name := coordinatorLease(service); lease.IsCandidate(name, s.options.Self.VM, live) {
+			name := coordinatorLease(service)
+			// A holder keeps its lease when processes that rank before it come
+			// back, as in a rolling restart: each change of coordinator costs
+			// seconds without orders.
+			_, held := s.leases.Held(name, s.ports.Clock.Now())
+			if held || s.mayReclaim(len(live)) || lease.IsCandidate(name, s.options.Self.VM, live) {
 				wanted[name] = true
 				s.leases.Follow(name)
 			}
@@ -72,6 +77,17 @@
 	s.tendAll()
 }
 
+// reclaimMembers bounds the processes of which each looks for leases of its VM
+// at a start of all.
+const reclaimMembers = 100
+
+// mayReclaim reports whether this process is to follow every lease, as an
+// earlier process of its VM may have held it: after a restart, or an outage of
+// the store in which all processes died.
+func (s *Service) mayReclaim(members int) bool {
+	return members <= reclaimMembers && s.ports.Clock.Now().Sub(s.started) < s.options.Reclaim
+}
+
 // tendAll does the work of the leases that this process holds.
 func (s *Service) tendAll() {
 	for _, service := range s.coordinated() {
--- a/internal/app/relay/fakes_test.go
+++ b/internal/app/relay/fakes_test.go
@@ -29,6 +29,7 @@
 	servers   []core.ServerEntry
 	pace      time.Duration // between the events of a text
 	length    int           // events of a text
+	reclaim   time.Duration // option of the processes that are started
 	orders    []core.Order
 	ran       map[core.RequestID][]int                                     // first event of each run of an item
 	exchange  func(core.VM, core.RelayRequest) (core.RelayResponse, error) // nil for a plain success
@@ -168,7 +169,7 @@
 	service := New(Options{
 		Self: core.Member{VM: vm, Incarnation: core.Incarnation(time.Now().UnixNano()), Zone: "z", Region: "r", CallAddress: string(vm) + ":1"},
 		Seed: 1, Workers: 2, AddressKeep: time.Second, OrdersApart: 100 * time.Millisecond,
-		Grace: time.Second, ResultBytes: 1000, RegistryBack: time.Second,
+		Grace: time.Second, ResultBytes: 1000, RegistryBack: time.Second, Reclaim: s.reclaim,
 	}, Ports{
 		Tables: s.tables, Objects: s.objects, Bodies: bodycodec.Codec{}, Registry: s, Backend: s, Clock: systemClock{},
 	}, s.log)
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -41,6 +41,7 @@
 	OrdersApart  time.Duration // between the orders of two holders to one engine
 	Grace        time.Duration // from the signal to stop until the process is killed
 	ResultBytes  int           // longest result that a row holds
+	Reclaim      time.Duration // after the start, in which leases of an earlier process of this VM are looked for
 	RegistryBack time.Duration // after an outage, until all living servers are registered again
 }
 
@@ -117,6 +118,7 @@
 	stored    *tables.Stored
 	platform  *tables.Platform
 
+	started   time.Time
 	committer commits.Committer
 	tenure    *tenure.Keeper
 	attempts  atomic.Uint64
@@ -161,6 +163,7 @@
 		weights:  tables.NewWeights(),
 		stored:   tables.NewStored(),
 		platform: tables.NewPlatform(),
+		started:  outside.Clock.Now(),
 	}
 	s.committer = commits.Committer{
 		Tables: outside.Tables, Try: commitTry,
--- a/internal/app/relay/service_test.go
+++ b/internal/app/relay/service_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/lease"
 	"fescuespar/internal/errkind"
 	"fescuespar/internal/ports/porttest/faults"
 )
@@ -372,3 +373,49 @@
 		t.Errorf("after an old answer without servers: %v", err)
 	}
 }
+
+// TestACoordinatorStaysWhenOthersComeBack starts more processes than there are
+// candidates beside one that holds the lease.
+func TestACoordinatorStaysWhenOthersComeBack(t *testing.T) {
+	s := newSite(t)
+	first := s.ready(s.start("vm-0"))
+	s.eventually("a coordinator", func() bool {
+		_, held := first.leases.Held(coordinatorLease(engineService), time.Now())
+		return held
+	})
+	holding, _ := first.leases.Held(coordinatorLease(engineService), time.Now())
+	for _, vm := range []core.VMID{"vm-1", "vm-2", "vm-3", "vm-4", "vm-5", "vm-6", "vm-7", "vm-8"} {
+		s.ready(s.start(vm))
+	}
+	s.eventually("all members known", func() bool { return len(first.members.Live()) == 9 })
+	if lease.IsCandidate(coordinatorLease(engineService), "vm-0", first.members.Live()) {
+		t.Fatal("the holder is a candidate among nine, so that the test shows nothing")
+	}
+	time.Sleep(2 * leaseTerm)
+	if now, held := first.leases.Held(coordinatorLease(engineService), time.Now()); !held || now.Fence != holding.Fence {
+		t.Errorf("the lease has passed on: held %v, fence %d, before %d", held, now.Fence, holding.Fence)
+	}
+}
+
+// TestARestartedProcessLooksForItsVMsLease ends the holder without a release and
+// starts another process on its VM: it must not wait out the term.
+func TestARestartedProcessLooksForItsVMsLease(t *testing.T) {
+	s := newSite(t)
+	name := coordinatorLease(engineService)
+	holder := s.ready(s.start("vm-0"))
+	s.eventually("a coordinator", func() bool {
+		_, held := holder.leases.Held(name, time.Now())
+		return held
+	})
+	holder.Stop()
+	s.reclaim = 5 * time.Second
+	restarted := s.ready(s.start("vm-0"))
+	began := time.Now()
+	s.eventually("the lease back", func() bool {
+		_, held := restarted.leases.Held(name, time.Now())
+		return held
+	})
+	if took := time.Since(began); took > leaseTerm {
+		t.Errorf("the lease came back after %v, as late as to another VM", took)
+	}
+}
