Move stalled samples without history; keep what samples taught over a lapse of trust

A trace shows that the stalled sample of step 10 was never moved in 19 s: its run numbers were those of a second opening of the work under the same fencing number, and only 11 finished samples were known, of 16 that a move needs. The coordinator had not trusted its lease for a moment, closed the work, and with it what it had learned; as the bound left no room for other samples, no more could finish.

Ruled out: the two moves that end at stalled engines (the sample had none); moves that the retry budget cuts off (none was); the test's clock (a run takes 9 to 17 s of 30 s or never ends).

Change: what finished samples taught outlives a closing of the work in the same process, and a sample that has tokens and gets none for 10 s is moved whatever is known of others, which serves new coordinators too. One that waits for a slot has no tokens and stays.

Both new tests fail without the change.

Conclusion: a fault of the product, not of the test; the bound stays.

--- a/internal/core/rollout/book.go
+++ b/internal/core/rollout/book.go
@@ -30,6 +30,7 @@
 	rate       float64 // tokens a second in the last rate window
 	markAt     time.Time
 	markTokens int
+	grewAt     time.Time // of the last observation with more tokens than before
 	moves      int
 	reruns     int
 	sample     core.Sample
@@ -95,6 +96,19 @@
 	return &Book{groups: make(map[core.GroupID]*groupRow), runs: firstRun}
 }
 
+// Learned is what a book has learned from finished samples. It holds beyond
+// the lease under which the work was open.
+type Learned struct {
+	History   History
+	Durations Sketch // seconds from a group's start to its last sample
+}
+
+// Learned returns what predictions rest on.
+func (b *Book) Learned() Learned { return Learned{b.history, b.durations} }
+
+// Inherit takes over what an earlier book of the deployment has learned.
+func (b *Book) Inherit(earlier Learned) { b.history, b.durations = earlier.History, earlier.Durations }
+
 // Load takes the delivery record and the prompts. It returns the runs of groups
 // that can no longer be delivered.
 func (b *Book) Load(record core.DeliveryRecord, prompts []string) (closed []Work) {
@@ -229,6 +243,9 @@
 	if row == nil || row.state != sampleRunning {
 		return
 	}
+	if progress.Tokens > row.tokens {
+		row.grewAt = now
+	}
 	row.tokens = progress.Tokens
 	row.oldest = progress.Oldest
 	b.pace.Served(progress.Oldest, now)
--- a/internal/core/rollout/bookbatch.go
+++ b/internal/core/rollout/bookbatch.go
@@ -59,12 +59,21 @@
 			running = append(running, Running{
 				ID: core.SampleID{Group: id, Index: index}, Elapsed: now.Sub(row.startedAt), Tokens: row.tokens,
 				Rate: row.rate, Oldest: row.oldest, Moves: row.moves, Reruns: row.reruns, Scale: scale,
+				Still: row.still(now),
 			})
 		}
 	}
 	return running
 }
 
+// still returns for how long a running sample that has tokens has got no more.
+func (r *sampleRow) still(now time.Time) time.Duration {
+	if r.tokens == 0 {
+		return 0
+	}
+	return now.Sub(r.grewAt)
+}
+
 // dropStale makes finished samples pending that are too old for a trainer.
 func (b *Book) dropStale(trainer core.WeightVersion, bound uint64) int {
 	count := 0
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -136,6 +136,34 @@
 	}
 }
 
+// TestAStalledSampleMovesWithoutHistory replays the first step of a new
+// coordinator: one sample's stream stands still, and no others have finished
+// from which a usual rate could be told.
+func TestAStalledSampleMovesWithoutHistory(t *testing.T) {
+	policy := Policy{GroupsPerStep: 1, GroupSize: 2, MaxTokens: 12, Bound: 1}
+	now := time.Unix(0, 0)
+	book := NewBook(0)
+	book.Load(core.DeliveryRecord{}, []string{"p"})
+	book.Published(1, now)
+	runs := book.Start(policy, 2, now)
+	stalled, queued := runs[0], runs[1]
+	var moved []Work
+	for range 12 {
+		now = now.Add(reviewEvery)
+		book.Observe(stalled, Progress{Tokens: 4, Oldest: 1}, now)
+		book.Observe(queued, Progress{}, now) // waits for a slot, which is no stall
+		moved = append(moved, book.Review(policy, now).Move...)
+	}
+	if len(moved) == 0 || moved[0].Run != stalled.Run {
+		t.Fatalf("moved %v, want run %d", moved, stalled.Run)
+	}
+	for _, work := range moved {
+		if work.Run == queued.Run {
+			t.Error("a sample that waits for a slot was moved")
+		}
+	}
+}
+
 func TestSamplesAwaitNewWeightsByTheIdleWeight(t *testing.T) {
 	published := time.Unix(1000, 0)
 	const lag, work = 6 * time.Second, 24 * time.Second
--- a/internal/core/rollout/straggler.go
+++ b/internal/core/rollout/straggler.go
@@ -19,6 +19,9 @@
 	enoughSamples = 16
 	// settleTime is the shortest run after which a sample's rate counts.
 	settleTime = 2 * time.Second
+	// stallTime is how long a sample that has tokens may get no more before it
+	// moves whatever is known of others: longer than a swap of weights pauses it.
+	stallTime = 10 * time.Second
 	// moveGain is how many times faster a sample must be predicted to finish
 	// elsewhere.
 	moveGain = 2.0
@@ -43,7 +46,8 @@
 	Oldest  core.WeightVersion // zero while it has no token
 	Moves   int
 	Reruns  int
-	Scale   float64 // of its group
+	Scale   float64       // of its group
+	Still   time.Duration // since its last token
 }
 
 // Action says what to do with a running sample.
@@ -110,8 +114,15 @@
 
 // fasterElsewhere compares the predicted rest of a sample where it runs with
 // its rest at the usual rate in tokens a second, after its prefix was read in again.
+// A stalled sample needs no such history.
 func fasterElsewhere(r *Running, history *History, usual float64, maxTokens int) bool {
-	if r.Moves >= MaxMoves || r.Elapsed < settleTime || history.Rates.Count() < enoughSamples {
+	if r.Moves >= MaxMoves || r.Elapsed < settleTime {
+		return false
+	}
+	if r.Still >= stallTime {
+		return true
+	}
+	if history.Rates.Count() < enoughSamples {
 		return false
 	}
 	tokens := RemainingTokens(&history.Tokens, r.Scale, r.Tokens, maxTokens, 0.5)
--- a/internal/tables/rollouts.go
+++ b/internal/tables/rollouts.go
@@ -31,14 +31,16 @@
 	mu      lockrank.Mutex
 	rows    map[core.DeploymentName]*rolloutRow
 	opened  uint64
-	changed map[core.DeploymentName]chan struct{} // closed and dropped at every change
+	learned map[core.DeploymentName]rollout.Learned // by the work that was closed last
+	changed map[core.DeploymentName]chan struct{}   // closed and dropped at every change
 }
 
 // NewRollouts returns a table without deployments.
 func NewRollouts() *Rollouts {
 	return &Rollouts{
 		mu:   lockrank.New(lockrank.RankRollouts),
-		rows: make(map[core.DeploymentName]*rolloutRow), changed: make(map[core.DeploymentName]chan struct{}),
+		rows: make(map[core.DeploymentName]*rolloutRow), learned: make(map[core.DeploymentName]rollout.Learned),
+		changed: make(map[core.DeploymentName]chan struct{}),
 	}
 }
 
@@ -59,7 +61,12 @@
 		return RolloutLoad{fence, row.reload}, !row.loaded && !now.Before(row.loadFrom)
 	}
 	t.opened++
-	t.rows[name] = &rolloutRow{fence: fence, book: rollout.NewBook(t.opened * runsPerOpening)}
+	book := rollout.NewBook(t.opened * runsPerOpening)
+	if row != nil {
+		t.learned[name] = row.book.Learned()
+	}
+	book.Inherit(t.learned[name])
+	t.rows[name] = &rolloutRow{fence: fence, book: book}
 	t.notify(name)
 	return RolloutLoad{Fence: fence}, true
 }
@@ -73,6 +80,7 @@
 		return nil
 	}
 	delete(t.rows, name)
+	t.learned[name] = row.book.Learned()
 	t.notify(name)
 	return row.book.Running()
 }
--- a/internal/tables/rollouts_test.go
+++ b/internal/tables/rollouts_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/rollout"
 )
 
 // TestStaleLoadIsNotTaken lets a reading arrive that began before a reload: its
@@ -42,6 +43,28 @@
 	}
 }
 
+// TestReopenedWorkKeepsWhatWasLearned closes a deployment's work and opens it
+// again, as when the lease is not trusted for a moment: what its finished
+// samples told must not have to be learned anew.
+func TestReopenedWorkKeepsWhatWasLearned(t *testing.T) {
+	const samples = 20
+	rollouts := NewRollouts()
+	now := time.Unix(1, 0)
+	policy := rollout.Policy{GroupsPerStep: 1, GroupSize: samples, MaxTokens: 12, Bound: 1}
+	load, _ := rollouts.Open("d", 1, now)
+	rollouts.Load("d", load, core.Row{}, []string{"p"})
+	for _, work := range rollouts.Start("d", 1, policy, 1, samples, now) {
+		rollouts.Generated("d", 1, work, 12, now.Add(time.Second))
+	}
+	rollouts.Close("d")
+	load, _ = rollouts.Open("d", 1, now)
+	rollouts.Load("d", load, core.Row{}, []string{"p"})
+	learned := rollouts.rows["d"].book.Learned()
+	if got := learned.History.Tokens.Count(); got != samples {
+		t.Errorf("%d samples learned from after the work was opened again, want %d", got, samples)
+	}
+}
+
 func TestUnreadablePromptsAreNotReadAtEveryLook(t *testing.T) {
 	rollouts := NewRollouts()
 	start := time.Unix(1, 0)
