Let strong VMs coordinate: keep announced power, and take back only own leases

The coordinator ran on a VM of 0.192 cores (184 MB by its start line), too slow to read the events of 44 engines. Two reasons: the view of announced members dropped their power, so that every VM counted as strong; and for 10 s after a start each process competed for every lease, not only for one of its own VM.

Ruled out: the search for ended jobs itself (once per 0.1 s, one read); a lost reply of the store (none at the time).

Change: members keep their power; after a start a process that is no candidate takes a lease only if its VM holds it; a lease that was left is followed anew when the process is a candidate again, which it was not before. A test each, all failing before.

--- a/internal/app/relay/coordinate.go
+++ b/internal/app/relay/coordinate.go
@@ -62,10 +62,15 @@
 			// back, as in a rolling restart: each change of coordinator costs
 			// seconds without orders.
 			_, held := s.leases.Held(name, s.ports.Clock.Now())
-			if held || s.mayReclaim(len(live)) || lease.IsCandidate(name, s.options.Self.VM, live) {
-				wanted[name] = true
+			switch {
+			case held || lease.IsCandidate(name, s.options.Self.VM, live):
 				s.leases.Follow(name)
+			case s.mayReclaim(len(live)):
+				s.leases.Reclaim(name)
+			default:
+				continue
 			}
+			wanted[name] = true
 		}
 	}
 	for _, name := range s.leases.Names() {
@@ -81,7 +86,7 @@
 // at a start of all.
 const reclaimMembers = 100
 
-// mayReclaim reports whether this process is to follow every lease, as an
+// mayReclaim reports whether this process is to look at every lease, as an
 // earlier process of its VM may have held it: after a restart, or an outage of
 // the store in which all processes died.
 func (s *Service) mayReclaim(members int) bool {
--- a/internal/core/announce/view.go
+++ b/internal/core/announce/view.go
@@ -79,7 +79,7 @@
 		live = append(live, core.Member{
 			VM: id, Incarnation: known.record.Incarnation, CallAddress: known.record.CallAddress,
 			PeerAddress: known.record.PeerAddress,
-			Zone:        known.record.Zone, Region: known.record.Region,
+			Zone:        known.record.Zone, Region: known.record.Region, Power: known.record.Power,
 		})
 	}
 	slices.SortFunc(live, func(a, b core.Member) int { return cmp.Compare(a.VM, b.VM) })
--- a/internal/core/announce/view_test.go
+++ b/internal/core/announce/view_test.go
@@ -44,6 +44,22 @@
 	}
 }
 
+// TestStrongMembersAreFoundAmongTheAnnounced gives a fleet of unequal VMs: what a
+// VM announces of its power must reach the choice of coordinators.
+func TestStrongMembersAreFoundAmongTheAnnounced(t *testing.T) {
+	found := rows(map[core.VMID]uint64{"strong": 1, "weak": 1})
+	for id, power := range map[core.VMID]int{"strong": 800, "weak": 192} {
+		record := found[id]
+		record.Power = power
+		found[id] = record
+	}
+	view := NewView()
+	view.Observe(found, at(0))
+	if strong := Strong(view.Live()); len(strong) != 1 || strong[0].VM != "strong" {
+		t.Errorf("strong members %+v, want strong alone", strong)
+	}
+}
+
 func TestALeavingMemberIsNotListed(t *testing.T) {
 	found := rows(map[core.VMID]uint64{"a": 1, "b": 1})
 	leaving := found["b"]
--- a/internal/core/lease/decide.go
+++ b/internal/core/lease/decide.go
@@ -39,16 +39,25 @@
 		return Action{Kind: ActionRead}
 	}
 	takeover := t.takeoverAt()
-	if !now.Before(takeover) {
+	if t.mayTake() && !now.Before(takeover) {
 		return Action{Kind: ActionAcquire, Commit: t.acquireCommit(id)}
 	}
 	readAgain := t.readAt.Add(t.timing.RenewEvery)
 	if !now.Before(readAgain) {
 		return Action{Kind: ActionRead}
 	}
+	if !t.mayTake() {
+		return Action{Kind: ActionWait, Until: readAgain}
+	}
 	return Action{Kind: ActionWait, Until: earlier(takeover, readAgain)}
 }
 
+// mayTake reports whether this process may take the lease when it is free.
+func (t *Tracker) mayTake() bool {
+	record, found := t.lease.Record.(core.LeaseRecord)
+	return !t.reclaiming || found && !record.Released && record.Holder == t.self.VM
+}
+
 // decideLeaving gives the lease up once no order of this holder, or of a
 // holder before it, can still have an effect.
 func (t *Tracker) decideLeaving(now time.Time, id core.AttemptID) Action {
--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -217,3 +217,36 @@
 		t.Error("no order is allowed once the ended process's last one has ended")
 	}
 }
+
+// TestAReclaimingProcessTakesNoOtherLease restarts all processes at a time: one
+// that only looks for its VM's lease must leave free and foreign leases to the
+// candidates, as it may run on a VM that is too weak for the work.
+func TestAReclaimingProcessTakesNoOtherLease(t *testing.T) {
+	own, ownFence := taken(5, false)
+	own.Record = core.LeaseRecord{Holder: "vm1", Incarnation: 2, Term: timing.Term}
+	foreign, foreignFence := taken(5, false)
+	released, releasedFence := taken(5, true)
+	missing, missingFence := absent()
+	for _, c := range []struct {
+		name         string
+		lease, fence core.Row
+		want         bool
+	}{
+		{"its VM's", own, ownFence, true},
+		{"of another VM that is gone", foreign, foreignFence, false},
+		{"released", released, releasedFence, false},
+		{"never held", missing, missingFence, false},
+	} {
+		tracker := newTracker()
+		tracker.ReclaimOnly()
+		tracker.Observe(c.lease, c.fence, at(0))
+		tracker.Observe(c.lease, c.fence, at(60))
+		if got := tracker.Decide(at(60), "a").Kind == ActionAcquire; got != c.want {
+			t.Errorf("%s: taken = %v, want %v", c.name, got, c.want)
+		}
+		tracker.Compete()
+		if got := tracker.Decide(at(60), "b").Kind; got != ActionAcquire {
+			t.Errorf("%s: a candidate wants to %v", c.name, got)
+		}
+	}
+}
--- a/internal/core/lease/tracker.go
+++ b/internal/core/lease/tracker.go
@@ -29,6 +29,7 @@
 	lastOrder    time.Time // when the last order to such an engine was allowed
 	renewAt      time.Time
 	leaving      bool
+	reclaiming   bool // only a lease of an earlier process of this VM is taken
 	pending      *pendingCommit
 }
 
@@ -47,6 +48,13 @@
 	return &Tracker{name: name, self: self, timing: timing}
 }
 
+// Compete lets the tracker take the lease whenever it is free.
+func (t *Tracker) Compete() { t.reclaiming = false }
+
+// ReclaimOnly lets the tracker take the lease only if an earlier process of
+// this VM holds it.
+func (t *Tracker) ReclaimOnly() { t.reclaiming = true }
+
 // Observe takes the two rows of Keys as read in one Read; now is the time at
 // which the reply arrived. Rows that arrive while a commit is in flight are
 // ignored, because they may be older than its effect, and so are rows older
--- a/internal/tables/leases.go
+++ b/internal/tables/leases.go
@@ -35,9 +35,25 @@
 func (t *Leases) Follow(name string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.rows[name] == nil {
-		t.rows[name] = &leaseRow{tracker: lease.New(name, t.self, t.timing)}
+	t.row(name).tracker.Compete()
+}
+
+// Reclaim starts to follow a lease and to take it back if an earlier process of
+// this VM holds it.
+func (t *Leases) Reclaim(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.row(name).tracker.ReclaimOnly()
+}
+
+// row returns a lease's row. A lease that was left is followed anew.
+func (t *Leases) row(name string) *leaseRow {
+	row := t.rows[name]
+	if row == nil || !row.busy && row.tracker.Left() {
+		row = &leaseRow{tracker: lease.New(name, t.self, t.timing)}
+		t.rows[name] = row
 	}
+	return row
 }
 
 // Leave starts to release a lease.
--- /dev/null
+++ b/internal/tables/leases_test.go
@@ -0,0 +1,30 @@
+package tables
+
+import (
+	"testing"
+	"time"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/core/lease"
+)
+
+// TestALeaseThatWasLeftIsFollowedAgain lets a process be no candidate for a
+// moment, as when members flap: it must not stay out for good.
+func TestALeaseThatWasLeftIsFollowedAgain(t *testing.T) {
+	timing := lease.Timing{Term: 10 * time.Second, RenewEvery: 3 * time.Second, Margin: time.Second}
+	leases := NewLeases(lease.Self{VM: "vm1", Incarnation: 1}, timing)
+	now := time.Unix(1000, 0)
+	leaseKey, fenceKey := lease.Keys("x")
+	leases.Follow("x")
+	if action := leases.Begin("x", now, "a"); action.Kind != lease.ActionRead {
+		t.Fatalf("first action %v", action.Kind)
+	}
+	leases.Leave("x")
+	leases.End("x", func(tracker *lease.Tracker) {
+		tracker.Observe(core.Row{Key: leaseKey}, core.Row{Key: fenceKey}, now)
+	})
+	leases.Follow("x")
+	if action := leases.Begin("x", now, "b"); action.Kind != lease.ActionRead {
+		t.Errorf("after it was left and followed again: %v, want %v", action.Kind, lease.ActionRead)
+	}
+}
