--- a/internal/core/announce/view.go
+++ b/internal/core/announce/view.go
@@ -18,6 +18,10 @@
 	// missedBeats is how many intervals without a change make a member gone:
 	// one may be lost and one late.
 	missedBeats = 3
+	// gapShare is the part of an interval that a gap between two reads counts at
+	// most. A longer one tells that reads failed, and perhaps writes too; after
+	// it a member that lives needs up to one interval to write again.
+	gapShare = 0.5
 	// smallestEvery is the interval of a small system.
 	smallestEvery = 500 * time.Millisecond
 	// beatsPerSecond bounds the announcements of all members together, a
@@ -63,9 +67,7 @@
 			v.rows[id] = &row{record: record}
 			continue
 		}
-		// A longer gap between two reads tells that reads failed, and perhaps
-		// writes too.
-		known.still += min(passed, 2*record.Every)
+		known.still += min(passed, time.Duration(gapShare*float64(record.Every)))
 	}
 }
 
--- a/internal/core/announce/view_test.go
+++ b/internal/core/announce/view_test.go
@@ -46,6 +46,24 @@
 
 // TestStrongMembersAreFoundAmongTheAnnounced gives a fleet of unequal VMs: what a
 // VM announces of its power must reach the choice of coordinators.
+// TestMembersAreKeptUntilTheyCanWriteAgain lets an outage begin when a member is
+// about to write, and gives it one interval after the outage.
+func TestMembersAreKeptUntilTheyCanWriteAgain(t *testing.T) {
+	view := NewView()
+	row := rows(map[core.VMID]uint64{"a": 1})
+	look := every.Seconds() / 4
+	now := 0.0
+	for ; now < every.Seconds(); now += look {
+		view.Observe(row, at(now))
+	}
+	for now += 10; now < 10+2*every.Seconds(); now += look {
+		view.Observe(row, at(now))
+		if len(view.Live()) == 0 {
+			t.Fatalf("gone %.2f s after the outage", now-10-every.Seconds())
+		}
+	}
+}
+
 func TestStrongMembersAreFoundAmongTheAnnounced(t *testing.T) {
 	found := rows(map[core.VMID]uint64{"strong": 1, "weak": 1})
 	for id, power := range map[core.VMID]int{"strong": 800, "weak": 192} {
