Eject what fails also while all are slow; push back from engines that refuse

By the coordinator's log 6,718 runs ended by a reset at five engines (2,792 at one, in 8 s), and bursts of refusals came from one engine each (445 in a second). The servers that reset were not ejected, as the pool counted as sagging: runs take longer at full load than before it. The one that refused had nothing in flight and so looked like the best place for every run that waited. And weak VMs still coordinated: a VM outside the strong ones was ranked among them.

Ruled out: the bound on ejected servers (5 of 44, bound 14); engines that load weights (counted apart already).

--- a/internal/app/relay/coordinate.go
+++ b/internal/app/relay/coordinate.go
@@ -55,7 +55,7 @@
 func (s *Service) tend() {
 	wanted := make(map[string]bool)
 	if s.servesNewWork() {
-		live := announce.Strong(s.members.Live())
+		live := s.members.Live()
 		for _, service := range s.coordinated() {
 			name := coordinatorLease(service)
 			// A holder keeps its lease when processes that rank before it come
@@ -63,7 +63,7 @@
 			// seconds without orders.
 			_, held := s.leases.Held(name, s.ports.Clock.Now())
 			switch {
-			case held || lease.IsCandidate(name, s.options.Self.VM, live):
+			case held || announce.IsCandidate(name, s.options.Self.VM, live):
 				s.leases.Follow(name)
 			case s.mayReclaim(len(live)):
 				s.leases.Reclaim(name)
--- a/internal/app/relay/events.go
+++ b/internal/app/relay/events.go
@@ -113,6 +113,6 @@
 		return core.RelayResponse{}, "", err
 	}
 	r := <-result
-	s.servers.Release(begun, routing.Result{Outcome: outcomeOf(r.err, r.response.Status)}, s.ports.Clock.Now())
+	s.servers.Release(begun, resultOf(r.err, r.response.Status), s.ports.Clock.Now())
 	return r.response, begun.VM.ID, r.err
 }
--- a/internal/app/relay/forward.go
+++ b/internal/app/relay/forward.go
@@ -186,20 +186,23 @@
 	return core.KindPlain
 }
 
-// outcomeOf says what an attempt's end tells of its backend server.
-func outcomeOf(err error, status int) outlier.Outcome {
+// resultOf says what an attempt's end tells of its backend server. A refusal
+// tells that it has no room now, not that it is worse than others.
+func resultOf(err error, status int) routing.Result {
 	switch {
 	case err == nil && status < 500:
-		return outlier.Succeeded
+		return routing.Result{Outcome: outlier.Succeeded}
 	case errkind.Is(err, errkind.Canceled):
-		return outlier.Abandoned
+		return routing.Result{Outcome: outlier.Abandoned}
+	case errkind.Is(err, errkind.ServerRefused):
+		return routing.Result{Outcome: outlier.Abandoned, Refused: true}
 	default:
-		return outlier.Failed
+		return routing.Result{Outcome: outlier.Failed}
 	}
 }
 
 func (s *Service) attemptEnded(c *call, begun routing.Dispatch, response core.RelayResponse, err error) {
-	s.servers.Release(begun, routing.Result{Outcome: outcomeOf(err, response.Status)}, s.ports.Clock.Now())
+	s.servers.Release(begun, resultOf(err, response.Status), s.ports.Clock.Now())
 	c.exclude = append(c.exclude, begun.VM.ID)
 	again := c.attempt < max(1, c.route.Attempts) && c.ctx.Err() == nil
 	switch {
--- a/internal/app/relay/run.go
+++ b/internal/app/relay/run.go
@@ -213,7 +213,7 @@
 	case ending != job.Whole:
 		outcome = outlier.Failed
 	}
-	s.servers.Release(begun, routing.Result{Outcome: outcome, Tokens: start.Item.Tokens}, now)
+	s.servers.Release(begun, routing.Result{Outcome: outcome, Refused: ending == job.Refused, Tokens: start.Item.Tokens}, now)
 	s.jobs.With(service, func(b *job.Book) { b.Ended(start.Work, begun.VM.ID, ending, now) })
 	line := s.log.Info()
 	if ending == job.Whole {
--- a/internal/core/announce/view.go
+++ b/internal/core/announce/view.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/lease"
 )
 
 const (
@@ -114,6 +115,14 @@
 // counts as strong.
 const strongShare = 0.75
 
+// IsCandidate reports whether a process follows the lease on a coordinator's
+// work: it runs on a strong VM and ranks among the first of those.
+func IsCandidate(name string, self core.VMID, live []core.Member) bool {
+	strong := Strong(live)
+	listed := slices.ContainsFunc(strong, func(m core.Member) bool { return m.VM == self })
+	return listed && lease.IsCandidate(name, self, strong)
+}
+
 // Strong returns the members on strong VMs. A coordinator reads all events of
 // a service's runs: on a VM of a fifth of a core it would be the bottleneck.
 func Strong(live []core.Member) []core.Member {
--- a/internal/core/announce/view_test.go
+++ b/internal/core/announce/view_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/lease"
 )
 
 const every = 500 * time.Millisecond
@@ -78,6 +79,31 @@
 	}
 }
 
+// TestNoWeakVMIsACandidate goes over a fleet in which weak VMs outnumber strong
+// ones, so that many of them rank before the strong.
+func TestNoWeakVMIsACandidate(t *testing.T) {
+	var live []core.Member
+	for i := range 40 {
+		live = append(live, core.Member{VM: core.VMID(fmt.Sprint("vm-", i)), Power: 192})
+	}
+	for i := range 4 {
+		live = append(live, core.Member{VM: core.VMID(fmt.Sprint("strong-", i)), Power: 800})
+	}
+	candidates := 0
+	for _, member := range live {
+		if !IsCandidate("x", member.VM, live) {
+			continue
+		}
+		candidates++
+		if member.Power != 800 {
+			t.Errorf("%s with %d thousandths of a core is a candidate", member.VM, member.Power)
+		}
+	}
+	if candidates != lease.Candidates {
+		t.Errorf("%d candidates, want %d", candidates, lease.Candidates)
+	}
+}
+
 func TestALeavingMemberIsNotListed(t *testing.T) {
 	found := rows(map[core.VMID]uint64{"a": 1, "b": 1})
 	leaving := found["b"]
--- a/internal/core/outlier/outlier_test.go
+++ b/internal/core/outlier/outlier_test.go
@@ -93,6 +93,15 @@
 			}
 			return succeeds(usualTook)
 		}, func(ejected []int, most int) bool { return most == 3 && ejected[8] == 0 }},
+		{"all slow under load, one fails", func(i, s int) Result {
+			if i == 4 && s >= 70 {
+				return failed
+			}
+			if s >= 60 {
+				return succeeds(5 * usualTook)
+			}
+			return succeeds(usualTook)
+		}, func(ejected []int, most int) bool { return most == 1 && ejected[4] >= 30 }},
 		{"a killing request and its restart", func(i, s int) Result {
 			if i == 4 && s == 30 {
 				return Result{Outcome: Killed}
--- a/internal/core/outlier/pool.go
+++ b/internal/core/outlier/pool.go
@@ -13,7 +13,7 @@
 	servers []*Server
 	ejected int
 	away    int // unreachable servers
-	sagging bool
+	sag     sag
 	usual   medians // of long ago; zero until the first median
 	swept   time.Time
 	scratch []float64
@@ -54,7 +54,7 @@
 func (p *Pool) Away() int { return p.away }
 
 // Sagging reports whether the whole pool was slow or failing at the last Sweep.
-func (p *Pool) Sagging() bool { return p.sagging }
+func (p *Pool) Sagging() bool { return p.sag != sag{} }
 
 // Ramp returns the time over which a returning server regains its weight.
 func (p *Pool) Ramp() time.Duration { return p.policy.Ramp }
@@ -77,7 +77,7 @@
 	if server.consecutive < p.policy.ConsecutiveFailures {
 		return false
 	}
-	return p.eject(server, now, random)
+	return p.eject(server, forFailing, now, random)
 }
 
 // Sweep ends the ejections that are due, looks for a sag and compares the
@@ -89,12 +89,15 @@
 	p.findSag(current, now)
 	p.learnUsual(current, now)
 	p.swept = now
-	if !current.ok || p.sagging {
+	if !current.ok {
 		return
 	}
 	for _, server := range p.servers {
-		if !server.Ejected() && p.isOutlier(server, current, now) {
-			p.eject(server, now, random)
+		if server.Ejected() {
+			continue
+		}
+		if why, found := p.outlier(server, current, now); found {
+			p.eject(server, why, now, random)
 		}
 	}
 }
@@ -118,12 +121,13 @@
 	p.ejected--
 }
 
-// eject takes a server out unless the pool sags or too many are out already.
-func (p *Pool) eject(server *Server, now time.Time, random *rand.Rand) bool {
-	if p.sagging || p.ejected >= p.maxEjected() {
+// eject takes a server out unless the pool sags in the same way or too many are
+// out already.
+func (p *Pool) eject(server *Server, why reason, now time.Time, random *rand.Rand) bool {
+	if p.sag.covers(why) || p.ejected >= p.maxEjected() {
 		return false
 	}
-	server.eject(&p.policy, now, random)
+	server.eject(&p.policy, why, now, random)
 	p.ejected++
 	return true
 }
@@ -135,10 +139,14 @@
 	return min(bound, reachable-1)
 }
 
-func (p *Pool) isOutlier(server *Server, current medians, now time.Time) bool {
+// outlier compares a server with its pool's medians.
+func (p *Pool) outlier(server *Server, current medians, now time.Time) (why reason, found bool) {
 	if server.results < p.policy.MinResults || now.Sub(server.lastResult) > p.policy.PeerWindow {
-		return false
+		return 0, false
+	}
+	if server.success < p.policy.SuccessFactor*current.success {
+		return forFailing, true
 	}
 	slow := max(p.policy.LatencyFactor*current.perToken, p.policy.LatencyFloor.Seconds())
-	return server.success < p.policy.SuccessFactor*current.success || server.perToken > slow
+	return forSlowness, server.perToken > slow
 }
--- a/internal/core/outlier/reach.go
+++ b/internal/core/outlier/reach.go
@@ -37,7 +37,7 @@
 // Unreachable it may be wrong, as when all servers are slow, and keeps to the
 // bound on ejections.
 func (p *Pool) Silent(server *Server, now time.Time) bool {
-	if server.unreachable.IsZero() && (p.sagging || p.ejected+p.away >= p.maxEjected()) {
+	if server.unreachable.IsZero() && (p.Sagging() || p.ejected+p.away >= p.maxEjected()) {
 		return false
 	}
 	return p.Unreachable(server, now)
--- a/internal/core/outlier/sag.go
+++ b/internal/core/outlier/sag.go
@@ -6,6 +6,28 @@
 	"time"
 )
 
+// reason says for what a server was ejected.
+type reason int
+
+// The reasons.
+const (
+	forFailing reason = iota + 1
+	forSlowness
+)
+
+// sag says in which ways a whole pool is worse than usual.
+type sag struct {
+	failing bool
+	slow    bool
+}
+
+// covers reports whether the sag accounts for what a server would be ejected
+// for. While all are slow, as under the highest load, one that fails still
+// stands out.
+func (s sag) covers(why reason) bool {
+	return why == forFailing && s.failing || why == forSlowness && s.slow
+}
+
 // medians computes the medians over the servers with a recent result, ejected
 // ones included: in a sag those ejected at its onset belong to the picture.
 func (p *Pool) medians(now time.Time) medians {
@@ -33,15 +55,17 @@
 }
 
 // findSag compares the medians with the usual ones. At the onset of a sag the
-// recent ejections end: they were its first signs, not outliers.
+// recent ejections for the same reason end: they were its first signs, not
+// outliers.
 func (p *Pool) findSag(current medians, now time.Time) {
-	was := p.sagging
-	p.sagging = current.ok && p.usual.ok && p.isSag(current)
-	if !p.sagging || was {
-		return
+	was := p.sag
+	p.sag = sag{}
+	if current.ok && p.usual.ok {
+		p.sag = p.sagOf(current)
 	}
+	onset := sag{failing: p.sag.failing && !was.failing, slow: p.sag.slow && !was.slow}
 	for _, server := range p.servers {
-		if server.ejected && now.Sub(server.ejectedAt) <= p.policy.SagOnset {
+		if server.ejected && onset.covers(server.why) && now.Sub(server.ejectedAt) <= p.policy.SagOnset {
 			server.ejections = max(0, server.ejections-1)
 			p.restore(server, now)
 			server.returnedAt = time.Time{}
@@ -49,9 +73,11 @@
 	}
 }
 
-func (p *Pool) isSag(current medians) bool {
-	return current.perToken > p.policy.SagLatency*p.usual.perToken ||
-		current.success < p.policy.SagSuccess*p.usual.success
+func (p *Pool) sagOf(current medians) sag {
+	return sag{
+		failing: current.success < p.policy.SagSuccess*p.usual.success,
+		slow:    current.perToken > p.policy.SagLatency*p.usual.perToken,
+	}
 }
 
 // learnUsual moves the usual medians slowly towards the current ones, also in a
--- a/internal/core/outlier/server.go
+++ b/internal/core/outlier/server.go
@@ -40,6 +40,7 @@
 	lastResult   time.Time
 	ejections    int // ejections not yet forgiven
 	ejected      bool
+	why          reason // of the current or last ejection
 	ejectedAt    time.Time
 	until        time.Time // end of the ejection
 	returnedAt   time.Time // zero when the server was never ejected
@@ -98,7 +99,7 @@
 }
 
 // eject takes the server out of service.
-func (s *Server) eject(policy *Policy, now time.Time, random *rand.Rand) {
+func (s *Server) eject(policy *Policy, why reason, now time.Time, random *rand.Rand) {
 	length := policy.MaxEjection
 	if s.ejections < maxDoublings {
 		length = min(length, policy.BaseEjection<<s.ejections)
@@ -108,6 +109,7 @@
 		s.ejections++
 	}
 	s.ejected = true
+	s.why = why
 	s.ejectedAt = now
 	s.until = now.Add(length + jitter)
 }
--- a/internal/core/routing/candidate.go
+++ b/internal/core/routing/candidate.go
@@ -1,6 +1,10 @@
 package routing
 
-import "fescuespar/internal/core"
+import (
+	"time"
+
+	"fescuespar/internal/core"
+)
 
 // Candidate is what filters and scorers see of one server at the time of a
 // decision.
@@ -10,15 +14,16 @@
 	Version  core.WeightVersion // of the adapter; zero when not known
 	Lag      uint64             // versions behind the newest of the adapter in the pool
 	Ejected  bool
-	Weight   float64 // share of the usual work that it may get, above 0 and up to 1
-	Streams  int     // this process's requests in flight there
-	Warm     bool    // a connection to it is probably kept
-	Load     float64 // estimated tokens of prompts and answers before the request
-	Base     float64 // seconds for a token of work on an idle server
-	Slope    float64 // further seconds for each token of load
-	Cached   float64 // expected tokens of the prompt that are cached
-	Remote   bool    // in another region than the asking entry VM
-	LinkOpen bool    // the link's share has room for the request
+	Weight   float64       // share of the usual work that it may get, above 0 and up to 1
+	Streams  int           // this process's requests in flight there
+	Warm     bool          // a connection to it is probably kept
+	Load     float64       // estimated tokens of prompts and answers before the request
+	Base     float64       // seconds for a token of work on an idle server
+	Slope    float64       // further seconds for each token of load
+	Cached   float64       // expected tokens of the prompt that are cached
+	Remote   bool          // in another region than the asking entry VM
+	LinkOpen bool          // the link's share has room for the request
+	Pushback time.Duration // for which it is to get less work after a refusal
 
 	server *server
 	cost   float64 // seconds, set when the candidate is scored
--- a/internal/core/routing/decide.go
+++ b/internal/core/routing/decide.go
@@ -114,6 +114,7 @@
 		Cached:   cached,
 		Remote:   row.vm.Region != d.query.Region,
 		LinkOpen: d.linkOpen,
+		Pushback: row.pushback.left(d.now),
 		server:   row,
 	}
 }
--- a/internal/core/routing/filter_test.go
+++ b/internal/core/routing/filter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"fescuespar/internal/core"
 )
@@ -30,6 +31,9 @@
 		{"same region, link used up", LinkFilter{}, Candidate{}, Query{}, true},
 		{"other region, link used up", LinkFilter{}, Candidate{Remote: true}, Query{}, false},
 		{"other region, link open", LinkFilter{}, Candidate{Remote: true, LinkOpen: true}, Query{}, true},
+		{"has refused, work that waits", PushbackFilter{}, Candidate{Pushback: time.Second}, Query{InSlot: true}, false},
+		{"refused long ago", PushbackFilter{}, Candidate{}, Query{InSlot: true}, true},
+		{"has refused, a caller", PushbackFilter{}, Candidate{Pushback: time.Second}, Query{}, true},
 	}
 	for _, c := range cases {
 		if got := c.filter.Keep(&c.candidate, &c.query); got != c.want {
--- a/internal/core/routing/query.go
+++ b/internal/core/routing/query.go
@@ -69,6 +69,7 @@
 // Result says how a dispatch ended.
 type Result struct {
 	Outcome outlier.Outcome
-	Tokens  int // tokens produced, zero when not known
-	Bytes   int // bytes that crossed the link if any did, zero when not known
+	Refused bool // the server ran nothing: it has no room, or takes no connection
+	Tokens  int  // tokens produced, zero when not known
+	Bytes   int  // bytes that crossed the link if any did, zero when not known
 }
--- a/internal/core/routing/scorer_test.go
+++ b/internal/core/routing/scorer_test.go
@@ -28,6 +28,7 @@
 		{"full weight", WaitScorer{}, idle, with(func(c *Candidate) { c.Weight = 0.5 })},
 		{"own region", LinkScorer{Policy: DefaultPolicy().Link}, idle, with(func(c *Candidate) { c.Remote = true })},
 		{"own zone", ZoneScorer{Trip: time.Millisecond}, idle, with(func(c *Candidate) { c.VM = &core.VM{Zone: "z2"} })},
+		{"has not refused", PushbackScorer{}, idle, with(func(c *Candidate) { c.Pushback = time.Second })},
 		{"newest version", LagScorer{}, idle, with(func(c *Candidate) { c.Lag = 1 })},
 	}
 	for _, c := range cases {
--- a/internal/core/routing/server.go
+++ b/internal/core/routing/server.go
@@ -20,6 +20,7 @@
 	placed   []placement // cells that list the server; empty while it gets no work
 	load     load
 	health   outlier.Server
+	pushback pushback
 
 	slot     uint32  // place in State.slots
 	epoch    uint32  // changes when the cache is lost
--- a/internal/core/routing/state.go
+++ b/internal/core/routing/state.go
@@ -42,9 +42,10 @@
 		prefixes:  newPrefixIndex(&policy),
 		link:      newLink(policy.Link),
 		processes: 1,
-		filters:   []Filter{LiveFilter{}, HealthFilter{}, VersionFilter{}, ExcludeFilter{}, SlotFilter{}, LinkFilter{}},
+		filters:   []Filter{LiveFilter{}, HealthFilter{}, VersionFilter{}, ExcludeFilter{}, SlotFilter{}, PushbackFilter{}, LinkFilter{}},
 		scorers: []Scorer{
 			WaitScorer{}, LinkScorer{Policy: policy.Link}, ZoneScorer{Trip: policy.ZoneTrip}, LagScorer{}, ConnectScorer{Cost: policy.Connect},
+			PushbackScorer{},
 		},
 		picker: LeastCost{},
 	}
@@ -223,6 +224,11 @@
 		return
 	}
 	row.load.change(-1, -ended.Tokens, now)
+	if result.Refused {
+		row.pushback.refused(now)
+	} else if result.Outcome == outlier.Succeeded {
+		row.pushback.took()
+	}
 	work := ended.prefill + ended.answer
 	if result.Tokens > 0 {
 		work = ended.prefill + float64(result.Tokens)
