--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -126,7 +126,8 @@
 
 // testOnly reports whether a path is of the fakes and contract suites.
 func testOnly(path string) bool {
-	return strings.Contains(path, "internal/ports/porttest") || strings.Contains(path, "internal/ports/backendtest")
+	return strings.Contains(path, "internal/ports/porttest") || strings.Contains(path, "internal/ports/backendtest") ||
+		strings.Contains(path, "platform/standin")
 }
 
 func TestProductStartsNoProcessAndNeedsNoStandin(t *testing.T) {
