Keep all processes' reads within the store's rate

Cause: each process reads routes, registrations and members three times a second whatever the number of processes; 610 of them make 7,300 reads a second, more than the 6,000 that a grown store takes, and the members' rows alone grow with the square (docs/CAPACITY.md).

Change: a decision in core/announce: looks at what others publish together take a quarter of the store's reads, which the settings tell; members are read three times in one of their intervals. TestReadsStayWithinTheStoresRate goes to 610 processes.

Before and after: at 10 and 59 processes the first is as it was (0.3 s), members are read each 0.39 s at 59; at 610 routes each 1.22 s (a change must be in force within 4 s), members each 4 s: 1,150 reads a second in place of 7,300, worked out.

--- a/cmd/fescuespar/relay.go
+++ b/cmd/fescuespar/relay.go
@@ -96,7 +96,7 @@
 		},
 		Seed: uint64(incarnation), Seeds: loaded.Seeds, Workers: relayWorkers, AddressKeep: loaded.AddressKeep,
 		OrdersApart: loaded.OrdersApart, Grace: loaded.Grace, RegistryBack: loaded.RegistryBack, Reclaim: reclaimTime,
-		ResultBytes: loaded.RowBytes * 3 / 4,
+		ResultBytes: loaded.RowBytes * 3 / 4, StoreReads: loaded.StoreReads,
 	}, relay.Ports{
 		Tables: platform, Objects: platform, Registry: platform, Bodies: bodycodec.Codec{},
 		Backend: worker.New(), Clock: bootclock.Clock{},
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -14,6 +14,7 @@
 	"fescuespar/internal/app/commits"
 	"fescuespar/internal/app/tenure"
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/announce"
 	"fescuespar/internal/core/lease"
 	"fescuespar/internal/metrics"
 	"fescuespar/internal/ports"
@@ -40,6 +41,7 @@
 	AddressKeep  time.Duration // how long callers may keep the entry addresses
 	OrdersApart  time.Duration // between the orders of two holders to one engine
 	Grace        time.Duration // from the signal to stop until the process is killed
+	StoreReads   int           // reads a second that the table service takes of all processes; zero for no bound
 	ResultBytes  int           // longest result that a row holds
 	Reclaim      time.Duration // after the start, in which leases of an earlier process of this VM are looked for
 	RegistryBack time.Duration // after an outage, until all living servers are registered again
@@ -79,7 +81,7 @@
 
 // Intervals of the periodic work.
 const (
-	watchEvery = 300 * time.Millisecond // an eighth of the time in which a change must be in force
+	watchEvery = 300 * time.Millisecond // an eighth of the time in which a change must be in force; longer in a large fleet
 	tendEvery  = 100 * time.Millisecond
 	sweepEvery = time.Second
 )
@@ -188,22 +190,36 @@
 
 // Start begins the periodic work.
 func (s *Service) Start() {
-	s.every(watchEvery, s.watchPublished)
-	s.every(watchEvery, s.watchServers)
-	s.every(watchEvery, s.watchMembers)
-	s.every(tendEvery, s.tend)
-	s.every(sweepEvery, func() { s.servers.Sweep(s.ports.Clock.Now()) })
+	s.every(s.readEvery, s.watchPublished)
+	s.every(s.readEvery, s.watchServers)
+	s.every(s.lookEvery, s.watchMembers)
+	s.every(always(tendEvery), s.tend)
+	s.every(always(sweepEvery), func() { s.servers.Sweep(s.ports.Clock.Now()) })
 	s.announce()
 }
 
+func always(interval time.Duration) func() time.Duration {
+	return func() time.Duration { return interval }
+}
+
+// readEvery returns the interval between looks at what others publish.
+func (s *Service) readEvery() time.Duration {
+	return announce.ReadEvery(watchEvery, len(s.members.Live()), s.options.StoreReads)
+}
+
+// lookEvery returns the interval between reads of the members.
+func (s *Service) lookEvery() time.Duration {
+	return announce.LookEvery(watchEvery, len(s.members.Live()))
+}
+
 // every runs a step now and then at an interval until the process has stopped.
-func (s *Service) every(interval time.Duration, step workers.Step) {
+func (s *Service) every(interval func() time.Duration, step workers.Step) {
 	s.pool.MustEnqueue(core.ClassControl, func() {
 		if phase, _ := s.lifecycle.Phase(); phase == tables.PhaseStopped {
 			return
 		}
 		step()
-		s.timers.After(interval, core.ClassControl, func() { s.every(interval, step) })
+		s.timers.After(interval(), core.ClassControl, func() { s.every(interval, step) })
 	})
 }
 
--- a/internal/core/announce/view.go
+++ b/internal/core/announce/view.go
@@ -35,6 +35,35 @@
 	return max(smallestEvery, time.Duration(members)*time.Second/beatsPerSecond)
 }
 
+const (
+	// readShare is the part of the table service's reads that all members
+	// together take to follow what others publish; jobs and leases need the rest.
+	readShare = 0.25
+	// followed is how many reads one look at everything takes: routes with
+	// versions, backend servers, members.
+	followed = 3
+	// looksPerBeat is how often members are read in one interval of theirs. Each
+	// read brings all of them, so that it must not grow with the square.
+	looksPerBeat = 3
+)
+
+// ReadEvery returns the interval between one member's looks at what others
+// publish, at least the given one, so that all members stay within their part
+// of the table service's reads a second. Zero reads a second set no bound.
+func ReadEvery(least time.Duration, members, readsPerSecond int) time.Duration {
+	if readsPerSecond <= 0 {
+		return least
+	}
+	budget := readShare * float64(readsPerSecond)
+	return max(least, time.Duration(float64(members*followed)/budget*float64(time.Second)))
+}
+
+// LookEvery returns the interval between one member's reads of all members, at
+// least the given one.
+func LookEvery(least time.Duration, members int) time.Duration {
+	return max(least, Every(members)/looksPerBeat)
+}
+
 type row struct {
 	record core.MemberRecord
 	still  time.Duration // for which the row was seen unchanged
--- a/internal/core/announce/view_test.go
+++ b/internal/core/announce/view_test.go
@@ -129,6 +129,25 @@
 	}
 }
 
+// TestReadsStayWithinTheStoresRate goes up to the two-year size at the rates of
+// a grown site: 6,000 reads a second, a change in force everywhere within 4 s.
+func TestReadsStayWithinTheStoresRate(t *testing.T) {
+	const reads, least, inForce = 6000, 300 * time.Millisecond, 4 * time.Second
+	for _, members := range []int{1, 10, 59, 300, 610} {
+		each, look := ReadEvery(least, members, reads), LookEvery(least, members)
+		perSecond := float64(members) * (2/each.Seconds() + 1/look.Seconds())
+		if perSecond > reads/2 {
+			t.Errorf("%d members read %.0f times a second, want at most half of %d", members, perSecond, reads)
+		}
+		if each < least || each > inForce/4 {
+			t.Errorf("%d members look at routes each %v, want %v to %v", members, each, least, inForce/4)
+		}
+		if rows := float64(members) / look.Seconds(); rows > 1000 {
+			t.Errorf("each of %d members reads %.0f rows a second, want at most 1,000", members, rows)
+		}
+	}
+}
+
 func TestAnnouncementsStayWithinTheStoresRate(t *testing.T) {
 	for _, members := range []int{1, 10, 100, 610} {
 		perSecond := float64(members) / Every(members).Seconds()
