--- a/internal/core/announce/view.go
+++ b/internal/core/announce/view.go
@@ -39,9 +39,9 @@
 	// readShare is the part of the table service's reads that all members
 	// together take to follow what others publish; jobs and leases need the rest.
 	readShare = 0.25
-	// followed is how many reads one look at everything takes: routes with
-	// versions, backend servers, members.
-	followed = 3
+	// followed is how many reads one look takes: routes with versions, and
+	// backend servers.
+	followed = 2
 	// looksPerBeat is how often members are read in one interval of theirs. Each
 	// read brings all of them, so that it must not grow with the square.
 	looksPerBeat = 3
