--- a/internal/core/job/pace.go
+++ b/internal/core/job/pace.go
@@ -9,8 +9,9 @@
 
 const (
 	// slowFactor is how many times the median time between events an engine
-	// needs to count as slow. A full batch costs an engine less than that.
-	slowFactor = 1.6
+	// needs to count as slow. The weakest engine of a service (1.3 times the
+	// others' time) with a full batch (1.28 times that of a small one) needs less.
+	slowFactor = 1.8
 	// paceWeight is the weight of the newest interval: about five events tell.
 	paceWeight = 0.3
 	// paceEvents is how many intervals are needed for a judgement.
--- a/internal/core/job/pace_test.go
+++ b/internal/core/job/pace_test.go
@@ -22,6 +22,7 @@
 // at two and a half times the usual time, a full batch, and a sag of all.
 func TestSlowEngines(t *testing.T) {
 	const usual, full, slow = 36 * time.Millisecond, 43 * time.Millisecond, 90 * time.Millisecond
+	const weak, weakFull, twice = 47 * time.Millisecond, 60 * time.Millisecond, 76 * time.Millisecond
 	cases := []struct {
 		name      string
 		intervals []time.Duration
@@ -29,6 +30,8 @@
 	}{
 		{"two of nine", []time.Duration{usual, usual, full, usual, slow, usual, full, usual, slow}, []core.ServerID{"e4", "e8"}},
 		{"a full batch", []time.Duration{usual, full, usual}, nil},
+		{"unequal engines, two with full batches", []time.Duration{usual, weak, usual, weakFull, usual, weakFull, usual, usual, weak}, nil},
+		{"one at half its speed", []time.Duration{usual, weak, usual, twice, usual}, []core.ServerID{"e3"}},
 		{"a sag of all", []time.Duration{slow, slow, slow, slow}, nil},
 		{"more than half", []time.Duration{usual, slow, slow, slow}, nil},
 		{"too few to compare", []time.Duration{usual, slow}, nil},
