Stay with a peer that serves while the own way to the store is cut

The coordinator's log shows 12 to 60 results listed a second in that time in place of some 200: the store turned the coordinator's VM away, with a third of all, and each of its calls went through another peer drawn at random: a new QUIC handshake each, and every third peer was turned away as well, whose refusal or remembered answer was taken as the answer.

Ruled out: the engines (runs ended at their usual rate), a change of coordinator (none).

Change: calls stay with the peer that served last; one that is turned away too, or only remembers, is passed over while there are others. TestCallsStayWithAPeerThatServes fails without it.

--- a/internal/adapters/detour/detour.go
+++ b/internal/adapters/detour/detour.go
@@ -13,6 +13,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -46,10 +47,11 @@
 	blocked atomic.Bool // a copy of down that the node reads
 
 	// mu guards all fields below.
-	mu      lockrank.Mutex
-	down    bool
-	probeAt time.Time
-	cut     chan struct{} // closed when the direct way goes down
+	mu        lockrank.Mutex
+	down      bool
+	probeAt   time.Time
+	preferred string        // peer that served last, empty for none
+	cut       chan struct{} // closed when the direct way goes down
 }
 
 var _ http.RoundTripper = (*Way)(nil)
@@ -260,35 +262,100 @@
 
 var errNoPeer = errors.New("no peer can make the call")
 
-// aside sends a call through a peer. It counts as sent once a peer has it.
+// aside sends a call through a peer. It counts as sent once a peer has it. A
+// peer that is turned away too, or only remembers an answer, is passed over
+// while there are others.
 func (w *Way) aside(request *http.Request) (*http.Response, error) {
-	peers := w.peers()
+	peers := w.inOrder(w.peers())
 	if len(peers) == 0 {
 		return w.node.straight(request.Clone(request.Context()))
 	}
+	var second *http.Response // better than none
 	var last error = errNoPeer
-	first := rand.IntN(len(peers))
-	for i := range min(peersAsked, len(peers)) {
-		response, sent, err := w.node.call(request, peers[(first+i)%len(peers)])
+	for _, peer := range peers {
+		response, sent, err := w.node.call(request, peer)
 		if sent {
 			if trace := httptrace.ContextClientTrace(request.Context()); trace != nil && trace.GotConn != nil {
 				trace.GotConn(httptrace.GotConnInfo{})
 			}
 		}
-		if err == nil {
+		if err == nil && !refused(response) && !old(response) {
+			w.prefer(peer)
+			discard(second)
 			return response, nil
 		}
+		w.passOver(peer)
+		if err == nil {
+			second = better(second, response)
+			continue
+		}
 		last = err
 		if sent && request.Method != http.MethodGet {
-			break
+			discard(second)
+			return nil, last
 		}
 	}
+	if second != nil {
+		return second, nil
+	}
 	return nil, last
 }
 
+// inOrder returns the peers to ask: the one that served last, then others at
+// random. To stay with one spares a handshake with another for each call.
+func (w *Way) inOrder(peers []string) []string {
+	w.mu.Lock()
+	preferred := w.preferred
+	w.mu.Unlock()
+	var order []string
+	if slices.Contains(peers, preferred) {
+		order = append(order, preferred)
+	}
+	for _, at := range rand.Perm(len(peers)) {
+		if len(order) >= peersAsked {
+			break
+		}
+		if peers[at] != preferred {
+			order = append(order, peers[at])
+		}
+	}
+	return order
+}
+
+func (w *Way) prefer(peer string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.preferred = peer
+}
+
+func (w *Way) passOver(peer string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.preferred == peer {
+		w.preferred = ""
+	}
+}
+
+// better returns the better of two second-best answers: one that is remembered
+// rather than a refusal.
+func better(known, other *http.Response) *http.Response {
+	if known == nil {
+		return other
+	}
+	if refused(known) && old(other) {
+		known, other = other, known
+	}
+	discard(other)
+	return known
+}
+
 // refused reports whether the platform says that it did nothing.
 func refused(response *http.Response) bool {
 	return response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests
 }
 
-func discard(response *http.Response) { _ = response.Body.Close() }
+func discard(response *http.Response) {
+	if response != nil {
+		_ = response.Body.Close()
+	}
+}
--- a/internal/adapters/detour/detour_test.go
+++ b/internal/adapters/detour/detour_test.go
@@ -308,3 +308,42 @@
 		t.Errorf("%d of 2 reads reached the platform with the mark", marked.Load())
 	}
 }
+
+// TestCallsStayWithAPeerThatServes turns the process and two of three peers
+// away: calls must find the third, and then stay with it.
+func TestCallsStayWithAPeerThatServes(t *testing.T) {
+	var changes atomic.Int64
+	platform := platformServer(t, &changes)
+	host := strings.TrimPrefix(platform.URL, "http://")
+	links := make([]*switched, 4) // of the process itself and its peers
+	nodes := make([]*Node, len(links))
+	for i := range links {
+		links[i] = &switched{}
+		node, err := Listen("127.0.0.1:0", host, links[i])
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(node.Close)
+		nodes[i] = node
+	}
+	way := NewWay(links[0], nodes[0], func() []string {
+		return []string{nodes[1].Address(), nodes[2].Address(), nodes[3].Address()}
+	})
+	for _, turnedAway := range links[:3] {
+		turnedAway.refuse.Store(true)
+	}
+	for i := range 20 {
+		method := []string{http.MethodPost, http.MethodGet}[i%2]
+		if got, err := send(t, way, method, platform.URL+"/x", "", 2*time.Second); err != nil || got != "/x:" {
+			t.Fatalf("call %d: %q, %v", i, got, err)
+		}
+	}
+	if asked := links[1].calls.Load() + links[2].calls.Load(); asked > 2 {
+		t.Errorf("peers that are turned away were asked %d times, want once each at most", asked)
+	}
+	links[3].refuse.Store(true)
+	links[1].refuse.Store(false)
+	if got, err := send(t, way, http.MethodGet, platform.URL+"/x", "", 2*time.Second); err != nil || got != "/x:" {
+		t.Errorf("after the peer is turned away as well: %q, %v", got, err)
+	}
+}
