Log when servers are ejected and return; give a moved sample its time

Cause: read as a newcomer: an ejection changes what a process believes and had no log line on the relay path, and a sample that was moved for a stall counted as stalled again a second later, as the time of its last token stayed.

Tests for both.

--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -194,7 +194,7 @@
 	s.every(s.readEvery, s.watchServers)
 	s.every(s.lookEvery, s.watchMembers)
 	s.every(always(tendEvery), s.tend)
-	s.every(always(sweepEvery), func() { s.servers.Sweep(s.ports.Clock.Now()) })
+	s.every(always(sweepEvery), s.sweepServers)
 	s.announce()
 }
 
--- a/internal/app/relay/watch.go
+++ b/internal/app/relay/watch.go
@@ -131,6 +131,17 @@
 	}
 }
 
+// sweepServers ejects and returns backend servers, and logs which.
+func (s *Service) sweepServers() {
+	ejected, back := s.servers.Sweep(s.ports.Clock.Now())
+	for _, id := range ejected {
+		s.log.Warn().Str("server", string(id)).Msg("backend server ejected: it fails or is slow")
+	}
+	for _, id := range back {
+		s.log.Info().Str("server", string(id)).Msg("backend server gets work again")
+	}
+}
+
 // statusOf returns what a registration tells of an engine's weights. A model's
 // weights are what the product's own engines call an adapter: what one engine
 // holds several of, each with a version.
--- a/internal/core/rollout/bookbatch.go
+++ b/internal/core/rollout/bookbatch.go
@@ -33,6 +33,7 @@
 		work := Work{ID: step.ID, Run: row.run}
 		if step.Action == Move {
 			row.moves++
+			row.grewAt = now // it may stall anew where it goes
 			orders.Move = append(orders.Move, work)
 			continue
 		}
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -154,13 +154,8 @@
 		book.Observe(queued, Progress{}, now) // waits for a slot, which is no stall
 		moved = append(moved, book.Review(policy, now).Move...)
 	}
-	if len(moved) == 0 || moved[0].Run != stalled.Run {
-		t.Fatalf("moved %v, want run %d", moved, stalled.Run)
-	}
-	for _, work := range moved {
-		if work.Run == queued.Run {
-			t.Error("a sample that waits for a slot was moved")
-		}
+	if len(moved) != 1 || moved[0].Run != stalled.Run {
+		t.Fatalf("moved %v, want run %d once: one that waits for a slot stays, and one that was moved gets its time", moved, stalled.Run)
 	}
 }
 
--- a/internal/core/routing/state.go
+++ b/internal/core/routing/state.go
@@ -300,6 +300,18 @@
 	}
 }
 
+// Ejected returns the servers that get no new work because they fail, are slow
+// or cannot be reached, sorted by id.
+func (s *State) Ejected() []core.ServerID {
+	var ids []core.ServerID
+	for _, row := range s.rows {
+		if row.health.Ejected() {
+			ids = append(ids, row.vm.ID)
+		}
+	}
+	return ids
+}
+
 // Server returns a listed server.
 func (s *State) Server(id core.ServerID) (core.VM, bool) {
 	row := s.servers[id]
--- a/internal/tables/servers.go
+++ b/internal/tables/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"fescuespar/internal/core"
@@ -18,6 +19,7 @@
 	random *rand.Rand
 	listed bool                   // a VM list has been taken
 	asked  map[core.ServerID]bool // servers that are being asked whether they live
+	out    []core.ServerID        // ejected at the last Sweep
 }
 
 // NewServers returns a table without servers.
@@ -144,11 +146,30 @@
 	t.state.End(ended, result, now, t.random)
 }
 
-// Sweep ejects outlying servers and returns those whose time is over.
-func (t *Servers) Sweep(now time.Time) {
+// Sweep ejects outlying servers and returns those whose time is over. It returns
+// which servers get no more work, and which get work again, since the last Sweep.
+func (t *Servers) Sweep(now time.Time) (ejected, back []core.ServerID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.state.Sweep(now, t.random)
+	before := t.out
+	t.out = t.state.Ejected()
+	back = slices.DeleteFunc(without(before, t.out), func(id core.ServerID) bool {
+		_, listed := t.state.Server(id)
+		return !listed
+	})
+	return without(t.out, before), back
+}
+
+// without returns the ids of a sorted list that are not in another one.
+func without(ids, others []core.ServerID) []core.ServerID {
+	var rest []core.ServerID
+	for _, id := range ids {
+		if _, found := slices.BinarySearch(others, id); !found {
+			rest = append(rest, id)
+		}
+	}
+	return rest
 }
 
 // Server returns a listed server.
--- a/internal/tables/servers_test.go
+++ b/internal/tables/servers_test.go
@@ -3,8 +3,10 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/outlier"
 	"fescuespar/internal/core/routing"
 	"fescuespar/internal/errkind"
 )
@@ -22,3 +24,32 @@
 		t.Errorf("after a list without servers: %v, want kind %s", err, errkind.NoServer)
 	}
 }
+
+// TestSweepTellsEjectionsOnce fails all requests of one server of four, until it
+// is ejected, and then waits until its ejection is over.
+func TestSweepTellsEjectionsOnce(t *testing.T) {
+	servers := NewServers(rand.New(rand.NewPCG(1, 1)))
+	var vms []core.VM
+	for _, id := range []core.ServerID{"a", "b", "c", "d"} {
+		vms = append(vms, core.VM{ID: id, Kind: core.KindPlain, Service: "desk", State: core.VMLive})
+	}
+	servers.ApplyVMs(vms)
+	query := routing.Query{Kind: core.KindPlain, Service: "desk", Exclude: []core.ServerID{"b", "c", "d"}}
+	for range 3 {
+		begun, err := servers.Acquire(query, tableNow)
+		if err != nil {
+			t.Fatal(err)
+		}
+		servers.Release(begun, routing.Result{Outcome: outlier.Failed}, tableNow)
+	}
+	if out, back := servers.Sweep(tableNow); len(out) != 1 || out[0] != "a" || len(back) != 0 {
+		t.Errorf("ejected %v, back %v, want a ejected", out, back)
+	}
+	if out, back := servers.Sweep(tableNow); len(out)+len(back) != 0 {
+		t.Errorf("ejected %v, back %v a second time", out, back)
+	}
+	later := tableNow.Add(time.Minute)
+	if out, back := servers.Sweep(later); len(out) != 0 || len(back) != 1 || back[0] != "a" {
+		t.Errorf("ejected %v, back %v, want a back", out, back)
+	}
+}
