--- a/cmd/fescuespar/commands_test.go
+++ b/cmd/fescuespar/commands_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -224,6 +226,18 @@
 	access := []string{"--address", address, "--token", token}
 	closed := httptest.NewServer(nil)
 	closed.Close()
+	relayed := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != statePath {
+			w.WriteHeader(http.StatusNotFound)
+		}
+		_, _ = io.WriteString(w, `{"phase":"serving"}`)
+	}))
+	defer relayed.Close()
+	relayAddress := strings.TrimPrefix(relayed.URL, "http://")
+	broken := filepath.Join(t.TempDir(), "settings.toml")
+	if err := os.WriteFile(broken, []byte(`NodeName = "vm-1"`), 0o600); err != nil {
+		t.Fatal(err)
+	}
 	tests := []struct {
 		name    string
 		command flags.Commander
@@ -231,6 +245,12 @@
 		code    int
 		says    string
 	}{
+		{"check of settings with mistakes", &checkCommand{}, []string{"--settings", broken}, exitRefused, "availability_zone"},
+		{"check of relay settings with a mistake", &checkCommand{}, []string{"--relay-settings", broken}, exitRefused, "Zone is missing"},
+		{"the same as JSON", &checkCommand{}, []string{"--relay-settings", broken, "--output", "json"}, exitRefused, `"mistake": `},
+		{"check of no settings", &checkCommand{}, []string{"--settings", "testdata/none"}, exitRefused, "not_found"},
+		{"dump of a relay process", &dumpCommand{}, []string{"--relay", relayAddress}, exitOK, `{"phase":"serving"}`},
+		{"dump of no relay process", &dumpCommand{}, []string{"--relay", strings.TrimPrefix(closed.URL, "http://")}, exitUnreachable, "peer_unreachable"},
 		{"check", &checkCommand{}, []string{example}, exitOK, "no mistakes in 3 files"},
 		{"check without a directory", &checkCommand{}, nil, exitUsage, "DIR"},
 		{"check of an absent directory", &checkCommand{}, []string{"testdata/none"}, exitRefused, "not_found"},
--- a/cmd/fescuespar/dump.go
+++ b/cmd/fescuespar/dump.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net/http"
 
+	"fescuespar/internal/adapters/platformhttp"
 	"fescuespar/internal/errkind"
 )
 
@@ -13,7 +15,8 @@
 // dumpCommand shows a process's state, which is always JSON.
 type dumpCommand struct {
 	accessOptions
-	Args struct {
+	Relay bool `long:"relay" description:"a process on the users' platform: ADDRESS is its metrics address, no token is needed"`
+	Args  struct {
 		Address string `positional-arg-name:"ADDRESS" required:"yes" description:"callers' address of the process, host:port"`
 	} `positional-args:"yes"`
 }
@@ -22,11 +25,15 @@
 func (*dumpCommand) LongDescription() string {
 	return `Prints the state of the entry process at ADDRESS as JSON.
 
-Example: fescuespar dump 192.0.2.7:8080 --token-file operator.token` + exitCodesHelp
+Example: fescuespar dump 192.0.2.7:8080 --token-file operator.token
+Example: fescuespar dump --relay 192.0.2.7:9464` + exitCodesHelp
 }
 
 // Execute runs the command.
 func (c *dumpCommand) Execute([]string) error {
+	if c.Relay {
+		return c.dumpRelay()
+	}
 	client, err := c.client(c.Args.Address)
 	if err != nil {
 		return err
@@ -38,3 +45,18 @@
 	_, err = stdout.Write(append(state, '\n'))
 	return errkind.Wrap(errkind.Internal, err, "write the result")
 }
+
+// maxStateBytes bounds the state that is taken: some MB at the largest sites.
+const maxStateBytes = 64 << 20
+
+// dumpRelay shows the state that a relay process serves on its metrics address.
+func (c *dumpCommand) dumpRelay() error {
+	client := platformhttp.New("http://"+c.Args.Address, c.Timeout)
+	defer client.Close()
+	state, err := client.Do(context.Background(), platformhttp.Call{Method: http.MethodGet, Path: statePath, MaxReply: maxStateBytes})
+	if err != nil {
+		return errkind.Wrap(errkind.PeerUnreachable, err, "state of %s", c.Args.Address)
+	}
+	_, err = stdout.Write(append(state, '\n'))
+	return errkind.Wrap(errkind.Internal, err, "write the result")
+}
--- a/cmd/fescuespar/publish.go
+++ b/cmd/fescuespar/publish.go
@@ -18,6 +18,11 @@
 	register("publish", "Publish operators' files as one configuration", &publishCommand{})
 }
 
+// dirArgument is the directory that holds operators' files.
+type dirArgument struct {
+	Dir string `positional-arg-name:"DIR" required:"yes" description:"directory with operators' files below it"`
+}
+
 // publishCommand hands operators' files to the service.
 type publishCommand struct {
 	outputOption
--- a/cmd/fescuespar/relay.go
+++ b/cmd/fescuespar/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -109,7 +110,7 @@
 		handler http.Handler
 	}{
 		{loaded.Callers, callers.Callers()}, {loaded.Directory, callers.Directory()}, {loaded.Ready, callers.Readiness()},
-		{loaded.Metrics, metricstext.Handler(service.Metrics().Registry)},
+		{loaded.Metrics, observation(service, log)},
 	} {
 		if served.address == "" {
 			continue
@@ -129,6 +130,26 @@
 	return service, servers, nil
 }
 
+// Paths on the metrics address.
+const (
+	metricsPath = "/metrics"
+	statePath   = "/state"
+)
+
+// observation returns the handler for those who watch a process: its metrics as
+// text and the dump of its state as JSON.
+func observation(service *relay.Service, log zerolog.Logger) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+metricsPath, metricstext.Handler(service.Metrics().Registry))
+	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(service.State()); err != nil {
+			log.Info().Err(err).Msg("state not written")
+		}
+	})
+	return mux
+}
+
 // reloadEvery is how often the settings file is looked at without a signal.
 const reloadEvery = 2 * time.Second
 
