Hold the first claim in the test that claims share commits

The fake table service answers at once, so whether calls overlap was left to the scheduler; when none does, each claim rightly has its own commit. Ruled out: a fault of the group commit. With the first claim's commit held, the other 59 always went into the next one. Change: the test holds the commit of one claim until the 59 others wait, releases it, and checks that the commit now in flight carries all of them. This is stricter than fewer than 120. With batches of one row (planted) it fails: 58 commits wait beside the one in flight. Conclusion: the test's clock was wrong, not the product.

--- a/internal/app/once_test.go
+++ b/internal/app/once_test.go
@@ -119,28 +119,49 @@
 	}
 }
 
-// TestClaimsShareCommits counts the commits of many claims at once.
+// TestClaimsShareCommits holds the commit of one claim while others come, and
+// checks that the next commit carries all of these.
 func TestClaimsShareCommits(t *testing.T) {
 	c := newCluster(t, 1)
-	const calls = 60
-	before := c.services[0].Metrics().TableCommits.Count()
+	const others = 59
+	held := claimFault(faults.Delay)
+	held.Count = 0
+	c.tables.Inject(held)
 	results := make(chan error)
-	for i := range calls {
-		go func() {
-			_, err := c.services[0].Call(c.ctx, sponsorship(fmt.Sprint("k", i)))
-			results <- err
-		}()
+	call := func(key string) {
+		_, err := c.services[0].Call(c.ctx, sponsorship(key))
+		results <- err
 	}
-	for range calls {
+	awaitCommit := func() {
+		t.Helper()
+		if err := c.tables.AwaitHeld(c.ctx, 1); err != nil {
+			t.Fatal(err)
+		}
+	}
+	go call("first")
+	awaitCommit()
+	for i := range others {
+		go call(fmt.Sprint("k", i))
+	}
+	c.await("the other claims wait", func() bool { return c.commitsWaiting(0) == others })
+	c.tables.ReleaseHeld()
+	awaitCommit()
+	const answers = 1 // the first call's answer may wait by now
+	if waiting := c.commitsWaiting(0); waiting > answers {
+		t.Errorf("%d commits wait beside the one in flight, want at most %d", waiting, answers)
+	}
+	c.tables.ClearFaults()
+	c.tables.ReleaseHeld()
+	for range others + 1 {
 		if err := <-results; err != nil {
 			t.Error(err)
 		}
 	}
-	commits := c.services[0].Metrics().TableCommits.Count() - before
-	t.Logf("%d commits for %d calls; one write each would be %d", commits, calls, 2*calls)
-	if commits >= 2*calls {
-		t.Errorf("%d commits for %d calls", commits, calls)
-	}
+}
+
+// commitsWaiting returns the number of a service's commits that wait for a batch.
+func (c *cluster) commitsWaiting(service int) int {
+	return c.services[service].State().(app.State).Commits
 }
 
 func TestOnceWithoutKeyIsRefused(t *testing.T) {
