--- a/cmd/fescuespar/dump.go
+++ b/cmd/fescuespar/dump.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"fescuespar/internal/adapters/platformhttp"
 	"fescuespar/internal/errkind"
@@ -49,13 +50,20 @@
 // maxStateBytes bounds the state that is taken: some MB at the largest sites.
 const maxStateBytes = 64 << 20
 
-// dumpRelay shows the state that a relay process serves on its metrics address.
-func (c *dumpCommand) dumpRelay() error {
-	client := platformhttp.New("http://"+c.Args.Address, c.Timeout)
+// relayState asks a relay process for its state at its metrics address. Errors:
+// PeerUnreachable.
+func relayState(address string, timeout time.Duration) ([]byte, error) {
+	client := platformhttp.New("http://"+address, timeout)
 	defer client.Close()
 	state, err := client.Do(context.Background(), platformhttp.Call{Method: http.MethodGet, Path: statePath, MaxReply: maxStateBytes})
+	return state, errkind.Wrap(errkind.PeerUnreachable, err, "state of %s", address)
+}
+
+// dumpRelay shows the state that a relay process serves on its metrics address.
+func (c *dumpCommand) dumpRelay() error {
+	state, err := relayState(c.Args.Address, c.Timeout)
 	if err != nil {
-		return errkind.Wrap(errkind.PeerUnreachable, err, "state of %s", c.Args.Address)
+		return err
 	}
 	_, err = stdout.Write(append(state, '\n'))
 	return errkind.Wrap(errkind.Internal, err, "write the result")
--- a/cmd/fescuespar/entry.go
+++ b/cmd/fescuespar/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -14,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"fescuespar/internal/adapters/httpfront"
+	"fescuespar/internal/adapters/logwrite"
 	"fescuespar/internal/adapters/settings"
 	"fescuespar/internal/app"
 	"fescuespar/internal/core"
@@ -38,7 +40,8 @@
 	if err != nil {
 		return err
 	}
-	log := newLogger(loaded)
+	log, output := newLogger(loaded)
+	defer func() { _ = output.Close() }() // the process ends: nothing is left to tell it to
 	parts, err := wire(loaded, log)
 	if err != nil {
 		return err
@@ -80,12 +83,12 @@
 // drainTimeout bounds the wait for requests in flight at a shutdown.
 const drainTimeout = 10 * time.Minute
 
-func newLogger(loaded *settings.Settings) zerolog.Logger {
+func newLogger(loaded *settings.Settings) (zerolog.Logger, io.Closer) {
 	level, err := zerolog.ParseLevel(string(loaded.LogLevel))
 	if err != nil {
 		level = zerolog.InfoLevel
 	}
-	return zerolog.New(os.Stdout).Level(level).With().Timestamp().Str("vm", string(loaded.VM)).Logger()
+	return logwrite.New(os.Stdout, string(loaded.VM), level, logLines)
 }
 
 func dumpState(service *app.Service, log zerolog.Logger) {
--- a/cmd/fescuespar/explain.go
+++ b/cmd/fescuespar/explain.go
@@ -3,55 +3,70 @@
 import (
 	"fmt"
 	"io"
-	"os"
+	"slices"
+	"strings"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 
 	"fescuespar/internal/adapters/logread"
+	"fescuespar/internal/core/logs"
 )
 
 // explainCommand tells one thing's story from the logs of several processes.
 type explainCommand struct {
 	outputOption
-	Args struct {
-		ID    string           `positional-arg-name:"ID" description:"id of a request, job, item, backend server or lease"`
+	Around time.Duration `long:"around" value-name:"DURATION" description:"add what the same VMs came to believe up to this long before"`
+	Args   struct {
+		ID    string           `positional-arg-name:"ID" description:"id of a request, job, item, backend server or lease, or FIELD=VALUE"`
 		Files []flags.Filename `positional-arg-name:"FILE" required:"1" description:"logs of processes; - reads standard input"`
 	} `positional-args:"yes" required:"yes"`
 }
 
 func init() {
-	register("explain", "Tell from logs what became of a request, job, item, backend server or lease. "+
-		"Example: fescuespar explain 7c41e09b52d6a3f8 entry-1.log", &explainCommand{})
+	register("explain", "Tell from logs what became of a request, job, item, backend server, lease or version", &explainCommand{})
+}
+
+// LongDescription returns the command's help.
+func (*explainCommand) LongDescription() string {
+	return `Prints the lines that name ID, in the order of time across VMs. FIELD=VALUE finds the lines in which a field has a value.
+
+Example: fescuespar explain 7c41e09b52d6a3f8 --around 10s entry-1.log entry-2.log
+Example: fescuespar explain version=17 entry-1.log` + exitCodesHelp
 }
 
 // Execute reads the logs and prints the story. Errors: usage for a file that
 // cannot be read.
 func (c *explainCommand) Execute([]string) error {
-	reader := logread.New(c.Args.ID)
-	for i, name := range c.Args.Files {
-		if len(c.Args.Files) > 1 {
-			fmt.Fprintf(os.Stderr, "\rreading %d of %d: %s", i+1, len(c.Args.Files), name)
-		}
-		if err := readLog(reader, string(name)); err != nil {
-			return usageError("%s: %s", name, err)
-		}
+	builder := logs.NewStory(c.Args.ID, c.Around)
+	var names []string
+	for _, name := range c.Args.Files {
+		names = append(names, string(name))
 	}
-	if len(c.Args.Files) > 1 {
-		fmt.Fprintln(os.Stderr)
+	if err := readLogs(names, logread.Size(names), builder); err != nil {
+		return err
 	}
-	story := reader.Story()
-	return c.print(story, story.Write)
+	story := builder.Story()
+	return c.print(story, func(w io.Writer) { writeStory(w, &story) })
 }
 
-func readLog(reader *logread.Reader, name string) error {
-	var log io.Reader = os.Stdin
-	if name != "-" {
-		file, err := os.Open(name)
-		if err != nil {
-			return err
+// writeStory writes a story as text. A line of context is marked with a dot.
+func writeStory(w io.Writer, story *logs.Story) {
+	named := 0
+	for i := range story.Lines {
+		line := &story.Lines[i]
+		mark := " "
+		if line.Context {
+			mark = "."
+		} else {
+			named++
+		}
+		var fields []string
+		for name, value := range line.Fields {
+			fields = append(fields, fmt.Sprintf("%s=%v", name, value))
 		}
-		defer file.Close()
-		log = file
+		slices.Sort(fields)
+		fmt.Fprintf(w, "%s %s  %-20s  %-5s  %s  %s\n", mark, line.Time.Format("15:04:05.000"), line.VM, line.Level, line.Message, strings.Join(fields, " "))
 	}
-	return reader.Read(log)
+	fmt.Fprintf(w, "%d of %d lines name %s; %d lines are damaged\n", named, story.Read, story.ID, story.Damaged)
 }
--- /dev/null
+++ b/cmd/fescuespar/logfiles.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"os"
+
+	"github.com/mattn/go-isatty"
+	"github.com/schollz/progressbar/v3"
+
+	"fescuespar/internal/adapters/logread"
+)
+
+// progressBytes is the size of logs from which progress is shown: smaller ones
+// are read in less than a second.
+const progressBytes = 32 << 20
+
+// readLogs reads log files and shows the progress on a terminal. Errors: usage
+// for a file that cannot be read.
+func readLogs(names []string, bytes int64, sink logread.Sink) error {
+	bar := progressbar.DefaultBytesSilent(bytes)
+	if bytes >= progressBytes && isatty.IsTerminal(os.Stderr.Fd()) {
+		bar = progressbar.DefaultBytes(bytes, "reading logs")
+	}
+	for _, name := range names {
+		if err := logread.ReadFile(name, sink, bar); err != nil {
+			return usageError("%s: %s", name, err)
+		}
+	}
+	return nil
+}
--- a/cmd/fescuespar/relay.go
+++ b/cmd/fescuespar/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -14,16 +13,17 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
 
 	"fescuespar/internal/adapters/bodycodec"
 	"fescuespar/internal/adapters/bootclock"
 	"fescuespar/internal/adapters/detour"
 	"fescuespar/internal/adapters/httpfront"
+	"fescuespar/internal/adapters/logwrite"
 	"fescuespar/internal/adapters/metricstext"
 	"fescuespar/internal/adapters/platformhttp"
 	"fescuespar/internal/app/relay"
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/logs"
 	"fescuespar/platform/front"
 	"fescuespar/platform/settings"
 	"fescuespar/platform/store"
@@ -39,8 +39,7 @@
 }
 
 const (
-	logTime       = "2006-01-02T15:04:05.000Z07:00" // lines of several VMs are put in order by it
-	storeTimeout  = 3 * time.Second                 // a slow store answers within it
+	storeTimeout  = 3 * time.Second // a slow store answers within it
 	relayWorkers  = 4
 	reclaimTime   = 10 * time.Second // longer than most outages of the store in which processes restart
 	memoryShare   = 0.6              // of the VM's memory that the heap may take
@@ -57,8 +56,8 @@
 	if err != nil {
 		return err
 	}
-	log, flush := relayLogger(loaded)
-	defer flush()
+	log, output := logwrite.New(os.Stdout, string(loaded.VM), zerolog.InfoLevel, logLines)
+	defer func() { _ = output.Close() }() // the process ends: nothing is left to tell it to
 	debug.SetMemoryLimit(int64(float64(loaded.MemoryBytes) * memoryShare))
 	service, servers, err := wireRelay(loaded, log)
 	if err != nil {
@@ -66,20 +65,10 @@
 	}
 	service.Start()
 	log.Info().Str("callers", loaded.Callers).Str("zone", string(loaded.Zone)).Str("store", loaded.Store).
-		Int64("memory_bytes", loaded.MemoryBytes).Msg("started")
+		Int64("memory_bytes", loaded.MemoryBytes).Msg(logs.Started)
 	return relayUntilSignal(loaded, service, servers, log)
 }
 
-// relayLogger returns a logger that never blocks, and what writes its last lines.
-func relayLogger(loaded *settings.Settings) (zerolog.Logger, func()) {
-	zerolog.TimeFieldFormat = logTime
-	writer := diode.NewWriter(os.Stdout, logLines, 0, func(missed int) {
-		fmt.Printf("{\"level\":\"warn\",\"dropped\":%d,\"message\":\"log lines dropped\"}\n", missed)
-	})
-	log := zerolog.New(writer).Level(zerolog.InfoLevel).With().Timestamp().Str("vm", string(loaded.VM)).Logger()
-	return log, func() { _ = writer.Close() }
-}
-
 func wireRelay(loaded *settings.Settings, log zerolog.Logger) (*relay.Service, []*http.Server, error) {
 	incarnation := newIncarnation()
 	direct := platformhttp.NewTransport()
--- /dev/null
+++ b/cmd/fescuespar/relaystatus.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"fescuespar/internal/app/relay"
+	"fescuespar/internal/core/routing"
+	"fescuespar/internal/errkind"
+)
+
+// relayStatus shows the state of a process on the users' platform.
+func (c *statusCommand) relayStatus() error {
+	encoded, err := relayState(c.Address, c.Timeout)
+	if err != nil {
+		return err
+	}
+	var state relay.State
+	if err := json.Unmarshal(encoded, &state); err != nil {
+		return errkind.Wrap(errkind.PeerUnreachable, err, "state of %s", c.Address)
+	}
+	return c.print(state, func(w io.Writer) { writeRelayStatus(w, &state) })
+}
+
+func writeRelayStatus(w io.Writer, state *relay.State) {
+	fmt.Fprintf(w, "%s, %d requests in flight, route table %d in force\n", state.Phase, state.InFlight, state.Routes)
+	for _, outage := range state.Outages {
+		fmt.Fprintf(w, "platform does not answer: %s, since %s\n", outage.Service, outage.Since.Format(time.RFC3339))
+	}
+	const minWidth, tabWidth, padding = 0, 0, 2
+	t := tabwriter.NewWriter(w, minWidth, tabWidth, padding, ' ', 0)
+	fmt.Fprintln(t, "\nVM\tSTATE\tZONE\tLOAD\tADDRESS")
+	for i := range state.Members {
+		m := &state.Members[i]
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\n", m.VM, m.State, m.Zone, m.Load, m.CallAddress)
+	}
+	fmt.Fprintln(t, "\nLEASE\tSTATE\tOWNER\tFENCE")
+	for _, l := range state.Leases {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\n", l.Name, l.State, orNone(l.Owner), l.Fence)
+	}
+	fmt.Fprintln(t, "\nJOB\tWAITING\tRUNNING\tUNSCORED\tUNSTORED\tSTORED")
+	for _, j := range state.Jobs {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\n", j.Job, j.Waiting, j.Running, j.Unscored, j.Unstored, j.Stored)
+	}
+	fmt.Fprintln(t, "\nSERVER WITHOUT NEW WORK\tSERVICE\tWHY")
+	for i := range state.Servers {
+		if why := withoutWork(&state.Servers[i]); why != "" {
+			fmt.Fprintf(t, "%s\t%s\t%s\n", state.Servers[i].VM.ID, state.Servers[i].VM.Service, why)
+		}
+	}
+	t.Flush()
+}
+
+// withoutWork says why a backend server gets no new work, empty if it does.
+func withoutWork(server *routing.View) string {
+	switch {
+	case server.Unreachable:
+		return "cannot be reached"
+	case server.Ejected:
+		return "is ejected until " + server.Until.Format(time.RFC3339)
+	default:
+		return ""
+	}
+}
--- /dev/null
+++ b/cmd/fescuespar/relaystatus_test.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"fescuespar/internal/app/relay"
+	"fescuespar/internal/core"
+	"fescuespar/internal/core/job"
+	"fescuespar/internal/core/routing"
+	"fescuespar/internal/errkind"
+	"fescuespar/internal/tables"
+)
+
+// printed runs a subcommand and returns its output.
+func printed(t *testing.T, command flags.Commander, args ...string) (string, error) {
+	t.Helper()
+	var out strings.Builder
+	before := stdout
+	stdout = &out
+	defer func() { stdout = before }()
+	_, err := flags.NewParser(command, flags.PassDoubleDash).ParseArgs(args)
+	if err == nil {
+		err = command.Execute(nil)
+	}
+	return out.String(), err
+}
+
+func TestStatusOfARelayProcess(t *testing.T) {
+	state := relay.State{
+		Phase: "serving", InFlight: 3, Routes: 17,
+		Outages: []core.PlatformOutage{{Service: "servers", Since: time.Unix(1e9, 0)}},
+		Members: []core.Member{{VM: "entry-2", State: core.MemberSuspect, Zone: "z", CallAddress: "10.0.0.2:80"}},
+		Leases:  []tables.LeaseState{{Name: "work|service/m", State: "held", Owner: "entry-1", Fence: 9}},
+		Jobs:    []job.Summary{{Job: "j-4", Running: 5, Stored: 7}},
+		Servers: []routing.View{
+			{VM: core.VM{ID: "i-1", Service: "m"}, Ejected: true, Until: time.Unix(1e9, 0)},
+			{VM: core.VM{ID: "i-2", Service: "m"}},
+		},
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if err := json.NewEncoder(w).Encode(state); err != nil {
+			t.Error(err)
+		}
+	}))
+	defer server.Close()
+	text, err := printed(t, &statusCommand{}, "--relay", "--address", strings.TrimPrefix(server.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"route table 17", "does not answer: servers", "entry-2", "suspect", "work|service/m", "j-4", "i-1", "ejected until"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("no %q in\n%s", want, text)
+		}
+	}
+	if strings.Contains(text, "i-2") {
+		t.Errorf("a server that gets work is listed:\n%s", text)
+	}
+	if _, err := printed(t, &statusCommand{}, "--relay", "--address", "127.0.0.1:1"); !errkind.Is(err, errkind.PeerUnreachable) {
+		t.Errorf("a process that is not there: %v", err)
+	}
+}
+
+const log = `{"level":"warn","vm":"entry-1","server":"i-3","why":"fails","time":"2026-12-04T10:00:01Z","message":"backend server ejected"}
+{"level":"info","vm":"entry-1","request":"r-7","attempt":1,"server":"i-3","why":"cut","time":"2026-12-04T10:00:02Z","message":"attempt failed"}
+{"level":"info","vm":"entry-1","request":"r-7","routes":17,"time":"2026-12-04T10:00:03Z","message":"request ended"}
+`
+
+func TestExplainAndReport(t *testing.T) {
+	directory := t.TempDir()
+	file := filepath.Join(directory, "entry-1.log")
+	if err := os.WriteFile(file, []byte(log), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		args []string
+		want []string
+		not  string
+	}{
+		{[]string{"r-7", file}, []string{"attempt failed", "2 of 3 lines name r-7"}, "ejected"},
+		{[]string{"--around", "10s", "r-7", file}, []string{". 10:00:01.000", "why=fails"}, ""},
+		{[]string{"routes=17", file}, []string{"request ended", "1 of 3 lines"}, "attempt failed"},
+	} {
+		text, err := printed(t, &explainCommand{}, c.args...)
+		if err != nil {
+			t.Errorf("%v: %v", c.args, err)
+		}
+		for _, want := range c.want {
+			if !strings.Contains(text, want) || c.not != "" && strings.Contains(text, c.not) {
+				t.Errorf("%v: want %q and not %q in\n%s", c.args, want, c.not, text)
+			}
+		}
+	}
+	page := filepath.Join(t.TempDir(), "report.html")
+	text, err := printed(t, &reportCommand{}, directory, "--page", page)
+	if err != nil || !strings.Contains(text, "requests: served") || !strings.Contains(text, "backend server ejected") {
+		t.Errorf("report: %v\n%s", err, text)
+	}
+	if drawn, err := os.ReadFile(page); err != nil || !strings.Contains(string(drawn), "<svg") {
+		t.Errorf("page: %v", err)
+	}
+	if _, err := printed(t, &reportCommand{}, t.TempDir(), "--page", page); exitCode(err) != exitUsage {
+		t.Errorf("an empty directory: %v", err)
+	}
+}
--- /dev/null
+++ b/cmd/fescuespar/report.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"text/tabwriter"
+
+	"fescuespar/internal/adapters/logread"
+	"fescuespar/internal/adapters/plots"
+	"fescuespar/internal/core/logs"
+	"fescuespar/internal/errkind"
+)
+
+// reportCommand draws what a directory of logs tells.
+type reportCommand struct {
+	outputOption
+	Page string `long:"page" default:"report.html" value-name:"FILE" description:"page with the charts"`
+	Args struct {
+		Directory string `positional-arg-name:"DIRECTORY" required:"yes" description:"directory with the logs of processes"`
+	} `positional-args:"yes"`
+}
+
+func init() {
+	register("report", "Draw what a directory of logs tells", &reportCommand{})
+}
+
+// LongDescription returns the command's help.
+func (*reportCommand) LongDescription() string {
+	return `Reads every file below DIRECTORY, prints requests by outcome, jobs, changes of belief and the volume of the logs, and draws them over time on a page.
+
+Example: fescuespar report logs/ --page report.html` + exitCodesHelp
+}
+
+// Execute reads the logs, writes the page and prints the figures. Errors: usage
+// for a directory that cannot be read or has no log.
+func (c *reportCommand) Execute([]string) error {
+	names, bytes, err := logread.Files(c.Args.Directory)
+	if err != nil {
+		return usageError("%s: %s", c.Args.Directory, err)
+	}
+	builder := logs.NewReport()
+	if err := readLogs(names, bytes, builder); err != nil {
+		return err
+	}
+	report := builder.Report()
+	if report.Volume.Lines == 0 {
+		return usageError("%s: no lines of a log in %d files", c.Args.Directory, len(names))
+	}
+	if err := writePage(c.Page, report); err != nil {
+		return err
+	}
+	return c.print(report, func(w io.Writer) { writeReport(w, report, c.Page) })
+}
+
+func writePage(name string, report *logs.Report) error {
+	file, err := os.Create(name)
+	if err != nil {
+		return usageError("%s", err)
+	}
+	if err := plots.Page(file, report); err != nil {
+		_ = file.Close() // the error before it says more
+		return err
+	}
+	return errkind.Wrap(errkind.Internal, file.Close(), "write %s", name)
+}
+
+func writeReport(w io.Writer, report *logs.Report, page string) {
+	const minWidth, tabWidth, padding = 0, 0, 2
+	t := tabwriter.NewWriter(w, minWidth, tabWidth, padding, ' ', 0)
+	v := &report.Volume
+	span := report.To.Sub(report.From).Seconds()
+	fmt.Fprintf(t, "lines\t%d of %d VMs in %.0f s, %d damaged, %d dropped\n", v.Lines, v.VMs, span, v.Damaged, v.Dropped)
+	fmt.Fprintf(t, "for each request or run\t%.2f lines, %.0f bytes\n", v.LinesPerRequest, v.BytesPerRequest)
+	fmt.Fprintf(t, "busiest second of a VM\t%d lines\n", v.BusiestSecond)
+	for _, outcome := range slices.Sorted(maps.Keys(report.Outcomes)) {
+		fmt.Fprintf(t, "requests: %s\t%d\n", outcome, report.Outcomes[outcome])
+	}
+	whole := 0
+	for i := range report.Jobs {
+		if job := &report.Jobs[i]; job.Items > 0 && job.Results >= job.Items {
+			whole++
+		}
+	}
+	fmt.Fprintf(t, "jobs\t%d, %d with results for all items\n", len(report.Jobs), whole)
+	for _, belief := range slices.Sorted(maps.Keys(report.Beliefs)) {
+		fmt.Fprintf(t, "%s\t%d\n", belief, report.Beliefs[belief])
+	}
+	t.Flush()
+	fmt.Fprintf(w, "charts: %s\n", page)
+}
--- a/cmd/fescuespar/status.go
+++ b/cmd/fescuespar/status.go
@@ -17,6 +17,7 @@
 type statusCommand struct {
 	outputOption
 	serviceOptions
+	Relay bool `long:"relay" description:"a process on the users' platform: the address is its metrics address, no token is needed"`
 }
 
 // memberOutput is an entry process in JSON output.
@@ -26,11 +27,17 @@
 func (*statusCommand) LongDescription() string {
 	return `Shows the generation in force, each entry process with its state, each deployment with its weight version, step, queue, samples in progress and owner, and warnings with the section of docs/OPERATIONS.md that says what to do.
 
-Example: fescuespar status --address 192.0.2.7:8080 --token-file operator.token` + exitCodesHelp
+With --relay it shows what one process on the users' platform believes: services of the platform that do not answer, members, leases, open jobs, and backend servers that get no work.
+
+Example: fescuespar status --address 192.0.2.7:8080 --token-file operator.token
+Example: fescuespar status --relay --address 192.0.2.7:9464` + exitCodesHelp
 }
 
 // Execute runs the command.
 func (c *statusCommand) Execute([]string) error {
+	if c.Relay {
+		return c.relayStatus()
+	}
 	status, err := fetch(c.serviceOptions, (*operatorclient.Client).Status)
 	if err != nil {
 		return err
--- a/internal/adapters/logread/logread_test.go
+++ b/internal/adapters/logread/logread_test.go
@@ -1,8 +1,14 @@
 package logread
 
 import (
+	"io"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
+
+	"fescuespar/internal/core/logs"
+	"fescuespar/internal/errkind"
 )
 
 const one = `   3.5 entry-1 {"level":"info","vm":"entry-1","request":"r-7","attempt":1,"server":"i-3","why":"cut","time":"2026-12-04T10:00:02.5Z","message":"attempt failed"}
@@ -15,24 +21,59 @@
 `
 
 func TestAStoryIsToldInTheOrderOfTimeAcrossVMs(t *testing.T) {
-	reader := New("r-7")
+	builder := logs.NewStory("r-7", 0)
 	for _, log := range []string{one, two} {
-		if err := reader.Read(strings.NewReader(log)); err != nil {
+		if err := Read(strings.NewReader(log), builder); err != nil {
 			t.Fatal(err)
 		}
 	}
-	story := reader.Story()
+	story := builder.Story()
 	if len(story.Lines) != 2 || story.Lines[0].VM != "entry-2" || story.Lines[1].Message != "attempt failed" {
 		t.Fatalf("story %+v", story.Lines)
 	}
 	if story.Read != 5 || story.Damaged != 2 {
 		t.Errorf("read %d, damaged %d; want 5 and 2", story.Read, story.Damaged)
 	}
-	var text strings.Builder
-	story.Write(&text)
-	for _, want := range []string{"10:00:01.000  entry-2", "server=i-3 why=cut", "2 of 5 lines name r-7; 2 lines are damaged"} {
-		if !strings.Contains(text.String(), want) {
-			t.Errorf("no %q in\n%s", want, text.String())
+}
+
+func TestFilesOfADirectoryAreReadWithProgress(t *testing.T) {
+	directory := t.TempDir()
+	for name, log := range map[string]string{"a/entry-1.log": one, "entry-2.log": two} {
+		path := filepath.Join(directory, name)
+		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, []byte(log), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	names, bytes, err := Files(directory)
+	if err != nil || len(names) != 2 || bytes != int64(len(one)+len(two)) || bytes != Size(names) {
+		t.Fatalf("files %v, %d bytes, %v", names, bytes, err)
+	}
+	builder := logs.NewReport()
+	var seen counter
+	for _, name := range names {
+		if err := ReadFile(name, builder, &seen); err != nil {
+			t.Fatal(err)
 		}
 	}
+	volume := builder.Report().Volume
+	if volume.Lines != 3 || volume.Damaged != 2 || volume.VMs != 2 || int64(seen) != bytes {
+		t.Errorf("volume %+v, progress %d of %d bytes", volume, seen, bytes)
+	}
+	if _, _, err := Files(filepath.Join(directory, "none")); !errkind.Is(err, errkind.BadRequest) {
+		t.Errorf("a directory that is not there: %v", err)
+	}
+	if err := ReadFile(filepath.Join(directory, "none"), builder, io.Discard); !errkind.Is(err, errkind.BadRequest) {
+		t.Errorf("a file that is not there: %v", err)
+	}
+}
+
+// counter counts the bytes written to it.
+type counter int64
+
+func (c *counter) Write(bytes []byte) (int, error) {
+	*c += counter(len(bytes))
+	return len(bytes), nil
 }
--- /dev/null
+++ b/internal/adapters/logwrite/logwrite.go
@@ -0,0 +1,31 @@
+// Package logwrite writes a process's log without ever waiting for the output.
+package logwrite
+
+import (
+	"io"
+
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+
+	"fescuespar/internal/core/logs"
+)
+
+// TimeFormat is that of a line's time: lines of several VMs are put in order by it.
+const TimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+// New returns a logger for lines of a level and above that keeps up to a number of lines for an output that is
+// slow. Beyond it the oldest lines are dropped, so that a request's last line
+// is never lost before its first; a line of its own counts the dropped ones.
+// Close writes what is left.
+func New(out io.Writer, vm string, level zerolog.Level, lines int) (log zerolog.Logger, output io.Closer) {
+	zerolog.TimeFieldFormat = TimeFormat
+	direct := logger(out, vm, level)
+	writer := diode.NewWriter(out, lines, 0, func(missed int) {
+		direct.Warn().Int("dropped", missed).Msg(logs.LinesDropped)
+	})
+	return logger(writer, vm, level), writer
+}
+
+func logger(out io.Writer, vm string, level zerolog.Level) zerolog.Logger {
+	return zerolog.New(out).Level(level).With().Timestamp().Str("vm", vm).Logger()
+}
--- /dev/null
+++ b/internal/adapters/logwrite/logwrite_test.go
@@ -0,0 +1,98 @@
+package logwrite
+
+import (
+	"bytes"
+	"io"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fescuespar/internal/adapters/logread"
+	"fescuespar/internal/core/logs"
+)
+
+// stuck is an output that takes nothing until it is released.
+type stuck struct {
+	released chan struct{}
+	text     bytes.Buffer
+}
+
+func (s *stuck) Write(line []byte) (int, error) {
+	<-s.released
+	return s.text.Write(line)
+}
+
+// TestAStuckOutputCostsTheOldestLines lets many requests log a first and a last
+// line, some of them overlapping, while the output takes nothing.
+func TestAStuckOutputCostsTheOldestLines(t *testing.T) {
+	const kept, requests = 64, 500
+	out := &stuck{released: make(chan struct{})}
+	log, closed := New(out, "entry-1", zerolog.InfoLevel, kept)
+	write := func(request int, message string) {
+		log.Info().Str("request", strconv.Itoa(request)).Msg(message)
+	}
+	began := time.Now()
+	for i := range requests {
+		write(i, "first")
+		if i >= 3 {
+			write(i-3, "last")
+		}
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("logging took %v while the output was stuck", took)
+	}
+	close(out.released)
+	if err := closed.Close(); err != nil {
+		t.Fatal(err)
+	}
+	seen := &lines{first: make(map[string]bool), last: make(map[string]bool)}
+	if err := logread.Read(&out.text, seen); err != nil {
+		t.Fatal(err)
+	}
+	for request := range seen.first {
+		if number, _ := strconv.Atoi(request); number < requests-3 && !seen.last[request] {
+			t.Errorf("request %s kept its first line and lost its last", request)
+		}
+	}
+	written := 2*requests - 3
+	if got := len(seen.first) + len(seen.last) + seen.dropped; got != written || seen.dropped == 0 || seen.damaged > 0 {
+		t.Errorf("%d lines kept, %d dropped, %d damaged; %d were written", len(seen.first)+len(seen.last), seen.dropped, seen.damaged, written)
+	}
+}
+
+type lines struct {
+	first, last      map[string]bool
+	dropped, damaged int
+}
+
+func (l *lines) Add(line logs.Line) {
+	request, _ := line.Fields["request"].(string)
+	switch line.Message {
+	case "first":
+		l.first[request] = true
+	case "last":
+		l.last[request] = true
+	case logs.LinesDropped:
+		count, _ := line.Fields["dropped"].(float64)
+		l.dropped += int(count)
+	}
+}
+
+func (l *lines) AddDamaged() { l.damaged++ }
+
+// BenchmarkLine measures the work of one line of a usual length.
+func BenchmarkLine(b *testing.B) {
+	log, closed := New(io.Discard, "front-qc-ouest-a-3", zerolog.InfoLevel, 4096)
+	defer func() { _ = closed.Close() }()
+	b.ReportAllocs()
+	for b.Loop() {
+		line(log)
+	}
+}
+
+func line(log zerolog.Logger) {
+	log.Info().Str("request", "7c41e09b52d6a3f8").Str("route", "adopter-lookup").Str("service", "adopt-portal").
+		Uint64("routes", 17).Int("attempts", 1).Int("status", 200).Dur("took", 12*time.Millisecond).Msg(logs.RequestEnded)
+}
--- a/internal/app/relay/coordinate.go
+++ b/internal/app/relay/coordinate.go
@@ -10,6 +10,7 @@
 	"fescuespar/internal/core/announce"
 	"fescuespar/internal/core/job"
 	"fescuespar/internal/core/lease"
+	"fescuespar/internal/core/logs"
 	"fescuespar/internal/core/route"
 	"fescuespar/internal/errkind"
 )
@@ -25,12 +26,12 @@
 		Timeout: commitTry, NewAttempt: s.newAttemptID,
 		Acquired: func(name string, holding lease.Holding) {
 			s.metrics.LeasesAcquired.Inc(1)
-			s.log.Info().Str("lease", name).Uint64("fence", uint64(holding.Fence)).Msg("lease acquired")
+			s.log.Info().Str("lease", name).Uint64("fence", uint64(holding.Fence)).Msg(logs.LeaseAcquired)
 			s.restoreTexts(strings.TrimPrefix(name, coordinatorLease("")))
 		},
 		Lost: func(name string) {
 			s.metrics.LeasesLost.Inc(1)
-			s.log.Info().Str("lease", name).Msg("lease lost")
+			s.log.Info().Str("lease", name).Msg(logs.LeaseLost)
 		},
 	}
 }
@@ -195,7 +196,7 @@
 	s.jobs.With(service, func(b *job.Book) { cancel = b.Close(id) })
 	s.runs.Cancel(cancel)
 	s.metrics.JobsEnded.Inc(1)
-	s.log.Info().Str("job", string(id)).Int("canceled", len(cancel)).Msg("job ended")
+	s.log.Info().Str("job", string(id)).Int("canceled", len(cancel)).Msg(logs.JobEnded)
 }
 
 // openTimeout bounds the reading of a job and its results.
@@ -251,7 +252,7 @@
 	}
 	s.jobs.With(service, func(b *job.Book) { b.Open(found, listed, policy, s.ports.Clock.Now()) })
 	s.log.Info().Str("job", string(found.ID)).Str("service", service).Int("items", len(found.Items)).
-		Int("listed", len(listed)).Uint64("oldest_version", uint64(found.Oldest)).Msg("job opened")
+		Int("listed", len(listed)).Uint64("oldest_version", uint64(found.Oldest)).Msg(logs.JobOpened)
 	s.runItems(service)
 }
 
--- a/internal/app/relay/fakes_test.go
+++ b/internal/app/relay/fakes_test.go
@@ -26,6 +26,7 @@
 
 	mu        sync.Mutex
 	published core.Published
+	away      error // what reads of routes and registrations end with, nil for an answer
 	servers   []core.ServerEntry
 	pace      time.Duration // between the events of a text
 	length    int           // events of a text
@@ -77,14 +78,14 @@
 func (s *site) Published(context.Context) (core.Published, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.published, nil
+	return s.published, s.away
 }
 
 // Servers implements ports.Registry.
 func (s *site) Servers(context.Context) (core.Registrations, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return core.Registrations{Entries: append([]core.ServerEntry(nil), s.servers...), Old: s.published.Old}, nil
+	return core.Registrations{Entries: append([]core.ServerEntry(nil), s.servers...), Old: s.published.Old}, s.away
 }
 
 // Exchange implements ports.Backend.
--- a/internal/app/relay/forward.go
+++ b/internal/app/relay/forward.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/logs"
 	"fescuespar/internal/core/outlier"
 	"fescuespar/internal/core/route"
 	"fescuespar/internal/core/routing"
@@ -34,6 +35,7 @@
 	arrived time.Time
 	until   time.Time // when the caller's or the route's time is over
 	ctx     context.Context
+	routes  uint64 // version of the route table by which it goes
 	attempt int
 	sent    bool // an attempt may have run
 	exclude []core.ServerID
@@ -97,7 +99,7 @@
 		return
 	}
 	now := s.ports.Clock.Now()
-	c := &call{request: request, route: taken, service: s.routes.Choose(&taken), arrived: now, ctx: ctx}
+	c := &call{request: request, route: taken, routes: s.routes.InForce().Version, service: s.routes.Choose(&taken), arrived: now, ctx: ctx}
 	c.until = until(request.Deadline, taken.Timeout, now)
 	c.finish = func(response core.RelayResponse, err error) {
 		s.lifecycle.Exit()
@@ -242,7 +244,8 @@
 
 func (s *Service) logAttempt(c *call, begun routing.Dispatch, why string) {
 	s.log.Info().Str("request", string(c.request.ID)).Int("attempt", c.attempt).
-		Str("server", string(begun.VM.ID)).Str("why", why).Msg("attempt failed")
+		Str("server", string(begun.VM.ID)).Str("why", why).Dur("took", s.ports.Clock.Now().Sub(begun.Started)).
+		Msg(logs.AttemptFailed)
 }
 
 func (s *Service) logCall(c *call, response *core.RelayResponse, err error) {
@@ -260,7 +263,7 @@
 		line = s.log.Warn().Err(err)
 	}
 	line.Str("request", string(c.request.ID)).Str("route", c.route.Name).Str("service", c.service).
-		Int("attempts", c.attempt).Int("status", response.Status).Dur("took", took).Msg("request ended")
+		Uint64("routes", c.routes).Int("attempts", c.attempt).Int("status", response.Status).Dur("took", took).Msg(logs.RequestEnded)
 }
 
 // EntryAddresses implements ports.Relay.
--- a/internal/app/relay/jobs.go
+++ b/internal/app/relay/jobs.go
@@ -7,6 +7,7 @@
 
 	"fescuespar/internal/app/commits"
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/logs"
 	"fescuespar/internal/core/route"
 	"fescuespar/internal/errkind"
 )
@@ -86,7 +87,7 @@
 		s.metrics.JobsAccepted.Inc(1)
 	}
 	line.Str("job", string(job.ID)).Str("route", routeName).Uint64("step", uint64(job.Step)).
-		Int("items", len(job.Items)).Uint64("oldest_version", uint64(job.Oldest)).Msg("job submitted")
+		Int("items", len(job.Items)).Uint64("oldest_version", uint64(job.Oldest)).Msg(logs.JobSubmitted)
 }
 
 // accept stores a job: its body first and then its row, which makes it
--- a/internal/app/relay/listing.go
+++ b/internal/app/relay/listing.go
@@ -6,6 +6,7 @@
 
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/job"
+	"fescuespar/internal/core/logs"
 	"fescuespar/internal/errkind"
 )
 
@@ -112,7 +113,7 @@
 		for _, listing := range listings {
 			s.log.Info().Str("job", string(listing.Job)).Str("item", string(listing.Result.Item)).
 				Int("position", listing.Position).Str("state", string(listing.Result.State)).
-				Any("versions", listing.Result.Versions).Msg("result listed")
+				Any("versions", listing.Result.Versions).Msg(logs.ResultListed)
 		}
 	}
 	// Only now: the next transaction must see which results are stored.
--- a/internal/app/relay/logs_test.go
+++ b/internal/app/relay/logs_test.go
@@ -11,6 +11,7 @@
 
 	"fescuespar/internal/adapters/logread"
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/logs"
 	"fescuespar/internal/errkind"
 )
 
@@ -27,20 +28,20 @@
 }
 
 // story reads what the log tells of an id.
-func (b *buffer) story(t *testing.T, id string) logread.Story {
+func (b *buffer) story(t *testing.T, id string) logs.Story {
 	t.Helper()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	reader := logread.New(id)
-	if err := reader.Read(bytes.NewReader(b.text.Bytes())); err != nil {
+	builder := logs.NewStory(id, 0)
+	if err := logread.Read(bytes.NewReader(b.text.Bytes()), builder); err != nil {
 		t.Fatal(err)
 	}
-	return reader.Story()
+	return builder.Story()
 }
 
 // tells reports whether a line with a message has a field that contains a text.
-func tells(story logread.Story, message, field, text string) bool {
-	return slices.ContainsFunc(story.Lines, func(line logread.Line) bool {
+func tells(story logs.Story, message, field, text string) bool {
+	return slices.ContainsFunc(story.Lines, func(line logs.Told) bool {
 		value, _ := line.Fields[field].(string)
 		return line.Message == message && strings.Contains(value, text)
 	})
@@ -89,3 +90,89 @@
 		t.Errorf("a late sample: %d lines name its job", len(refused.Lines))
 	}
 }
+
+// all returns every line of the log.
+func (b *buffer) all(t *testing.T) lines {
+	t.Helper()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var all lines
+	if err := logread.Read(bytes.NewReader(b.text.Bytes()), &all); err != nil {
+		t.Fatal(err)
+	}
+	return all
+}
+
+type lines []logs.Line
+
+func (l *lines) Add(line logs.Line) { *l = append(*l, line) }
+func (*lines) AddDamaged()          {}
+
+// with returns the first line with a message and a field's value.
+func (l lines) with(message, field string, value any) *logs.Line {
+	for i := range l {
+		if l[i].Message == message && l[i].Fields[field] == value {
+			return &l[i]
+		}
+	}
+	return nil
+}
+
+// TestLogsTellWhatAProcessBelieves lets a backend server fail, changes the
+// routes and takes the platform away, and finds each change in the log with
+// what it rests on.
+func TestLogsTellWhatAProcessBelieves(t *testing.T) {
+	s := newSite(t)
+	log := &buffer{}
+	s.log = zerolog.New(log).With().Timestamp().Str("vm", "vm-1").Logger()
+	service := s.ready(s.start("vm-1"))
+
+	var failing core.ServerID // the one asked first, which kept connections make the preferred one
+	var once sync.Once
+	s.mu.Lock()
+	s.exchange = func(server core.VM, _ core.RelayRequest) (core.RelayResponse, error) {
+		once.Do(func() { failing = server.ID })
+		if server.ID == failing {
+			return core.RelayResponse{}, errkind.New(errkind.ServerFailed, "told so")
+		}
+		return core.RelayResponse{Status: 200}, nil
+	}
+	table := *s.published.Table
+	table.Version = 2
+	s.published.Table = &table
+	s.mu.Unlock()
+	var ejected *logs.Line
+	s.eventually("the failing server is ejected", func() bool {
+		_, _ = service.Forward(t.Context(), core.RelayRequest{ID: "r", Method: "POST", Host: host, Target: "/lookup/x"})
+		ejected = log.all(t).with(logs.ServerEjected, "server", string(failing))
+		return ejected != nil
+	})
+	if success, _ := ejected.Fields["success"].(float64); ejected.Fields["why"] != "fails" || success >= 1 || ejected.Fields["until"] == nil {
+		t.Errorf("ejected on %v", ejected.Fields)
+	}
+
+	s.eventually("new routes are in force", func() bool { return log.all(t).with(logs.RoutesInForce, "version", 2.0) != nil })
+	_, _ = service.Forward(t.Context(), core.RelayRequest{ID: "by-2", Method: "POST", Host: host, Target: "/lookup/x"})
+	s.eventually("a request tells the routes it went by", func() bool {
+		ended := log.all(t).with(logs.RequestEnded, "request", "by-2")
+		return ended != nil && ended.Fields["routes"] == 2.0
+	})
+
+	s.setAway(errkind.New(errkind.StoreUnavailable, "told so"))
+	s.eventually("the outage is told with the age of what is believed", func() bool {
+		lost := log.all(t).with(logs.StoreLost, "what", "published")
+		return lost != nil && lost.Fields["belief_age"] != nil && lost.Fields["error"] != nil
+	})
+	s.setAway(nil)
+	s.eventually("the end of the outage is told with its length", func() bool {
+		back := log.all(t).with(logs.StoreBack, "what", "published")
+		return back != nil && back.Fields["away"] != nil
+	})
+}
+
+// setAway lets reads of routes and registrations end with an error, nil for an answer.
+func (s *site) setAway(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = err
+}
--- a/internal/app/relay/orders.go
+++ b/internal/app/relay/orders.go
@@ -8,6 +8,7 @@
 
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/job"
+	"fescuespar/internal/core/logs"
 	"fescuespar/internal/core/weights"
 	"fescuespar/internal/errkind"
 )
@@ -243,7 +244,7 @@
 	if held.Version >= order.Version {
 		s.paces.EndLoad(vm.ID, order.Model, s.ports.Clock.Now())
 		s.log.Info().Str("server", string(vm.ID)).Str("model", string(order.Model)).
-			Uint64("version", uint64(held.Version)).Msg("version loaded")
+			Uint64("version", uint64(held.Version)).Msg(logs.VersionLoaded)
 		s.tendService(asking.service)
 		return true
 	}
--- a/internal/app/relay/run.go
+++ b/internal/app/relay/run.go
@@ -9,6 +9,7 @@
 
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/job"
+	"fescuespar/internal/core/logs"
 	"fescuespar/internal/core/outlier"
 	"fescuespar/internal/core/routing"
 	"fescuespar/internal/errkind"
@@ -69,7 +70,7 @@
 	var moves []job.Work
 	s.jobs.With(service, func(b *job.Book) { moves = b.Moves(slow, free.take) })
 	if len(moves) > 0 {
-		s.log.Info().Str("service", service).Int("runs", len(moves)).Any("slow", slow).Msg("runs moved off slow engines")
+		s.log.Info().Str("service", service).Int("runs", len(moves)).Any("slow", slow).Msg(logs.RunsMoved)
 	}
 	s.runs.Cancel(moves)
 }
@@ -224,7 +225,7 @@
 	}
 	line.Str("job", string(start.Work.Job)).Str("item", string(start.Item.ID)).Str("server", string(begun.VM.ID)).
 		Str("ending", ending.String()).Int("status", ended.status).Int("after", start.After).Int("events", ended.events).
-		Dur("took", ended.took).Msg("run ended")
+		Dur("waited", start.Waited).Dur("took", ended.took).Msg(logs.RunEnded)
 	s.runItems(service)
 }
 
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -15,7 +15,9 @@
 	"fescuespar/internal/app/tenure"
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/announce"
+	"fescuespar/internal/core/job"
 	"fescuespar/internal/core/lease"
+	"fescuespar/internal/core/routing"
 	"fescuespar/internal/metrics"
 	"fescuespar/internal/ports"
 	"fescuespar/internal/tables"
@@ -230,23 +232,24 @@
 
 // State is the dump of this process's state.
 type State struct {
-	Phase    string              `json:"phase"`
-	InFlight int                 `json:"in_flight"`
-	Routes   uint64              `json:"routes_version"`
-	Members  []core.Member       `json:"members"`
-	Leases   []tables.LeaseState `json:"leases"`
-	Jobs     any                 `json:"jobs"`
-	Servers  any                 `json:"servers"`
-	Pool     workers.PoolState   `json:"pool"`
+	Phase    string                `json:"phase"`
+	InFlight int                   `json:"in_flight"`
+	Routes   uint64                `json:"routes_version"`
+	Members  []core.Member         `json:"members"`
+	Leases   []tables.LeaseState   `json:"leases"`
+	Jobs     []job.Summary         `json:"jobs"`
+	Servers  []routing.View        `json:"servers"`
+	Outages  []core.PlatformOutage `json:"outages"`
+	Pool     workers.PoolState     `json:"pool"`
 }
 
 // State returns the dump of this process's state, ready for JSON.
-func (s *Service) State() any {
+func (s *Service) State() State {
 	phase, inFlight := s.lifecycle.Phase()
 	state := State{
 		Phase: phase.String(), InFlight: inFlight, Members: s.members.Live(),
 		Leases: s.leases.State(s.ports.Clock.Now()), Jobs: s.jobs.Summaries(),
-		Servers: s.servers.Views(), Pool: s.pool.State(),
+		Servers: s.servers.Views(), Pool: s.pool.State(), Outages: s.platform.Outages(),
 	}
 	if table := s.routes.InForce(); table != nil {
 		state.Routes = table.Version
--- a/internal/app/relay/watch.go
+++ b/internal/app/relay/watch.go
@@ -6,6 +6,7 @@
 
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/announce"
+	"fescuespar/internal/core/logs"
 	"fescuespar/internal/errkind"
 	"fescuespar/internal/tables"
 )
@@ -34,14 +35,18 @@
 	now := s.ports.Clock.Now()
 	service := core.PlatformService(what)
 	if err == nil {
-		if s.platform.Recovered(service, now) {
-			s.log.Info().Str("what", what).Msg("platform answers again")
+		if first, away := s.platform.Recovered(service, now); first {
+			s.log.Info().Str("what", what).Dur("away", away).Msg(logs.StoreBack)
 		}
 		return
 	}
 	s.metrics.StoreFailures.Inc(1)
-	if s.platform.Lost(service, now) {
-		s.log.Warn().Str("what", what).Err(err).Msg("platform does not answer")
+	if first, answered := s.platform.Lost(service, now); first {
+		line := s.log.Warn().Str("what", what).Err(err)
+		if !answered.IsZero() {
+			line = line.Dur("belief_age", now.Sub(answered))
+		}
+		line.Msg(logs.StoreLost)
 	}
 }
 
@@ -59,12 +64,12 @@
 func (s *Service) applyPublished(published core.Published) {
 	if s.routes.Apply(published.Table) {
 		s.log.Info().Uint64("version", published.Table.Version).Int("routes", len(published.Table.Routes)).
-			Msg("route table in force")
+			Msg(logs.RoutesInForce)
 		s.listServers()
 	}
 	for _, named := range published.Versions {
 		if s.weights.Learn(core.DeploymentName(named.Model), named.Version, s.ports.Clock.Now()) {
-			s.log.Info().Str("model", string(named.Model)).Uint64("version", uint64(named.Version)).Msg("weight version named")
+			s.log.Info().Str("model", string(named.Model)).Uint64("version", uint64(named.Version)).Msg(logs.VersionNamed)
 		}
 	}
 	s.tendAll()
@@ -96,7 +101,7 @@
 		s.log.Info().Int("servers", len(read.Entries)).Msg("backend servers as a peer remembers them")
 	}
 	for _, id := range gone {
-		s.log.Info().Str("server", string(id)).Msg("backend server gone")
+		s.log.Info().Str("server", string(id)).Msg(logs.ServerGone)
 	}
 	s.listServers()
 	s.tendAll()
@@ -134,11 +139,14 @@
 // sweepServers ejects and returns backend servers, and logs which.
 func (s *Service) sweepServers() {
 	ejected, back := s.servers.Sweep(s.ports.Clock.Now())
-	for _, id := range ejected {
-		s.log.Warn().Str("server", string(id)).Msg("backend server ejected: it fails or is slow")
+	for _, found := range ejected {
+		s.log.Warn().Str("server", string(found.Server)).Str("why", found.Why).Int("failures", found.Failures).
+			Int("results", found.Results).Float64("success", found.Success).Float64("peers_success", found.Peers.Success).
+			Dur("per_token", found.PerToken).Dur("peers_per_token", found.Peers.PerToken).Time("until", found.Until).
+			Msg(logs.ServerEjected)
 	}
 	for _, id := range back {
-		s.log.Info().Str("server", string(id)).Msg("backend server gets work again")
+		s.log.Info().Str("server", string(id)).Msg(logs.ServerBack)
 	}
 }
 
--- /dev/null
+++ b/internal/core/logs/messages.go
@@ -0,0 +1,54 @@
+package logs
+
+// Messages of lines that stories and reports look for.
+const (
+	Started = "started"
+
+	RequestEnded   = "request ended"
+	RequestRefused = "refused or failed" // as its caller was told, also when no process took it in
+	AttemptFailed  = "attempt failed"
+
+	JobSubmitted = "job submitted"
+	JobOpened    = "job opened"
+	JobEnded     = "job ended"
+	RunEnded     = "run ended"
+	ResultListed = "result listed"
+
+	VersionNamed  = "weight version named"
+	VersionLoaded = "version loaded"
+	RoutesInForce = "route table in force"
+
+	LeaseAcquired = "lease acquired"
+	LeaseLost     = "lease lost"
+	ServerEjected = "backend server ejected"
+	ServerBack    = "backend server gets work again"
+	ServerGone    = "backend server gone"
+	RunsMoved     = "runs moved off slow engines"
+	StoreLost     = "platform does not answer"
+	StoreBack     = "platform answers again"
+
+	LinesDropped = "log lines dropped"
+)
+
+// Fields of those lines.
+const (
+	fieldRequest = "request"
+	fieldJob     = "job"
+	fieldServer  = "server"
+	fieldService = "service"
+	fieldModel   = "model"
+	fieldVersion = "version"
+	fieldError   = "error"
+	fieldWhat    = "what"
+	fieldLease   = "lease"
+	fieldItems   = "items"
+	fieldDropped = "dropped"
+)
+
+// beliefs are the messages of lines about what a process believes of others.
+var beliefs = map[string]bool{
+	RoutesInForce: true, VersionNamed: true, VersionLoaded: true,
+	LeaseAcquired: true, LeaseLost: true,
+	ServerEjected: true, ServerBack: true, ServerGone: true, RunsMoved: true,
+	StoreLost: true, StoreBack: true,
+}
--- a/internal/core/routing/state.go
+++ b/internal/core/routing/state.go
@@ -312,6 +312,16 @@
 	return ids
 }
 
+// Finding returns what an ejected server is kept out for, the zero value for
+// one that is not listed.
+func (s *State) Finding(id core.ServerID, now time.Time) outlier.Finding {
+	row := s.servers[id]
+	if row == nil || row.pool == nil {
+		return outlier.Finding{}
+	}
+	return row.pool.detector.Finding(&row.health, now)
+}
+
 // Server returns a listed server.
 func (s *State) Server(id core.ServerID) (core.VM, bool) {
 	row := s.servers[id]
--- a/internal/lockrank/lockrank.go
+++ b/internal/lockrank/lockrank.go
@@ -30,6 +30,7 @@
 	RankQueue         Rank = 200
 	RankTimers        Rank = 210
 	RankAdapter       Rank = 220
+	RankMetrics       Rank = 230
 )
 
 // Mutex is a mutual exclusion lock with a rank.
--- a/internal/metrics/relay.go
+++ b/internal/metrics/relay.go
@@ -25,13 +25,10 @@
 	TableCommits    gometrics.Counter
 	TableUnknown    gometrics.Counter
 	StoreFailures   gometrics.Counter
-	RequestTime     gometrics.Histogram // milliseconds from a request's arrival to its answer
-	RunTime         gometrics.Histogram // milliseconds of whole runs of items
+	RequestTime     *Latency // milliseconds from a request's arrival to its answer
+	RunTime         *Latency // milliseconds of whole runs of items
 }
 
-// samples is how many values a histogram keeps: enough for its 99th percentile.
-const samples = 512
-
 // NewRelay returns a set of zeroed metrics in a registry of their own.
 func NewRelay() *Relay {
 	r := &Relay{Registry: gometrics.NewRegistry()}
@@ -48,7 +45,11 @@
 	} {
 		*counter = gometrics.NewRegisteredCounter(name, r.Registry)
 	}
-	r.RequestTime = gometrics.NewRegisteredHistogram("relay.request.ms", r.Registry, gometrics.NewUniformSample(samples))
-	r.RunTime = gometrics.NewRegisteredHistogram("relay.run.ms", r.Registry, gometrics.NewUniformSample(samples))
+	for name, latency := range map[string]**Latency{"relay.request.ms": &r.RequestTime, "relay.run.ms": &r.RunTime} {
+		*latency = NewLatency()
+		if err := r.Registry.Register(name, *latency); err != nil {
+			panic(err) // two metrics of one name: a mistake in this file
+		}
+	}
 	return r
 }
--- a/internal/tables/platform.go
+++ b/internal/tables/platform.go
@@ -55,27 +55,31 @@
 }
 
 // Lost notes a failed call that ended now. It returns true for the first one
-// since the last answer.
-func (t *Platform) Lost(service core.PlatformService, now time.Time) bool {
+// since the last answer, and when that came, zero for never.
+func (t *Platform) Lost(service core.PlatformService, now time.Time) (first bool, answered time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row := t.row(service)
-	first := row.since.IsZero()
+	first = row.since.IsZero()
 	if first {
 		row.since = now
 	}
 	row.seen = now
-	return first
+	return first, row.answered
 }
 
-// Recovered notes an answer. It returns true for the first one after a failure.
-func (t *Platform) Recovered(service core.PlatformService, now time.Time) bool {
+// Recovered notes an answer. It returns true for the first one after a failure,
+// and how long ago that failure was seen.
+func (t *Platform) Recovered(service core.PlatformService, now time.Time) (first bool, away time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row := t.row(service)
-	first := !row.since.IsZero()
+	first = !row.since.IsZero()
+	if first {
+		away = now.Sub(row.since)
+	}
 	row.answered, row.since = now, time.Time{}
-	return first
+	return first, away
 }
 
 // Failing reports whether a service's newest call failed.
--- a/internal/tables/servers.go
+++ b/internal/tables/servers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/outlier"
 	"fescuespar/internal/core/routing"
 	"fescuespar/internal/errkind"
 	"fescuespar/internal/lockrank"
@@ -146,9 +147,15 @@
 	t.state.End(ended, result, now, t.random)
 }
 
+// Ejection is a server that gets no more work, with what it is kept out for.
+type Ejection struct {
+	Server core.ServerID
+	outlier.Finding
+}
+
 // Sweep ejects outlying servers and returns those whose time is over. It returns
 // which servers get no more work, and which get work again, since the last Sweep.
-func (t *Servers) Sweep(now time.Time) (ejected, back []core.ServerID) {
+func (t *Servers) Sweep(now time.Time) (ejected []Ejection, back []core.ServerID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.state.Sweep(now, t.random)
@@ -158,7 +165,10 @@
 		_, listed := t.state.Server(id)
 		return !listed
 	})
-	return without(t.out, before), back
+	for _, id := range without(t.out, before) {
+		ejected = append(ejected, Ejection{Server: id, Finding: t.state.Finding(id, now)})
+	}
+	return ejected, back
 }
 
 // without returns the ids of a sorted list that are not in another one.
--- a/internal/tables/servers_test.go
+++ b/internal/tables/servers_test.go
@@ -42,7 +42,7 @@
 		}
 		servers.Release(begun, routing.Result{Outcome: outlier.Failed}, tableNow)
 	}
-	if out, back := servers.Sweep(tableNow); len(out) != 1 || out[0] != "a" || len(back) != 0 {
+	if out, back := servers.Sweep(tableNow); len(out) != 1 || out[0].Server != "a" || out[0].Why != "fails" || len(back) != 0 {
 		t.Errorf("ejected %v, back %v, want a ejected", out, back)
 	}
 	if out, back := servers.Sweep(tableNow); len(out)+len(back) != 0 {
