Leave a crowded step's spare groups for last; take up whole texts of incomplete groups

The longest items start first over all groups, so that in a crowd every group waits for the end of the queue, also the tenth of them that the trainer does not wait for. Ruled out: leaving them for last always. A step that is opened while earlier items have no slot leaves the longest groups beyond the wanted number for last; never those that came back, nor those that may have where the coordinator is new. Groups that came back start first. The texts of stored items are kept until the job ends, and then for groups that are not complete; the oldest job's are dropped first, no longer all at once. `run ended` tells group, hint and waiting.

--- a/internal/app/relay/run.go
+++ b/internal/app/relay/run.go
@@ -225,7 +225,7 @@
 	}
 	line.Str("job", string(start.Work.Job)).Str("item", string(start.Item.ID)).Str("server", string(begun.VM.ID)).
 		Str("ending", ending.String()).Int("status", ended.status).Int("after", start.After).Int("events", ended.events).
-		Dur("waited", start.Waited).Dur("took", ended.took).Msg(logs.RunEnded)
+		Str("group", start.Item.Group).Int("hint", start.Item.Length).Dur("waited", start.Waited).Dur("took", ended.took).Msg(logs.RunEnded)
 	s.runItems(service)
 }
 
--- a/internal/core/job/book.go
+++ b/internal/core/job/book.go
@@ -29,18 +29,20 @@
 
 // Book holds the jobs of one service that this process coordinates.
 type Book struct {
-	jobs  map[core.JobID]*open
-	kept  map[core.ItemID]core.CheckpointText // of jobs that have ended or were another's
-	asked map[core.ModelName]float64          // tokens of all jobs opened here
-	runs  uint64
-	order uint64
+	jobs   map[core.JobID]*open
+	kept   map[core.ItemID]keptText       // of jobs that have ended or were another's
+	groups map[core.ModelName]*groupNames // of the last jobs opened here
+	asked  map[core.ModelName]float64     // tokens of all jobs opened here
+	runs   uint64
+	order  uint64
+	closed uint64 // jobs that have ended
 }
 
 // NewBook returns an empty book.
 func NewBook() *Book {
 	return &Book{
 		jobs: make(map[core.JobID]*open), asked: make(map[core.ModelName]float64),
-		kept: make(map[core.ItemID]core.CheckpointText),
+		kept: make(map[core.ItemID]keptText), groups: make(map[core.ModelName]*groupNames),
 	}
 }
 
@@ -62,7 +64,7 @@
 	for i := range job.Items {
 		b.asked[job.Model] += work(&job.Items[i])
 	}
-	row.turns = turns(row)
+	row.turns = startOrder(row, b.groupsOf(job.Model).add(job.Items), b.crowded())
 	b.jobs[job.ID] = row
 }
 
@@ -100,8 +102,8 @@
 		if p := row.items[i].phase; p == running || p == scoring {
 			cancel = append(cancel, Work{id, i, row.items[i].run})
 		}
-		b.keep(row, i)
 	}
+	b.keep(row)
 	delete(b.jobs, id)
 	return cancel
 }
@@ -111,6 +113,7 @@
 	for _, id := range b.IDs() {
 		cancel = append(cancel, b.Close(id)...)
 	}
+	clear(b.groups) // jobs of the time until the next ones are another's
 	return cancel
 }
 
@@ -347,9 +350,11 @@
 		if row == nil {
 			continue
 		}
-		row.items[listing.Index].phase = stored
-		row.items[listing.Index].result = core.ItemResult{}
-		row.items[listing.Index].text = nil
+		state := &row.items[listing.Index]
+		if state.result.State != core.ItemCompleted {
+			state.text = nil
+		}
+		state.phase, state.result = stored, core.ItemResult{}
 		row.next = listing.Position + 1
 	}
 }
--- a/internal/core/job/book_test.go
+++ b/internal/core/job/book_test.go
@@ -286,3 +286,73 @@
 		t.Errorf("after as many failures as allowed: %+v", results)
 	}
 }
+
+// store runs an item that has started to its stored result.
+func store(t *testing.T, book *Book, work Work, events int) {
+	t.Helper()
+	finish(t, book, work, events)
+	book.Stored(book.Results(10))
+}
+
+// TestTextsOfIncompleteGroupsAreTakenUpWhole ends a job with one whole group
+// and one of which an item is done, as a trainer does that has enough groups.
+func TestTextsOfIncompleteGroupsAreTakenUpWhole(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		oldest core.WeightVersion
+		kept   int // events of the items a-0, a-1, b-0 and b-1 together
+		whole  bool
+	}{
+		{"weights fit", 2, 3, true},
+		{"weights are too old", 3, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			book := NewBook()
+			first := jobOf("one", 1, 4, 3, 2, 1)
+			for i := range first.Items {
+				first.Items[i].Group = []string{"a", "a", "b", "b"}[i]
+			}
+			book.Open(first, nil, policy, at(0))
+			starts := book.Next(4, at(0))
+			store(t, book, starts[0].Work, 4) // a is whole
+			store(t, book, starts[1].Work, 4)
+			store(t, book, starts[2].Work, 3) // b-0 is
+			book.Close("one")
+
+			second := first
+			second.ID, second.Oldest = "two", c.oldest
+			book.Open(second, nil, policy, at(2))
+			kept := 0
+			for i := range book.jobs["two"].items {
+				kept += len(book.jobs["two"].items[i].text)
+			}
+			if kept != c.kept {
+				t.Errorf("%d events are kept, want %d", kept, c.kept)
+			}
+			if scores := book.NextScores(4, at(2)); (len(scores) == 1) != c.whole {
+				t.Errorf("%d texts to score, want one: %v", len(scores), c.whole)
+			}
+		})
+	}
+}
+
+func TestTextsOfTheOldestJobsAreForgotten(t *testing.T) {
+	book := NewBook()
+	for i := range 3 {
+		id := core.JobID(fmt.Sprint("j", i))
+		job := jobOf(id, 1, make([]int, maxKept/2)...)
+		for k := range job.Items {
+			job.Items[k].ID = core.ItemID(fmt.Sprint(id, "-", k))
+		}
+		book.Open(job, nil, policy, at(0))
+		for _, start := range book.Next(len(job.Items), at(0)) {
+			book.Add(start.Work, event(1, 1))
+		}
+		book.Close(id)
+	}
+	_, oldest := book.kept["j0-0"]
+	_, newer := book.kept["j1-0"]
+	if len(book.kept) != maxKept || oldest || !newer {
+		t.Errorf("%d texts kept, of the oldest job %v, of a newer one %v", len(book.kept), oldest, newer)
+	}
+}
--- a/internal/core/job/carry.go
+++ b/internal/core/job/carry.go
@@ -1,34 +1,63 @@
 package job
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 
 	"fescuespar/internal/core"
 )
 
-// maxKept bounds the texts kept of jobs that have ended.
-const maxKept = 512
+// maxKept bounds the texts kept of jobs that have ended: those of the last jobs
+// of several trainers.
+const maxKept = 1024
 
-// keep keeps an item's text, since groups that were not complete come back in
-// a later job with the same items.
-func (b *Book) keep(row *open, index int) {
-	state := &row.items[index]
-	if len(state.text) == 0 {
-		return
+// keptText is a text of a job that has ended.
+type keptText struct {
+	core.CheckpointText
+	closed uint64 // number of the job's end
+}
+
+// keep keeps the texts of groups that are not complete, since these may come
+// back in a later job with the same items.
+func (b *Book) keep(row *open) {
+	b.closed++
+	whole := wholeGroups(row)
+	for i := range row.items {
+		id := row.job.Items[i].ID
+		if len(row.items[i].text) > 0 && !whole[row.job.Items[i].Group] {
+			b.kept[id] = keptText{row.items[i].checkpoint(id), b.closed}
+		}
 	}
-	if len(b.kept) >= maxKept {
-		clear(b.kept)
+	b.forget()
+}
+
+// forget drops the texts of the oldest jobs beyond the bound.
+func (b *Book) forget() {
+	for oldest := uint64(0); len(b.kept) > maxKept; oldest++ {
+		maps.DeleteFunc(b.kept, func(_ core.ItemID, text keptText) bool { return text.closed <= oldest })
 	}
-	id := row.job.Items[index].ID
-	b.kept[id] = state.checkpoint(id)
+}
+
+// wholeGroups returns the groups all of whose results are listed. Items without
+// a group are none.
+func wholeGroups(row *open) map[string]bool {
+	whole := make(map[string]bool)
+	for i := range row.items {
+		group := row.job.Items[i].Group
+		listed := row.items[i].phase == stored
+		if known, seen := whole[group]; seen {
+			listed = listed && known
+		}
+		whole[group] = listed && group != ""
+	}
+	return whole
 }
 
 // checkpoint returns what an item has made so far.
 func (i *item) checkpoint(id core.ItemID) core.CheckpointText {
 	return core.CheckpointText{
 		Item: id, Text: i.text, Versions: i.versions, Newest: i.newest,
-		Whole: i.phase == unscored || i.phase == scoring || i.phase == ended && i.result.State == core.ItemCompleted,
+		Whole: i.phase == unscored || i.phase == scoring || i.phase == stored || i.phase == ended && i.result.State == core.ItemCompleted,
 	}
 }
 
@@ -39,7 +68,7 @@
 	for _, row := range b.inOrder() {
 		for _, i := range row.turns {
 			state := &row.items[i]
-			if len(state.text) < events {
+			if len(state.text) < events || state.phase == stored {
 				continue
 			}
 			for _, data := range state.text {
@@ -61,7 +90,7 @@
 // after it.
 func (b *Book) Restore(checkpoint core.Checkpoint) {
 	for _, text := range checkpoint.Texts {
-		b.kept[text.Item] = text
+		b.kept[text.Item] = keptText{CheckpointText: text}
 	}
 }
 
@@ -83,26 +112,3 @@
 		state.phase = unscored
 	}
 }
-
-// turns returns the order in which a job's items start: the longest first, as
-// far as their callers' estimates tell, since a step ends with its longest
-// runs. Groups that come back lead the list of items and keep their lead: the
-// trainer waits for them whatever else is complete. The load pattern is a step
-// with more items than slots, of which a tenth are five times as long.
-func turns(row *open) []int {
-	order := make([]int, len(row.items))
-	for i := range order {
-		order[i] = i
-	}
-	back := func(i int) int {
-		if len(row.items[i].text) > 0 {
-			return 0
-		}
-		return 1
-	}
-	slices.SortStableFunc(order, func(a, c int) int {
-		return cmp.Or(cmp.Compare(back(a), back(c)),
-			cmp.Compare(row.job.Items[c].Length, row.job.Items[a].Length))
-	})
-	return order
-}
