Replay submitted steps under load beside a plain baseline; end whole texts that need no score

Building it found a fault: a whole text that was taken up from an earlier job, of an item without a scorer, waited for a score for ever, so that its step never ended. Ruled out: the users' jobs as a place where it shows; all their items have scorers. Which engines a run avoids moves from app/relay to core/job (Avoided). Such texts end at once; the test failed first.

--- a/bench/main.go
+++ b/bench/main.go
@@ -18,6 +18,7 @@
 	Examples string    `long:"examples" default:"examples" description:"directory with the sites' operators' files"`
 	Only     []section `long:"only" choice:"training" choice:"stragglers" choice:"people" choice:"cache" choice:"outage" choice:"killer" description:"part of the table to run; may be given again"`
 	Site     string    `long:"site" description:"only this site, such as anerie"`
+	Steps    uint64    `long:"steps" value-name:"SEEDS" description:"only submitted steps under load, for so many seeds from 1 on"`
 	Seeds    uint64    `long:"training" value-name:"SEEDS" description:"only the training rows, for so many seeds from 1 on"`
 }
 
@@ -33,6 +34,10 @@
 }
 
 func run(out io.Writer, opts options) error {
+	if opts.Steps > 0 {
+		printSteps(out, opts.Steps)
+		return nil
+	}
 	found, err := loadSites(opts.Examples)
 	if err != nil {
 		return err
--- a/internal/app/relay/run.go
+++ b/internal/app/relay/run.go
@@ -23,7 +23,7 @@
 // runItems begins the runs, scores and commits that are due.
 func (s *Service) runItems(service string) {
 	now := s.ports.Clock.Now()
-	avoid := placement{slow: s.paces.Slow(service, now), loading: s.paces.Loads(now)}
+	avoid := job.Avoided{Slow: s.paces.Slow(service, now), Loading: s.paces.Loads(now)}
 	for _, start := range s.jobs.Next(service, startsAtOnce, now) {
 		if err := s.placeItem(service, start, avoid, now); err != nil {
 			s.jobs.With(service, func(b *job.Book) { b.Unplaced(start.Work, now) })
@@ -36,28 +36,6 @@
 	s.storeResults(service)
 }
 
-// placement says which engines new runs keep away from.
-type placement struct {
-	slow    []core.ServerID
-	loading map[core.ModelName][]core.ServerID
-}
-
-// slowWait is how long an item waits for a slot at an engine that is not slow:
-// the time in which most runs end.
-const slowWait = time.Second
-
-// excluded returns the engines on which an item must not start.
-func (p placement) excluded(start *job.Start) []core.ServerID {
-	excluded := slices.Clone(p.loading[start.Model])
-	if start.Waited < slowWait {
-		excluded = append(excluded, p.slow...)
-	}
-	if start.Avoid != "" {
-		excluded = append(excluded, start.Avoid)
-	}
-	return excluded
-}
-
 // moveSlow ends runs on slow engines, as many as have a slot at an engine that
 // may run them. They go on where they were.
 func (s *Service) moveSlow(service string) {
@@ -108,7 +86,7 @@
 }
 
 // placeItem routes one run and begins it.
-func (s *Service) placeItem(service string, start job.Start, avoid placement, now time.Time) error {
+func (s *Service) placeItem(service string, start job.Start, avoid job.Avoided, now time.Time) error {
 	target, err := s.itemService(&start)
 	if err != nil {
 		return err
@@ -117,7 +95,7 @@
 		Kind: s.kindOf(target), Service: target, Adapter: core.AdapterName(start.Model),
 		Version: start.Oldest, Exact: start.Exact, InSlot: true,
 		Zone: s.options.Self.Zone, Region: s.options.Self.Region, Class: core.ClassRollout,
-		Tokens: start.Item.Tokens, Prefix: partHashes(start.Item.Parts), Exclude: avoid.excluded(&start),
+		Tokens: start.Item.Tokens, Prefix: partHashes(start.Item.Parts), Exclude: avoid.For(&start),
 	}
 	begun, err := s.servers.Acquire(query, now)
 	if err != nil {
--- /dev/null
+++ b/internal/core/job/avoided_test.go
@@ -0,0 +1,26 @@
+package job
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"fescuespar/internal/core"
+)
+
+func TestAvoidedEngines(t *testing.T) {
+	avoided := Avoided{Slow: []core.ServerID{"slow"}, Loading: map[core.ModelName][]core.ServerID{"m": {"loads"}, "n": {"other"}}}
+	for _, c := range []struct {
+		name  string
+		start Start
+		want  []core.ServerID
+	}{
+		{"new", Start{Model: "m"}, []core.ServerID{"loads", "slow"}},
+		{"cut by an engine", Start{Model: "m", Avoid: "cut"}, []core.ServerID{"loads", "slow", "cut"}},
+		{"waited for long", Start{Model: "m", Waited: slowWait + time.Millisecond}, []core.ServerID{"loads"}},
+	} {
+		if got := avoided.For(&c.start); !slices.Equal(got, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/core/job/book_test.go
+++ b/internal/core/job/book_test.go
@@ -294,6 +294,28 @@
 	book.Stored(book.Results(10))
 }
 
+// TestAWholeTextWithoutAScorerIsDoneAtOnce takes up a whole text of an earlier
+// job whose result could not be stored.
+func TestAWholeTextWithoutAScorerIsDoneAtOnce(t *testing.T) {
+	book := NewBook()
+	first := jobOf("one", 1, 2)
+	first.Items[0].Scorer = nil
+	book.Open(first, nil, policy, at(0))
+	work := book.Next(1, at(0))[0].Work
+	book.Add(work, event(1, 1))
+	book.Ended(work, "e", Whole, at(1))
+	book.Close("one")
+	second := first
+	second.ID = "two"
+	book.Open(second, nil, policy, at(2))
+	if results := book.Results(1); len(results) != 1 || results[0].Result.Text != "data-1" {
+		t.Errorf("results %+v, want the kept text", results)
+	}
+	if scores := book.NextScores(1, at(2)); len(scores) != 0 {
+		t.Errorf("%d texts without a scorer are to be scored", len(scores))
+	}
+}
+
 // TestTextsOfIncompleteGroupsAreTakenUpWhole ends a job with one whole group
 // and one of which an item is done, as a trainer does that has enough groups.
 func TestTextsOfIncompleteGroupsAreTakenUpWhole(t *testing.T) {
--- a/internal/core/job/carry.go
+++ b/internal/core/job/carry.go
@@ -108,7 +108,10 @@
 	}
 	state := &row.items[index]
 	state.text, state.versions, state.newest = kept.Text, kept.Versions, kept.Newest
-	if kept.Whole {
+	switch {
+	case kept.Whole && row.job.Items[index].Scorer == nil:
+		state.end(id, core.ItemCompleted, "")
+	case kept.Whole:
 		state.phase = unscored
 	}
 }
