Take in a list of backend servers only when it has changed

Each look at the registrations, two or three a second in each process, rebuilt all tables of servers: 2.9 ms at 3,000 on an idle machine, 3 MB of garbage, as much again in the client of the store. The look at the leases, ten times a second, sorted all members: 0.40 ms at 300 on a busy machine. Ruled out: choosing a server for a request (0.66 microseconds at 3,000, 0.60 at 300) and the comparison of servers with their peers (0.08 ms a second). Change: the store's client numbers the content of the list, which stays the same while no entry changes, followed or read whole; the registry takes a read with the same number as a confirmation unless an outage is being bridged. Members are sorted when they are read.

--- a/internal/app/relay/watch.go
+++ b/internal/app/relay/watch.go
@@ -95,7 +95,10 @@
 var errOld = errkind.New(errkind.StoreUnavailable, "the platform is away; a peer remembers an earlier answer")
 
 func (s *Service) applyServers(read core.Registrations, began time.Time) {
-	_, gone := s.registry.Observe(read.Entries, began)
+	gone, changed := s.registry.Observe(&read, began)
+	if !changed {
+		return
+	}
 	if read.Old {
 		s.registry.Failed()
 		s.log.Info().Int("servers", len(read.Entries)).Msg("backend servers as a peer remembers them")
--- a/internal/core/registration/view.go
+++ b/internal/core/registration/view.go
@@ -25,6 +25,7 @@
 type View struct {
 	back    time.Duration // after an outage, until all living servers are registered again
 	known   map[core.ServerID]Server
+	listed  int       // servers that were registered when last read
 	steady  time.Time // when the platform began to answer after the last failure
 	failing bool
 }
@@ -43,6 +44,7 @@
 	if v.failing {
 		v.failing, v.steady = false, now
 	}
+	v.listed = len(entries)
 	listed := make(map[core.ServerID]bool, len(entries))
 	for _, entry := range entries {
 		listed[entry.VM.ID] = true
@@ -68,6 +70,12 @@
 	return believed, gone
 }
 
+// Same reports whether a read at a time that brings the entries of the last one
+// changes nothing: no outage is being bridged.
+func (v *View) Same(now time.Time) bool {
+	return !v.failing && now.Sub(v.steady) >= v.back && len(v.known) == v.listed
+}
+
 func same(a, b core.ServerEntry) bool {
 	return a.VM == b.VM && a.Born == b.Born && slices.Equal(a.Models, b.Models)
 }
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -138,8 +138,9 @@
 
 // Registrations is what backend servers have registered.
 type Registrations struct {
-	Entries []ServerEntry
-	Old     bool // as another entry process read it before the platform went away
+	Entries []ServerEntry // must not be changed
+	Content uint64        // equal in two answers of one client: they hold the same entries; zero tells nothing
+	Old     bool          // as another entry process read it before the platform went away
 }
 
 // EngineReport is an engine's own report.
--- a/internal/tables/announced.go
+++ b/internal/tables/announced.go
@@ -13,6 +13,7 @@
 	// mu guards all fields below.
 	mu   lockrank.Mutex
 	view *announce.View
+	live []core.Member // of the view
 }
 
 // NewAnnounced returns a table without members.
@@ -25,11 +26,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.view.Observe(rows, now)
+	t.live = t.view.Live()
 }
 
-// Live returns the members that live and stay.
+// Live returns the members that live and stay, sorted by VM. The result must
+// not be changed.
 func (t *Announced) Live() []core.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.view.Live()
+	return t.live
 }
--- a/internal/tables/registry.go
+++ b/internal/tables/registry.go
@@ -14,6 +14,7 @@
 	mu      lockrank.Mutex
 	view    *registration.View
 	entries []registration.Server
+	content uint64 // of the last read; zero for unknown
 	readAt  time.Time
 }
 
@@ -23,13 +24,19 @@
 	return &Registry{mu: lockrank.New(lockrank.RankVMList), view: registration.NewView(back)}
 }
 
-// Observe takes all registrations as read by a call that began at a time.
-func (t *Registry) Observe(entries []core.ServerEntry, began time.Time) (believed []registration.Server, gone []core.ServerID) {
+// Observe takes all registrations as read by a call that began at a time. It
+// returns the servers that have gone, and false for changed if the same is
+// believed as before.
+func (t *Registry) Observe(read *core.Registrations, began time.Time) (gone []core.ServerID, changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	believed, gone = t.view.Observe(entries, began)
-	t.entries, t.readAt = believed, began
-	return believed, gone
+	t.readAt = began
+	if read.Content != 0 && read.Content == t.content && t.view.Same(began) {
+		return nil, false
+	}
+	t.entries, gone = t.view.Observe(read.Entries, began)
+	t.content = read.Content
+	return gone, true
 }
 
 // Failed notes that the registrations could not be read.
