Let a restarted VM go on with orders to engines at once

Ruled out: no wait at all. Change: each renewal says whether orders of holders on other VMs have ended (LeaseRecord.OrdersClear). A restarted VM that reads it gives orders at once, where orders count by VM (lease.Timing.OrdersByVM, set for the users' platform, where a holder is a machine); in all other cases it waits as before.

--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -158,7 +158,7 @@
 		members:   tables.NewAnnounced(),
 		leases: tables.NewLeases(
 			lease.Self{VM: options.Self.VM, Incarnation: options.Self.Incarnation, Address: options.Self.CallAddress},
-			lease.Timing{Term: leaseTerm, RenewEvery: leaseRenewal, Margin: leaseMargin, LongestOrder: options.OrdersApart}),
+			lease.Timing{Term: leaseTerm, RenewEvery: leaseRenewal, Margin: leaseMargin, LongestOrder: options.OrdersApart, OrdersByVM: true}),
 		servers:  tables.NewServersWith(routingPolicy(), random(2)),
 		registry: tables.NewRegistry(options.RegistryBack),
 		jobs:     tables.NewJobs(),
--- a/internal/core/lease/decide.go
+++ b/internal/core/lease/decide.go
@@ -31,7 +31,7 @@
 	if now.Before(t.renewAt) {
 		return Action{Kind: ActionWait, Until: t.renewAt}
 	}
-	return Action{Kind: ActionRenew, Commit: t.leaseCommit(id, false)}
+	return Action{Kind: ActionRenew, Commit: t.leaseCommit(id, false, now)}
 }
 
 func (t *Tracker) decideWaiting(now time.Time, id core.AttemptID) Action {
@@ -40,7 +40,7 @@
 	}
 	takeover := t.takeoverAt()
 	if t.mayTake() && !now.Before(takeover) {
-		return Action{Kind: ActionAcquire, Commit: t.acquireCommit(id)}
+		return Action{Kind: ActionAcquire, Commit: t.acquireCommit(id, now)}
 	}
 	readAgain := t.readAt.Add(t.timing.RenewEvery)
 	if !now.Before(readAgain) {
@@ -67,7 +67,7 @@
 	if clear := t.ordersClearAt(); now.Before(clear) {
 		return Action{Kind: ActionWait, Until: clear}
 	}
-	return Action{Kind: ActionRelease, Commit: t.leaseCommit(id, true)}
+	return Action{Kind: ActionRelease, Commit: t.leaseCommit(id, true, now)}
 }
 
 // takeoverAt returns the time from which the lease may be taken: at once when
@@ -83,9 +83,14 @@
 
 // orderWaitOut returns the time from which a taker may give orders to engines
 // that ignore fencing numbers: the former holder's last order has ended then.
+// A restarted holder cannot know when the one before it began to wait, only
+// whether it was done with that.
 func (t *Tracker) orderWaitOut(now time.Time) time.Time {
 	record, found := t.lease.Record.(core.LeaseRecord)
 	if found && !record.Released && record.Holder == t.self.VM {
+		if t.timing.OrdersByVM && record.OrdersClear {
+			return time.Time{}
+		}
 		return now.Add(t.timing.LongestOrder)
 	}
 	takeover := t.takeoverAt()
@@ -103,7 +108,7 @@
 }
 
 // acquireCommit changes the holder: both rows, under conditions on both.
-func (t *Tracker) acquireCommit(id core.AttemptID) core.Commit {
+func (t *Tracker) acquireCommit(id core.AttemptID, now time.Time) core.Commit {
 	leaseKey, fenceKey := Keys(t.name)
 	var number core.Fence
 	if record, found := t.fence.Record.(core.FenceRecord); found {
@@ -116,7 +121,7 @@
 			{Key: fenceKey, Version: t.fence.Version},
 		},
 		Writes: []core.Write{
-			{Key: leaseKey, Record: t.leaseRecord(false)},
+			{Key: leaseKey, Record: t.leaseRecord(false, t.orderWaitOut(now), now)},
 			{Key: fenceKey, Record: core.FenceRecord{
 				Number: number + 1, Holder: t.self.VM, Incarnation: t.self.Incarnation}},
 		},
@@ -125,22 +130,24 @@
 
 // leaseCommit renews or releases the lease: the lease row only. Its version
 // changes at every takeover, so no condition on the fence row is needed.
-func (t *Tracker) leaseCommit(id core.AttemptID, released bool) core.Commit {
+func (t *Tracker) leaseCommit(id core.AttemptID, released bool, now time.Time) core.Commit {
 	leaseKey, _ := Keys(t.name)
 	return core.Commit{
 		Attempt:    id,
 		Conditions: []core.Condition{{Key: leaseKey, Version: t.lease.Version}},
-		Writes:     []core.Write{{Key: leaseKey, Record: t.leaseRecord(released)}},
+		Writes:     []core.Write{{Key: leaseKey, Record: t.leaseRecord(released, t.ordersFrom, now)}},
 	}
 }
 
-func (t *Tracker) leaseRecord(released bool) core.LeaseRecord {
+// leaseRecord returns the row of a holder that may give orders from a time on.
+func (t *Tracker) leaseRecord(released bool, ordersFrom, now time.Time) core.LeaseRecord {
 	return core.LeaseRecord{
 		Holder:      t.self.VM,
 		Incarnation: t.self.Incarnation,
 		Address:     t.self.Address,
 		Term:        t.timing.Term,
 		Released:    released,
+		OrdersClear: !now.Before(ordersFrom),
 	}
 }
 
--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -218,6 +218,60 @@
 	}
 }
 
+// TestARestartedVMGoesOnWithOrders kills a holder whose orders count by its VM:
+// its next process gives orders at once if the one before might give them, and
+// waits if that one was still waiting for another VM's orders to end.
+func TestARestartedVMGoesOnWithOrders(t *testing.T) {
+	byVM := timing
+	byVM.OrdersByVM = true
+	for _, clear := range []bool{true, false} {
+		tracker := New("x", Self{VM: "vm2", Incarnation: 9}, byVM)
+		leaseRow, fenceRow := taken(8, false)
+		record := leaseRow.Record.(core.LeaseRecord)
+		record.OrdersClear = clear
+		leaseRow.Record = record
+		tracker.Observe(leaseRow, fenceRow, at(0))
+		action := tracker.Decide(at(0), "a1")
+		tracker.CommitSent(action, at(0))
+		tracker.Committed(core.CommitResult{Applied: true, Version: 10}, at(0))
+		if _, allowed := tracker.StartOrder(at(0.1)); allowed != clear {
+			t.Errorf("orders clear %v: an order is allowed %v", clear, allowed)
+		}
+		if written := action.Commit.Writes[0].Record.(core.LeaseRecord); written.OrdersClear != clear {
+			t.Errorf("orders clear %v: the next process of the VM is told %v", clear, written.OrdersClear)
+		}
+	}
+}
+
+// TestRenewalsTellWhenOrdersAreClear takes a lease that lapsed and renews it
+// before and after the last order of the holder before has ended.
+func TestRenewalsTellWhenOrdersAreClear(t *testing.T) {
+	tracker := newTracker()
+	leaseRow, fenceRow := taken(8, false)
+	tracker.Observe(leaseRow, fenceRow, at(0))
+	now, version := at(0).Add(timing.Term+timing.Margin), core.RowVersion(10)
+	clearAt := now.Add(timing.LongestOrder)
+	for now.Before(clearAt.Add(2 * timing.RenewEvery)) {
+		action := tracker.Decide(now, "a")
+		switch action.Kind {
+		case ActionRead:
+			tracker.Observe(leaseRow, fenceRow, now)
+		case ActionAcquire, ActionRenew:
+			record := action.Commit.Writes[0].Record.(core.LeaseRecord)
+			if want := !now.Before(clearAt); record.OrdersClear != want {
+				t.Errorf("%v at %v: orders clear %v, want %v", action.Kind, now.Sub(at(0)), record.OrdersClear, want)
+			}
+			tracker.CommitSent(action, now)
+			tracker.Committed(core.CommitResult{Applied: true, Version: version}, now)
+			version++
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	if version < 12 {
+		t.Errorf("%d commits, want an acquisition and renewals", version-10)
+	}
+}
+
 // TestAReclaimingProcessTakesNoOtherLease restarts all processes at a time: one
 // that only looks for its VM's lease must leave free and foreign leases to the
 // candidates, as it may run on a VM that is too weak for the work.
--- a/internal/core/lease/types.go
+++ b/internal/core/lease/types.go
@@ -21,6 +21,7 @@
 	RenewEvery   time.Duration // between renewals, and between a challenger's reads
 	Margin       time.Duration // for clocks that run at different rates
 	LongestOrder time.Duration // from sending an order to its last effect on an engine
+	OrdersByVM   bool          // an order of an earlier process on the same VM counts as this holder's own
 }
 
 // retryFraction is the part of RenewEvery after which a failed call to the
--- a/internal/core/row.go
+++ b/internal/core/row.go
@@ -75,6 +75,7 @@
 	Address     string // peer address of the holder
 	Term        time.Duration
 	Released    bool
+	OrdersClear bool // no order of a holder on another VM can still have an effect
 }
 
 // FenceRecord changes only when a lease changes hands. Guarded commits carry a
