--- a/cmd/fescuespar/relay.go
+++ b/cmd/fescuespar/relay.go
@@ -77,7 +77,10 @@
 		return nil, nil, err
 	}
 	var service *relay.Service
-	way := detour.NewWay(direct, node, func() []string { return service.PeerAddresses() })
+	way := detour.NewWay(direct, node, func() detour.Peers {
+		near, far := service.PeerAddresses()
+		return detour.Peers{Near: near, Far: far}
+	})
 	platform := store.New(way, loaded.Store, storeTimeout, loaded.Regions, log)
 	service = relay.New(relay.Options{
 		Self: core.Member{
--- a/internal/adapters/detour/detour.go
+++ b/internal/adapters/detour/detour.go
@@ -10,10 +10,7 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
-	"net/http/httptrace"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -28,9 +25,6 @@
 	probeEvery = 250 * time.Millisecond
 	// probeTimeout bounds such a try.
 	probeTimeout = time.Second
-	// peersAsked bounds the peers that are asked for one call: of a third that
-	// have no way either, three are seldom met in a row.
-	peersAsked = 3
 )
 
 // RememberHeader, with any value, marks a read whose older answer is better than
@@ -42,7 +36,7 @@
 type Way struct {
 	direct http.RoundTripper
 	node   *Node
-	peers  func() []string // addresses of the other entry processes
+	peers  func() Peers
 
 	blocked atomic.Bool // a copy of down that the node reads
 
@@ -58,7 +52,7 @@
 
 // NewWay returns a transport over a node's peers. The node makes no calls for
 // peers while its own way is down.
-func NewWay(direct http.RoundTripper, node *Node, peers func() []string) *Way {
+func NewWay(direct http.RoundTripper, node *Node, peers func() Peers) *Way {
 	way := &Way{
 		direct: direct, node: node, peers: peers,
 		mu: lockrank.New(lockrank.RankAdapter), cut: make(chan struct{}),
@@ -260,82 +254,6 @@
 	return nil
 }
 
-var errNoPeer = errors.New("no peer can make the call")
-
-// aside sends a call through a peer. It counts as sent once a peer has it. A
-// peer that is turned away too, or only remembers an answer, is passed over
-// while there are others.
-func (w *Way) aside(request *http.Request) (*http.Response, error) {
-	peers := w.inOrder(w.peers())
-	if len(peers) == 0 {
-		return w.node.straight(request.Clone(request.Context()))
-	}
-	var second *http.Response // better than none
-	var last error = errNoPeer
-	for _, peer := range peers {
-		response, sent, err := w.node.call(request, peer)
-		if sent {
-			if trace := httptrace.ContextClientTrace(request.Context()); trace != nil && trace.GotConn != nil {
-				trace.GotConn(httptrace.GotConnInfo{})
-			}
-		}
-		if err == nil && !refused(response) && !old(response) {
-			w.prefer(peer)
-			discard(second)
-			return response, nil
-		}
-		w.passOver(peer)
-		if err == nil {
-			second = better(second, response)
-			continue
-		}
-		last = err
-		if sent && request.Method != http.MethodGet {
-			discard(second)
-			return nil, last
-		}
-	}
-	if second != nil {
-		return second, nil
-	}
-	return nil, last
-}
-
-// inOrder returns the peers to ask: the one that served last, then others at
-// random. To stay with one spares a handshake with another for each call.
-func (w *Way) inOrder(peers []string) []string {
-	w.mu.Lock()
-	preferred := w.preferred
-	w.mu.Unlock()
-	var order []string
-	if slices.Contains(peers, preferred) {
-		order = append(order, preferred)
-	}
-	for _, at := range rand.Perm(len(peers)) {
-		if len(order) >= peersAsked {
-			break
-		}
-		if peers[at] != preferred {
-			order = append(order, peers[at])
-		}
-	}
-	return order
-}
-
-func (w *Way) prefer(peer string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.preferred = peer
-}
-
-func (w *Way) passOver(peer string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.preferred == peer {
-		w.preferred = ""
-	}
-}
-
 // better returns the better of two second-best answers: one that is remembered
 // rather than a refusal.
 func better(known, other *http.Response) *http.Response {
--- a/internal/adapters/detour/detour_test.go
+++ b/internal/adapters/detour/detour_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -47,7 +48,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(node.Close)
-	return NewWay(own, node, func() []string { return []string{peer.Address()} }), own, others
+	return NewWay(own, node, func() Peers { return Peers{Far: []string{peer.Address()}} }), own, others
 }
 
 func platformServer(t *testing.T, changes *atomic.Int64) *httptest.Server {
@@ -204,13 +205,13 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(peer.Close)
-	before := NewWay(older, peer, func() []string { return nil })
+	before := NewWay(older, peer, func() Peers { return Peers{} })
 	node, err := Listen("127.0.0.1:0", host, newborn)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(node.Close)
-	way := NewWay(newborn, node, func() []string { return []string{peer.Address()} })
+	way := NewWay(newborn, node, func() Peers { return Peers{Far: []string{peer.Address()}} })
 	read := func(way *Way, path string) (int, string) {
 		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 		defer cancel()
@@ -290,7 +291,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(node.Close)
-	way := NewWay(http.DefaultTransport, node, func() []string { return nil })
+	way := NewWay(http.DefaultTransport, node, func() Peers { return Peers{} })
 	for _, down := range []bool{false, true} {
 		way.set(down)
 		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, platform.URL+"/op", nil)
@@ -311,6 +312,43 @@
 
 // TestCallsStayWithAPeerThatServes turns the process and two of three peers
 // away: calls must find the third, and then stay with it.
+// TestPeersOutOfReachCostLittle has a process that reaches few of its peers, as
+// one that is cut from other availability zones too.
+func TestPeersOutOfReachCostLittle(t *testing.T) {
+	var changes atomic.Int64
+	platform := platformServer(t, &changes)
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		for range 3 {
+			way, own, _ := pair(t, platform)
+			peers := way.peers()
+			for range 4 {
+				peers.Far = append(peers.Far, silent(t))
+			}
+			way.peers = func() Peers { return peers }
+			own.cut.Store(true)
+			way.set(true)
+			began := time.Now()
+			if _, err := send(t, way, method, platform.URL+"/rows", "", 5*time.Second); err != nil {
+				t.Errorf("%s: %v", method, err)
+			}
+			if took := time.Since(began); took > 1500*time.Millisecond {
+				t.Errorf("%s took %v", method, took)
+			}
+		}
+	}
+}
+
+// silent returns an address that takes packets and never answers.
+func silent(t *testing.T) string {
+	t.Helper()
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn.LocalAddr().String()
+}
+
 func TestCallsStayWithAPeerThatServes(t *testing.T) {
 	var changes atomic.Int64
 	platform := platformServer(t, &changes)
@@ -326,8 +364,8 @@
 		t.Cleanup(node.Close)
 		nodes[i] = node
 	}
-	way := NewWay(links[0], nodes[0], func() []string {
-		return []string{nodes[1].Address(), nodes[2].Address(), nodes[3].Address()}
+	way := NewWay(links[0], nodes[0], func() Peers {
+		return Peers{Near: []string{nodes[1].Address()}, Far: []string{nodes[2].Address(), nodes[3].Address()}}
 	})
 	for _, turnedAway := range links[:3] {
 		turnedAway.refuse.Store(true)
--- a/internal/app/relay/watch.go
+++ b/internal/app/relay/watch.go
@@ -228,16 +228,20 @@
 	return phase == tables.PhaseServing
 }
 
-// PeerAddresses returns the addresses of the other entry processes.
-func (s *Service) PeerAddresses() []string {
-	var addresses []string
+// PeerAddresses returns the addresses of the other entry processes, those in
+// the same availability zone apart.
+func (s *Service) PeerAddresses() (near, far []string) {
 	for _, member := range s.members.Live() {
-		if member.VM != s.options.Self.VM && member.PeerAddress != "" {
-			addresses = append(addresses, member.PeerAddress)
+		switch {
+		case member.VM == s.options.Self.VM || member.PeerAddress == "":
+		case member.Zone == s.options.Self.Zone:
+			near = append(near, member.PeerAddress)
+		default:
+			far = append(far, member.PeerAddress)
 		}
 	}
-	if len(addresses) == 0 {
-		return s.options.Seeds
+	if len(near)+len(far) == 0 {
+		return nil, s.options.Seeds
 	}
-	return addresses
+	return near, far
 }
