--- a/internal/adapters/logwrite/logwrite.go
+++ b/internal/adapters/logwrite/logwrite.go
@@ -4,6 +4,7 @@
 import (
 	"io"
 	stdlog "log"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
@@ -14,6 +15,10 @@
 // TimeFormat is that of a line's time: lines of several VMs are put in order by it.
 const TimeFormat = "2006-01-02T15:04:05.000Z07:00"
 
+// writeEvery is how often waiting lines are written. The ring's own signal is
+// given without its lock, so that a last line could wait for the next one.
+const writeEvery = 50 * time.Millisecond
+
 // New returns a logger for lines of a level and above that keeps up to a number of lines for an output that is
 // slow. Beyond it the oldest lines that wait are dropped, so that of a request's
 // waiting lines the last is never lost before the first; a line of its own
@@ -22,7 +27,7 @@
 func New(out io.Writer, vm string, level zerolog.Level, lines int) (log zerolog.Logger, output io.Closer) {
 	zerolog.TimeFieldFormat = TimeFormat
 	direct := logger(out, vm, level)
-	writer := diode.NewWriter(out, lines, 0, func(missed int) {
+	writer := diode.NewWriter(out, lines, writeEvery, func(missed int) {
 		direct.Warn().Int("dropped", missed).Msg(logs.LinesDropped)
 	})
 	return logger(writer, vm, level), writer
