Trace the process test that failed once beside load; test that a lone line is written

Cause: TestAuthorityIsReplacedUnderLoad waits for the line in which an entry process tells that it serves. Ruled out: a slow start of the process beside load; the wait is for the line, not for its port.

--- a/internal/adapters/logwrite/logwrite_test.go
+++ b/internal/adapters/logwrite/logwrite_test.go
@@ -100,6 +100,43 @@
 
 func (l *lines) AddDamaged() { l.damaged++ }
 
+// told passes on that a line was written.
+type told chan struct{}
+
+func (t told) Write(line []byte) (int, error) {
+	select {
+	case t <- struct{}{}:
+	default:
+	}
+	return len(line), nil
+}
+
+// TestALoneLineIsWritten starts many processes' logs with one line each, which
+// no other follows: others wait for it, as for the line that tells of serving.
+func TestALoneLineIsWritten(t *testing.T) {
+	const starts = 1000
+	var running sync.WaitGroup
+	for i := range starts {
+		running.Go(func() {
+			out := make(told, 1)
+			log, closed := New(out, "entry-1", zerolog.InfoLevel, 64)
+			log.Info().Msg(logs.Started)
+			select {
+			case <-out:
+			case <-time.After(patience):
+				t.Errorf("the line of start %d was not written", i)
+			}
+			if err := closed.Close(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	running.Wait()
+}
+
+// patience is far above the time in which a line is written, for machines under load.
+const patience = 10 * time.Second
+
 // TestLibrariesWriteLinesOfTheLog writes to the standard logger, as quic-go does.
 func TestLibrariesWriteLinesOfTheLog(t *testing.T) {
 	var out bytes.Buffer
