Say how often the test of a lone line sees the fault it is for

Ruled out: a sure test: the race is inside the library, between its look at the ring and its wait. Change: few starts at a time; the comment tells the rate. Conclusion: the test sees the fault now and then, not each time; the interval rules it out by its design.

--- a/internal/adapters/logwrite/logwrite_test.go
+++ b/internal/adapters/logwrite/logwrite_test.go
@@ -111,29 +111,44 @@
 	return len(line), nil
 }
 
-// TestALoneLineIsWritten starts many processes' logs with one line each, which
-// no other follows: others wait for it, as for the line that tells of serving.
+// TestALoneLineIsWritten starts many logs with one line each, which no other
+// follows: others wait for it, as for the line that tells of serving. Few start
+// at a time, since the line must come while the writer is about to wait: with a
+// writer that can miss it, some 15 of 100 runs fail on six processors.
 func TestALoneLineIsWritten(t *testing.T) {
-	const starts = 1000
+	const atOnce, starts = 8, 60
 	var running sync.WaitGroup
-	for i := range starts {
+	for range atOnce {
 		running.Go(func() {
-			out := make(told, 1)
-			log, closed := New(out, "entry-1", zerolog.InfoLevel, 64)
-			log.Info().Msg(logs.Started)
-			select {
-			case <-out:
-			case <-time.After(patience):
-				t.Errorf("the line of start %d was not written", i)
-			}
-			if err := closed.Close(); err != nil {
-				t.Error(err)
+			for i := range starts {
+				if !aloneWritten(t) {
+					t.Errorf("the line of start %d was not written", i)
+					return
+				}
 			}
 		})
 	}
 	running.Wait()
 }
 
+// aloneWritten writes one line to a new log and reports whether it comes out.
+func aloneWritten(t *testing.T) bool {
+	out := make(told, 1)
+	log, closed := New(out, "entry-1", zerolog.InfoLevel, 64)
+	defer func() {
+		if err := closed.Close(); err != nil {
+			t.Error(err)
+		}
+	}()
+	log.Info().Msg(logs.Started)
+	select {
+	case <-out:
+		return true
+	case <-time.After(patience):
+		return false
+	}
+}
+
 // patience is far above the time in which a line is written, for machines under load.
 const patience = 10 * time.Second
 
