--- a/bench/stepschedulers.go
+++ b/bench/stepschedulers.go
@@ -57,14 +57,16 @@
 }
 
 func (o serviceSteps) enginesToAvoid(start *job.RunStart, now time.Time) []core.ServerID {
-	return job.AvoidedEngines{Slow: o.intervals.Slow(now)}.EnginesFor(start)
+	return job.AvoidedEngines{Slow: o.intervals.Slow(now), Weak: o.intervals.Weak(now)}.EnginesFor(start)
 }
 
 func (o serviceSteps) runsToMove(free int, now time.Time) []job.RunID {
-	return o.scheduler.SelectMoves(o.intervals.Slow(now), func(core.ModelName, core.WeightVersion) bool {
+	reserve := func(core.ModelName, core.WeightVersion) bool {
 		free--
 		return free >= 0
-	})
+	}
+	moves := o.scheduler.SelectMoves(o.intervals.Slow(now), 0, reserve)
+	return append(moves, o.scheduler.SelectMoves(o.intervals.Weak(now), job.LongRunEvents, reserve)...)
 }
 
 func (o serviceSteps) closeStep(id core.JobID) { o.scheduler.Close(id) }
--- a/cmd/fescuespar/relay.go
+++ b/cmd/fescuespar/relay.go
@@ -39,15 +39,16 @@
 }
 
 const (
-	storeTimeout       = 3 * time.Second // a slow store still answers within this time
-	relayWorkers       = 4
-	leaseReclaimDelay  = 10 * time.Second       // longer than most store outages during which processes restart
-	heapMemoryShare    = 0.6                    // share of the VM's memory for the Go heap
-	bodyMemoryShare    = 0.2                    // share of the VM's memory for callers' request bodies
-	logBufferLines     = 4096                   // log lines buffered for standard output; beyond it lines are dropped and counted
-	maxHeaderBytes     = 1 << 16                // size of a caller's header; the limits of routes are lower
-	requestReadTimeout = 10 * time.Second       // time to read a whole request
-	closeReserve       = 500 * time.Millisecond // part of the shutdown grace reserved for closing connections
+	storeTimeout        = 3 * time.Second // a slow store still answers within this time
+	relayWorkers        = 4
+	leaseReclaimDelay   = 10 * time.Second       // longer than most store outages during which processes restart
+	heapMemoryShare     = 0.6                    // share of the VM's memory for the Go heap
+	bodyMemoryShare     = 0.2                    // share of the VM's memory for callers' request bodies
+	responseMemoryShare = 0.2                    // share of the VM's memory for backend servers' response bodies
+	logBufferLines      = 4096                   // log lines buffered for standard output; beyond it lines are dropped and counted
+	maxHeaderBytes      = 1 << 16                // size of a caller's header; the limits of routes are lower
+	requestReadTimeout  = 10 * time.Second       // time to read a whole request
+	closeReserve        = 500 * time.Millisecond // part of the shutdown grace reserved for closing connections
 )
 
 // Execute runs the service until SIGTERM or SIGINT.
@@ -95,7 +96,7 @@
 		MaxResultBytes: loaded.MaxRowBytes * 3 / 4, StoreReadsPerSecond: loaded.StoreReadsPerSecond,
 	}, relay.Ports{
 		Tables: platform, Objects: platform, Registry: platform, Bodies: bodycodec.Codec{},
-		Backend: worker.New(), Clock: bootclock.Clock{},
+		Backend: worker.New(int64(float64(loaded.MemoryBytes) * responseMemoryShare)), Clock: bootclock.Clock{},
 	}, log)
 	maxBodyBytes := int64(float64(loaded.MemoryBytes) * bodyMemoryShare)
 	callers := front.New(service, service, bootclock.Clock{}, maxBodyBytes, log)
--- a/internal/adapters/serverhttp/json.go
+++ b/internal/adapters/serverhttp/json.go
@@ -41,8 +41,7 @@
 }
 
 // CallJSON sends one request and decodes the JSON response into out unless out is
-// nil. Errors: those of TransportError and RefusalError, and ServerFailed if the
-// response cannot be decoded.
+// nil. Errors: those of TransportError and ReadJSON.
 func CallJSON(client *http.Client, server core.VM, request *http.Request, out any) error {
 	ctx := request.Context()
 	response, err := client.Do(request)
@@ -50,6 +49,12 @@
 		return TransportError(ctx, server, err)
 	}
 	defer response.Body.Close()
+	return ReadJSON(ctx, server, response, out)
+}
+
+// ReadJSON decodes a JSON response into out unless out is nil. Errors: those of
+// TransportError and RefusalError, and ServerFailed if the response cannot be decoded.
+func ReadJSON(ctx context.Context, server core.VM, response *http.Response, out any) error {
 	if response.StatusCode/100 != 2 {
 		return RefusalError(server, response)
 	}
--- a/internal/app/relay/events.go
+++ b/internal/app/relay/events.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"time"
 
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/logs"
 	"fescuespar/internal/core/outlier"
+	"fescuespar/internal/core/route"
 	"fescuespar/internal/core/routing"
 	"fescuespar/internal/errkind"
 	"fescuespar/internal/ports"
@@ -13,34 +16,47 @@
 // eventStream is a caller's streaming request in progress. It implements
 // ports.EventSink.
 type eventStream struct {
-	request     core.EventsRequest
-	route       core.Route
-	service     string
-	sink        ports.EventSink
-	headSent    bool // the caller got the response's head
-	possiblyRun bool // an attempt may have run
-	attempts    int
-	excluded    []core.ServerID // already tried
+	request         core.EventsRequest
+	route           core.Route
+	service         string
+	ctx             context.Context // ends when the caller has left or was answered
+	sink            ports.EventSink
+	progress        route.StreamProgress
+	contentType     string             // of the response whose head was passed on
+	version         core.WeightVersion // of the last event; zero if unknown
+	excluded        []core.ServerID    // already tried
+	failureResponse core.RelayResponse // a backend server's 5xx response, returned if no later attempt begins a stream
+	onHead          func(leaving bool) // called for each attempt's head
 }
 
-// Head implements ports.EventSink. Only the first attempt's head is passed on.
+// Head implements ports.EventSink. Only the first attempt's head is passed on; the
+// stream of a later one must be of the same type.
 func (st *eventStream) Head(response core.RelayResponse) error {
-	if st.headSent {
-		return nil
+	st.onHead(response.Leaving)
+	contentType := response.Header.Get("Content-Type")
+	if !st.progress.Begun {
+		st.progress.Begun, st.contentType = true, contentType
+		return st.sink.Head(response)
 	}
-	st.headSent = true
-	return st.sink.Head(response)
+	if contentType != st.contentType {
+		return errkind.New(errkind.ServerFailed, "stream of type %q continued with type %q", st.contentType, contentType)
+	}
+	return nil
 }
 
-// Event implements ports.EventSink. An event out of order is an error.
+// Event implements ports.EventSink. An event out of order is an error, as is a change
+// of the weight version on a route that allows only one.
 func (st *eventStream) Event(event core.Event) error {
 	if event.ID != st.request.After+1 {
 		return errkind.New(errkind.ServerFailed, "event %d received after event %d", event.ID, st.request.After)
 	}
+	if st.route.SingleVersion && st.version != 0 && event.Version != st.version {
+		return errkind.New(errkind.ServerFailed, "event %d is of weight version %d, want %d", event.ID, event.Version, st.version)
+	}
 	if err := st.sink.Event(event); err != nil {
 		return errkind.Wrap(errkind.Canceled, err, "write event to caller")
 	}
-	st.request.After = event.ID
+	st.request.After, st.version = event.ID, event.Version
 	return nil
 }
 
@@ -58,55 +74,100 @@
 	arrived := s.ports.Clock.Now()
 	request.Deadline = requestDeadline(request.Deadline, matched.Timeout, arrived)
 	request.AtMostOnce = !matched.Resumable
-	st := &eventStream{request: request, route: matched, service: s.routes.Choose(&matched), sink: sink}
-	response, err := s.forwardEventsWithRetries(ctx, st)
+	st := &eventStream{
+		request: request, route: matched, service: s.routes.Choose(&matched), ctx: ctx, sink: sink,
+		progress: route.StreamProgress{Resumable: matched.Resumable, MaxAttempts: matched.Attempts},
+	}
+	response, err := s.forwardEventsWithRetries(st)
 	s.logRequest(&call{
-		request: request.RelayRequest, route: matched, service: st.service, arrived: arrived, attempts: st.attempts,
+		request: request.RelayRequest, route: matched, service: st.service, arrived: arrived, attempts: st.progress.Attempts,
 	}, &response, err)
 	return response, err
 }
 
-// forwardEventsWithRetries sends the request until a stream is complete or must
-// not be retried. If an attempt may have run, another server continues the
-// stream only if the route is resumable.
-func (s *Service) forwardEventsWithRetries(ctx context.Context, st *eventStream) (core.RelayResponse, error) {
+// forwardEventsWithRetries sends the request until a stream is complete, a response
+// without a stream can be passed on, or the request must not be sent again.
+func (s *Service) forwardEventsWithRetries(st *eventStream) (core.RelayResponse, error) {
 	for {
-		response, server, err := s.attemptEvents(ctx, st)
-		if err == nil || ctx.Err() != nil {
-			return response, err
-		}
-		notRun := errkind.AnswerTo(err).Execution == errkind.NotRun
-		st.possiblyRun = st.possiblyRun || !notRun
-		canRetry := notRun && !st.possiblyRun || st.route.Resumable
-		if server == "" || !canRetry || st.attempts >= max(1, st.route.Attempts) || errkind.Is(err, errkind.Canceled) {
-			if notRun && st.possiblyRun {
-				err = errkind.Wrap(errkind.ServerFailed, err, "an earlier attempt may have run")
+		response, server, err := s.attemptEvents(st)
+		switch st.progress.After(streamOutcome(st.ctx, server, response.Status, err)) {
+		case route.EndStream, route.PassResponse:
+			return response, nil
+		case route.RetryStream:
+			s.log.Info().Err(err).Str("request", string(st.request.ID)).Int("attempt", st.progress.Attempts).Str("server", string(server)).
+				Int("status", response.Status).Int("after", st.request.After).Msg(logs.AttemptFailed)
+			if response.Status >= 500 {
+				st.failureResponse = response
 			}
-			return core.RelayResponse{}, err
+			st.excluded = append(st.excluded, server)
+		default:
+			return st.failure(response.Status, err)
 		}
-		st.excluded = append(st.excluded, server)
+	}
+}
+
+// streamOutcome classifies the result of an attempt; server is empty if none was
+// available.
+func streamOutcome(caller context.Context, server core.ServerID, status int, err error) route.StreamOutcome {
+	switch {
+	case err == nil && status == 0:
+		return route.StreamCompleted
+	case err == nil && status >= 500:
+		return route.StreamError
+	case err == nil:
+		return route.StreamRejected
+	case server == "" || caller.Err() != nil || errkind.Is(err, errkind.Canceled):
+		return route.StreamUnplaced
+	case errkind.AnswerTo(err).Execution == errkind.NotRun:
+		return route.StreamRefused
+	default:
+		return route.StreamBroken
+	}
+}
+
+// failure returns the answer for a request whose last attempt ended with a status, zero
+// if none, or an error. It says that the request did not run only if no attempt may
+// have run.
+func (st *eventStream) failure(status int, err error) (core.RelayResponse, error) {
+	switch {
+	case !st.progress.Begun && st.failureResponse.Status != 0:
+		return st.failureResponse, nil
+	case err == nil:
+		return core.RelayResponse{}, errkind.New(errkind.ServerFailed, "stream broke off and was answered with status %d", status)
+	case st.progress.PossiblyRun && errkind.AnswerTo(err).Execution == errkind.NotRun:
+		return core.RelayResponse{}, errkind.Wrap(errkind.ServerFailed, err, "an earlier attempt may have run")
+	default:
+		return core.RelayResponse{}, err
 	}
 }
 
 // attemptEvents sends the request to one backend server and returns that server,
 // empty if none was available.
-func (s *Service) attemptEvents(ctx context.Context, st *eventStream) (core.RelayResponse, core.ServerID, error) {
+func (s *Service) attemptEvents(st *eventStream) (core.RelayResponse, core.ServerID, error) {
 	now := s.ports.Clock.Now()
-	dispatch, err := s.servers.Acquire(routing.Query{
+	query := routing.Query{
 		Kind: s.serverKind(st.service), Service: st.service, Class: core.ClassInteractive, ExpectedTokens: 1,
 		Adapter: core.AdapterName(st.request.Model),
 		Zone:    s.options.Self.Zone, Region: s.options.Self.Region, Exclude: st.excluded,
-	}, now)
+	}
+	if st.route.SingleVersion && st.version != 0 {
+		query.Version, query.ExactVersion = st.version, true
+	}
+	dispatch, err := s.servers.Acquire(query, now)
 	if err != nil {
 		return core.RelayResponse{}, "", err
 	}
-	st.attempts++
+	st.progress.Attempts++
 	s.metrics.Attempts.Inc(1)
+	st.onHead = func(leaving bool) { s.noteLeaving(dispatch.VM.ID, now, leaving) }
+	request := st.request
+	request.FirstEventWithin, request.LongestGap = s.streamTimeouts(st, dispatch.VM.ID, now)
 	result := make(chan callResult, 1)
 	err = s.lanes.calls.Go(func(lane context.Context) {
-		ctx, cancel := s.mergeContexts(lane, ctx, st.request.Deadline)
+		ctx, cancel := s.mergeContexts(lane, st.ctx, request.Deadline)
 		defer cancel()
-		response, err := s.ports.Backend.Events(ctx, dispatch.VM, st.request, st)
+		response, err := s.ports.Backend.Events(ctx, dispatch.VM, request, st)
+		releaseWith(st.ctx, response)
 		result <- callResult{response, err}
 	})
 	if err != nil {
@@ -114,6 +175,18 @@
 		return core.RelayResponse{}, "", err
 	}
 	r := <-result
+	s.noteLeaving(dispatch.VM.ID, now, r.response.Leaving)
 	s.servers.Release(dispatch, attemptResult(r.err, r.response.Status), s.ports.Clock.Now())
 	return r.response, dispatch.VM.ID, r.err
 }
+
+// streamTimeouts returns the bounds on the silence of a stream. A stream that no other
+// backend server can continue is not ended before its deadline, since that helps
+// nobody.
+func (s *Service) streamTimeouts(st *eventStream, engine core.ServerID, now time.Time) (first, gap time.Duration) {
+	if !st.route.Resumable {
+		left := st.request.Deadline.Sub(now)
+		return left, left
+	}
+	return 0, s.engineSpeeds.LongestGap(st.service, engine, now)
+}
--- a/internal/app/relay/forward.go
+++ b/internal/app/relay/forward.go
@@ -168,6 +168,7 @@
 		ctx, cancel := s.mergeContexts(lane, c.ctx, request.Deadline)
 		defer cancel()
 		response, err := s.ports.Backend.Exchange(ctx, dispatch.VM, request)
+		releaseWith(c.ctx, response)
 		s.pool.MustEnqueue(core.ClassInteractive, func() { s.finishAttempt(c, dispatch, response, err) })
 	})
 	if err != nil {
@@ -177,6 +178,14 @@
 	}
 }
 
+// releaseWith releases the memory of a response's body when the caller's context ends,
+// which is when the caller has left or was answered.
+func releaseWith(caller context.Context, response core.RelayResponse) {
+	if response.Release != nil {
+		context.AfterFunc(caller, response.Release)
+	}
+}
+
 // mergeContexts returns a context that ends with the lane's context, the caller's
 // context or the deadline, whichever is first.
 func (s *Service) mergeContexts(lane, caller context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
@@ -210,6 +219,7 @@
 }
 
 func (s *Service) finishAttempt(c *call, dispatch routing.Dispatch, response core.RelayResponse, err error) {
+	s.noteLeaving(dispatch.VM.ID, dispatch.Started, response.Leaving)
 	s.servers.Release(dispatch, attemptResult(err, response.Status), s.ports.Clock.Now())
 	c.excluded = append(c.excluded, dispatch.VM.ID)
 	canRetry := c.attempts < max(1, c.route.Attempts) && c.ctx.Err() == nil
--- a/internal/app/relay/orders.go
+++ b/internal/app/relay/orders.go
@@ -143,7 +143,9 @@
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
 		s.engineSpeeds.BeginLoad(vm.ID, order.Model, s.ports.Clock.Now().Add(assumedLoadTime))
-		err := s.ports.Backend.Order(ctx, vm, order)
+		sent := s.ports.Clock.Now()
+		leaving, err := s.ports.Backend.Order(ctx, vm, order)
+		s.noteLeaving(vm.ID, sent, leaving)
 		s.pool.MustEnqueue(core.ClassControl, func() { s.handleOrderReply(service, vm, order, err) })
 	})
 	if err != nil {
@@ -161,7 +163,9 @@
 		defer s.servers.EndCheck(vm.ID)
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
+		sent := s.ports.Clock.Now()
 		report, err := s.ports.Backend.Report(ctx, vm)
+		s.noteLeaving(vm.ID, sent, report.Leaving)
 		if err != nil {
 			s.log.Info().Err(err).Str("server", string(vm.ID)).Msg("accepted orders not read; order postponed")
 			return
@@ -211,9 +215,14 @@
 	deadline          time.Time
 }
 
-// maxIdleReports is the number of reports of an idle engine without an order after
-// which the order was not accepted: reports lag by less than one interval.
-const maxIdleReports = 2
+// Reports of an idle engine without an order after which the order was not accepted.
+// Reports lag by less than one interval.
+const (
+	maxIdleReports = 2 // of an order without a reply
+	// maxIdleReportsAfterReply applies to an order that the engine accepted by its
+	// reply, which may have been a late copy of the reply to an earlier order.
+	maxIdleReportsAfterReply = 6
+)
 
 // pollReport requests reports from a loading engine until one shows the version.
 // The engine's registration shows it much later.
@@ -226,6 +235,7 @@
 		defer cancel()
 		began := s.ports.Clock.Now()
 		report, err := s.ports.Backend.Report(ctx, poll.vm)
+		s.noteLeaving(poll.vm.ID, began, report.Leaving)
 		s.pool.MustEnqueue(core.ClassControl, func() {
 			if err == nil && s.applyReport(&poll, &report, began) {
 				return
@@ -254,11 +264,15 @@
 		return true
 	}
 	accepted := report.Orders > *order.Orders
-	if !poll.acceptanceUnknown || report.Busy || accepted {
+	if report.Busy || accepted {
 		poll.idleReports = 0
 		return false
 	}
-	if poll.idleReports++; poll.idleReports < maxIdleReports {
+	limit := maxIdleReportsAfterReply
+	if poll.acceptanceUnknown {
+		limit = maxIdleReports
+	}
+	if poll.idleReports++; poll.idleReports < limit {
 		return false
 	}
 	s.log.Info().Str("server", string(vm.ID)).Uint64("version", uint64(order.Version)).Uint64("orders", report.Orders).
--- a/internal/app/relay/run.go
+++ b/internal/app/relay/run.go
@@ -23,7 +23,7 @@
 // startDueWork starts the runs, the scoring and the result commits that are due.
 func (s *Service) startDueWork(service string) {
 	now := s.ports.Clock.Now()
-	avoided := job.AvoidedEngines{Slow: s.engineSpeeds.SlowEngines(service, now), Loading: s.engineSpeeds.LoadingEngines(now)}
+	avoided := job.AvoidedEngines{Slow: s.engineSpeeds.SlowEngines(service, now), Weak: s.engineSpeeds.WeakEngines(service, now), Loading: s.engineSpeeds.LoadingEngines(now)}
 	for _, start := range s.jobs.NextRuns(service, maxStartsPerStep, now) {
 		if err := s.placeRun(service, start, avoided, now); err != nil {
 			s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) { scheduler.RunNotPlaced(start.Work, now) })
@@ -36,19 +36,23 @@
 	s.storeResults(service)
 }
 
-// moveSlowRuns cancels runs on slow engines, as many as suitable engines have free
-// slots for. The runs continue there after the events received so far.
+// moveSlowRuns cancels runs on slow engines and long runs on weak ones, as many as
+// other engines have free slots for. The runs continue there after the events received
+// so far.
 func (s *Service) moveSlowRuns(service string) {
 	now := s.ports.Clock.Now()
-	slow := s.engineSpeeds.SlowEngines(service, now)
-	if len(slow) == 0 {
+	slow, weak := s.engineSpeeds.SlowEngines(service, now), s.engineSpeeds.WeakEngines(service, now)
+	if len(slow)+len(weak) == 0 {
 		return
 	}
-	free := findFreeSlots(s.servers.EnginesOf(service), slow, s.engineSpeeds.LoadingEngines(now))
+	engines, loading := s.servers.EnginesOf(service), s.engineSpeeds.LoadingEngines(now)
+	sound, fast := findFreeSlots(engines, slow, loading), findFreeSlots(engines, slices.Concat(slow, weak), loading)
 	var moves []job.RunID
-	s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) { moves = scheduler.SelectMoves(slow, free.reserve) })
+	s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) {
+		moves = append(scheduler.SelectMoves(slow, 0, sound.reserve), scheduler.SelectMoves(weak, job.LongRunEvents, fast.reserve)...)
+	})
 	if len(moves) > 0 {
-		s.log.Info().Str("service", service).Int("runs", len(moves)).Any("slow", slow).Msg(logs.RunsMoved)
+		s.log.Info().Str("service", service).Int("runs", len(moves)).Any("slow", slow).Any("weak", weak).Msg(logs.RunsMoved)
 	}
 	s.runs.Cancel(moves)
 }
@@ -61,11 +65,11 @@
 }
 
 // findFreeSlots returns the free slots of the live engines that are neither ejected
-// nor slow.
-func findFreeSlots(engines []routing.View, slow []core.ServerID, loading map[core.ModelName][]core.ServerID) *freeSlots {
+// nor among those that runs are moved off.
+func findFreeSlots(engines []routing.View, avoided []core.ServerID, loading map[core.ModelName][]core.ServerID) *freeSlots {
 	found := &freeSlots{loading: loading}
 	for _, view := range engines {
-		if view.VM.State == core.VMLive && !view.Ejected && !slices.Contains(slow, view.VM.ID) {
+		if view.VM.State == core.VMLive && !view.Ejected && !slices.Contains(avoided, view.VM.ID) {
 			found.engines = append(found.engines, view)
 			found.free = append(found.free, view.VM.Slots-view.OwnStreams)
 		}
@@ -126,7 +130,8 @@
 		Header: start.Item.Header, Body: start.Item.Body,
 	}}
 	began := s.ports.Clock.Now()
-	sink := &itemSink{addEvent: func(event core.Event) bool { return s.jobs.AddEvent(service, start.Work, event) }}
+	request.LongestGap = s.engineSpeeds.LongestGap(service, dispatch.VM.ID, began)
+	sink := &itemSink{maxEvents: start.Item.Tokens, after: start.EventsReceived, addEvent: func(event core.Event) bool { return s.jobs.AddEvent(service, start.Work, event) }}
 	lastEvent := began
 	sink.onEvent = func() {
 		now := s.ports.Clock.Now()
@@ -135,24 +140,44 @@
 		}
 		lastEvent = now
 	}
+	sink.onHead = func(leaving bool) { s.noteLeaving(dispatch.VM.ID, dispatch.Started, leaving) }
 	response, err := s.ports.Backend.Events(ctx, dispatch.VM, request, sink)
+	if response.Release != nil {
+		response.Release() // only the status is used
+	}
+	s.noteLeaving(dispatch.VM.ID, dispatch.Started, response.Leaving)
 	result := runResult{status: response.Status, err: err, events: sink.events, duration: s.ports.Clock.Now().Sub(began)}
 	s.pool.MustEnqueue(core.ClassRollout, func() { s.finishRun(service, start, dispatch, result) })
 }
 
+// maxTextBytes bounds one run's part of an item's text. A text is returned within one
+// page of results, which has at most this size.
+const maxTextBytes = 1 << 20
+
 // itemSink receives the events of a run. It implements ports.EventSink.
 type itemSink struct {
-	addEvent func(core.Event) bool // returns false to end the run
-	onEvent  func()
-	events   int
+	addEvent  func(core.Event) bool // returns false to end the run
+	onHead    func(leaving bool)
+	onEvent   func()
+	after     int // id of the last event of earlier runs
+	maxEvents int // of the whole text, as each has a token at least; zero if unknown
+	events    int // received
+	bytes     int // of their data
 }
 
 // Head implements ports.EventSink.
-func (*itemSink) Head(core.RelayResponse) error { return nil }
+func (k *itemSink) Head(response core.RelayResponse) error {
+	k.onHead(response.Leaving)
+	return nil
+}
 
 // Event implements ports.EventSink.
 func (k *itemSink) Event(event core.Event) error {
 	k.events++
+	k.bytes += len(event.Data)
+	if k.maxEvents > 0 && k.after+k.events > k.maxEvents || k.bytes > maxTextBytes {
+		return errkind.New(errkind.ServerFailed, "text exceeds its size: %d events after %d, %d bytes, for at most %d tokens", k.events, k.after, k.bytes, k.maxEvents)
+	}
 	k.onEvent()
 	if !k.addEvent(event) {
 		return errkind.New(errkind.Canceled, "event %d of weight version %d rejected: run has ended or version is not allowed", event.ID, event.Version)
@@ -244,7 +269,9 @@
 // scoreText sends one output to its scorer as a separate request, which may be
 // retried. It blocks and runs on a lane.
 func (s *Service) scoreText(lane context.Context, service string, start job.ScoreStart) {
-	response, err := s.Forward(lane, core.RelayRequest{
+	ctx, cancel := context.WithCancel(lane)
+	defer cancel()
+	response, err := s.Forward(ctx, core.RelayRequest{
 		ID: start.Call.ID, Method: "POST", Host: start.Call.Host, Target: start.Call.Path, Body: start.Call.Body,
 	})
 	s.pool.MustEnqueue(core.ClassRollout, func() {
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -18,6 +18,7 @@
 	"fescuespar/internal/core/job"
 	"fescuespar/internal/core/lease"
 	"fescuespar/internal/core/routing"
+	"fescuespar/internal/lockrank"
 	"fescuespar/internal/metrics"
 	"fescuespar/internal/ports"
 	"fescuespar/internal/tables"
@@ -123,6 +124,8 @@
 	jobStorage   *tables.JobStorage
 	platform     *tables.Platform
 
+	routingUpdates *tables.Serial
+
 	started           time.Time
 	committer         commits.Committer
 	leaseManager      *leasing.Manager
@@ -168,7 +171,10 @@
 		weights:      tables.NewWeights(),
 		jobStorage:   tables.NewJobStorage(),
 		platform:     tables.NewPlatform(),
-		started:      adapters.Clock.Now(),
+
+		routingUpdates: tables.NewSerial(lockrank.RankRoutingUpdates),
+
+		started: adapters.Clock.Now(),
 	}
 	s.committer = commits.Committer{
 		Tables: adapters.Tables, ReplyTimeout: commitReplyTimeout,
--- a/internal/app/relay/watch.go
+++ b/internal/app/relay/watch.go
@@ -112,9 +112,23 @@
 	s.coordinateServices()
 }
 
-// updateRouting passes the registered servers to routing, with the slots that the
-// route table sets for their services.
-func (s *Service) updateRouting() {
+// noteLeaving records that a server announced its shutdown in the response to a request
+// sent at a time, if it did. The server gets nothing new from then on.
+func (s *Service) noteLeaving(id core.ServerID, sent time.Time, leaving bool) {
+	if !leaving || !s.registry.MarkLeaving(id, sent) {
+		return
+	}
+	s.log.Info().Str("server", string(id)).Time("sent", sent).Msg(logs.ServerLeaving)
+	s.updateRouting()
+}
+
+// updateRouting passes the registered servers to routing. Updates run one at a time, so
+// that an older view never replaces a newer one.
+func (s *Service) updateRouting() { s.routingUpdates.Do(s.applyServersToRouting) }
+
+// applyServersToRouting passes the registered servers to routing, with the slots that
+// the route table sets for their services.
+func (s *Service) applyServersToRouting() {
 	table := s.routes.Current()
 	entries, readAt := s.registry.Entries()
 	if table == nil || readAt.IsZero() {
@@ -173,17 +187,34 @@
 // the table service.
 const membersPrefix = "members|"
 
-// membersLimit is the number of rows in one read of the members.
-const membersLimit = 500
+// membersPageRows is the number of rows in one read of the members, which is the most
+// that the table service returns.
+const membersPageRows = 500
 
 // watchMembers reads the announcements of the entry processes.
 func (s *Service) watchMembers() {
 	s.readAndApply("members", func(ctx context.Context) (func(), error) {
-		rows, err := s.ports.Tables.Scan(ctx, core.TableMember, membersPrefix, "", membersLimit)
+		rows, err := s.readMembers(ctx)
 		return func() { s.applyMembers(rows) }, err
 	})
 }
 
+// readMembers reads the announcements of all entry processes, page by page.
+func (s *Service) readMembers(ctx context.Context) ([]core.Row, error) {
+	var all []core.Row
+	for after := ""; ; {
+		rows, err := s.ports.Tables.Scan(ctx, core.TableMember, membersPrefix, after, membersPageRows)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, rows...)
+		if len(rows) < membersPageRows {
+			return all, nil
+		}
+		after = rows[len(rows)-1].Key.ID
+	}
+}
+
 func (s *Service) applyMembers(rows []core.Row) {
 	records := make(map[core.VMID]core.MemberRecord, len(rows))
 	for _, row := range rows {
--- a/internal/core/job/avoided.go
+++ b/internal/core/job/avoided.go
@@ -10,6 +10,7 @@
 // AvoidedEngines holds the engines on which new runs should not be placed.
 type AvoidedEngines struct {
 	Slow    []core.ServerID
+	Weak    []core.ServerID                    // for long texts only
 	Loading map[core.ModelName][]core.ServerID // engines that are loading weights, by model
 }
 
@@ -17,12 +18,19 @@
 // slow before a slow one is accepted. Most runs end within this time.
 const slowEngineWait = time.Second
 
+// weakEngineWait is how long a long item waits for a slot on an engine that is not
+// weak before a weak one is accepted, from which the run can be moved later.
+const weakEngineWait = 200 * time.Millisecond
+
 // EnginesFor returns the engines on which the run must not be placed.
 func (a AvoidedEngines) EnginesFor(start *RunStart) []core.ServerID {
 	avoided := slices.Clone(a.Loading[start.Model])
 	if start.Waited < slowEngineWait {
 		avoided = append(avoided, a.Slow...)
 	}
+	if start.IsLong && start.Waited < weakEngineWait {
+		avoided = append(avoided, a.Weak...)
+	}
 	if start.AvoidServer != "" {
 		avoided = append(avoided, start.AvoidServer)
 	}
--- a/internal/core/job/doc.go
+++ b/internal/core/job/doc.go
@@ -40,6 +40,7 @@
 	ExactVersion   bool               // only the version in OldestVersion is allowed
 	EventsReceived int                // number of events already received
 	AvoidServer    core.ServerID      // backend server that interrupted or refused the last run; empty for none
+	IsLong         bool               // the text is expected to be long, compared with the job's others
 	Waited         time.Duration      // time since the first attempt to place the item
 }
 
--- a/internal/core/job/intervals.go
+++ b/internal/core/job/intervals.go
@@ -38,15 +38,17 @@
 // several times slower for seconds.
 type IntervalTracker struct {
 	engines map[core.ServerID]*enginePace
+	lasting map[core.ServerID]*enginePace // kept while an engine is idle
 }
 
 // NewIntervalTracker returns a tracker without measurements.
 func NewIntervalTracker() *IntervalTracker {
-	return &IntervalTracker{engines: make(map[core.ServerID]*enginePace)}
+	return &IntervalTracker{engines: make(map[core.ServerID]*enginePace), lasting: make(map[core.ServerID]*enginePace)}
 }
 
 // Observe records the time between two events of a run.
 func (t *IntervalTracker) Observe(engine core.ServerID, interval time.Duration, now time.Time) {
+	t.observeLasting(engine, interval, now)
 	current := t.engines[engine]
 	if current == nil || now.Sub(current.updatedAt) > measurementTTL {
 		current = &enginePace{meanInterval: interval}
@@ -86,3 +88,38 @@
 	}
 	return slow
 }
+
+const (
+	// minLongestGap is the least silence after which a stream counts as stalled. An
+	// engine that loads weights beside others pauses for about a second.
+	minLongestGap = 1500 * time.Millisecond
+	// maxLongestGap bounds the silence allowed on very slow engines.
+	maxLongestGap = 6 * time.Second
+	// gapIntervals is the number of usual intervals between events after which a
+	// stream counts as stalled.
+	gapIntervals = 10
+)
+
+// LongestGap returns how long a stream of an engine may pause before it counts as
+// stalled: a multiple of the engine's recent intervals or, if longer, of the median of
+// all engines'.
+//
+// The load is a service whose engines are all several times slower for a while.
+func (t *IntervalTracker) LongestGap(engine core.ServerID, now time.Time) time.Duration {
+	var means []time.Duration
+	longest := time.Duration(0)
+	for id, current := range t.engines {
+		if now.Sub(current.updatedAt) > measurementTTL {
+			continue
+		}
+		means = append(means, current.meanInterval)
+		if id == engine {
+			longest = current.meanInterval
+		}
+	}
+	if len(means) >= minEngines {
+		slices.Sort(means)
+		longest = max(longest, means[(len(means)-1)/2])
+	}
+	return min(max(gapIntervals*longest, minLongestGap), maxLongestGap)
+}
--- a/internal/core/job/scheduler.go
+++ b/internal/core/job/scheduler.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -23,25 +22,26 @@
 	openedAt     time.Time
 	sequence     uint64 // number of the opening; jobs of one priority run in this order
 	items        []item
-	startOrder   []int // item indices in the order in which the items start
+	startOrder   []int   // item indices in the order in which the items start
+	longTokens   float64 // expected length above which an item counts as long
 	nextPosition int
 }
 
 // Scheduler schedules the jobs of one service that this process coordinates.
 type Scheduler struct {
-	jobs            map[core.JobID]*openJob
-	savedTexts      map[core.ItemID]savedText        // of ended jobs and of a former coordinator's jobs
-	recentGroups    map[core.ModelName]*recentGroups // of the most recent jobs opened here
-	requestedTokens map[core.ModelName]float64       // expected tokens of all jobs opened here
-	lastRun         uint64
-	lastOpened      uint64
-	closedJobs      uint64
+	jobs         map[core.JobID]*openJob
+	savedTexts   map[core.ItemID]savedText        // of ended jobs and of a former coordinator's jobs
+	recentGroups map[core.ModelName]*recentGroups // of the most recent jobs opened here
+	jobTokens    map[core.ModelName][]float64     // expected tokens of the most recent jobs opened here
+	lastRun      uint64
+	lastOpened   uint64
+	closedJobs   uint64
 }
 
 // NewScheduler returns a Scheduler without jobs.
 func NewScheduler() *Scheduler {
 	return &Scheduler{
-		jobs: make(map[core.JobID]*openJob), requestedTokens: make(map[core.ModelName]float64),
+		jobs: make(map[core.JobID]*openJob), jobTokens: make(map[core.ModelName][]float64),
 		savedTexts: make(map[core.ItemID]savedText), recentGroups: make(map[core.ModelName]*recentGroups),
 	}
 }
@@ -53,7 +53,7 @@
 		return
 	}
 	s.lastOpened++
-	row := &openJob{job: job, policy: policy, openedAt: now, sequence: s.lastOpened, items: make([]item, len(job.Items)), nextPosition: len(listed)}
+	row := &openJob{job: job, policy: policy, openedAt: now, sequence: s.lastOpened, items: make([]item, len(job.Items)), longTokens: longItemTokens(&job), nextPosition: len(listed)}
 	for i := range job.Items {
 		if slices.Contains(listed, job.Items[i].ID) {
 			row.items[i].phase = stored
@@ -61,9 +61,7 @@
 		}
 		s.restoreSavedText(row, i)
 	}
-	for i := range job.Items {
-		s.requestedTokens[job.Model] += expectedTokens(&job.Items[i])
-	}
+	s.recordDemand(&job)
 	row.startOrder = itemStartOrder(row, s.recentGroupsOf(job.Model).recordJob(job.Items), s.hasUnstartedItems())
 	s.jobs[job.ID] = row
 }
@@ -76,9 +74,6 @@
 	return float64(item.Tokens)
 }
 
-// Demand returns the expected tokens, by model, of all jobs opened here.
-func (s *Scheduler) Demand() map[core.ModelName]float64 { return maps.Clone(s.requestedTokens) }
-
 // IsOpen reports whether a job is open.
 func (s *Scheduler) IsOpen(id core.JobID) bool { return s.jobs[id] != nil }
 
@@ -168,6 +163,7 @@
 	start := RunStart{
 		Work: RunID{row.job.ID, index, s.lastRun}, Item: &row.job.Items[index],
 		Host: row.job.Host, Model: row.job.Model, OldestVersion: row.job.Oldest, EventsReceived: len(state.text), AvoidServer: state.avoidServer, Waited: now.Sub(state.waitingSince),
+		IsLong: row.isLong(index),
 	}
 	if row.policy.SingleVersion && len(state.text) > 0 {
 		start.OldestVersion, start.ExactVersion = state.newest, true
@@ -201,17 +197,17 @@
 // become slow one after another could keep an item from ever ending.
 const maxMoves = 4
 
-// SelectMoves returns runs on slow engines that should be moved to another engine.
-// The reserveSlot callback takes a free slot on another engine that may run the
+// SelectMoves returns runs with at least minEvents events on the given engines that
+// should be moved to another engine. The reserveSlot callback takes a free slot on another engine that may run the
 // job's items, and reports whether there was one. An engine prefills the text
 // generated so far within a few ms, so a run with more than a few events left
 // ends sooner on a faster engine.
-func (s *Scheduler) SelectMoves(slow []core.ServerID, reserveSlot func(model core.ModelName, oldest core.WeightVersion) bool) []RunID {
+func (s *Scheduler) SelectMoves(engines []core.ServerID, minEvents int, reserveSlot func(model core.ModelName, oldest core.WeightVersion) bool) []RunID {
 	var moves []RunID
 	for _, row := range s.jobsInOrder() {
 		for _, i := range row.startOrder {
 			state := &row.items[i]
-			if state.phase != running || state.moves >= maxMoves || !slices.Contains(slow, state.server) {
+			if state.phase != running || state.moves >= maxMoves || len(state.text) < minEvents || !slices.Contains(engines, state.server) {
 				continue
 			}
 			if !reserveSlot(row.job.Model, row.job.Oldest) {
--- /dev/null
+++ b/internal/core/job/weakengines.go
@@ -0,0 +1,93 @@
+package job
+
+import (
+	"slices"
+	"time"
+
+	"fescuespar/internal/core"
+)
+
+const (
+	// weakFactor is the ratio to the time between events of a fast engine above which
+	// an engine counts as weak. Engines of one kind differ by a few percent.
+	weakFactor = 1.15
+	// fastQuantile is the share of the engines that are at least as fast as the one
+	// that the others are compared with.
+	fastQuantile = 0.25
+	// lastingSmoothing is the weight of the newest interval. It is small, so that a
+	// pause of one stream does not make an engine weak.
+	lastingSmoothing = 0.05
+	// lastingMemory is the age at which a measurement that is kept while an engine is
+	// idle expires.
+	lastingMemory = 5 * time.Minute
+	// longFactor is the ratio to a job's median length above which an item counts as
+	// long. Estimates are often wrong by a factor of two.
+	longFactor = 1.5
+	// LongRunEvents is the number of events after which a run counts as long whatever
+	// its estimate. Three quarters of the texts are shorter.
+	LongRunEvents = 24
+)
+
+// observeLasting records an interval in the measurement that is kept while an engine is
+// idle.
+func (t *IntervalTracker) observeLasting(engine core.ServerID, interval time.Duration, now time.Time) {
+	known := t.lasting[engine]
+	if known == nil {
+		known = &enginePace{meanInterval: interval}
+		t.lasting[engine] = known
+	}
+	known.meanInterval += time.Duration(lastingSmoothing * float64(interval-known.meanInterval))
+	known.intervals++
+	known.updatedAt = now
+}
+
+// Weak returns the engines that are slower than the fast ones, by less than slow
+// engines may be. Work on them is sound, but a step ends with its longest text.
+//
+// The load is a step whose longest text takes as long as the step may on a fast
+// engine, and a third longer on one of the others.
+func (t *IntervalTracker) Weak(now time.Time) []core.ServerID {
+	var measured []core.ServerID
+	for engine, known := range t.lasting {
+		if now.Sub(known.updatedAt) > lastingMemory {
+			delete(t.lasting, engine)
+			continue
+		}
+		if known.intervals >= minIntervals {
+			measured = append(measured, engine)
+		}
+	}
+	if len(measured) < minEngines {
+		return nil
+	}
+	slices.SortFunc(measured, func(a, b core.ServerID) int {
+		return int(t.lasting[a].meanInterval - t.lasting[b].meanInterval)
+	})
+	fast := t.lasting[measured[int(fastQuantile*float64(len(measured)))]].meanInterval
+	first := slices.IndexFunc(measured, func(engine core.ServerID) bool {
+		return float64(t.lasting[engine].meanInterval) > weakFactor*float64(fast)
+	})
+	if first < 0 {
+		return nil
+	}
+	return measured[first:]
+}
+
+// longItemTokens returns the expected length above which an item of a job counts as
+// long.
+func longItemTokens(job *core.Job) float64 {
+	if len(job.Items) == 0 {
+		return 0
+	}
+	lengths := make([]float64, len(job.Items))
+	for i := range job.Items {
+		lengths[i] = expectedTokens(&job.Items[i])
+	}
+	slices.Sort(lengths)
+	return longFactor * lengths[len(lengths)/2]
+}
+
+// isLong reports whether an item of a job is expected to be long.
+func (row *openJob) isLong(index int) bool {
+	return len(row.items[index].text) >= LongRunEvents || expectedTokens(&row.job.Items[index]) > row.longTokens
+}
--- a/internal/core/logs/messages.go
+++ b/internal/core/logs/messages.go
@@ -23,6 +23,7 @@
 	ServerEjected       = "backend server ejected"
 	ServerRestored      = "backend server gets work again"
 	ServerRemoved       = "backend server gone"
+	ServerLeaving       = "backend server announced its shutdown"
 	RunsMoved           = "runs moved off slow engines"
 	PlatformUnavailable = "platform does not answer"
 	PlatformAvailable   = "platform answers again"
@@ -50,6 +51,6 @@
 var stateChangeMessages = map[string]bool{
 	RoutesInForce: true, VersionNamed: true, VersionLoaded: true,
 	LeaseAcquired: true, LeaseLost: true,
-	ServerEjected: true, ServerRestored: true, ServerRemoved: true, RunsMoved: true,
+	ServerEjected: true, ServerRestored: true, ServerRemoved: true, ServerLeaving: true, RunsMoved: true,
 	PlatformUnavailable: true, PlatformAvailable: true,
 }
--- a/internal/core/registration/view.go
+++ b/internal/core/registration/view.go
@@ -8,6 +8,7 @@
 package registration
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -22,20 +23,33 @@
 	HasReportedOrders bool      // the server has reported its accepted orders
 }
 
+// instanceMemory is how long an instance is remembered after its registration was last
+// read. It is longer than any list that a process may still hold is old.
+const instanceMemory = 10 * time.Minute
+
+// instance is one start of a server.
+type instance struct {
+	startedUnixMs int64
+	firstRead     time.Time // when a registration of it was first read
+	lastRead      time.Time
+	leaving       bool // it announced its shutdown in a response
+}
+
 // View is one process's view of the registered servers. It is not safe for
 // concurrent use.
 type View struct {
 	recovery       time.Duration // time after an outage in which live servers register again
 	servers        map[core.ServerID]Server
-	lastReadCount  int       // number of registrations in the last successful read
-	answeringSince time.Time // first successful read after the last failure
+	instances      map[core.ServerID]*instance // the newest instance of each server, also of servers that are gone
+	lastReadCount  int                         // number of registrations in the last successful read
+	answeringSince time.Time                   // first successful read after the last failure
 	readFailed     bool
 }
 
 // NewView returns a view without servers. After an outage, missing servers
 // remain in the view for the recovery time.
 func NewView(recovery time.Duration) *View {
-	return &View{recovery: recovery, servers: make(map[core.ServerID]Server), readFailed: true}
+	return &View{recovery: recovery, servers: make(map[core.ServerID]Server), instances: make(map[core.ServerID]*instance), readFailed: true}
 }
 
 // RecordReadFailure records that the registrations could not be read.
@@ -52,6 +66,9 @@
 	listed := make(map[core.ServerID]bool, len(entries))
 	for _, entry := range entries {
 		listed[entry.VM.ID] = true
+		if v.observeInstance(&entry, now).leaving {
+			entry.VM.State = core.VMLeaving
+		}
 		before, found := v.servers[entry.VM.ID]
 		if !found || !equalEntries(before.ServerEntry, entry) {
 			server := Server{ServerEntry: entry, Since: now}
@@ -68,10 +85,47 @@
 			removed = append(removed, id)
 		}
 	}
-	for _, entry := range v.servers {
-		registered = append(registered, entry)
+	v.forgetInstances(now)
+	return v.Registered(), removed
+}
+
+// Registered returns the servers that count as registered, in no particular order.
+func (v *View) Registered() []Server { return slices.Collect(maps.Values(v.servers)) }
+
+// observeInstance records that a registration was read and returns its instance.
+func (v *View) observeInstance(entry *core.ServerEntry, now time.Time) *instance {
+	known := v.instances[entry.VM.ID]
+	if known == nil || known.startedUnixMs != entry.StartedUnixMs {
+		known = &instance{startedUnixMs: entry.StartedUnixMs, firstRead: now}
+		v.instances[entry.VM.ID] = known
+	}
+	known.lastRead = now
+	return known
+}
+
+// forgetInstances removes the instances that are gone for longer than instanceMemory.
+func (v *View) forgetInstances(now time.Time) {
+	maps.DeleteFunc(v.instances, func(id core.ServerID, known *instance) bool {
+		_, registered := v.servers[id]
+		return !registered && now.Sub(known.lastRead) > instanceMemory
+	})
+}
+
+// MarkLeaving records that a server announced its shutdown in the response to a
+// request sent at a time. The mark holds for that instance, also when its registration
+// lapses and returns. It returns false if that was known, the server is unknown, or the
+// response is from an earlier instance.
+func (v *View) MarkLeaving(id core.ServerID, sent time.Time) bool {
+	known := v.instances[id]
+	if known == nil || known.leaving || known.firstRead.After(sent) {
+		return false
+	}
+	known.leaving = true
+	if server, registered := v.servers[id]; registered {
+		server.VM.State = core.VMLeaving
+		v.servers[id] = server
 	}
-	return registered, removed
+	return true
 }
 
 // IsUnchanged reports whether a read at a time that returns the same
--- a/internal/core/registration/view_test.go
+++ b/internal/core/registration/view_test.go
@@ -99,3 +99,50 @@
 		t.Error("orders known after a restart, want those of the previous start cleared")
 	}
 }
+
+// TestLeavingInstanceStaysLeaving checks that a server which announced its shutdown
+// stays leaving while its registration lapses, is read from an old list and returns,
+// and that a new instance under its id is not shut out.
+func TestLeavingInstanceStaysLeaving(t *testing.T) {
+	view := newSettledView()
+	both := []core.ServerEntry{entry("a", "1"), entry("b", "2")}
+	if !view.MarkLeaving("b", at(4.5)) || view.MarkLeaving("b", at(4.6)) {
+		t.Error("want the first of two announcements to change the view")
+	}
+	stateOf := func(registered []Server, id core.ServerID) core.VMState {
+		for _, server := range registered {
+			if server.VM.ID == id {
+				return server.VM.State
+			}
+		}
+		return ""
+	}
+	if state := stateOf(view.Registered(), "b"); state != core.VMLeaving {
+		t.Errorf("after the announcement: state %q", state)
+	}
+	view.Observe(both[:1], at(5)) // the registration lapses
+	registered, _ := view.Observe(both, at(6))
+	if b, a := stateOf(registered, "b"), stateOf(registered, "a"); b != core.VMLeaving || a != core.VMLive {
+		t.Errorf("after the registration returned: b is %q, a is %q", b, a)
+	}
+	restarted := entry("b", "2")
+	restarted.StartedUnixMs = 7
+	registered, _ = view.Observe([]core.ServerEntry{both[0], restarted}, at(8))
+	if state := stateOf(registered, "b"); state != core.VMLive {
+		t.Errorf("new instance: state %q, want %q", state, core.VMLive)
+	}
+	if view.MarkLeaving("b", at(7)) {
+		t.Error("a response to a request sent before the new instance was known marked it as leaving")
+	}
+}
+
+func TestGoneInstancesAreForgotten(t *testing.T) {
+	view := newSettledView()
+	for i := range 100 {
+		view.Observe([]core.ServerEntry{entry(core.ServerID(string(rune('A'+i))), "9")}, at(float64(10+i)))
+	}
+	view.Observe(nil, at(200+instanceMemory.Seconds()))
+	if len(view.instances) != 0 {
+		t.Errorf("%d instances remembered, want none", len(view.instances))
+	}
+}
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -101,6 +101,8 @@
 	Header    Header // without hop-by-hop headers
 	Body      []byte
 	Signature string // proof that a backend server produced this response; empty if there is none
+	Leaving   bool   // the backend server shuts down soon and must get no new requests
+	Release   func() // returns the memory of Body to its budget; nil if it has none
 }
 
 // Event is one event of an event stream.
@@ -115,6 +117,11 @@
 type EventsRequest struct {
 	RelayRequest
 	After int // id of the last event that was already received
+
+	// FirstEventWithin and LongestGap are the times to the first event and between
+	// two events after which the stream counts as stalled. Zero leaves them to the
+	// adapter.
+	FirstEventWithin, LongestGap time.Duration
 }
 
 // ServerEntry is the registration that a backend server writes for itself.
@@ -147,6 +154,7 @@
 // EngineReport is the status that an engine reports of itself.
 type EngineReport struct {
 	Models  []ModelVersion
+	Leaving bool   // the engine shuts down soon and must get no new requests or orders
 	Busy    bool   // the engine is executing an order
 	Orders  uint64 // number of orders accepted since its start
 	Running int    // requests in the running batch
--- a/internal/core/weights/split.go
+++ b/internal/core/weights/split.go
@@ -31,7 +31,7 @@
 func NewEngineSplit() *EngineSplit { return &EngineSplit{counts: make(map[core.ModelName]int)} }
 
 // Divide returns each model's engines, which are assigned in the given order.
-// Demand is the work requested for each model so far.
+// Demand is the relative amount of work for each model.
 func (s *EngineSplit) Divide(engines []core.ServerID, demand map[core.ModelName]float64) map[core.ModelName][]core.ServerID {
 	models := slices.Sorted(maps.Keys(demand))
 	parts := make(map[core.ModelName][]core.ServerID, len(models))
@@ -91,21 +91,35 @@
 	}
 }
 
-// idealCounts returns each model's fractional number of engines: the minimum
-// for each, plus a share of the rest proportional to demand.
+// idealCounts returns each model's fractional number of engines: a share proportional
+// to its demand, but at least the minimum.
 func idealCounts(engines int, models []core.ModelName, demand map[core.ModelName]float64) map[core.ModelName]float64 {
-	total := 0.0
-	for _, model := range models {
-		total += demand[model]
-	}
-	rest := float64(engines - minEnginesPerModel*len(models))
 	ideal := make(map[core.ModelName]float64, len(models))
-	for _, model := range models {
-		share := 1 / float64(len(models))
-		if total > 0 {
-			share = demand[model] / total
+	rest, proportional := float64(engines), slices.Clone(models)
+	for {
+		total := 0.0
+		for _, model := range proportional {
+			total += demand[model]
+		}
+		isBelow := func(model core.ModelName) bool { return ideal[model] < minEnginesPerModel }
+		for _, model := range proportional {
+			ideal[model] = rest / float64(len(proportional))
+			if total > 0 {
+				ideal[model] = rest * demand[model] / total
+			}
+		}
+		if !slices.ContainsFunc(proportional, isBelow) {
+			return ideal
+		}
+		for _, model := range proportional {
+			if isBelow(model) {
+				rest -= minEnginesPerModel
+			}
+		}
+		below := slices.Clone(proportional)
+		proportional = slices.DeleteFunc(proportional, isBelow)
+		for _, model := range below {
+			ideal[model] = max(ideal[model], minEnginesPerModel)
 		}
-		ideal[model] = minEnginesPerModel + rest*share
 	}
-	return ideal
 }
--- a/internal/lockrank/lockrank.go
+++ b/internal/lockrank/lockrank.go
@@ -12,26 +12,27 @@
 
 // The lock order of the service. docs/DESIGN.md lists what each lock guards.
 const (
-	RankExternal      Rank = 1 // fakes and stand-ins, so that calling them under any lock panics
-	RankLifecycle     Rank = 10
-	RankConfiguration Rank = 20
-	RankMembers       Rank = 30
-	RankLeases        Rank = 40
-	RankVMList        Rank = 45
-	RankServers       Rank = 50
-	RankPolls         Rank = 55
-	RankLimits        Rank = 60
-	RankCrashes       Rank = 70
-	RankRollouts      Rank = 80
-	RankRuns          Rank = 85
-	RankWeights       Rank = 90
-	RankClaims        Rank = 100
-	RankAnswers       Rank = 110
-	RankPlatform      Rank = 120
-	RankQueue         Rank = 200
-	RankTimers        Rank = 210
-	RankAdapter       Rank = 220
-	RankMetrics       Rank = 230
+	RankExternal       Rank = 1 // fakes and stand-ins, so that calling them under any lock panics
+	RankLifecycle      Rank = 10
+	RankRoutingUpdates Rank = 15
+	RankConfiguration  Rank = 20
+	RankMembers        Rank = 30
+	RankLeases         Rank = 40
+	RankVMList         Rank = 45
+	RankServers        Rank = 50
+	RankPolls          Rank = 55
+	RankLimits         Rank = 60
+	RankCrashes        Rank = 70
+	RankRollouts       Rank = 80
+	RankRuns           Rank = 85
+	RankWeights        Rank = 90
+	RankClaims         Rank = 100
+	RankAnswers        Rank = 110
+	RankPlatform       Rank = 120
+	RankQueue          Rank = 200
+	RankTimers         Rank = 210
+	RankAdapter        Rank = 220
+	RankMetrics        Rank = 230
 )
 
 // Mutex is a mutual exclusion lock with a rank.
--- a/internal/ports/relay.go
+++ b/internal/ports/relay.go
@@ -10,7 +10,8 @@
 // Relay is the driving port for front ends that forward requests unchanged.
 type Relay interface {
 	// Forward sends a request to a backend server and returns the complete
-	// response. Errors: ServerFailed, Timeout and Canceled when the request may
+	// response. The context must end when the response is no longer in use, which
+	// frees its memory. Errors: ServerFailed, Timeout and Canceled when the request may
 	// have run; with any other kind it was refused and not run.
 	Forward(ctx context.Context, request core.RelayRequest) (core.RelayResponse, error)
 	// ForwardEvents sends a request whose response is a stream of events and
@@ -58,7 +59,8 @@
 type Backend interface {
 	// Exchange sends a request once, without retries. Errors: ServerRefused when
 	// it certainly was not run, ServerFailed, Timeout or Canceled when it may
-	// have been.
+	// have been. The response's Leaving is set with an error too. If its Release is
+	// not nil, it is called once when the body is no longer in use.
 	Exchange(ctx context.Context, server core.VM, request core.RelayRequest) (core.RelayResponse, error)
 	// Events sends a request and passes the response head and the events to the
 	// sink, in order, until the stream ends. A response that is not a success is
@@ -68,8 +70,9 @@
 	// Report returns an engine's report about itself, which may be out of date.
 	// Errors: ServerRefused, ServerFailed, Timeout.
 	Report(ctx context.Context, server core.VM) (core.EngineReport, error)
-	// Order sends an order, as Engine.Order does.
-	Order(ctx context.Context, server core.VM, order core.Order) error
+	// Order sends an order, as Engine.Order does. It returns whether the engine
+	// shuts down soon, with an error too.
+	Order(ctx context.Context, server core.VM, order core.Order) (leaving bool, err error)
 }
 
 // Registry is where operators, trainers and backend servers publish routes,
--- a/internal/tables/enginespeeds.go
+++ b/internal/tables/enginespeeds.go
@@ -57,6 +57,27 @@
 	return t.services[service].Slow(now)
 }
 
+// WeakEngines returns the engines of a service that are slower than its fast ones.
+func (t *EngineSpeeds) WeakEngines(service string, now time.Time) []core.ServerID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.services[service] == nil {
+		return nil
+	}
+	return t.services[service].Weak(now)
+}
+
+// LongestGap returns how long a stream of a service's engine may pause before it counts
+// as stalled.
+func (t *EngineSpeeds) LongestGap(service string, engine core.ServerID, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.services[service] == nil {
+		t.services[service] = job.NewIntervalTracker()
+	}
+	return t.services[service].LongestGap(engine, now)
+}
+
 // isLoading reports whether an engine is loading any model. The caller holds mu.
 func (t *EngineSpeeds) isLoading(engine core.ServerID, now time.Time) bool {
 	for l, until := range t.loading {
--- a/internal/tables/registry.go
+++ b/internal/tables/registry.go
@@ -55,6 +55,19 @@
 	return t.entries, t.readAt
 }
 
+// MarkLeaving records that a server announced its shutdown in the response to a
+// request sent at a time. It returns false if that was known or the response is from an
+// earlier instance of the server.
+func (t *Registry) MarkLeaving(id core.ServerID, sent time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.view.MarkLeaving(id, sent) {
+		return false
+	}
+	t.entries = t.view.Registered()
+	return true
+}
+
 // RecordAcceptedOrders records how many orders a server reports to have accepted.
 func (t *Registry) RecordAcceptedOrders(id core.ServerID, orders uint64) {
 	t.mu.Lock()
