Date outages in the status test by the last answered call; allow more runs

TestStatusWarnsOfOutage failed once beside load: the outage began 0.54 ms before the fault. tables.Platform dates an outage by the start of the first call that failed, and a call can be in flight when the fault begins (TestOutageBeginsWithFirstFailedCall shows it). The test took the injection for the lower bound. A coordinator had 512 places for runs; the 97 engines of the large site have 582 slots.

The bound is now the last call that was answered before the fault, so one call's time and not a tolerance. The lane of runs has 1,024 places.

--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -56,10 +56,10 @@
 	queueLength        = 4096
 	callsInFlight      = 256
 	callsWaiting       = 256
-	runsInFlight       = 512
-	scoresInFlight     = 64 // outputs being scored
-	plainSlotsPerScore = 2  // scoring uses one in this many slots of plain servers and leaves the others to callers
-	minScoresInFlight  = 4  // while the slots are unknown
+	runsInFlight       = 1024 // above the slots of a hundred engines
+	scoresInFlight     = 64   // outputs being scored
+	plainSlotsPerScore = 2    // scoring uses one in this many slots of plain servers and leaves the others to callers
+	minScoresInFlight  = 4    // while the slots are unknown
 	storeInFlight      = 16
 	storeWaiting       = 1024
 	leaseInFlight      = 4
--- a/internal/app/status_test.go
+++ b/internal/app/status_test.go
@@ -35,11 +35,16 @@
 	c := newCluster(t, 2)
 	s := c.services[0]
 	c.await("no warning without a fault", func() bool { return len(s.Status().Warnings) == 0 })
+	// A call that is in flight when the fault begins dates the outage by its start, which
+	// is after the answer to the call made here.
 	startedAt := time.Now()
+	if err := s.PublishWeights(c.ctx, coach, model, 1); err != nil {
+		t.Fatal(err)
+	}
 	c.tables.Inject(faults.Rule{Operation: faults.All, Event: faults.Refuse})
 	w := c.awaitWarning(s, core.WarnPlatformOutage, string(core.PlatformTables))
 	if w.Since.Before(startedAt) || w.Since.After(time.Now()) {
-		t.Errorf("outage since %s, want a time between its begin at %s and now", w.Since, startedAt)
+		t.Errorf("outage since %s, want a time between the last answered call at %s and now", w.Since, startedAt)
 	}
 	c.tables.ClearFaults()
 	c.await("no warning after the outage", func() bool {
