Wait for reads of results and last answers in a shutdown

Reads of results, reads of item bodies and ends of jobs did not count as in flight. A read may wait a second for a result, so a process that stopped closed its connection without an answer. Answers still being written had 250 ms, less than a page of 1 MB needs on the slowest links.

These calls count as in flight and are refused while the process drains. After the last one, connections have up to 1.5 s of what is left of the grace.

TestShutdownWaitsForReadsOfResults fails without the change and passes with it.

--- a/cmd/fescuespar/relay.go
+++ b/cmd/fescuespar/relay.go
@@ -41,14 +41,15 @@
 const (
 	storeTimeout        = 3 * time.Second // a slow store still answers within this time
 	relayWorkers        = 4
-	leaseReclaimDelay   = 10 * time.Second       // longer than most store outages during which processes restart
-	heapMemoryShare     = 0.6                    // share of the VM's memory for the Go heap
-	bodyMemoryShare     = 0.2                    // share of the VM's memory for callers' request bodies
-	responseMemoryShare = 0.2                    // share of the VM's memory for backend servers' response bodies
-	logBufferLines      = 4096                   // log lines buffered for standard output; beyond it lines are dropped and counted
-	maxHeaderBytes      = 1 << 16                // size of a caller's header; the limits of routes are lower
-	requestReadTimeout  = 10 * time.Second       // time to read a whole request
-	closeReserve        = 500 * time.Millisecond // part of the shutdown grace reserved for closing connections
+	leaseReclaimDelay   = 10 * time.Second        // longer than most store outages during which processes restart
+	heapMemoryShare     = 0.6                     // share of the VM's memory for the Go heap
+	bodyMemoryShare     = 0.2                     // share of the VM's memory for callers' request bodies
+	responseMemoryShare = 0.2                     // share of the VM's memory for backend servers' response bodies
+	logBufferLines      = 4096                    // log lines buffered for standard output; beyond it lines are dropped and counted
+	maxHeaderBytes      = 1 << 16                 // size of a caller's header; the limits of routes are lower
+	requestReadTimeout  = 10 * time.Second        // time to read a whole request
+	maxCloseTime        = 1500 * time.Millisecond // for answers that are being written when the shutdown is over
+	closeReserve        = 500 * time.Millisecond  // part of the shutdown grace reserved for closing connections
 )
 
 // Execute runs the service until SIGTERM or SIGINT.
@@ -167,10 +168,13 @@
 			continue
 		}
 		log.Info().Str("signal", received.String()).Msg("shutting down on signal")
-		ctx, cancel := context.WithTimeout(context.Background(), loaded.GracePeriod-closeReserve)
+		killed := time.Now().Add(loaded.GracePeriod)
+		ctx, cancel := context.WithDeadline(context.Background(), killed.Add(-closeReserve))
 		service.Shutdown(ctx)
 		cancel()
-		closeCtx, cancelClose := context.WithTimeout(context.Background(), closeReserve/2)
+		// The last answers may still be on their way over a slow link.
+		closeTimeout := min(maxCloseTime, time.Until(killed)-closeReserve/2)
+		closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
 		for _, server := range servers {
 			if err := server.Shutdown(closeCtx); err != nil {
 				log.Info().Err(err).Msg("connections closed with requests in flight")
--- a/internal/app/relay/jobs.go
+++ b/internal/app/relay/jobs.go
@@ -66,8 +66,8 @@
 	if err == nil && matched.Kind != core.RouteJobs {
 		err = errkind.New(errkind.BadRequest, "route %s does not accept jobs", matched.Name)
 	}
-	if err == nil && !s.lifecycle.BeginRequest() {
-		err = errkind.New(errkind.ShuttingDown, "this entry process is shutting down and accepts no new jobs")
+	if err == nil {
+		err = s.beginJobCall()
 	}
 	if err == nil {
 		defer s.lifecycle.EndRequest()
@@ -79,6 +79,15 @@
 	return err
 }
 
+// beginJobCall counts a call about a job as in flight, so that a shutdown waits for its
+// answer. The caller ends it with EndRequest. Errors: ShuttingDown.
+func (s *Service) beginJobCall() error {
+	if !s.lifecycle.BeginRequest() {
+		return errkind.New(errkind.ShuttingDown, "this entry process is shutting down and accepts no new requests")
+	}
+	return nil
+}
+
 func (s *Service) logSubmission(job core.Job, routeName string, err error) {
 	line := s.log.Info()
 	if err != nil {
@@ -149,6 +158,10 @@
 // Results implements ports.Jobs.
 func (s *Service) Results(ctx context.Context, id core.JobID, from int, wait time.Duration) (core.ResultPage, error) {
 	page := core.ResultPage{Next: from}
+	if err := s.beginJobCall(); err != nil {
+		return page, err
+	}
+	defer s.lifecycle.EndRequest()
 	deadline := s.ports.Clock.Now().Add(wait)
 	_, err := callStore(ctx, s, jobCallTimeout, func(ctx context.Context) (struct{}, error) {
 		_, record, err := s.readJobRow(ctx, id)
@@ -214,6 +227,10 @@
 
 // ItemBody implements ports.Jobs.
 func (s *Service) ItemBody(ctx context.Context, id core.JobID, item core.ItemID) ([]byte, error) {
+	if err := s.beginJobCall(); err != nil {
+		return nil, err
+	}
+	defer s.lifecycle.EndRequest()
 	job, err := callStore(ctx, s, jobCallTimeout, func(ctx context.Context) (core.Job, error) { return s.loadJob(ctx, id) })
 	if err != nil {
 		return nil, err
@@ -249,6 +266,10 @@
 
 // EndJob implements ports.Jobs.
 func (s *Service) EndJob(ctx context.Context, id core.JobID) error {
+	if err := s.beginJobCall(); err != nil {
+		return err
+	}
+	defer s.lifecycle.EndRequest()
 	_, err := callStore(ctx, s, jobCallTimeout, func(ctx context.Context) (struct{}, error) {
 		return struct{}{}, s.markJobEnded(ctx, id)
 	})
--- a/internal/app/relay/service_test.go
+++ b/internal/app/relay/service_test.go
@@ -254,6 +254,38 @@
 	s.eventually("all results", func() bool { return len(s.readResults(service, "j").Results) == 20 })
 }
 
+// TestShutdownWaitsForReadsOfResults shuts a process down while a read waits for the
+// first result of a job.
+func TestShutdownWaitsForReadsOfResults(t *testing.T) {
+	s := newEnvironment(t)
+	s.eventInterval = time.Minute
+	service := s.waitReady(s.start("vm-1"))
+	if err := service.Submit(t.Context(), newJob("j", 1)); err != nil {
+		t.Fatal(err)
+	}
+	const wait = 1500 * time.Millisecond // longer than the process accepts requests
+	read := make(chan error, 1)
+	go func() {
+		_, err := service.Results(t.Context(), "j", 0, wait)
+		read <- err
+	}()
+	s.eventually("the read is in flight", func() bool { return service.State().InFlight > 0 })
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	service.Shutdown(ctx)
+	select {
+	case err := <-read:
+		if err != nil {
+			t.Errorf("read during the shutdown: %v", err)
+		}
+	case <-time.After(100 * time.Millisecond):
+		t.Error("the shutdown ended before the read was answered")
+	}
+	if _, err := service.Results(t.Context(), "j", 0, 0); !errkind.Is(err, errkind.ShuttingDown) {
+		t.Errorf("read after the shutdown: %v, want %s", err, errkind.ShuttingDown)
+	}
+}
+
 // TestShutdownWaitsForRequestsInFlight shuts a process down during a request.
 func TestShutdownWaitsForRequestsInFlight(t *testing.T) {
 	s := newEnvironment(t)
