Spread the addresses for callers over availability zones

Callers use 64 addresses at most. In a region with more members every process named the first 64 by VM name: at the large site those of one zone and a part of the next, whose loss would have left callers without any.

Change. announce.Addresses takes as many members of each zone, in an order that differs between processes. Regions with up to 64 members are answered as before.

TestAddressesAreSpread: 64 addresses with at least 21 in each of three zones of 50, and all 150 named by some process.

--- a/internal/app/relay/ready.go
+++ b/internal/app/relay/ready.go
@@ -15,7 +15,7 @@
 // entryAddresses returns the entry addresses for callers of a region. Before the
 // first read of the members it returns only this process's address.
 func (s *Service) entryAddresses(region core.RegionName) []string {
-	found := announce.Addresses(s.members.Live(), region)
+	found := announce.Addresses(s.members.Live(), s.options.Self.VM, region)
 	if len(found) == 0 && s.acceptsNewWork() {
 		return []string{s.options.Self.CallAddress}
 	}
--- a/internal/core/announce/view.go
+++ b/internal/core/announce/view.go
@@ -122,26 +122,6 @@
 
 func (r *memberRow) isExpired() bool { return r.unchangedFor >= missedAnnouncements*r.record.Every }
 
-// Addresses returns the call addresses of the members in a region, or those of all
-// members if the region has fewer than minNearbyMembers.
-func Addresses(live []core.Member, region core.RegionName) []string {
-	var near, all []string
-	for _, member := range live {
-		all = append(all, member.CallAddress)
-		if member.Region == region {
-			near = append(near, member.CallAddress)
-		}
-	}
-	if len(near) >= minNearbyMembers {
-		return near
-	}
-	return all
-}
-
-// minNearbyMembers is the number of members in a caller's region from which on
-// the caller is sent only there, so that it survives the loss of one.
-const minNearbyMembers = 2
-
 // minPowerShare is the share of the strongest VM's power that a VM needs to count
 // as strong.
 const minPowerShare = 0.75
--- a/internal/core/announce/view_test.go
+++ b/internal/core/announce/view_test.go
@@ -122,14 +122,49 @@
 		return core.Member{VM: core.VMID(fmt.Sprint(id)), CallAddress: fmt.Sprint(region, id), Region: region}
 	}
 	live := []core.Member{member(1, "east"), member(2, "east"), member(3, "west")}
-	if got := Addresses(live, "east"); len(got) != 2 {
+	if got := Addresses(live, "1", "east"); len(got) != 2 {
 		t.Errorf("addresses for east: %v, want its two members", got)
 	}
-	if got := Addresses(live, "west"); len(got) != 3 {
+	if got := Addresses(live, "1", "west"); len(got) != 3 {
 		t.Errorf("addresses for west, which has one member: %v, want all", got)
 	}
 }
 
+// TestAddressesAreSpread has a region with more members than callers use: every zone
+// must be among the addresses, and all processes together must name all members.
+func TestAddressesAreSpread(t *testing.T) {
+	const zones, perZone = 3, 50
+	var live []core.Member
+	zoneOf := make(map[string]int)
+	for i := range zones * perZone {
+		address := fmt.Sprintf("10.0.0.%d", i)
+		zoneOf[address] = i / perZone
+		live = append(live, core.Member{
+			VM: core.VMID(fmt.Sprintf("vm-%03d", i)), CallAddress: address, Region: "east", Zone: core.ZoneName(fmt.Sprint("zone-", i/perZone)),
+		})
+	}
+	named := make(map[string]bool)
+	for _, process := range live {
+		addresses := Addresses(live, process.VM, "east")
+		if len(addresses) != maxAddresses {
+			t.Fatalf("%d addresses, want %d", len(addresses), maxAddresses)
+		}
+		count := make(map[int]int)
+		for _, address := range addresses {
+			named[address] = true
+			count[zoneOf[address]]++
+		}
+		for zone := range zones {
+			if count[zone] < maxAddresses/zones {
+				t.Fatalf("%d addresses in zone %d, want at least %d", count[zone], zone, maxAddresses/zones)
+			}
+		}
+	}
+	if len(named) != len(live) {
+		t.Errorf("%d of %d members are named by any process", len(named), len(live))
+	}
+}
+
 // TestReadsStayWithinTableServiceRate covers fleets up to the size expected in two
 // years, at the rates of a large site: 6,000 reads per second, and changes in force
 // everywhere within 4 s.
