Count only accepted orders, and order nothing from engines that load

An order for a version that an engine holds already is answered with 200 and does not count there; it was counted here, and reports of a smaller number are ignored as delayed. So each later order named a number that the engine never had. A newer version was also ordered from engines that still loaded the one before.

A reply says whether the order was accepted; a refusal forgets the known number, so that the next report sets it; Policy.OneLoadPerEngine waits for a load of any version.

TestEngineThatHoldsTheVersionIsOrderedLater fails without the first two changes (version 3 never on all engines in 20 s) and passes with them.

--- a/internal/app/relay/fakes_test.go
+++ b/internal/app/relay/fakes_test.go
@@ -32,11 +32,13 @@
 	eventCount      int           // events of a stream
 	reclaim         time.Duration // Options.ReclaimPeriod of started processes
 	orders          []core.Order
+	orderCounts     map[core.ServerID]uint64                                                       // orders accepted by each engine
 	runStarts       map[core.RequestID][]int                                                       // first event of each run, by item
 	exchange        func(core.VM, core.RelayRequest) (core.RelayResponse, error)                   // nil for status 200
 	stream          func(core.VM, core.EventsRequest, ports.EventSink) (core.RelayResponse, error) // nil for eventCount events
 	refusesRuns     func(core.VM) bool                                                             // reports whether an engine refuses runs
 	hangingExchange chan struct{}                                                                  // receives at the start and the end of each hanging exchange
+	holdsVersion    func(core.VM, core.Order) bool                                                 // reports whether an order's version is loaded already
 	losesOrder      func(core.VM) bool                                                             // reports whether an order is lost before it is accepted
 	activeRuns      int
 }
@@ -50,7 +52,7 @@
 func newEnvironment(t *testing.T) *environment {
 	s := &environment{
 		t: t, log: zerolog.Nop(), tables: porttest.NewTables(), objects: porttest.NewObjects(),
-		eventInterval: time.Millisecond, eventCount: 5, runStarts: make(map[core.RequestID][]int),
+		eventInterval: time.Millisecond, eventCount: 5, runStarts: make(map[core.RequestID][]int), orderCounts: make(map[core.ServerID]uint64),
 	}
 	s.published = core.Published{Table: &core.RouteTable{
 		Version: 1,
@@ -146,18 +148,21 @@
 	defer s.mu.Unlock()
 	for _, entry := range s.servers {
 		if entry.VM.ID == server.ID {
-			return core.EngineReport{Models: entry.Models}, nil
+			return core.EngineReport{Models: entry.Models, Orders: s.orderCounts[server.ID]}, nil
 		}
 	}
 	return core.EngineReport{}, errkind.New(errkind.ServerRefused, "no server %s", server.ID)
 }
 
 // Order implements ports.Backend. The engine loads the version at once.
-func (s *environment) Order(_ context.Context, server core.VM, order core.Order) (leaving bool, err error) {
+func (s *environment) Order(_ context.Context, server core.VM, order core.Order) (core.OrderReply, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.losesOrder != nil && s.losesOrder(server) {
-		return false, errkind.New(errkind.OutcomeUnknown, "order lost by the test")
+		return core.OrderReply{}, errkind.New(errkind.OutcomeUnknown, "order lost by the test")
+	}
+	if order.Orders != nil && *order.Orders != s.orderCounts[server.ID] {
+		return core.OrderReply{}, errkind.New(errkind.ServerRefused, "%d orders accepted, want %d", s.orderCounts[server.ID], *order.Orders)
 	}
 	s.orders = append(s.orders, order)
 	for i := range s.servers {
@@ -165,7 +170,11 @@
 			s.servers[i].Models = []core.ModelVersion{{Model: order.Model, Version: order.Version}}
 		}
 	}
-	return false, nil
+	if s.holdsVersion != nil && s.holdsVersion(server, order) {
+		return core.OrderReply{}, nil
+	}
+	s.orderCounts[server.ID]++
+	return core.OrderReply{Accepted: true}, nil
 }
 
 type systemClock struct{}
--- a/internal/app/relay/orders.go
+++ b/internal/app/relay/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -32,7 +33,7 @@
 func rolloutPolicy(engines int) weights.Policy {
 	return weights.Policy{
 		TargetTime: rolloutTarget, SwapTimeout: loadTimeout, BackoffBase: loadRetryDelay, BackoffMax: maxLoadRetryDelay,
-		MaxLoading: max(minConcurrentLoads, int(concurrentLoadShare*float64(engines))),
+		MaxLoading: max(minConcurrentLoads, int(math.Round(concurrentLoadShare*float64(engines)))), OneLoadPerEngine: true,
 	}
 }
 
@@ -144,9 +145,9 @@
 		defer cancel()
 		s.engineSpeeds.BeginLoad(vm.ID, order.Model, s.ports.Clock.Now().Add(assumedLoadTime))
 		sent := s.ports.Clock.Now()
-		leaving, err := s.ports.Backend.Order(ctx, vm, order)
-		s.noteLeaving(vm.ID, sent, leaving)
-		s.pool.MustEnqueue(core.ClassControl, func() { s.handleOrderReply(service, vm, order, err) })
+		reply, err := s.ports.Backend.Order(ctx, vm, order)
+		s.noteLeaving(vm.ID, sent, reply.Leaving)
+		s.pool.MustEnqueue(core.ClassControl, func() { s.handleOrderReply(service, vm, order, reply, err) })
 	})
 	if err != nil {
 		s.weights.WithdrawOrder(name, vm.ID)
@@ -180,7 +181,7 @@
 
 // handleOrderReply records the outcome of an order and begins to poll the engine's
 // reports.
-func (s *Service) handleOrderReply(service string, vm core.VM, order core.Order, err error) {
+func (s *Service) handleOrderReply(service string, vm core.VM, order core.Order, reply core.OrderReply, err error) {
 	s.metrics.WeightOrders.Inc(1)
 	line := s.log.Info()
 	if err != nil {
@@ -189,8 +190,14 @@
 	line.Str("server", string(vm.ID)).Str("model", string(order.Model)).Uint64("version", uint64(order.Version)).
 		Uint64("fence", uint64(order.Fence)).Str("mode", string(order.Mode)).Msg("order given")
 	switch {
-	case err == nil:
+	case err == nil && reply.Accepted:
 		s.registry.RecordAcceptedOrders(vm.ID, *order.Orders+1)
+	case err == nil: // the engine holds the version; a report will show it
+	case errkind.Is(err, errkind.ServerRefused):
+		// The known number of accepted orders may be too high, which would make the
+		// engine refuse every further order.
+		s.registry.ForgetAcceptedOrders(vm.ID)
+		s.recordOrderFailure(vm, order)
 	case !errkind.Is(err, errkind.OutcomeUnknown):
 		s.recordOrderFailure(vm, order)
 	}
--- a/internal/app/relay/service_test.go
+++ b/internal/app/relay/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"reflect"
 	"sync/atomic"
 	"testing"
@@ -221,6 +222,21 @@
 	}
 }
 
+// TestEngineThatHoldsTheVersionIsOrderedLater has engines whose registrations lag: they
+// hold the first published version and answer the order for it without counting it. The
+// next version must still be loaded.
+func TestEngineThatHoldsTheVersionIsOrderedLater(t *testing.T) {
+	s := newEnvironment(t)
+	s.holdsVersion = func(_ core.VM, order core.Order) bool { return order.Version == 2 }
+	s.waitReady(s.start("vm-1"))
+	for _, version := range []core.WeightVersion{2, 3} {
+		s.mu.Lock()
+		s.published.Versions = []core.ModelVersion{{Model: "m", Version: version}}
+		s.mu.Unlock()
+		s.eventually(fmt.Sprint("version ", version, " on all engines"), func() bool { return s.allLoaded(version) })
+	}
+}
+
 // TestOneCoordinatorOrdersPublishedVersion publishes a version to two processes. Only
 // the coordinator may send orders, one per engine.
 func TestOneCoordinatorOrdersPublishedVersion(t *testing.T) {
--- a/internal/core/registration/view.go
+++ b/internal/core/registration/view.go
@@ -149,6 +149,15 @@
 	}
 }
 
+// ForgetAcceptedOrders discards the number of orders that a server has accepted. The next
+// report sets it, also to a smaller one.
+func (v *View) ForgetAcceptedOrders(id core.ServerID) {
+	if server, found := v.servers[id]; found {
+		server.AcceptedOrders, server.HasReportedOrders = 0, false
+		v.servers[id] = server
+	}
+}
+
 // AcceptedOrders returns how many orders a server has accepted, and whether it has
 // reported the number.
 func (v *View) AcceptedOrders(id core.ServerID) (orders uint64, known bool) {
--- a/internal/core/registration/view_test.go
+++ b/internal/core/registration/view_test.go
@@ -146,3 +146,16 @@
 		t.Errorf("%d instances remembered, want none", len(view.instances))
 	}
 }
+
+func TestForgottenOrdersAreReportedAnew(t *testing.T) {
+	view := newSettledView()
+	view.RecordAcceptedOrders("a", 3)
+	view.ForgetAcceptedOrders("a")
+	if _, known := view.AcceptedOrders("a"); known {
+		t.Error("orders known after they were forgotten")
+	}
+	view.RecordAcceptedOrders("a", 2)
+	if orders, known := view.AcceptedOrders("a"); orders != 2 || !known {
+		t.Errorf("orders %d, %v after a report of 2", orders, known)
+	}
+}
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -105,6 +105,12 @@
 	Orders  *uint64 // number of orders that the engine must have accepted before; nil for no check
 }
 
+// OrderReply is an engine's reply to an order.
+type OrderReply struct {
+	Accepted bool // the order counts among those that the engine has accepted; false if its effect held already
+	Leaving  bool // the engine shuts down soon and must get no new requests or orders
+}
+
 // SwapMode defines what happens to the running requests of an engine when it
 // swaps weights.
 type SwapMode string
--- a/internal/core/weights/rollout.go
+++ b/internal/core/weights/rollout.go
@@ -25,6 +25,7 @@
 	BackoffBase         time.Duration // delay before the second order to an engine
 	BackoffMax          time.Duration
 	IdleWeight          float64 // weight of trainer idle time against staleness, from 0 to 1
+	OneLoadPerEngine    bool    // an engine refuses orders while it loads, also those for a newer version
 	ExactVersion        bool    // engines that serve a newer version are ordered to load this one
 	MaxLoading          int     // maximum number of engines that load at the same time, zero for no limit
 	MaxLoadingPerRegion int     // maximum number of engines per region that load at the same time, zero for no limit
@@ -100,7 +101,7 @@
 		switch {
 		case r.detectFailure(engine, version, policy, now):
 			decision.FailedEngines = append(decision.FailedEngines, engine.Server)
-		case r.isLoading(engine, version, policy, now):
+		case r.isLoading(engine, version, policy, now) || policy.OneLoadPerEngine && r.isBusy(engine, policy, now):
 			counts.addLoading(engine)
 		case r.mayOrder(engine, version, policy, now):
 			ready = append(ready, engine)
@@ -141,6 +142,12 @@
 	return row != nil && row.inProgress && policy.satisfies(row.version, version) && now.Before(row.deadline)
 }
 
+// isBusy reports whether an engine is loading any version by an order of this process.
+func (r *VersionRollout) isBusy(engine *Engine, policy Policy, now time.Time) bool {
+	row := r.swaps[engine.Server]
+	return row != nil && row.inProgress && now.Before(row.deadline) && !policy.satisfies(engine.Version, row.version)
+}
+
 // detectFailure reports whether a swap to the version has just failed, and
 // schedules the next order.
 func (r *VersionRollout) detectFailure(engine *Engine, version core.WeightVersion, policy Policy, now time.Time) bool {
@@ -164,7 +171,7 @@
 
 // mayOrder reports whether an engine can be ordered now. An order for a
 // different version does not wait for a swap to a version that is no longer
-// wanted to end, but does wait for the backoff after a failure.
+// wanted to end, unless the policy says so, but does wait for the backoff after a failure.
 func (r *VersionRollout) mayOrder(engine *Engine, version core.WeightVersion, policy Policy, now time.Time) bool {
 	row := r.swaps[engine.Server]
 	return row == nil || !now.Before(row.notBefore) || !policy.satisfies(row.version, version) && row.failures == 0
--- a/internal/core/weights/weights_test.go
+++ b/internal/core/weights/weights_test.go
@@ -153,6 +153,26 @@
 	}
 }
 
+// TestEngineIsNotOrderedWhileItLoads names a newer version while an engine that refuses
+// orders during a load loads the one before.
+func TestEngineIsNotOrderedWhileItLoads(t *testing.T) {
+	start := time.Unix(0, 0)
+	policy := testPolicy
+	policy.OneLoadPerEngine = true
+	r := NewVersionRollout()
+	engine := []Engine{{Server: "e", Version: 1}}
+	if orders := r.Decide(engine, 2, policy, start).EnginesToOrder; len(orders) != 1 {
+		t.Fatalf("orders %v for version 2, want one", orders)
+	}
+	if orders := r.Decide(engine, 3, policy, start.Add(300*time.Millisecond)).EnginesToOrder; len(orders) != 0 {
+		t.Errorf("orders %v for version 3 during the load of version 2, want none", orders)
+	}
+	engine[0].Version = 2
+	if orders := r.Decide(engine, 3, policy, start.Add(time.Second)).EnginesToOrder; len(orders) != 1 {
+		t.Errorf("orders %v for version 3 after the load, want one", orders)
+	}
+}
+
 // TestWantedVersionChangesDuringSwap changes the wanted version during a swap.
 // The new version must be ordered at once, and the end of the first swap must
 // not count as a swap to it.
--- a/internal/ports/relay.go
+++ b/internal/ports/relay.go
@@ -70,9 +70,9 @@
 	// Report returns an engine's report about itself, which may be out of date.
 	// Errors: ServerRefused, ServerFailed, Timeout.
 	Report(ctx context.Context, server core.VM) (core.EngineReport, error)
-	// Order sends an order, as Engine.Order does. It returns whether the engine
-	// shuts down soon, with an error too.
-	Order(ctx context.Context, server core.VM, order core.Order) (leaving bool, err error)
+	// Order sends an order, as Engine.Order does. The reply's Leaving is set with an
+	// error too.
+	Order(ctx context.Context, server core.VM, order core.Order) (core.OrderReply, error)
 }
 
 // Registry is where operators, trainers and backend servers publish routes,
--- a/internal/tables/registry.go
+++ b/internal/tables/registry.go
@@ -75,6 +75,13 @@
 	t.view.RecordAcceptedOrders(id, orders)
 }
 
+// ForgetAcceptedOrders discards the known number of orders that a server has accepted.
+func (t *Registry) ForgetAcceptedOrders(id core.ServerID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.view.ForgetAcceptedOrders(id)
+}
+
 // AcceptedOrders returns the last known number of orders that a server has accepted.
 func (t *Registry) AcceptedOrders(id core.ServerID) (orders uint64, known bool) {
 	t.mu.Lock()
