--- a/internal/core/job/weakengines.go
+++ b/internal/core/job/weakengines.go
@@ -24,8 +24,8 @@
 	// long. Estimates are often wrong by a factor of two.
 	longFactor = 1.5
 	// LongRunEvents is the number of events after which a run counts as long whatever
-	// its estimate. Three quarters of the texts are shorter.
-	LongRunEvents = 24
+	// its estimate. Six in seven texts are shorter. Each move opens a connection.
+	LongRunEvents = 40
 )
 
 // observeLasting records an interval in the measurement that is kept while an engine is
