Compare weak engines with the median, and move a long run once

Its engines are equal, but one with a full batch takes 42 to 49 ms for an event and a nearly idle one 34; measured against the fastest quarter the full ones counted as weak, and a run that moved made its new engine weak in turn.

Weak is a fifth above the median; a long run leaves a weak engine once.

--- a/bench/stepschedulers.go
+++ b/bench/stepschedulers.go
@@ -65,8 +65,8 @@
 		free--
 		return free >= 0
 	}
-	moves := o.scheduler.SelectMoves(o.intervals.Slow(now), 0, reserve)
-	return append(moves, o.scheduler.SelectMoves(o.intervals.Weak(now), job.LongRunEvents, reserve)...)
+	moves := o.scheduler.SelectMoves(job.SlowEngineMoves(o.intervals.Slow(now)), reserve)
+	return append(moves, o.scheduler.SelectMoves(job.WeakEngineMoves(o.intervals.Weak(now)), reserve)...)
 }
 
 func (o serviceSteps) closeStep(id core.JobID) { o.scheduler.Close(id) }
--- a/internal/app/relay/run.go
+++ b/internal/app/relay/run.go
@@ -49,7 +49,7 @@
 	sound, fast := findFreeSlots(engines, slow, loading), findFreeSlots(engines, slices.Concat(slow, weak), loading)
 	var moves []job.RunID
 	s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) {
-		moves = append(scheduler.SelectMoves(slow, 0, sound.reserve), scheduler.SelectMoves(weak, job.LongRunEvents, fast.reserve)...)
+		moves = append(scheduler.SelectMoves(job.SlowEngineMoves(slow), sound.reserve), scheduler.SelectMoves(job.WeakEngineMoves(weak), fast.reserve)...)
 	})
 	if len(moves) > 0 {
 		s.log.Info().Str("service", service).Int("runs", len(moves)).Any("slow", slow).Any("weak", weak).Msg(logs.RunsMoved)
--- a/internal/core/job/intervals_test.go
+++ b/internal/core/job/intervals_test.go
@@ -65,13 +65,13 @@
 		scheduler.RunPlaced(start.Work, core.ServerID(fmt.Sprint("e", i)))
 	}
 	slow := []core.ServerID{"e0", "e2"}
-	if got := scheduler.SelectMoves(slow, 0, limitedRoom(1)); len(got) != 1 || got[0].Index != 0 {
+	if got := scheduler.SelectMoves(SlowEngineMoves(slow), limitedRoom(1)); len(got) != 1 || got[0].Index != 0 {
 		t.Errorf("with one free slot: moves %+v, want only the longest run", got)
 	}
-	if got := scheduler.SelectMoves(slow, 0, limitedRoom(10)); len(got) != 1 || got[0].Index != 2 {
+	if got := scheduler.SelectMoves(SlowEngineMoves(slow), limitedRoom(10)); len(got) != 1 || got[0].Index != 2 {
 		t.Errorf("second review: moves %+v, want only the run not moved yet", got)
 	}
-	if got := scheduler.SelectMoves(slow, 0, limitedRoom(10)); len(got) != 0 {
+	if got := scheduler.SelectMoves(SlowEngineMoves(slow), limitedRoom(10)); len(got) != 0 {
 		t.Errorf("third review: moves %+v, want none", got)
 	}
 }
@@ -95,7 +95,7 @@
 		scheduler.RunPlaced(start.Work, "slow")
 	}
 	onlyOld := func(_ core.ModelName, oldest core.WeightVersion) bool { return oldest <= 1 }
-	got := scheduler.SelectMoves([]core.ServerID{"slow"}, 0, onlyOld)
+	got := scheduler.SelectMoves(SlowEngineMoves([]core.ServerID{"slow"}), onlyOld)
 	if len(got) != 1 || got[0].Job != "older" {
 		t.Errorf("moves %+v, want only the run of the job that allows older weights", got)
 	}
--- a/internal/core/job/scheduler.go
+++ b/internal/core/job/scheduler.go
@@ -197,17 +197,16 @@
 // become slow one after another could keep an item from ever ending.
 const maxMoves = 4
 
-// SelectMoves returns runs with at least minEvents events on the given engines that
-// should be moved to another engine. The reserveSlot callback takes a free slot on another engine that may run the
+// SelectMoves returns runs that a rule moves to another engine. The reserveSlot callback takes a free slot on another engine that may run the
 // job's items, and reports whether there was one. An engine prefills the text
 // generated so far within a few ms, so a run with more than a few events left
 // ends sooner on a faster engine.
-func (s *Scheduler) SelectMoves(engines []core.ServerID, minEvents int, reserveSlot func(model core.ModelName, oldest core.WeightVersion) bool) []RunID {
+func (s *Scheduler) SelectMoves(rule MoveRule, reserveSlot func(model core.ModelName, oldest core.WeightVersion) bool) []RunID {
 	var moves []RunID
 	for _, row := range s.jobsInOrder() {
 		for _, i := range row.startOrder {
 			state := &row.items[i]
-			if state.phase != running || state.moves >= maxMoves || len(state.text) < minEvents || !slices.Contains(engines, state.server) {
+			if state.phase != running || state.moves >= rule.MaxMoves || len(state.text) < rule.MinEvents || !slices.Contains(rule.Engines, state.server) {
 				continue
 			}
 			if !reserveSlot(row.job.Model, row.job.Oldest) {
--- a/internal/core/job/weakengines.go
+++ b/internal/core/job/weakengines.go
@@ -8,12 +8,9 @@
 )
 
 const (
-	// weakFactor is the ratio to the time between events of a fast engine above which
-	// an engine counts as weak. Engines of one kind differ by a few percent.
-	weakFactor = 1.15
-	// fastQuantile is the share of the engines that are at least as fast as the one
-	// that the others are compared with.
-	fastQuantile = 0.25
+	// weakFactor is the ratio to the median time between events above which an engine
+	// counts as weak. An engine with a full batch takes up to 1.15 times the median.
+	weakFactor = 1.2
 	// lastingSmoothing is the weight of the newest interval. It is small, so that a
 	// pause of one stream does not make an engine weak.
 	lastingSmoothing = 0.05
@@ -23,9 +20,9 @@
 	// longFactor is the ratio to a job's median length above which an item counts as
 	// long. Estimates are often wrong by a factor of two.
 	longFactor = 1.5
-	// LongRunEvents is the number of events after which a run counts as long whatever
+	// longRunEvents is the number of events after which a run counts as long whatever
 	// its estimate. Six in seven texts are shorter. Each move opens a connection.
-	LongRunEvents = 40
+	longRunEvents = 40
 )
 
 // observeLasting records an interval in the measurement that is kept while an engine is
@@ -41,8 +38,8 @@
 	known.updatedAt = now
 }
 
-// Weak returns the engines that are slower than the fast ones, by less than slow
-// engines may be. Work on them is sound, but a step ends with its longest text.
+// Weak returns the engines that are slower than most, by less than slow engines may be.
+// Work on them is sound, but a step ends with its longest text.
 //
 // The load is a step whose longest text takes as long as the step may on a fast
 // engine, and a third longer on one of the others.
@@ -63,9 +60,9 @@
 	slices.SortFunc(measured, func(a, b core.ServerID) int {
 		return int(t.lasting[a].meanInterval - t.lasting[b].meanInterval)
 	})
-	fast := t.lasting[measured[int(fastQuantile*float64(len(measured)))]].meanInterval
+	median := t.lasting[measured[(len(measured)-1)/2]].meanInterval
 	first := slices.IndexFunc(measured, func(engine core.ServerID) bool {
-		return float64(t.lasting[engine].meanInterval) > weakFactor*float64(fast)
+		return float64(t.lasting[engine].meanInterval) > weakFactor*float64(median)
 	})
 	if first < 0 {
 		return nil
@@ -73,6 +70,24 @@
 	return measured[first:]
 }
 
+// MoveRule says which runs may be moved to other engines.
+type MoveRule struct {
+	Engines   []core.ServerID // engines that runs are moved off
+	MinEvents int             // events that a run must have sent
+	MaxMoves  int             // moves of an item after which it stays
+}
+
+// SlowEngineMoves moves every run off slow engines.
+func SlowEngineMoves(slow []core.ServerID) MoveRule {
+	return MoveRule{Engines: slow, MaxMoves: maxMoves}
+}
+
+// WeakEngineMoves moves long runs off weak engines, each item once: how fast an engine is
+// depends on its load too, so that a second move may lead back.
+func WeakEngineMoves(weak []core.ServerID) MoveRule {
+	return MoveRule{Engines: weak, MinEvents: longRunEvents, MaxMoves: 1}
+}
+
 // longItemTokens returns the expected length above which an item of a job counts as
 // long.
 func longItemTokens(job *core.Job) float64 {
@@ -89,5 +104,5 @@
 
 // isLong reports whether an item of a job is expected to be long.
 func (row *openJob) isLong(index int) bool {
-	return len(row.items[index].text) >= LongRunEvents || expectedTokens(&row.job.Items[index]) > row.longTokens
+	return len(row.items[index].text) >= longRunEvents || expectedTokens(&row.job.Items[index]) > row.longTokens
 }
--- a/internal/core/job/weakengines_test.go
+++ b/internal/core/job/weakengines_test.go
@@ -50,6 +50,48 @@
 	}
 }
 
+// TestEnginesUnderUnequalLoadAreNotWeak has equal engines whose intervals depend on how
+// full their batches are, as measured on abi-adopt.
+func TestEnginesUnderUnequalLoadAreNotWeak(t *testing.T) {
+	tracker := NewIntervalTracker()
+	now := time.Unix(1000, 0)
+	for range 200 {
+		for engine, ms := range []int{34, 36, 38, 42, 42, 43, 44, 46, 49} {
+			tracker.Observe(core.ServerID(fmt.Sprint("e", engine)), time.Duration(ms)*time.Millisecond, now)
+		}
+	}
+	if weak := tracker.Weak(now); len(weak) != 0 {
+		t.Errorf("weak engines %v, want none", weak)
+	}
+}
+
+// TestLongRunsMoveOffWeakEnginesOnce lets every engine that a run is moved to become
+// weak: the run must stay after its first move.
+func TestLongRunsMoveOffWeakEnginesOnce(t *testing.T) {
+	s := NewScheduler()
+	now := time.Unix(1000, 0)
+	s.Open(core.Job{ID: "j", Items: []core.JobItem{{ID: "i"}}}, nil, Policy{}, now)
+	events, moved := 0, 0
+	for attempt := range 5 {
+		start := s.NextRuns(1, now)[0]
+		engine := core.ServerID(fmt.Sprint("e", attempt))
+		s.RunPlaced(start.Work, engine)
+		for range longRunEvents {
+			events++
+			s.AddEvent(start.Work, core.Event{ID: events})
+		}
+		moves := s.SelectMoves(WeakEngineMoves([]core.ServerID{engine}), func(core.ModelName, core.WeightVersion) bool { return true })
+		moved += len(moves)
+		if len(moves) == 0 {
+			break
+		}
+		s.RunEnded(start.Work, engine, Interrupted, now)
+	}
+	if moved != 1 {
+		t.Errorf("moved %d times, want once", moved)
+	}
+}
+
 // TestLongItemsPreferFastEngines replays one step on two fast engines and two weak ones,
 // of which a run's event takes 48 and 64 ms: the item with the longest estimate, and one
 // whose estimate was wrong by a factor of ten, must end within the step's 7.5 s.
@@ -58,7 +100,7 @@
 	events := []int{149, 140, 12, 12, 12, 12, 9, 5}
 	hints := []int{149, 14, 12, 12, 12, 12, 9, 5}
 	pace := map[core.ServerID]time.Duration{"weak-1": 64 * step, "weak-2": 64 * step, "fast-1": 48 * step, "fast-2": 48 * step}
-	engines := []core.ServerID{"weak-1", "weak-2", "fast-1", "fast-2"}
+	engines := []core.ServerID{"weak-1", "weak-2", "fast-1", "fast-2"} // the lower median is a fast one
 	s, tracker := NewScheduler(), NewIntervalTracker()
 	begin := time.Unix(1000, 0)
 	for range 100 { // measured in the step before
@@ -103,7 +145,7 @@
 			running = append(running, &active{start, engines[at], start.EventsReceived, now.Add(pace[engines[at]])})
 		}
 		free := map[core.ServerID]int{"fast-1": slots - count("fast-1"), "fast-2": slots - count("fast-2")}
-		moves := s.SelectMoves(avoided.Weak, LongRunEvents, func(core.ModelName, core.WeightVersion) bool {
+		moves := s.SelectMoves(WeakEngineMoves(avoided.Weak), func(core.ModelName, core.WeightVersion) bool {
 			for engine := range free {
 				if free[engine] > 0 {
 					free[engine]--
