--- a/internal/core/job/avoided.go
+++ b/internal/core/job/avoided.go
@@ -19,8 +19,8 @@
 const slowEngineWait = time.Second
 
 // weakEngineWait is how long a long item waits for a slot on an engine that is not
-// weak before a weak one is accepted, from which the run can be moved later.
-const weakEngineWait = 200 * time.Millisecond
+// weak before a weak one is accepted. A run loses as much there until it is moved.
+const weakEngineWait = 500 * time.Millisecond
 
 // EnginesFor returns the engines on which the run must not be placed.
 func (a AvoidedEngines) EnginesFor(start *RunStart) []core.ServerID {
