Tell the change of weights in a stream that another engine continues

A caller's stream that goes on at an engine with other weights keeps the first engine's head, and the new version stood only in the head that the caller does not get.

The first event of the continuation carries the field that tells a change.

--- a/internal/app/relay/events.go
+++ b/internal/app/relay/events.go
@@ -23,7 +23,6 @@
 	sink            ports.EventSink
 	progress        route.StreamProgress
 	contentType     string             // of the response whose head was passed on
-	version         core.WeightVersion // of the last event; zero if unknown
 	excluded        []core.ServerID    // already tried
 	failureResponse core.RelayResponse // a backend server's 5xx response, returned if no later attempt begins a stream
 	onHead          func(leaving bool) // called for each attempt's head
@@ -50,13 +49,13 @@
 	if event.ID != st.request.After+1 {
 		return errkind.New(errkind.ServerFailed, "event %d received after event %d", event.ID, st.request.After)
 	}
-	if st.route.SingleVersion && st.version != 0 && event.Version != st.version {
-		return errkind.New(errkind.ServerFailed, "event %d is of weight version %d, want %d", event.ID, event.Version, st.version)
+	if st.route.SingleVersion && st.request.Version != 0 && event.Version != st.request.Version {
+		return errkind.New(errkind.ServerFailed, "event %d is of weight version %d, want %d", event.ID, event.Version, st.request.Version)
 	}
 	if err := st.sink.Event(event); err != nil {
 		return errkind.Wrap(errkind.Canceled, err, "write event to caller")
 	}
-	st.request.After, st.version = event.ID, event.Version
+	st.request.After, st.request.Version = event.ID, event.Version
 	return nil
 }
 
@@ -150,8 +149,8 @@
 		Adapter: core.AdapterName(st.request.Model),
 		Zone:    s.options.Self.Zone, Region: s.options.Self.Region, Exclude: st.excluded,
 	}
-	if st.route.SingleVersion && st.version != 0 {
-		query.Version, query.ExactVersion = st.version, true
+	if st.route.SingleVersion && st.request.Version != 0 {
+		query.Version, query.ExactVersion = st.request.Version, true
 	}
 	dispatch, err := s.servers.Acquire(query, now)
 	if err != nil {
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -116,7 +116,8 @@
 // EventsRequest is a request that is answered with an event stream.
 type EventsRequest struct {
 	RelayRequest
-	After int // id of the last event that was already received
+	After   int           // id of the last event that was already received
+	Version WeightVersion // weights that produced that event; zero if unknown or not to be told to the caller
 
 	// FirstEventWithin and LongestGap are the times to the first event and between
 	// two events after which the stream counts as stalled. Zero leaves them to the
