Share the comparison with the median; name the reason of a stream's retry

Slow and weak engines are found by the same comparison, now one function. The line for a failed attempt of a stream has the reason in the field that operators search for.

--- a/internal/app/relay/events.go
+++ b/internal/app/relay/events.go
@@ -93,8 +93,12 @@
 		case route.EndStream, route.PassResponse:
 			return response, nil
 		case route.RetryStream:
-			s.log.Info().Err(err).Str("request", string(st.request.ID)).Int("attempt", st.progress.Attempts).Str("server", string(server)).
-				Int("status", response.Status).Int("after", st.request.After).Msg(logs.AttemptFailed)
+			why := "failure response"
+			if err != nil {
+				why = err.Error()
+			}
+			s.log.Info().Str("request", string(st.request.ID)).Int("attempt", st.progress.Attempts).Str("server", string(server)).
+				Str("why", why).Int("status", response.Status).Int("after", st.request.After).Msg(logs.AttemptFailed)
 			if response.Status >= 500 {
 				st.failureResponse = response
 			}
--- a/internal/core/job/intervals.go
+++ b/internal/core/job/intervals.go
@@ -63,10 +63,16 @@
 // at most half of the recently measured ones: if all engines slow down, moving
 // work does not help.
 func (t *IntervalTracker) Slow(now time.Time) []core.ServerID {
+	return slowerThanMedian(t.engines, slowFactor, measurementTTL, now)
+}
+
+// slowerThanMedian returns the engines whose interval exceeds the median's by a factor,
+// which are at most half of the measured ones. It removes measurements older than ttl.
+func slowerThanMedian(paces map[core.ServerID]*enginePace, factor float64, ttl time.Duration, now time.Time) []core.ServerID {
 	var measured []core.ServerID
-	for engine, current := range t.engines {
-		if now.Sub(current.updatedAt) > measurementTTL {
-			delete(t.engines, engine)
+	for engine, current := range paces {
+		if now.Sub(current.updatedAt) > ttl {
+			delete(paces, engine)
 			continue
 		}
 		if current.intervals >= minIntervals {
@@ -77,16 +83,14 @@
 		return nil
 	}
 	slices.SortFunc(measured, func(a, b core.ServerID) int {
-		return int(t.engines[a].meanInterval - t.engines[b].meanInterval)
+		return int(paces[a].meanInterval - paces[b].meanInterval)
 	})
-	median := t.engines[measured[(len(measured)-1)/2]].meanInterval
-	var slow []core.ServerID
-	for _, engine := range measured[(len(measured)+1)/2:] {
-		if float64(t.engines[engine].meanInterval) > slowFactor*float64(median) {
-			slow = append(slow, engine)
-		}
+	limit := factor * float64(paces[measured[(len(measured)-1)/2]].meanInterval)
+	first := slices.IndexFunc(measured, func(engine core.ServerID) bool { return float64(paces[engine].meanInterval) > limit })
+	if first < 0 {
+		return nil
 	}
-	return slow
+	return measured[first:]
 }
 
 const (
--- a/internal/core/job/weakengines.go
+++ b/internal/core/job/weakengines.go
@@ -44,30 +44,7 @@
 // The load is a step whose longest text takes as long as the step may on a fast
 // engine, and a third longer on one of the others.
 func (t *IntervalTracker) Weak(now time.Time) []core.ServerID {
-	var measured []core.ServerID
-	for engine, known := range t.lasting {
-		if now.Sub(known.updatedAt) > lastingMemory {
-			delete(t.lasting, engine)
-			continue
-		}
-		if known.intervals >= minIntervals {
-			measured = append(measured, engine)
-		}
-	}
-	if len(measured) < minEngines {
-		return nil
-	}
-	slices.SortFunc(measured, func(a, b core.ServerID) int {
-		return int(t.lasting[a].meanInterval - t.lasting[b].meanInterval)
-	})
-	median := t.lasting[measured[(len(measured)-1)/2]].meanInterval
-	first := slices.IndexFunc(measured, func(engine core.ServerID) bool {
-		return float64(t.lasting[engine].meanInterval) > weakFactor*float64(median)
-	})
-	if first < 0 {
-		return nil
-	}
-	return measured[first:]
+	return slowerThanMedian(t.lasting, weakFactor, lastingMemory, now)
 }
 
 // MoveRule says which runs may be moved to other engines.
