Count a process as ready only once routing has the servers

Callers saw: a process answered its readiness check with 200 and refused the next request as "this entry process has not received a VM list yet".

Cause: readiness looked at the route table and the time of the last read of the registrations. The registry records that read before the step that passes the servers on to routing, and a route table that arrives second is recorded before that step too. In between, Acquire refuses every request. A fault of the product, not of TestBrokenStream, which sends its request at once.

Change: readiness asks the table that refuses, Servers.HasList. It has a list only after the route table and the registrations were both applied.

--- a/internal/app/relay/fakes_test.go
+++ b/internal/app/relay/fakes_test.go
@@ -181,8 +181,8 @@
 
 func (systemClock) Now() time.Time { return time.Now() }
 
-// start starts an entry process.
-func (s *environment) start(vm core.VMID) *Service {
+// create returns an entry process that is not started.
+func (s *environment) create(vm core.VMID) *Service {
 	service := New(Options{
 		Self: core.Member{VM: vm, Incarnation: core.Incarnation(time.Now().UnixNano()), Zone: "z", Region: "r", CallAddress: string(vm) + ":1"},
 		Seed: 1, Workers: 2, AddressCacheTime: time.Second, MinOrderInterval: 100 * time.Millisecond,
@@ -190,11 +190,17 @@
 	}, Ports{
 		Tables: s.tables, Objects: s.objects, Bodies: bodycodec.Codec{}, Registry: s, Backend: s, Clock: systemClock{},
 	}, s.log)
-	service.Start()
 	s.t.Cleanup(service.Stop)
 	return service
 }
 
+// start starts an entry process.
+func (s *environment) start(vm core.VMID) *Service {
+	service := s.create(vm)
+	service.Start()
+	return service
+}
+
 // eventually waits until a condition holds and fails the test after 20 s.
 func (s *environment) eventually(what string, holds func() bool) {
 	s.t.Helper()
--- a/internal/app/relay/ready.go
+++ b/internal/app/relay/ready.go
@@ -5,11 +5,10 @@
 	"fescuespar/internal/core/announce"
 )
 
-// Ready implements ports.Relay. A process is ready once it has read the route table
-// and the backend servers, and until its shutdown begins.
+// Ready implements ports.Relay. A process is ready once routing has the backend
+// servers, which needs the route table too, and until its shutdown begins.
 func (s *Service) Ready() bool {
-	_, readAt := s.registry.Entries()
-	return s.acceptsNewWork() && s.routes.Current() != nil && !readAt.IsZero()
+	return s.acceptsNewWork() && s.servers.HasList()
 }
 
 // entryAddresses returns the entry addresses for callers of a region. Before the
--- a/internal/tables/servers.go
+++ b/internal/tables/servers.go
@@ -44,6 +44,14 @@
 	t.state.ApplyVMs(vms)
 }
 
+// HasList reports whether a VM list has been applied. Before that Acquire refuses
+// every request.
+func (t *Servers) HasList() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.hasList
+}
+
 // ApplyPolled sets which engines this process polls.
 func (t *Servers) ApplyPolled(polled map[core.ServerID]bool) {
 	t.mu.Lock()
