Log a fingerprint with failed attempts and count attempts that servers cut

The logs of an incident could not tell whether a request that servers broke off was a repeat of another: its id is new with each attempt of the caller. Failed attempts and failed requests now have the hash of method, host, path and body; relay.attempts.cut counts the attempts that servers broke off. The hash is the one that entry uses, moved to internal/core/crash.

--- a/internal/app/crashes.go
+++ b/internal/app/crashes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"time"
 
 	"fescuespar/internal/core"
@@ -44,17 +43,7 @@
 }
 
 func completionFingerprint(request *core.CompletionRequest) uint64 {
-	return crashFingerprint(request.Deployment, request.Prompt)
-}
-
-func crashFingerprint(deployment core.DeploymentName, parts ...string) uint64 {
-	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(deployment))
-	for _, part := range parts {
-		_, _ = hash.Write([]byte{0})
-		_, _ = hash.Write([]byte(part))
-	}
-	return hash.Sum64()
+	return crash.Fingerprint(string(request.Deployment), request.Prompt)
 }
 
 // startAttempt sends a completion's next attempt. Errors: those of
--- a/internal/app/plaincall.go
+++ b/internal/app/plaincall.go
@@ -8,6 +8,7 @@
 
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/claim"
+	"fescuespar/internal/core/crash"
 	"fescuespar/internal/core/retry"
 	"fescuespar/internal/core/routing"
 	"fescuespar/internal/errkind"
@@ -211,7 +212,7 @@
 	if call.guard.dispatch == nil {
 		r := &call.request
 		call.guard = crashGuard{
-			fingerprint: crashFingerprint(r.Deployment, r.Method, r.Path, string(r.Body)),
+			fingerprint: crash.Fingerprint(string(r.Deployment), r.Method, r.Path, string(r.Body)),
 			service:     call.deployment.Service, class: core.ClassInteractive, deadline: r.Deadline,
 			dispatch:        func() error { return s.dispatchCall(call) },
 			fail:            func(err error) { s.failCallNotRun(call, err) },
--- a/internal/app/relay/events.go
+++ b/internal/app/relay/events.go
@@ -97,7 +97,7 @@
 			if err != nil {
 				why = err.Error()
 			}
-			s.log.Info().Str("request", string(st.request.ID)).Int("attempt", st.progress.Attempts).Str("server", string(server)).
+			s.log.Info().Str("request", string(st.request.ID)).Str("fingerprint", fingerprintOf(&st.request.RelayRequest)).Int("attempt", st.progress.Attempts).Str("server", string(server)).
 				Str("why", why).Int("status", response.Status).Int("after", st.request.After).Msg(logs.AttemptFailed)
 			if response.Status >= 500 {
 				st.failureResponse = response
@@ -178,6 +178,7 @@
 		return core.RelayResponse{}, "", err
 	}
 	r := <-result
+	s.countCutAttempt(r.err)
 	s.noteLeaving(dispatch.VM.ID, now, r.response.Leaving)
 	s.servers.Release(dispatch, attemptResult(r.err, r.response.Status), s.ports.Clock.Now())
 	return r.response, dispatch.VM.ID, r.err
--- a/internal/app/relay/forward.go
+++ b/internal/app/relay/forward.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/crash"
 	"fescuespar/internal/core/logs"
 	"fescuespar/internal/core/outlier"
 	"fescuespar/internal/core/route"
@@ -219,6 +221,7 @@
 }
 
 func (s *Service) finishAttempt(c *call, dispatch routing.Dispatch, response core.RelayResponse, err error) {
+	s.countCutAttempt(err)
 	s.noteLeaving(dispatch.VM.ID, dispatch.Started, response.Leaving)
 	s.servers.Release(dispatch, attemptResult(err, response.Status), s.ports.Clock.Now())
 	c.excluded = append(c.excluded, dispatch.VM.ID)
@@ -259,11 +262,23 @@
 }
 
 func (s *Service) logFailedAttempt(c *call, dispatch routing.Dispatch, why string) {
-	s.log.Info().Str("request", string(c.request.ID)).Int("attempt", c.attempts).
+	s.log.Info().Str("request", string(c.request.ID)).Str("fingerprint", fingerprintOf(&c.request)).Int("attempt", c.attempts).
 		Str("server", string(dispatch.VM.ID)).Str("why", why).Dur("took", s.ports.Clock.Now().Sub(dispatch.Started)).
 		Msg(logs.AttemptFailed)
 }
 
+// fingerprintOf returns the fingerprint of a request as logged. Unlike the id it is the
+// same for each attempt of a caller.
+func fingerprintOf(r *core.RelayRequest) string {
+	return fmt.Sprintf("%016x", crash.Fingerprint(r.Method, r.Host, r.Target, string(r.Body)))
+}
+
+func (s *Service) countCutAttempt(err error) {
+	if errkind.Is(err, errkind.ServerFailed) {
+		s.metrics.AttemptsCut.Inc(1)
+	}
+}
+
 func (s *Service) logRequest(c *call, response *core.RelayResponse, err error) {
 	took := s.ports.Clock.Now().Sub(c.arrived)
 	s.metrics.RequestTime.Update(took.Milliseconds())
@@ -276,7 +291,7 @@
 		line = s.log.Warn().Err(err)
 	default:
 		s.metrics.RequestsFailed.Inc(1)
-		line = s.log.Warn().Err(err)
+		line = s.log.Warn().Err(err).Str("fingerprint", fingerprintOf(&c.request))
 	}
 	line.Str("request", string(c.request.ID)).Str("route", c.route.Name).Str("service", c.service).
 		Uint64("routes", c.routesVersion).Int("attempts", c.attempts).Int("status", response.Status).Dur("took", took).Msg(logs.RequestEnded)
--- a/internal/metrics/relay.go
+++ b/internal/metrics/relay.go
@@ -10,6 +10,7 @@
 	RequestsRefused gometrics.Counter
 	RequestsFailed  gometrics.Counter
 	Attempts        gometrics.Counter
+	AttemptsCut     gometrics.Counter
 	JobsAccepted    gometrics.Counter
 	JobsRefused     gometrics.Counter
 	JobsEnded       gometrics.Counter
@@ -34,7 +35,7 @@
 	r := &Relay{Registry: gometrics.NewRegistry()}
 	for name, counter := range map[string]*gometrics.Counter{
 		"relay.requests.served": &r.RequestsServed, "relay.requests.refused": &r.RequestsRefused,
-		"relay.requests.failed": &r.RequestsFailed, "relay.attempts": &r.Attempts,
+		"relay.requests.failed": &r.RequestsFailed, "relay.attempts": &r.Attempts, "relay.attempts.cut": &r.AttemptsCut,
 		"relay.jobs.accepted": &r.JobsAccepted, "relay.jobs.refused": &r.JobsRefused, "relay.jobs.ended": &r.JobsEnded,
 		"relay.runs.started": &r.RunsStarted, "relay.runs.cut": &r.RunsCut,
 		"relay.results.stored": &r.ResultsStored, "relay.scores.missed": &r.ScoresMissed,
