Run requests under which two servers died only as claimed trials

Cause: in relay nothing related the attempts of a caller, which have a new id each and come to any process. The recognition of internal/core/crash was wired into entry only: its trials need heartbeats between all processes, which relay does not have. A class of fault: a limit that is kept for each attempt in each process, where the promise is about the request over all of them.

Change: deaths are kept in a row for each fingerprint of method, host, path and body, written under the row's version and read by all processes. From the second death on the request is refused as not run, and tried by one process at a time: after a second, from the third death on after a minute, then ten minutes. A server that cut an attempt and still takes connections did not die. An answer removes the row. Items and scoring calls are left out, since they are owed.

Ruled out: more servers than MaxAttempts in one attempt (TestRefusalMeansRequestDidNotRun); news lost at a restart (the rows last).

--- a/internal/adapters/plainhttp/client.go
+++ b/internal/adapters/plainhttp/client.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
@@ -77,16 +76,7 @@
 
 // Probe implements ports.PlainService. It opens a TCP connection and closes it.
 func (c *Client) Probe(ctx context.Context, server core.VM) error {
-	connection, err := new(net.Dialer).DialContext(ctx, "tcp", server.Address)
-	switch {
-	case err == nil:
-		_ = connection.Close()
-		return nil
-	case ctx.Err() != nil:
-		return errkind.Wrap(errkind.Of(ctx.Err()), err, "%s did not accept a connection in time", server.ID)
-	default:
-		return errkind.Wrap(errkind.ServerRefused, err, "%s did not accept a connection", server.ID)
-	}
+	return serverhttp.Probe(ctx, server)
 }
 
 // callError returns the error for a call that the service may have run: Timeout if
--- a/internal/adapters/recordcodec/recordcodec.go
+++ b/internal/adapters/recordcodec/recordcodec.go
@@ -27,6 +27,7 @@
 	core.TableJob:      codecFor[core.JobRecord](),
 	core.TableResult:   codecFor[core.ResultRecord](),
 	core.TableMember:   codecFor[core.MemberRecord](),
+	core.TableCrash:    codecFor[core.CrashRecord](),
 }
 
 // Header values of answers may contain any bytes, so strings are not checked for
--- a/internal/adapters/serverhttp/client.go
+++ b/internal/adapters/serverhttp/client.go
@@ -4,9 +4,13 @@
 package serverhttp
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/errkind"
 )
 
 // Limits of connections to backend servers.
@@ -44,3 +48,18 @@
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
+
+// Probe checks whether a server accepts connections, without sending a request. Errors:
+// ServerRefused, and Timeout or Canceled if the context ends first.
+func Probe(ctx context.Context, server core.VM) error {
+	connection, err := new(net.Dialer).DialContext(ctx, "tcp", server.Address)
+	switch {
+	case err == nil:
+		_ = connection.Close()
+		return nil
+	case ctx.Err() != nil:
+		return errkind.Wrap(errkind.Of(ctx.Err()), err, "%s did not accept a connection in time", server.ID)
+	default:
+		return errkind.Wrap(errkind.ServerRefused, err, "%s did not accept a connection", server.ID)
+	}
+}
--- a/internal/app/crashes.go
+++ b/internal/app/crashes.go
@@ -43,7 +43,7 @@
 }
 
 func completionFingerprint(request *core.CompletionRequest) uint64 {
-	return crash.Fingerprint(string(request.Deployment), request.Prompt)
+	return crash.Fingerprint(nil, string(request.Deployment), request.Prompt)
 }
 
 // startAttempt sends a completion's next attempt. Errors: those of
--- a/internal/app/relay/crashes_test.go
+++ b/internal/app/relay/crashes_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"fescuespar/internal/core"
 	"fescuespar/internal/errkind"
+	"fescuespar/internal/ports"
+	"fescuespar/internal/ports/porttest/faults"
 )
 
 const (
@@ -27,22 +30,41 @@
 	dead    map[core.ServerID]bool
 	crashes []time.Time
 	sent    []time.Time // arrivals of crashing requests at live servers
+	isSound bool        // no request crashes servers any more
+
+	deathsLeft map[core.RequestID]int // servers that still die under a request
 }
 
 func newCrashingServers(s *environment) *crashingServers {
 	servers := &crashingServers{s: s, dead: make(map[core.ServerID]bool)}
-	s.exchange = servers.run
+	s.exchange, s.isDead = servers.run, servers.isDead
+	s.stream = func(server core.VM, request core.EventsRequest, sink ports.EventSink) (core.RelayResponse, error) {
+		if response, err := servers.run(server, request.RelayRequest); err != nil {
+			return response, err
+		}
+		return sendEvents(eventStreamType, 1, lastEvent, lastEvent)(request, sink)
+	}
 	return servers
 }
 
+func (c *crashingServers) isDead(id core.ServerID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.dead[id]
+}
+
 func (c *crashingServers) run(server core.VM, request core.RelayRequest) (core.RelayResponse, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.dead[server.ID] {
 		return core.RelayResponse{}, errkind.New(errkind.ServerRefused, "connection refused")
 	}
-	if string(request.Body) != crashingBody {
-		return core.RelayResponse{Status: 200}, nil
+	diesAnyway := c.deathsLeft[request.ID] > 0
+	if c.isSound || string(request.Body) != crashingBody && !diesAnyway {
+		return core.RelayResponse{Status: 200, Signature: "signed"}, nil
+	}
+	if diesAnyway {
+		c.deathsLeft[request.ID]--
 	}
 	c.sent = append(c.sent, time.Now())
 	c.crash(server.ID)
@@ -77,30 +99,122 @@
 	return len(c.crashes), late
 }
 
+// send forwards a request of any kind of route and returns its error.
+func (s *environment) send(service *Service, request core.RelayRequest) error {
+	if !strings.HasPrefix(request.Target, "/stream/") {
+		_, err := service.Forward(s.t.Context(), request)
+		return err
+	}
+	request.Model = "m"
+	_, err := service.ForwardEvents(s.t.Context(), core.EventsRequest{RelayRequest: request}, &streamRecorder{})
+	return err
+}
+
 // TestCrashingRequestIsNotSentOn has a request that crashes each server that runs it and
-// comes again under new ids at all processes.
+// comes again under new ids at all processes, one of which starts late.
 func TestCrashingRequestIsNotSentOn(t *testing.T) {
+	for _, target := range []string{"/lookup/x", "/once/x", "/stream/x"} {
+		t.Run(target, func(t *testing.T) {
+			t.Parallel()
+			s := newEnvironment(t)
+			servers := newCrashingServers(s)
+			var processes []*Service
+			for i := range 3 {
+				processes = append(processes, s.waitReady(s.start(core.VMID(fmt.Sprint("vm-", i)))))
+			}
+			const (
+				interval = 100 * time.Millisecond
+				duration = contactTime + 3*time.Second
+				sends    = int(duration / interval)
+			)
+			for i := range sends {
+				if i == sends/2 {
+					processes = append(processes, s.waitReady(s.start("vm-late")))
+				}
+				request := core.RelayRequest{ID: core.RequestID(fmt.Sprint("r-", i)), Method: "POST", Host: host, Target: target, Body: []byte(crashingBody)}
+				if s.send(processes[i%len(processes)], request) == nil {
+					t.Fatalf("request %d succeeded", i)
+				}
+				time.Sleep(interval)
+			}
+			crashes, late := servers.counts()
+			t.Logf("%d crashes, %d requests sent later than %v after the third", crashes, late, contactTime)
+			if late > maxRetries {
+				t.Errorf("%d requests reached servers later than %v after the third crash, want at most %d; %d crashes", late, contactTime, maxRetries, crashes)
+			}
+		})
+	}
+}
+
+// TestRequestUnderDyingServersRunsAgain has a sound request under which two servers die.
+// It is refused as not run for a while, and then runs again at any process.
+func TestRequestUnderDyingServersRunsAgain(t *testing.T) {
 	t.Parallel()
 	s := newEnvironment(t)
 	servers := newCrashingServers(s)
-	var processes []*Service
-	for i := range 3 {
-		processes = append(processes, s.waitReady(s.start(core.VMID(fmt.Sprint("vm-", i)))))
-	}
-	const (
-		interval = 100 * time.Millisecond
-		duration = contactTime + 3*time.Second
-	)
-	for i := range int(duration / interval) {
-		request := core.RelayRequest{ID: core.RequestID(fmt.Sprint("r-", i)), Method: "POST", Host: host, Target: "/lookup/x", Body: []byte(crashingBody)}
-		if _, err := processes[i%len(processes)].Forward(t.Context(), request); err == nil {
-			t.Fatalf("request %d succeeded", i)
+	one, two := s.waitReady(s.start("vm-1")), s.waitReady(s.start("vm-2"))
+	request := func(body string) core.RelayRequest {
+		return core.RelayRequest{ID: "r", Method: "POST", Host: host, Target: "/lookup/x", Body: []byte(body)}
+	}
+	if err := s.send(one, request(crashingBody)); !errkind.Is(err, errkind.ServerFailed) {
+		t.Errorf("two servers died: %v, want %s", err, errkind.ServerFailed)
+	}
+	servers.mu.Lock()
+	servers.isSound = true
+	servers.mu.Unlock()
+	for _, service := range []*Service{one, two} {
+		s.eventually("the record is known", func() bool { return service.State().Crashes.Held == 1 })
+		if err := s.send(service, request(crashingBody)); !errkind.Is(err, errkind.Quarantined) {
+			t.Errorf("just after the deaths: %v, want %s", err, errkind.Quarantined)
+		}
+	}
+	s.eventually("another request is served", func() bool { return s.send(one, request("other")) == nil })
+	s.eventually("the request is served", func() bool { return s.send(two, request(crashingBody)) == nil })
+	s.eventually("no record is left", func() bool {
+		return one.State().Crashes.Records == 0 && two.State().Crashes.Records == 0
+	})
+	if err := s.send(one, request(crashingBody)); err != nil {
+		t.Errorf("after the trial: %v", err)
+	}
+}
+
+// TestDeathIsRecordedAfterOutage loses the table service while servers die.
+func TestDeathIsRecordedAfterOutage(t *testing.T) {
+	t.Parallel()
+	s := newEnvironment(t)
+	newCrashingServers(s)
+	one, two := s.waitReady(s.start("vm-1")), s.waitReady(s.start("vm-2"))
+	s.tables.Inject(faults.Rule{Operation: faults.Commit, Event: faults.Refuse, Table: core.TableCrash, Count: 2})
+	request := core.RelayRequest{ID: "r", Method: "POST", Host: host, Target: "/lookup/x", Body: []byte(crashingBody)}
+	if err := s.send(one, request); err == nil {
+		t.Error("request succeeded")
+	}
+	s.eventually("the process knows of the deaths that it saw", func() bool { return one.State().Crashes.Held == 1 })
+	if err := s.send(one, request); !errkind.Is(err, errkind.Quarantined) {
+		t.Errorf("at the process that saw the deaths: %v, want %s", err, errkind.Quarantined)
+	}
+	s.eventually("the other process knows of the deaths", func() bool { return two.State().Crashes.Held == 1 })
+}
+
+// TestScoringCallsAreOwedAfterDeaths has servers die under each scoring call, more often
+// than a caller's request may cost, before one is answered.
+func TestScoringCallsAreOwedAfterDeaths(t *testing.T) {
+	t.Parallel()
+	s := newEnvironment(t)
+	servers := newCrashingServers(s)
+	const deathsPerCall = 7
+	servers.deathsLeft = map[core.RequestID]int{"score-j-0": deathsPerCall, "score-j-1": deathsPerCall}
+	service := s.waitReady(s.start("vm-1"))
+	if err := service.Submit(t.Context(), newJob("j", 2)); err != nil {
+		t.Fatal(err)
+	}
+	s.eventually("all results", func() bool { return len(s.readResults(service, "j").Results) == 2 })
+	for _, result := range s.readResults(service, "j").Results {
+		if result.State != core.ItemCompleted {
+			t.Errorf("item %s is %s", result.Item, result.State)
 		}
-		time.Sleep(interval)
 	}
-	crashes, late := servers.counts()
-	t.Logf("%d crashes, %d requests sent later than %v after the third", crashes, late, contactTime)
-	if late > maxRetries {
-		t.Errorf("%d requests reached servers later than %v after the third crash, want at most %d; %d crashes", late, contactTime, maxRetries, crashes)
+	if records := service.State().Crashes.Records; records != 0 {
+		t.Errorf("%d crash records of scoring calls", records)
 	}
 }
--- a/internal/app/relay/events.go
+++ b/internal/app/relay/events.go
@@ -17,6 +17,7 @@
 // ports.EventSink.
 type eventStream struct {
 	request         core.EventsRequest
+	guard           crashGuard
 	route           core.Route
 	service         string
 	ctx             context.Context // ends when the caller has left or was answered
@@ -74,12 +75,13 @@
 	request.Deadline = requestDeadline(request.Deadline, matched.Timeout, arrived)
 	request.AtMostOnce = !matched.Resumable
 	st := &eventStream{
-		request: request, route: matched, service: s.routes.Choose(&matched), ctx: ctx, sink: sink,
+		request: request, guard: newCrashGuard(&request.RelayRequest), route: matched, service: s.routes.Choose(&matched), ctx: ctx, sink: sink,
 		progress: route.StreamProgress{Resumable: matched.Resumable, MaxAttempts: matched.Attempts},
 	}
 	response, err := s.forwardEventsWithRetries(st)
+	s.endTrial(&st.guard)
 	s.logRequest(&call{
-		request: request.RelayRequest, route: matched, service: st.service, arrived: arrived, attempts: st.progress.Attempts,
+		request: request.RelayRequest, guard: st.guard, route: matched, service: st.service, arrived: arrived, attempts: st.progress.Attempts,
 	}, &response, err)
 	return response, err
 }
@@ -97,7 +99,7 @@
 			if err != nil {
 				why = err.Error()
 			}
-			s.log.Info().Str("request", string(st.request.ID)).Str("fingerprint", fingerprintOf(&st.request.RelayRequest)).Int("attempt", st.progress.Attempts).Str("server", string(server)).
+			s.log.Info().Str("request", string(st.request.ID)).Str("fingerprint", formatFingerprint(st.guard.fingerprint)).Int("attempt", st.progress.Attempts).Str("server", string(server)).
 				Str("why", why).Int("status", response.Status).Int("after", st.request.After).Msg(logs.AttemptFailed)
 			if response.Status >= 500 {
 				st.failureResponse = response
@@ -147,6 +149,9 @@
 // attemptEvents sends the request to one backend server and returns that server,
 // empty if none was available.
 func (s *Service) attemptEvents(st *eventStream) (core.RelayResponse, core.ServerID, error) {
+	if err := s.awaitGuard(st); err != nil {
+		return core.RelayResponse{}, "", err
+	}
 	now := s.ports.Clock.Now()
 	query := routing.Query{
 		Kind: s.serverKind(st.service), Service: st.service, Class: core.ClassInteractive, ExpectedTokens: 1,
@@ -181,9 +186,34 @@
 	s.countCutAttempt(r.err)
 	s.noteLeaving(dispatch.VM.ID, now, r.response.Leaving)
 	s.servers.Release(dispatch, attemptResult(r.err, r.response.Status), s.ports.Clock.Now())
+	s.awaitRecord(st, dispatch.VM, r.err)
 	return r.response, dispatch.VM.ID, r.err
 }
 
+// awaitGuard waits until it is known whether the next attempt may be sent. Errors:
+// Quarantined, Canceled.
+func (s *Service) awaitGuard(st *eventStream) error {
+	permitted := make(chan error, 1)
+	s.guardAttempt(&st.guard, func(err error) { permitted <- err })
+	select {
+	case err := <-permitted:
+		return err
+	case <-st.ctx.Done():
+		return errkind.Wrap(errkind.Canceled, st.ctx.Err(), "caller stopped waiting for the stream")
+	}
+}
+
+// awaitRecord records how an attempt ended and waits until a retry may follow.
+func (s *Service) awaitRecord(st *eventStream, server core.VM, err error) {
+	recorded := make(chan struct{})
+	mayRetry := st.progress.Resumable && st.progress.Attempts < st.progress.MaxAttempts
+	s.recordAttempt(&st.guard, server, err, mayRetry, func() { close(recorded) })
+	select {
+	case <-recorded:
+	case <-st.ctx.Done():
+	}
+}
+
 // streamTimeouts returns the bounds on the silence of a stream. A stream that no other
 // backend server can continue is not ended before its deadline, since that helps
 // nobody.
--- a/internal/app/relay/fakes_test.go
+++ b/internal/app/relay/fakes_test.go
@@ -40,6 +40,7 @@
 	hangingExchange chan struct{}                                                                  // receives at the start and the end of each hanging exchange
 	holdsVersion    func(core.VM, core.Order) bool                                                 // reports whether an order's version is loaded already
 	losesOrder      func(core.VM) bool                                                             // reports whether an order is lost before it is accepted
+	isDead          func(core.ServerID) bool                                                       // reports whether a server refuses connections; nil for no
 	activeRuns      int
 }
 
@@ -142,6 +143,17 @@
 	return core.RelayResponse{}, nil
 }
 
+// Probe implements ports.Backend.
+func (s *environment) Probe(_ context.Context, server core.VM) error {
+	s.mu.Lock()
+	isDead := s.isDead
+	s.mu.Unlock()
+	if isDead != nil && isDead(server.ID) {
+		return errkind.New(errkind.ServerRefused, "connection refused")
+	}
+	return nil
+}
+
 // Report implements ports.Backend.
 func (s *environment) Report(_ context.Context, server core.VM) (core.EngineReport, error) {
 	s.mu.Lock()
--- a/internal/app/relay/forward.go
+++ b/internal/app/relay/forward.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"fescuespar/internal/core"
-	"fescuespar/internal/core/crash"
 	"fescuespar/internal/core/logs"
 	"fescuespar/internal/core/outlier"
 	"fescuespar/internal/core/route"
@@ -33,6 +31,7 @@
 // call is a caller's request in progress.
 type call struct {
 	request         core.RelayRequest
+	guard           crashGuard
 	route           core.Route
 	service         string
 	arrived         time.Time
@@ -75,9 +74,13 @@
 
 // Forward implements ports.Relay.
 func (s *Service) Forward(ctx context.Context, request core.RelayRequest) (core.RelayResponse, error) {
+	return s.forwardGuarded(ctx, request, newCrashGuard(&request))
+}
+
+func (s *Service) forwardGuarded(ctx context.Context, request core.RelayRequest, guard crashGuard) (core.RelayResponse, error) {
 	result := make(chan callResult, 1)
 	err := s.pool.Enqueue(core.ClassInteractive, func() {
-		s.admitRequest(ctx, request, func(response core.RelayResponse, err error) { result <- callResult{response, err} })
+		s.admitRequest(ctx, request, guard, func(response core.RelayResponse, err error) { result <- callResult{response, err} })
 	})
 	if err != nil {
 		return core.RelayResponse{}, err
@@ -92,7 +95,7 @@
 
 // admitRequest starts a caller's request. It calls finish once, on a worker of the
 // pool.
-func (s *Service) admitRequest(ctx context.Context, request core.RelayRequest, finish func(core.RelayResponse, error)) {
+func (s *Service) admitRequest(ctx context.Context, request core.RelayRequest, guard crashGuard, finish func(core.RelayResponse, error)) {
 	matched, err := s.RouteOf(request.Host, request.Path())
 	if err != nil {
 		s.metrics.RequestsRefused.Inc(1)
@@ -104,9 +107,10 @@
 		return
 	}
 	now := s.ports.Clock.Now()
-	c := &call{request: request, route: matched, routesVersion: s.routes.Current().Version, service: s.routes.Choose(&matched), arrived: now, ctx: ctx}
+	c := &call{request: request, guard: guard, route: matched, routesVersion: s.routes.Current().Version, service: s.routes.Choose(&matched), arrived: now, ctx: ctx}
 	c.deadline = requestDeadline(request.Deadline, matched.Timeout, now)
 	c.finish = func(response core.RelayResponse, err error) {
+		s.endTrial(&c.guard)
 		s.lifecycle.EndRequest()
 		s.logRequest(c, &response, err)
 		finish(response, err)
@@ -145,8 +149,18 @@
 	return now.Add(min(remaining, max(share, firstAttemptTargets*c.route.Target)))
 }
 
-// startAttempt sends the call's next attempt.
+// startAttempt sends the call's next attempt, unless servers have died under it.
 func (s *Service) startAttempt(c *call) {
+	s.guardAttempt(&c.guard, func(err error) {
+		if err != nil {
+			s.finishWithoutResponse(c, err)
+			return
+		}
+		s.sendAttempt(c)
+	})
+}
+
+func (s *Service) sendAttempt(c *call) {
 	now := s.ports.Clock.Now()
 	if !now.Before(c.deadline) {
 		s.finishWithoutResponse(c, errkind.New(errkind.Timeout, "deadline passed after %d attempts", c.attempts))
@@ -226,6 +240,13 @@
 	s.servers.Release(dispatch, attemptResult(err, response.Status), s.ports.Clock.Now())
 	c.excluded = append(c.excluded, dispatch.VM.ID)
 	canRetry := c.attempts < max(1, c.route.Attempts) && c.ctx.Err() == nil
+	s.recordAttempt(&c.guard, dispatch.VM, err, canRetry && c.route.Kind == core.RouteIdempotent, func() {
+		s.continueCall(c, dispatch, response, err, canRetry)
+	})
+}
+
+// continueCall ends a call with the result of its last attempt or starts the next one.
+func (s *Service) continueCall(c *call, dispatch routing.Dispatch, response core.RelayResponse, err error, canRetry bool) {
 	switch {
 	case err == nil && (response.Status < 500 || c.route.Kind != core.RouteIdempotent || !canRetry):
 		c.finish(response, nil)
@@ -262,17 +283,11 @@
 }
 
 func (s *Service) logFailedAttempt(c *call, dispatch routing.Dispatch, why string) {
-	s.log.Info().Str("request", string(c.request.ID)).Str("fingerprint", fingerprintOf(&c.request)).Int("attempt", c.attempts).
+	s.log.Info().Str("request", string(c.request.ID)).Str("fingerprint", formatFingerprint(c.guard.fingerprint)).Int("attempt", c.attempts).
 		Str("server", string(dispatch.VM.ID)).Str("why", why).Dur("took", s.ports.Clock.Now().Sub(dispatch.Started)).
 		Msg(logs.AttemptFailed)
 }
 
-// fingerprintOf returns the fingerprint of a request as logged. Unlike the id it is the
-// same for each attempt of a caller.
-func fingerprintOf(r *core.RelayRequest) string {
-	return fmt.Sprintf("%016x", crash.Fingerprint(r.Method, r.Host, r.Target, string(r.Body)))
-}
-
 func (s *Service) countCutAttempt(err error) {
 	if errkind.Is(err, errkind.ServerFailed) {
 		s.metrics.AttemptsCut.Inc(1)
@@ -291,7 +306,7 @@
 		line = s.log.Warn().Err(err)
 	default:
 		s.metrics.RequestsFailed.Inc(1)
-		line = s.log.Warn().Err(err).Str("fingerprint", fingerprintOf(&c.request))
+		line = s.log.Warn().Err(err).Str("fingerprint", formatFingerprint(c.guard.fingerprint))
 	}
 	line.Str("request", string(c.request.ID)).Str("route", c.route.Name).Str("service", c.service).
 		Uint64("routes", c.routesVersion).Int("attempts", c.attempts).Int("status", response.Status).Dur("took", took).Msg(logs.RequestEnded)
--- a/internal/app/relay/members_test.go
+++ b/internal/app/relay/members_test.go
@@ -9,7 +9,7 @@
 
 // TestAllMembersAreRead has more members than one read of the table service returns.
 func TestAllMembersAreRead(t *testing.T) {
-	const members = 2*membersPageRows + 100
+	const members = 2*tablePageRows + 100
 	s := newEnvironment(t)
 	for i := range members {
 		_, err := s.tables.Commit(t.Context(), core.Commit{
--- a/internal/app/relay/run.go
+++ b/internal/app/relay/run.go
@@ -271,9 +271,12 @@
 func (s *Service) scoreText(lane context.Context, service string, start job.ScoreStart) {
 	ctx, cancel := context.WithCancel(lane)
 	defer cancel()
-	response, err := s.Forward(ctx, core.RelayRequest{
+	request := core.RelayRequest{
 		ID: start.Call.ID, Method: "POST", Host: start.Call.Host, Target: start.Call.Path, Body: start.Call.Body,
-	})
+	}
+	guard := newCrashGuard(&request)
+	guard.isExempt = true
+	response, err := s.forwardGuarded(ctx, request, guard)
 	s.pool.MustEnqueue(core.ClassRollout, func() {
 		s.finishScore(service, start, response, err)
 		s.startDueWork(service)
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -67,6 +67,8 @@
 	ordersInFlight     = 8
 	ordersWaiting      = 64
 	watchInFlight      = 4
+	crashesInFlight    = 8
+	crashesWaiting     = 256
 )
 
 // Timing of leases. A holder that dies is replaced within the term and the margin;
@@ -91,13 +93,14 @@
 
 // lanes run blocking calls, each kind with its own limit.
 type lanes struct {
-	calls  *workers.Lane // requests of callers
-	runs   *workers.Lane // items of jobs
-	scores *workers.Lane // scoring of outputs
-	store  *workers.Lane // jobs and results
-	leases *workers.Lane
-	orders *workers.Lane
-	watch  *workers.Lane // registry and members
+	calls   *workers.Lane // requests of callers
+	runs    *workers.Lane // items of jobs
+	scores  *workers.Lane // scoring of outputs
+	store   *workers.Lane // jobs and results
+	leases  *workers.Lane
+	orders  *workers.Lane
+	watch   *workers.Lane // registry and members
+	crashes *workers.Lane // records of requests under which servers died
 }
 
 // Service is one entry process without its front ends.
@@ -123,6 +126,7 @@
 	weights      *tables.Weights
 	jobStorage   *tables.JobStorage
 	platform     *tables.Platform
+	crashes      *tables.CrashRecords
 
 	routingUpdates *tables.Serial
 
@@ -134,6 +138,7 @@
 	addressCacheNanos atomic.Int64 // how long callers may cache the entry addresses
 	graceNanos        atomic.Int64 // from the stop signal until the process is killed
 	announcementCount atomic.Uint64
+	crashesRead       atomic.Bool // a read of the crash records is in flight
 }
 
 var (
@@ -149,13 +154,14 @@
 		options: options, ports: adapters, log: log, metrics: metrics.NewRelay(),
 		pool: pool, timers: workers.NewTimers(pool),
 		lanes: lanes{
-			calls:  workers.NewLane("calls", callsInFlight, callsWaiting),
-			runs:   workers.NewLane("runs", runsInFlight, 0),
-			scores: workers.NewLane("scores", scoresInFlight, 0),
-			store:  workers.NewLane("store", storeInFlight, storeWaiting),
-			leases: workers.NewLane("leases", leaseInFlight, leaseWaiting),
-			orders: workers.NewLane("orders", ordersInFlight, ordersWaiting),
-			watch:  workers.NewLane("watch", watchInFlight, watchInFlight),
+			calls:   workers.NewLane("calls", callsInFlight, callsWaiting),
+			runs:    workers.NewLane("runs", runsInFlight, 0),
+			scores:  workers.NewLane("scores", scoresInFlight, 0),
+			store:   workers.NewLane("store", storeInFlight, storeWaiting),
+			leases:  workers.NewLane("leases", leaseInFlight, leaseWaiting),
+			orders:  workers.NewLane("orders", ordersInFlight, ordersWaiting),
+			watch:   workers.NewLane("watch", watchInFlight, watchInFlight),
+			crashes: workers.NewLane("crashes", crashesInFlight, crashesWaiting),
 		},
 		lifecycle: tables.NewLifecycle(),
 		routes:    tables.NewRoutes(random(1)),
@@ -171,6 +177,7 @@
 		weights:      tables.NewWeights(),
 		jobStorage:   tables.NewJobStorage(),
 		platform:     tables.NewPlatform(),
+		crashes:      tables.NewCrashRecords(options.Self.VM, options.Self.Incarnation),
 
 		routingUpdates: tables.NewSerial(lockrank.RankRoutingUpdates),
 
@@ -200,6 +207,7 @@
 func (s *Service) Start() {
 	s.runPeriodically(s.pollInterval, s.watchPublished)
 	s.runPeriodically(s.pollInterval, s.watchServers)
+	s.runPeriodically(s.crashReadInterval, s.watchCrashes)
 	s.runPeriodically(s.memberReadInterval, s.watchMembers)
 	s.runPeriodically(constantInterval(leaseInterval), s.updateLeases)
 	s.runPeriodically(constantInterval(sweepInterval), s.sweepServers)
@@ -215,6 +223,11 @@
 	return announce.PollInterval(watchInterval, len(s.members.Live()), s.options.StoreReadsPerSecond)
 }
 
+// crashReadInterval returns the interval between reads of crash records.
+func (s *Service) crashReadInterval() time.Duration {
+	return announce.CrashReadInterval(watchInterval, len(s.members.Live()), s.options.StoreReadsPerSecond)
+}
+
 // memberReadInterval returns the interval between reads of the members.
 func (s *Service) memberReadInterval() time.Duration {
 	return announce.MemberReadInterval(watchInterval, len(s.members.Live()))
@@ -239,15 +252,16 @@
 
 // State is a snapshot of a process's state, encoded as JSON for operators.
 type State struct {
-	Phase    string                `json:"phase"`
-	InFlight int                   `json:"in_flight"`
-	Routes   uint64                `json:"routes_version"`
-	Members  []core.Member         `json:"members"`
-	Leases   []tables.LeaseState   `json:"leases"`
-	Jobs     []job.Summary         `json:"jobs"`
-	Servers  []routing.View        `json:"servers"`
-	Outages  []core.PlatformOutage `json:"outages"`
-	Pool     workers.PoolState     `json:"pool"`
+	Phase    string                   `json:"phase"`
+	InFlight int                      `json:"in_flight"`
+	Routes   uint64                   `json:"routes_version"`
+	Members  []core.Member            `json:"members"`
+	Leases   []tables.LeaseState      `json:"leases"`
+	Jobs     []job.Summary            `json:"jobs"`
+	Servers  []routing.View           `json:"servers"`
+	Outages  []core.PlatformOutage    `json:"outages"`
+	Crashes  tables.CrashRecordsState `json:"crashes"`
+	Pool     workers.PoolState        `json:"pool"`
 }
 
 // State returns a snapshot of this process's state.
@@ -257,6 +271,7 @@
 		Phase: phase.String(), InFlight: inFlight, Members: s.members.Live(),
 		Leases: s.leases.State(s.ports.Clock.Now()), Jobs: s.jobs.Summaries(),
 		Servers: s.servers.Views(), Pool: s.pool.State(), Outages: s.platform.Outages(),
+		Crashes: s.crashes.State(s.ports.Clock.Now()),
 	}
 	if table := s.routes.Current(); table != nil {
 		state.Routes = table.Version
--- a/internal/app/relay/watch.go
+++ b/internal/app/relay/watch.go
@@ -187,9 +187,9 @@
 // the table service.
 const membersPrefix = "members|"
 
-// membersPageRows is the number of rows in one read of the members, which is the most
-// that the table service returns.
-const membersPageRows = 500
+// tablePageRows is the number of rows in one read of a table, which is the most that the
+// table service returns.
+const tablePageRows = 500
 
 // watchMembers reads the announcements of the entry processes.
 func (s *Service) watchMembers() {
@@ -203,12 +203,12 @@
 func (s *Service) readMembers(ctx context.Context) ([]core.Row, error) {
 	var all []core.Row
 	for after := ""; ; {
-		rows, err := s.ports.Tables.Scan(ctx, core.TableMember, membersPrefix, after, membersPageRows)
+		rows, err := s.ports.Tables.Scan(ctx, core.TableMember, membersPrefix, after, tablePageRows)
 		if err != nil {
 			return nil, err
 		}
 		all = append(all, rows...)
-		if len(rows) < membersPageRows {
+		if len(rows) < tablePageRows {
 			return all, nil
 		}
 		after = rows[len(rows)-1].Key.ID
--- a/internal/core/announce/view.go
+++ b/internal/core/announce/view.go
@@ -40,6 +40,9 @@
 	// readShare is the share of the table service's read capacity that all members
 	// together use to poll published data; jobs and leases need the rest.
 	readShare = 0.25
+	// crashReadShare is the share for polling crash records, which are one read. A
+	// process must know of a crash within the seconds in which it counts as in contact.
+	crashReadShare = 0.1
 	// readsPerPoll is the number of reads per poll: one for routes and versions, one
 	// for backend servers.
 	readsPerPoll = 2
@@ -54,11 +57,22 @@
 // of the table service's reads per second. If readsPerSecond is zero there is
 // no limit.
 func PollInterval(least time.Duration, members, readsPerSecond int) time.Duration {
-	if readsPerSecond <= 0 {
+	return sharedInterval(least, members*readsPerPoll, readShare*float64(readsPerSecond))
+}
+
+// CrashReadInterval returns the interval at which one member polls crash records, as
+// PollInterval does.
+func CrashReadInterval(least time.Duration, members, readsPerSecond int) time.Duration {
+	return sharedInterval(least, members, crashReadShare*float64(readsPerSecond))
+}
+
+// sharedInterval returns the interval, at least the given one, at which a number of reads
+// may be repeated with a budget of reads per second. Without a budget there is no limit.
+func sharedInterval(least time.Duration, reads int, perSecond float64) time.Duration {
+	if perSecond <= 0 {
 		return least
 	}
-	budget := readShare * float64(readsPerSecond)
-	return max(least, time.Duration(float64(members*readsPerPoll)/budget*float64(time.Second)))
+	return max(least, time.Duration(float64(reads)/perSecond*float64(time.Second)))
 }
 
 // MemberReadInterval returns the interval at which one member reads the rows of
--- a/internal/core/announce/view_test.go
+++ b/internal/core/announce/view_test.go
@@ -166,19 +166,23 @@
 }
 
 // TestReadsStayWithinTableServiceRate covers fleets up to the size expected in two
-// years, at the rates of a large site: 6,000 reads per second, and changes in force
-// everywhere within 4 s.
+// years, at the rates of a large site: 6,000 reads per second, changes in force
+// everywhere within 4 s, and processes that count as in contact after 4 s.
 func TestReadsStayWithinTableServiceRate(t *testing.T) {
-	const reads, least, inForce = 6000, 300 * time.Millisecond, 4 * time.Second
+	const reads, least, inForce, inContact = 6000, 300 * time.Millisecond, 4 * time.Second, 4 * time.Second
 	for _, members := range []int{1, 10, 59, 300, 610} {
 		pollInterval, memberReadInterval := PollInterval(least, members, reads), MemberReadInterval(least, members)
-		perSecond := float64(members) * (2/pollInterval.Seconds() + 1/memberReadInterval.Seconds())
+		crashReadInterval := CrashReadInterval(least, members, reads)
+		perSecond := float64(members) * (2/pollInterval.Seconds() + 1/memberReadInterval.Seconds() + 1/crashReadInterval.Seconds())
 		if perSecond > reads/2 {
 			t.Errorf("%d members make %.0f reads per second, want at most half of %d", members, perSecond, reads)
 		}
 		if pollInterval < least || pollInterval > inForce/4 {
 			t.Errorf("%d members poll routes every %v, want %v to %v", members, pollInterval, least, inForce/4)
 		}
+		if crashReadInterval < least || crashReadInterval > inContact {
+			t.Errorf("%d members poll crash records every %v, want %v to %v", members, crashReadInterval, least, inContact)
+		}
 		if rows := float64(members) / memberReadInterval.Seconds(); rows > 1000 {
 			t.Errorf("each of %d members reads %.0f rows per second, want at most 1,000", members, rows)
 		}
--- a/internal/core/crash.go
+++ b/internal/core/crash.go
@@ -30,3 +30,11 @@
 	TrialServer ServerID // server that runs the trial, with no other suspect on it
 	InFlight    bool     // the sender is running a copy that started before the suspicion
 }
+
+// CrashRecord is the row of a request fingerprint under which backend servers died, for
+// processes that share only the table service.
+type CrashRecord struct {
+	Deaths           []ServerID // servers that died while they ran the request, each once
+	TrialVM          VMID       // entry VM whose process runs the request alone, empty for none
+	TrialIncarnation Incarnation
+}
--- a/internal/core/crash/fingerprint.go
+++ b/internal/core/crash/fingerprint.go
@@ -2,8 +2,9 @@
 
 import "hash/fnv"
 
-// Fingerprint returns a hash of what identifies a request, the same in every process.
-func Fingerprint(parts ...string) uint64 {
+// Fingerprint returns a hash of what identifies a request, the same in every process. A
+// nil body counts as absent.
+func Fingerprint(body []byte, parts ...string) uint64 {
 	hash := fnv.New64a()
 	for i, part := range parts {
 		if i > 0 {
@@ -11,5 +12,9 @@
 		}
 		_, _ = hash.Write([]byte(part))
 	}
+	if body != nil {
+		_, _ = hash.Write([]byte{0})
+		_, _ = hash.Write(body)
+	}
 	return hash.Sum64()
 }
--- a/internal/core/logs/messages.go
+++ b/internal/core/logs/messages.go
@@ -24,6 +24,7 @@
 	ServerRestored      = "backend server gets work again"
 	ServerRemoved       = "backend server gone"
 	ServerLeaving       = "backend server announced its shutdown"
+	ServerDied          = "backend server died while it ran a request"
 	RunsMoved           = "runs moved off slow engines"
 	PlatformUnavailable = "platform does not answer"
 	PlatformAvailable   = "platform answers again"
@@ -51,6 +52,6 @@
 var stateChangeMessages = map[string]bool{
 	RoutesInForce: true, VersionNamed: true, VersionLoaded: true,
 	LeaseAcquired: true, LeaseLost: true,
-	ServerEjected: true, ServerRestored: true, ServerRemoved: true, ServerLeaving: true, RunsMoved: true,
+	ServerEjected: true, ServerRestored: true, ServerRemoved: true, ServerLeaving: true, ServerDied: true, RunsMoved: true,
 	PlatformUnavailable: true, PlatformAvailable: true,
 }
--- a/internal/core/row.go
+++ b/internal/core/row.go
@@ -17,6 +17,7 @@
 	TableJob      TableName = "job"      // JobRecord
 	TableResult   TableName = "result"   // ResultRecord
 	TableMember   TableName = "member"   // MemberRecord
+	TableCrash    TableName = "crash"    // CrashRecord
 )
 
 // RowKey identifies one row.
@@ -148,3 +149,4 @@
 func (JobRecord) isRecord()      {}
 func (ResultRecord) isRecord()   {}
 func (MemberRecord) isRecord()   {}
+func (CrashRecord) isRecord()    {}
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -32,6 +32,7 @@
 	ServerFailed       Kind = "server_failed"
 	ServerRefused      Kind = "server_refused"
 	CrashesServers     Kind = "crashes_servers"
+	Quarantined        Kind = "quarantined"
 	MayHaveRun         Kind = "may_have_run"
 	ClaimUnsettled     Kind = "claim_unsettled"
 	AnswerIncomplete   Kind = "answer_incomplete"
@@ -85,6 +86,7 @@
 	ServerFailed:       {http.StatusBadGateway, PossiblyRun, false},
 	ServerRefused:      {http.StatusServiceUnavailable, NotRun, true},
 	CrashesServers:     {http.StatusUnprocessableEntity, PossiblyRun, false},
+	Quarantined:        {http.StatusServiceUnavailable, NotRun, true},
 	MayHaveRun:         {http.StatusConflict, PossiblyRun, false},
 	ClaimUnsettled:     {http.StatusServiceUnavailable, NotRun, false},
 	AnswerIncomplete:   {http.StatusBadGateway, PossiblyRun, true},
--- a/internal/metrics/relay.go
+++ b/internal/metrics/relay.go
@@ -11,6 +11,7 @@
 	RequestsFailed  gometrics.Counter
 	Attempts        gometrics.Counter
 	AttemptsCut     gometrics.Counter
+	ServerDeaths    gometrics.Counter
 	JobsAccepted    gometrics.Counter
 	JobsRefused     gometrics.Counter
 	JobsEnded       gometrics.Counter
@@ -35,7 +36,7 @@
 	r := &Relay{Registry: gometrics.NewRegistry()}
 	for name, counter := range map[string]*gometrics.Counter{
 		"relay.requests.served": &r.RequestsServed, "relay.requests.refused": &r.RequestsRefused,
-		"relay.requests.failed": &r.RequestsFailed, "relay.attempts": &r.Attempts, "relay.attempts.cut": &r.AttemptsCut,
+		"relay.requests.failed": &r.RequestsFailed, "relay.attempts": &r.Attempts, "relay.attempts.cut": &r.AttemptsCut, "relay.servers.died": &r.ServerDeaths,
 		"relay.jobs.accepted": &r.JobsAccepted, "relay.jobs.refused": &r.JobsRefused, "relay.jobs.ended": &r.JobsEnded,
 		"relay.runs.started": &r.RunsStarted, "relay.runs.cut": &r.RunsCut,
 		"relay.results.stored": &r.ResultsStored, "relay.scores.missed": &r.ScoresMissed,
--- a/internal/ports/porttest/records.go
+++ b/internal/ports/porttest/records.go
@@ -24,6 +24,7 @@
 	core.TableJob:      copyWith(copyFlat[core.JobRecord]),
 	core.TableResult:   copyWith(copyResult),
 	core.TableMember:   copyWith(copyFlat[core.MemberRecord]),
+	core.TableCrash:    copyWith(copyCrash),
 }
 
 // copyRecord returns a deep copy of a record, nil for nil. Errors: BadRequest
@@ -79,6 +80,11 @@
 	return record
 }
 
+func copyCrash(record core.CrashRecord) core.CrashRecord {
+	record.Deaths = slices.Clone(record.Deaths)
+	return record
+}
+
 func copyResult(record core.ResultRecord) core.ResultRecord {
 	record.Result.Versions = slices.Clone(record.Result.Versions)
 	return record
--- a/internal/ports/relay.go
+++ b/internal/ports/relay.go
@@ -67,6 +67,9 @@
 	// returned complete instead of being passed to the sink. Errors: those of
 	// Exchange, ServerFailed when the stream was cut, and the sink's error.
 	Events(ctx context.Context, server core.VM, request core.EventsRequest, sink EventSink) (core.RelayResponse, error)
+	// Probe checks whether the server accepts connections, without sending a request.
+	// Errors: ServerRefused, Timeout, Canceled.
+	Probe(ctx context.Context, server core.VM) error
 	// Report returns an engine's report about itself, which may be out of date.
 	// Errors: ServerRefused, ServerFailed, Timeout.
 	Report(ctx context.Context, server core.VM) (core.EngineReport, error)
