Decode the rate limits that servers name and log their changes

The header is decoded into the notice that a response carries already; routing keeps the limit in force, the dump shows it, and its changes are lines "backend server changed its rate limit". Nothing is decided by it yet.

--- a/internal/app/relay/events.go
+++ b/internal/app/relay/events.go
@@ -23,16 +23,16 @@
 	ctx             context.Context // ends when the caller has left or was answered
 	sink            ports.EventSink
 	progress        route.StreamProgress
-	contentType     string             // of the response whose head was passed on
-	excluded        []core.ServerID    // already tried
-	failureResponse core.RelayResponse // a backend server's 5xx response, returned if no later attempt begins a stream
-	onHead          func(leaving bool) // called for each attempt's head
+	contentType     string                  // of the response whose head was passed on
+	excluded        []core.ServerID         // already tried
+	failureResponse core.RelayResponse      // a backend server's 5xx response, returned if no later attempt begins a stream
+	onHead          func(core.ServerNotice) // called for each attempt's head
 }
 
 // Head implements ports.EventSink. Only the first attempt's head is passed on; the
 // stream of a later one must be of the same type.
 func (st *eventStream) Head(response core.RelayResponse) error {
-	st.onHead(response.Leaving)
+	st.onHead(response.ServerNotice)
 	contentType := response.Header.Get("Content-Type")
 	if !st.progress.Begun {
 		st.progress.Begun, st.contentType = true, contentType
@@ -167,7 +167,7 @@
 	}
 	st.progress.Attempts++
 	s.metrics.Attempts.Inc(1)
-	st.onHead = func(leaving bool) { s.noteLeaving(dispatch.VM.ID, now, leaving) }
+	st.onHead = func(notice core.ServerNotice) { s.noteServer(dispatch.VM.ID, now, notice) }
 	request := st.request
 	request.FirstEventWithin, request.LongestGap = s.streamTimeouts(st, dispatch.VM.ID, now)
 	result := make(chan callResult, 1)
@@ -184,7 +184,7 @@
 	}
 	r := <-result
 	s.countCutAttempt(r.err)
-	s.noteLeaving(dispatch.VM.ID, now, r.response.Leaving)
+	s.noteServer(dispatch.VM.ID, now, r.response.ServerNotice)
 	s.servers.Release(dispatch, attemptResult(r.err, r.response.Status), s.ports.Clock.Now())
 	s.awaitRecord(st, dispatch.VM, r.err)
 	return r.response, dispatch.VM.ID, r.err
--- a/internal/app/relay/events_test.go
+++ b/internal/app/relay/events_test.go
@@ -137,7 +137,7 @@
 		defer mu.Unlock()
 		if leaving == "" {
 			leaving = server.ID
-			return core.RelayResponse{Leaving: true}, errkind.New(errkind.ServerRefused, "refused by the test")
+			return core.RelayResponse{ServerNotice: core.ServerNotice{Leaving: true}}, errkind.New(errkind.ServerRefused, "refused by the test")
 		}
 		served = append(served, server.ID)
 		return core.RelayResponse{Status: 200}, nil
--- a/internal/app/relay/forward.go
+++ b/internal/app/relay/forward.go
@@ -236,7 +236,7 @@
 
 func (s *Service) finishAttempt(c *call, dispatch routing.Dispatch, response core.RelayResponse, err error) {
 	s.countCutAttempt(err)
-	s.noteLeaving(dispatch.VM.ID, dispatch.Started, response.Leaving)
+	s.noteServer(dispatch.VM.ID, dispatch.Started, response.ServerNotice)
 	s.servers.Release(dispatch, attemptResult(err, response.Status), s.ports.Clock.Now())
 	c.excluded = append(c.excluded, dispatch.VM.ID)
 	canRetry := c.attempts < max(1, c.route.Attempts) && c.ctx.Err() == nil
--- a/internal/app/relay/orders.go
+++ b/internal/app/relay/orders.go
@@ -146,7 +146,7 @@
 		s.engineSpeeds.BeginLoad(vm.ID, order.Model, s.ports.Clock.Now().Add(assumedLoadTime))
 		sent := s.ports.Clock.Now()
 		reply, err := s.ports.Backend.Order(ctx, vm, order)
-		s.noteLeaving(vm.ID, sent, reply.Leaving)
+		s.noteServer(vm.ID, sent, reply.ServerNotice)
 		s.pool.MustEnqueue(core.ClassControl, func() { s.handleOrderReply(service, vm, order, reply, err) })
 	})
 	if err != nil {
@@ -166,7 +166,7 @@
 		defer cancel()
 		sent := s.ports.Clock.Now()
 		report, err := s.ports.Backend.Report(ctx, vm)
-		s.noteLeaving(vm.ID, sent, report.Leaving)
+		s.noteServer(vm.ID, sent, report.ServerNotice)
 		if err != nil {
 			s.log.Info().Err(err).Str("server", string(vm.ID)).Msg("accepted orders not read; order postponed")
 			return
@@ -242,7 +242,7 @@
 		defer cancel()
 		began := s.ports.Clock.Now()
 		report, err := s.ports.Backend.Report(ctx, poll.vm)
-		s.noteLeaving(poll.vm.ID, began, report.Leaving)
+		s.noteServer(poll.vm.ID, began, report.ServerNotice)
 		s.pool.MustEnqueue(core.ClassControl, func() {
 			if err == nil && s.applyReport(&poll, &report, began) {
 				return
--- a/internal/app/relay/run.go
+++ b/internal/app/relay/run.go
@@ -140,12 +140,12 @@
 		}
 		lastEvent = now
 	}
-	sink.onHead = func(leaving bool) { s.noteLeaving(dispatch.VM.ID, dispatch.Started, leaving) }
+	sink.onHead = func(notice core.ServerNotice) { s.noteServer(dispatch.VM.ID, dispatch.Started, notice) }
 	response, err := s.ports.Backend.Events(ctx, dispatch.VM, request, sink)
 	if response.Release != nil {
 		response.Release() // only the status is used
 	}
-	s.noteLeaving(dispatch.VM.ID, dispatch.Started, response.Leaving)
+	s.noteServer(dispatch.VM.ID, dispatch.Started, response.ServerNotice)
 	result := runResult{status: response.Status, err: err, events: sink.events, duration: s.ports.Clock.Now().Sub(began)}
 	s.pool.MustEnqueue(core.ClassRollout, func() { s.finishRun(service, start, dispatch, result) })
 }
@@ -157,7 +157,7 @@
 // itemSink receives the events of a run. It implements ports.EventSink.
 type itemSink struct {
 	addEvent  func(core.Event) bool // returns false to end the run
-	onHead    func(leaving bool)
+	onHead    func(core.ServerNotice)
 	onEvent   func()
 	after     int // id of the last event of earlier runs
 	maxEvents int // of the whole text, as each has a token at least; zero if unknown
@@ -167,7 +167,7 @@
 
 // Head implements ports.EventSink.
 func (k *itemSink) Head(response core.RelayResponse) error {
-	k.onHead(response.Leaving)
+	k.onHead(response.ServerNotice)
 	return nil
 }
 
--- a/internal/app/relay/watch.go
+++ b/internal/app/relay/watch.go
@@ -112,10 +112,14 @@
 	s.coordinateServices()
 }
 
-// noteLeaving records that a server announced its shutdown in the response to a request
-// sent at a time, if it did. The server gets nothing new from then on.
-func (s *Service) noteLeaving(id core.ServerID, sent time.Time, leaving bool) {
-	if !leaving || !s.registry.MarkLeaving(id, sent) {
+// noteServer records what a server said of itself in the response to a request sent at a
+// time. A server that announced its shutdown gets nothing new from then on.
+func (s *Service) noteServer(id core.ServerID, sent time.Time, notice core.ServerNotice) {
+	if s.servers.RecordNotice(id, notice, sent, s.ports.Clock.Now()) {
+		s.log.Info().Str("server", string(id)).Bool("limited", notice.Limited).Float64("per_second", notice.RateLimit).
+			Time("sent", sent).Msg(logs.ServerLimit)
+	}
+	if !notice.Leaving || !s.registry.MarkLeaving(id, sent) {
 		return
 	}
 	s.log.Info().Str("server", string(id)).Time("sent", sent).Msg(logs.ServerLeaving)
--- a/internal/core/logs/messages.go
+++ b/internal/core/logs/messages.go
@@ -24,6 +24,7 @@
 	ServerRestored      = "backend server gets work again"
 	ServerRemoved       = "backend server gone"
 	ServerLeaving       = "backend server announced its shutdown"
+	ServerLimit         = "backend server changed its rate limit"
 	ServerDied          = "backend server died while it ran a request"
 	RunsMoved           = "runs moved off slow engines"
 	PlatformUnavailable = "platform does not answer"
@@ -52,6 +53,6 @@
 var stateChangeMessages = map[string]bool{
 	RoutesInForce: true, VersionNamed: true, VersionLoaded: true,
 	LeaseAcquired: true, LeaseLost: true,
-	ServerEjected: true, ServerRestored: true, ServerRemoved: true, ServerLeaving: true, ServerDied: true, RunsMoved: true,
+	ServerEjected: true, ServerRestored: true, ServerRemoved: true, ServerLeaving: true, ServerLimit: true, ServerDied: true, RunsMoved: true,
 	PlatformUnavailable: true, PlatformAvailable: true,
 }
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -101,8 +101,16 @@
 	Header    Header // without hop-by-hop headers
 	Body      []byte
 	Signature string // proof that a backend server produced this response; empty if there is none
-	Leaving   bool   // the backend server shuts down soon and must get no new requests
-	Release   func() // returns the memory of Body to its budget; nil if it has none
+	ServerNotice
+	Release func() // returns the memory of Body to its budget; nil if it has none
+}
+
+// ServerNotice is what a backend server says of itself in a response.
+type ServerNotice struct {
+	Leaving   bool    // it shuts down soon and must get no new requests or orders
+	Limited   bool    // it takes RateLimit requests a second from all entry VMs together
+	RateLimit float64 // requests a second, zero or more
+	Answered  bool    // the server answered a request, so that it has no limit unless Limited
 }
 
 // Event is one event of an event stream.
@@ -154,8 +162,8 @@
 
 // EngineReport is the status that an engine reports of itself.
 type EngineReport struct {
+	ServerNotice
 	Models  []ModelVersion
-	Leaving bool   // the engine shuts down soon and must get no new requests or orders
 	Busy    bool   // the engine is executing an order
 	Orders  uint64 // number of orders accepted since its start
 	Running int    // requests in the running batch
--- a/internal/core/routing/server.go
+++ b/internal/core/routing/server.go
@@ -21,6 +21,7 @@
 	load              load
 	health            outlier.Server
 	pushback          pushback
+	rateLimit         rateLimit
 
 	slot        uint32  // index in State.slots
 	cacheEpoch  uint32  // changes when the engine loses its cache
@@ -69,7 +70,8 @@
 	Ejected      bool              `json:"ejected"`
 	EjectedUntil time.Time         `json:"ejected_until"`
 
-	Unreachable bool `json:"unreachable"` // recent connection attempts failed
+	Unreachable bool    `json:"unreachable"`          // recent connection attempts failed
+	RateLimit   float64 `json:"rate_limit,omitempty"` // requests a second that it takes from all processes, zero for no limit
 }
 
 func (r *server) view() View {
@@ -77,6 +79,6 @@
 		VM: r.vm, Status: r.status, OwnTokens: r.load.own.tokens, OwnStreams: r.load.own.streams, OtherTokens: int(r.load.otherTokens),
 		Polled: r.vm.Kind == core.KindEngine && !r.unpolled, ReportedAt: r.load.reportedAt,
 		Ejected: r.health.Ejected(), EjectedUntil: r.health.Until(),
-		Unreachable: !r.health.UnreachableSince().IsZero(),
+		Unreachable: !r.health.UnreachableSince().IsZero(), RateLimit: r.rateLimit.perSecond,
 	}
 }
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -107,8 +107,8 @@
 
 // OrderReply is an engine's reply to an order.
 type OrderReply struct {
+	ServerNotice
 	Accepted bool // the order counts among those that the engine has accepted; false if its effect held already
-	Leaving  bool // the engine shuts down soon and must get no new requests or orders
 }
 
 // SwapMode defines what happens to the running requests of an engine when it
--- a/internal/ports/relay.go
+++ b/internal/ports/relay.go
@@ -59,7 +59,7 @@
 type Backend interface {
 	// Exchange sends a request once, without retries. Errors: ServerRefused when
 	// it certainly was not run, ServerFailed, Timeout or Canceled when it may
-	// have been. The response's Leaving is set with an error too. If its Release is
+	// have been. The response's ServerNotice is set with an error too. If its Release is
 	// not nil, it is called once when the body is no longer in use.
 	Exchange(ctx context.Context, server core.VM, request core.RelayRequest) (core.RelayResponse, error)
 	// Events sends a request and passes the response head and the events to the
@@ -73,8 +73,8 @@
 	// Report returns an engine's report about itself, which may be out of date.
 	// Errors: ServerRefused, ServerFailed, Timeout.
 	Report(ctx context.Context, server core.VM) (core.EngineReport, error)
-	// Order sends an order, as Engine.Order does. The reply's Leaving is set with an
-	// error too.
+	// Order sends an order, as Engine.Order does. The reply's ServerNotice is
+	// set with an error too.
 	Order(ctx context.Context, server core.VM, order core.Order) (core.OrderReply, error)
 }
 
--- a/internal/tables/servers.go
+++ b/internal/tables/servers.go
@@ -94,6 +94,14 @@
 	delete(t.checking, id)
 }
 
+// RecordNotice records the rate limit that a server named, or no longer named, in the
+// response to a request sent at a time. It reports whether that changed.
+func (t *Servers) RecordNotice(id core.ServerID, notice core.ServerNotice, sent, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state.RecordNotice(id, notice, sent, now)
+}
+
 // MarkUnreachable takes a server out of service after a connection attempt that
 // began at the given time failed.
 func (t *Servers) MarkUnreachable(id core.ServerID, tried time.Time) {
