--- /dev/null
+++ b/internal/app/relay/limits_test.go
@@ -0,0 +1,115 @@
+package relay
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/errkind"
+)
+
+// A server that names a limit must get at most limitFactor times what it allows, and
+// limitExtra more, in any limitWindow that begins later than contactTime after that.
+const (
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitExtra  = 5
+)
+
+// limitedServers are plain servers of which some name a limit in every answer.
+type limitedServers struct {
+	mu       sync.Mutex
+	limits   map[core.ServerID]float64 // requests a second
+	named    map[core.ServerID]time.Time
+	arrivals map[core.ServerID][]time.Time
+}
+
+func (l *limitedServers) run(server core.VM, _ core.RelayRequest) (core.RelayResponse, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.arrivals[server.ID] = append(l.arrivals[server.ID], now)
+	notice := core.ServerNotice{Answered: true}
+	if limit, limited := l.limits[server.ID]; limited {
+		notice.Limited, notice.RateLimit = true, limit
+		if l.named[server.ID].IsZero() {
+			l.named[server.ID] = now
+		}
+	}
+	return core.RelayResponse{Status: 200, Signature: "signed", ServerNotice: notice}, nil
+}
+
+// worstWindow returns the most arrivals at a server in a window that the limit binds.
+func (l *limitedServers) worstWindow(id core.ServerID) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var bound []time.Time
+	for _, at := range l.arrivals[id] {
+		if at.Sub(l.named[id]) > contactTime {
+			bound = append(bound, at)
+		}
+	}
+	worst := 0
+	for i, first := range bound {
+		end, _ := slices.BinarySearchFunc(bound, first.Add(limitWindow), time.Time.Compare)
+		worst = max(worst, end-i)
+	}
+	return worst
+}
+
+// TestLimitedServersGetWhatTheyName has three processes, one of which sends most
+// requests, and servers of which two or all name a limit.
+func TestLimitedServersGetWhatTheyName(t *testing.T) {
+	cases := []struct {
+		name   string
+		limits map[core.ServerID]float64
+	}{
+		{"two of three", map[core.ServerID]float64{"desk-0": 4, "desk-1": 2.2}},
+		{"all", map[core.ServerID]float64{"desk-0": 4, "desk-1": 6, "desk-2": 5}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newEnvironment(t)
+			servers := &limitedServers{limits: c.limits, named: make(map[core.ServerID]time.Time), arrivals: make(map[core.ServerID][]time.Time)}
+			s.exchange = servers.run
+			const duration = contactTime + 8*time.Second
+			var senders sync.WaitGroup
+			var mu sync.Mutex
+			served, refused := 0, 0
+			for i, perSecond := range []float64{40, 2, 2} {
+				service := s.waitReady(s.start(core.VMID(fmt.Sprint("vm-", i))))
+				senders.Go(func() {
+					pause := time.Duration(float64(time.Second) / perSecond)
+					for began := time.Now(); time.Since(began) < duration; time.Sleep(pause) {
+						_, err := service.Forward(t.Context(), core.RelayRequest{ID: "r", Method: "POST", Host: host, Target: "/lookup/x"})
+						mu.Lock()
+						switch {
+						case err == nil:
+							served++
+						case errkind.AnswerTo(err).Execution == errkind.NotRun:
+							refused++
+						default:
+							t.Errorf("request failed: %v", err)
+						}
+						mu.Unlock()
+					}
+				})
+			}
+			senders.Wait()
+			t.Logf("%d served, %d refused", served, refused)
+			for id, limit := range c.limits {
+				allowed := limitFactor*limit*limitWindow.Seconds() + limitExtra
+				if worst := servers.worstWindow(id); float64(worst) > allowed {
+					t.Errorf("%s names %.1f requests a second and got %d in %v, want at most %.0f", id, limit, worst, limitWindow, allowed)
+				}
+			}
+			if len(c.limits) < 3 && refused > 0 {
+				t.Errorf("%d requests refused although a server has no limit", refused)
+			}
+		})
+	}
+}
