Keep each process to its share of the rate limits that servers name

Cause: nothing read the limit. Routing gives a server what its latency bears, and keeps to one with an idle connection; a server that asks for less by a header went on getting the same. A class of fault: feedback of a server that isn't a refusal was not part of routing; leaving was the only other one.

Change: routing has a token bucket for each server that names a limit, filled at this process's share of it, and a filter that leaves out servers without a token. Shares follow the demand that each process announces in its member row, with a quarter of the limit shared equally. Requests of people go first; scores and runs wait. An answer without the limit to a later request ends it.

--- a/internal/app/relay/forward.go
+++ b/internal/app/relay/forward.go
@@ -31,6 +31,7 @@
 // call is a caller's request in progress.
 type call struct {
 	request         core.RelayRequest
+	class           core.Class
 	guard           crashGuard
 	route           core.Route
 	service         string
@@ -74,13 +75,13 @@
 
 // Forward implements ports.Relay.
 func (s *Service) Forward(ctx context.Context, request core.RelayRequest) (core.RelayResponse, error) {
-	return s.forwardGuarded(ctx, request, newCrashGuard(&request))
+	return s.forwardGuarded(ctx, request, core.ClassInteractive, newCrashGuard(&request))
 }
 
-func (s *Service) forwardGuarded(ctx context.Context, request core.RelayRequest, guard crashGuard) (core.RelayResponse, error) {
+func (s *Service) forwardGuarded(ctx context.Context, request core.RelayRequest, class core.Class, guard crashGuard) (core.RelayResponse, error) {
 	result := make(chan callResult, 1)
 	err := s.pool.Enqueue(core.ClassInteractive, func() {
-		s.admitRequest(ctx, request, guard, func(response core.RelayResponse, err error) { result <- callResult{response, err} })
+		s.admitRequest(ctx, request, class, guard, func(response core.RelayResponse, err error) { result <- callResult{response, err} })
 	})
 	if err != nil {
 		return core.RelayResponse{}, err
@@ -95,7 +96,7 @@
 
 // admitRequest starts a caller's request. It calls finish once, on a worker of the
 // pool.
-func (s *Service) admitRequest(ctx context.Context, request core.RelayRequest, guard crashGuard, finish func(core.RelayResponse, error)) {
+func (s *Service) admitRequest(ctx context.Context, request core.RelayRequest, class core.Class, guard crashGuard, finish func(core.RelayResponse, error)) {
 	matched, err := s.RouteOf(request.Host, request.Path())
 	if err != nil {
 		s.metrics.RequestsRefused.Inc(1)
@@ -107,7 +108,7 @@
 		return
 	}
 	now := s.ports.Clock.Now()
-	c := &call{request: request, guard: guard, route: matched, routesVersion: s.routes.Current().Version, service: s.routes.Choose(&matched), arrived: now, ctx: ctx}
+	c := &call{request: request, class: class, guard: guard, route: matched, routesVersion: s.routes.Current().Version, service: s.routes.Choose(&matched), arrived: now, ctx: ctx}
 	c.deadline = requestDeadline(request.Deadline, matched.Timeout, now)
 	c.finish = func(response core.RelayResponse, err error) {
 		s.endTrial(&c.guard)
@@ -167,7 +168,7 @@
 		return
 	}
 	dispatch, err := s.servers.Acquire(routing.Query{
-		Kind: s.serverKind(c.service), Service: c.service, Class: core.ClassInteractive, ExpectedTokens: 1,
+		Kind: s.serverKind(c.service), Service: c.service, Class: c.class, ExpectedTokens: 1,
 		Zone: s.options.Self.Zone, Region: s.options.Self.Region, Exclude: c.excluded,
 		ExpectedBytes: len(c.request.Body),
 	}, now)
--- a/internal/app/relay/run.go
+++ b/internal/app/relay/run.go
@@ -254,8 +254,15 @@
 	return hashes
 }
 
+// scorePause is how long no output is sent to a scorer after all scorers were at their
+// limits.
+const scorePause = 100 * time.Millisecond
+
 // startScores sends completed outputs to their scorers.
 func (s *Service) startScores(service string, now time.Time) {
+	if now.UnixNano() < s.scoresPausedUntil.Load() {
+		return
+	}
 	limit := min(scoresInFlight, max(minScoresInFlight, int(s.plainSlots.Load())/plainSlotsPerScore))
 	free := limit - s.lanes.scores.State().Running
 	for _, start := range s.jobs.NextScores(service, max(0, free), now) {
@@ -276,7 +283,10 @@
 	}
 	guard := newCrashGuard(&request)
 	guard.isExempt = true
-	response, err := s.forwardGuarded(ctx, request, guard)
+	response, err := s.forwardGuarded(ctx, request, core.ClassRollout, guard)
+	if errkind.Is(err, errkind.Overloaded) {
+		s.scoresPausedUntil.Store(s.ports.Clock.Now().Add(scorePause).UnixNano())
+	}
 	s.pool.MustEnqueue(core.ClassRollout, func() {
 		s.finishScore(service, start, response, err)
 		s.startDueWork(service)
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -138,7 +138,8 @@
 	addressCacheNanos atomic.Int64 // how long callers may cache the entry addresses
 	graceNanos        atomic.Int64 // from the stop signal until the process is killed
 	announcementCount atomic.Uint64
-	crashesRead       atomic.Bool // a read of the crash records is in flight
+	crashesRead       atomic.Bool  // a read of the crash records is in flight
+	scoresPausedUntil atomic.Int64 // Unix time in nanoseconds
 }
 
 var (
--- a/internal/core/announce/view.go
+++ b/internal/core/announce/view.go
@@ -109,7 +109,7 @@
 	}
 	for id, record := range rows {
 		known := v.rows[id]
-		if known == nil || known.record != record {
+		if known == nil || !isSameAnnouncement(&known.record, &record) {
 			v.rows[id] = &memberRow{record: record}
 			continue
 		}
@@ -117,6 +117,11 @@
 	}
 }
 
+// isSameAnnouncement reports whether two rows of a member are one announcement.
+func isSameAnnouncement(a, b *core.MemberRecord) bool {
+	return a.Incarnation == b.Incarnation && a.Beat == b.Beat && a.Leaving == b.Leaving
+}
+
 // Live returns the members that are neither expired nor leaving, sorted by VM.
 func (v *View) Live() []core.Member {
 	var live []core.Member
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -116,4 +116,12 @@
 	Beat        uint64        // incremented by every announcement
 	Every       time.Duration // interval until the next announcement
 	Leaving     bool
+	Demand      []ServiceDemand // of this process, sorted by service
+}
+
+// ServiceDemand is the number of requests a second that an entry process sends to the
+// servers of a service, or would send without their rate limits.
+type ServiceDemand struct {
+	Service   string
+	PerSecond float64
 }
--- a/internal/core/routing/decide.go
+++ b/internal/core/routing/decide.go
@@ -23,8 +23,9 @@
 	pool             *pool
 	peerRatio        float64
 	linkAvailable    bool
-	entriesChecked   int // valid prefix index entries examined
-	prefixCandidates int // candidates found through those entries
+	rateShare        float64 // this process's share of the servers' rate limits
+	entriesChecked   int     // valid prefix index entries examined
+	prefixCandidates int     // candidates found through those entries
 	candidates       [maxCandidates]Candidate
 	candidateCount   int
 }
@@ -32,7 +33,8 @@
 // Pick chooses a server. It examines a bounded number of servers and allocates
 // only on failure. It returns NoServer when no listed server may run the
 // request, and Overloaded when only servers of other regions could run it and
-// this process's share of the link is used up.
+// this process's share of the link is used up, or when this process has used its
+// share of the rate limits that servers name.
 func (s *State) Pick(query Query, now time.Time, random *rand.Rand) (core.VM, error) {
 	pool := s.pools[serviceKey{kind: query.Kind, service: query.Service}]
 	if pool == nil {
@@ -45,6 +47,9 @@
 	}
 	d := &s.decision
 	if d.candidateCount == 0 {
+		if pool.limitedCount > 0 {
+			pool.demand.add(now)
+		}
 		return core.VM{}, s.noCandidateError(pool, &query)
 	}
 	return *d.candidates[s.picker.Pick(d.candidates[:d.candidateCount], random)].VM, nil
@@ -55,6 +60,7 @@
 	d.query, d.now, d.pool = *query, now, pool
 	d.candidateCount, d.entriesChecked, d.prefixCandidates = 0, 0, 0
 	d.peerRatio = pool.peerRatio(s.processCount)
+	d.rateShare = s.rateShare(pool)
 	d.linkAvailable = pool.isOnlyIn(query.Region) || s.link.hasCapacity(query.Class, query.crossRegionBytes(), now)
 }
 
@@ -68,6 +74,9 @@
 			}
 		}
 	}
+	if pool.limitedCount > 0 {
+		return errkind.New(errkind.Overloaded, "%d of %d servers of %q name a rate limit of which this process has used its share, and no other is eligible", pool.limitedCount, pool.serverCount, query.Service)
+	}
 	return errkind.New(errkind.NoServer, "none of %d servers of %q is eligible for the request", pool.serverCount, query.Service)
 }
 
@@ -116,6 +125,9 @@
 		CachedTokens:      cached,
 		Remote:            srv.vm.Region != d.query.Region,
 		LinkAvailable:     d.linkAvailable,
+		RateLimited:       srv.rateLimit.named,
+		RateTokens:        srv.rateLimit.available(d.rateShare, d.now),
+		RateAdvance:       srv.rateLimit.advance(d.rateShare),
 		Pushback:          srv.pushback.remaining(d.now),
 		server:            srv,
 	}
--- a/internal/core/routing/filter_test.go
+++ b/internal/core/routing/filter_test.go
@@ -33,6 +33,11 @@
 		{"other region, link available", LinkFilter{}, Candidate{Remote: true, LinkAvailable: true}, Query{}, true},
 		{"recent refusal, query for a slot", PushbackFilter{}, Candidate{Pushback: time.Second}, Query{RequiresFreeSlot: true}, false},
 		{"no recent refusal, query for a slot", PushbackFilter{}, Candidate{}, Query{RequiresFreeSlot: true}, true},
+		{"no limit", RateLimitFilter{}, Candidate{}, Query{Class: core.ClassRollout}, true},
+		{"limit, unused", RateLimitFilter{}, Candidate{RateLimited: true, RateTokens: 1}, Query{Class: core.ClassRollout}, true},
+		{"limit used up, rollout", RateLimitFilter{}, Candidate{RateLimited: true, RateTokens: 0.9}, Query{Class: core.ClassRollout}, false},
+		{"limit used up, in advance", RateLimitFilter{}, Candidate{RateLimited: true, RateTokens: 0.4, RateAdvance: 0.6}, Query{Class: core.ClassInteractive}, true},
+		{"limit used up in advance", RateLimitFilter{}, Candidate{RateLimited: true, RateTokens: 0.3, RateAdvance: 0.6}, Query{Class: core.ClassInteractive}, false},
 		{"recent refusal, other query", PushbackFilter{}, Candidate{Pushback: time.Second}, Query{}, true},
 	}
 	for _, c := range cases {
--- a/internal/core/routing/gather.go
+++ b/internal/core/routing/gather.go
@@ -94,8 +94,8 @@
 
 // drawFromMatches adds a number of distinct random servers of a match set and
 // returns whether any is a candidate. If all drawn servers are rejected, it
-// tries one more server than the query excludes, so that exclusions alone never
-// hide an eligible server.
+// tries one more server than the query excludes or name a rate limit, so that
+// these alone never hide an eligible server.
 func (s *State) drawFromMatches(matches *matchSet, number int, random *rand.Rand) bool {
 	if matches.count <= number {
 		return s.addConsecutive(matches, 0, matches.count)
@@ -115,7 +115,7 @@
 	if added > 0 {
 		return true
 	}
-	return s.addConsecutive(matches, random.IntN(matches.count), min(matches.count, len(s.decision.query.Exclude)+1))
+	return s.addConsecutive(matches, random.IntN(matches.count), min(matches.count, len(s.decision.query.Exclude)+s.decision.pool.limitedCount+1))
 }
 
 // maxRandomCandidates bounds Policy.RandomCandidates.
--- a/internal/core/routing/pool.go
+++ b/internal/core/routing/pool.go
@@ -20,6 +20,8 @@
 	regions        []*regionIndex
 	detector       *outlier.Pool
 	serverCount    int
+	limitedCount   int // servers that name a rate limit
+	demand         demand
 	newestVersions []core.AdapterVersion // newest version ever reported for each adapter
 
 	recentlyUsed [recentlyUsedCount]*server // by this process, most recent first
@@ -63,6 +65,9 @@
 	region.serverCount++
 	p.detector.Add(&srv.health)
 	p.serverCount++
+	if srv.rateLimit.named {
+		p.limitedCount++
+	}
 }
 
 // recentlyUsedCount is how many recently used servers are candidates of every
@@ -85,6 +90,9 @@
 	}
 	srv.region.removeFromIndex(srv)
 	srv.region.serverCount--
+	if srv.rateLimit.named {
+		p.limitedCount--
+	}
 	if srv.region.serverCount == 0 {
 		p.regions = slices.DeleteFunc(p.regions, func(r *regionIndex) bool { return r == srv.region })
 	}
--- a/internal/core/routing/ratelimit_test.go
+++ b/internal/core/routing/ratelimit_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 func TestRateLimitIsInForceWhileNamed(t *testing.T) {
 	now := time.Unix(1000, 0)
 	at := func(seconds int) time.Time { return now.Add(time.Duration(seconds) * time.Second) }
+	random := rand.New(rand.NewPCG(1, 2))
 	state := NewState(DefaultPolicy())
 	state.ApplyVMs([]core.VM{{ID: "a", Kind: core.KindPlain, Service: "s", State: core.VMLive}})
 	named, answered := core.ServerNotice{Limited: true, RateLimit: 5, Answered: true}, core.ServerNotice{Answered: true}
@@ -28,7 +30,7 @@
 		{"answer without a limit", answered, 3, 5, true, 0},
 	}
 	for _, s := range steps {
-		changed := state.RecordNotice("a", s.notice, at(s.sent), at(s.now))
+		changed := state.RecordNotice("a", s.notice, at(s.sent), at(s.now), random)
 		if got := state.Views()[0].RateLimit; changed != s.wantChange || got != s.wantPerSecs {
 			t.Errorf("%s: changed %v, limit %v; want %v, %v", s.name, changed, got, s.wantChange, s.wantPerSecs)
 		}
--- a/internal/core/routing/state.go
+++ b/internal/core/routing/state.go
@@ -27,6 +27,9 @@
 	link         link
 	processCount int // entry processes that route to the same servers, including this one
 
+	rateShares     map[string]float64 // this process's share of the rate limits, by service
+	otherRateShare float64            // of services without one
+
 	filters  []Filter
 	scorers  []Scorer
 	picker   Picker
@@ -42,7 +45,10 @@
 		prefixes:     newPrefixIndex(&policy),
 		link:         newLink(policy.Link),
 		processCount: 1,
-		filters:      []Filter{LiveFilter{}, HealthFilter{}, VersionFilter{}, ExcludeFilter{}, SlotFilter{}, PushbackFilter{}, LinkFilter{}},
+
+		otherRateShare: initialRateShare,
+
+		filters: []Filter{LiveFilter{}, HealthFilter{}, VersionFilter{}, ExcludeFilter{}, SlotFilter{}, PushbackFilter{}, RateLimitFilter{}, LinkFilter{}},
 		scorers: []Scorer{
 			WaitScorer{}, LinkScorer{Policy: policy.Link}, ZoneScorer{RoundTrip: policy.ZoneRoundTrip}, LagScorer{}, ConnectScorer{Cost: policy.ConnectionCost},
 			PushbackScorer{},
@@ -210,6 +216,8 @@
 		s.link.reserve(begun.reservedBytes)
 	}
 	srv.load.add(1, query.ExpectedTokens, now)
+	srv.rateLimit.take(s.rateShare(srv.pool), now)
+	srv.pool.demand.add(now)
 	srv.pool.recordUse(srv)
 	smooth(&srv.pool.tokensPerStream, float64(query.ExpectedTokens))
 	s.recordDispatchedPrefixes(srv, query.Prefix, now)
--- a/internal/ports/porttest/records.go
+++ b/internal/ports/porttest/records.go
@@ -23,7 +23,7 @@
 	core.TableWeight:   copyWith(copyFlat[core.WeightRecord]),
 	core.TableJob:      copyWith(copyFlat[core.JobRecord]),
 	core.TableResult:   copyWith(copyResult),
-	core.TableMember:   copyWith(copyFlat[core.MemberRecord]),
+	core.TableMember:   copyWith(copyMember),
 	core.TableCrash:    copyWith(copyCrash),
 }
 
@@ -80,6 +80,11 @@
 	return record
 }
 
+func copyMember(record core.MemberRecord) core.MemberRecord {
+	record.Demand = slices.Clone(record.Demand)
+	return record
+}
+
 func copyCrash(record core.CrashRecord) core.CrashRecord {
 	record.Deaths = slices.Clone(record.Deaths)
 	return record
--- a/internal/tables/announced.go
+++ b/internal/tables/announced.go
@@ -30,6 +30,13 @@
 	t.live = t.view.Live()
 }
 
+// RateShares returns a process's shares of the rate limits that servers name.
+func (t *AnnouncedMembers) RateShares(self core.VMID) (shares map[string]float64, others float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.view.RateShares(self)
+}
+
 // Live returns the live members that are not leaving, sorted by VM. The result
 // must not be changed.
 func (t *AnnouncedMembers) Live() []core.Member {
--- a/internal/tables/servers.go
+++ b/internal/tables/servers.go
@@ -99,7 +99,23 @@
 func (t *Servers) RecordNotice(id core.ServerID, notice core.ServerNotice, sent, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.state.RecordNotice(id, notice, sent, now)
+	return t.state.RecordNotice(id, notice, sent, now, t.random)
+}
+
+// SetRateShares sets this process's share of the rate limits that servers name, by
+// service, and that of other services.
+func (t *Servers) SetRateShares(shares map[string]float64, others float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state.SetRateShares(shares, others)
+}
+
+// Demand returns the requests a second that this process sends to each service, or would
+// send without rate limits.
+func (t *Servers) Demand(now time.Time) []core.ServiceDemand {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state.Demand(now)
 }
 
 // MarkUnreachable takes a server out of service after a connection attempt that
