--- a/internal/app/relay/crashes_test.go
+++ b/internal/app/relay/crashes_test.go
@@ -218,3 +218,30 @@
 		t.Errorf("%d crash records of scoring calls", records)
 	}
 }
+
+// TestItemUnderDyingEnginesIsPlacedAgain has engines die under one item's runs, more often
+// than a caller's request may cost, while other items run.
+func TestItemUnderDyingEnginesIsPlacedAgain(t *testing.T) {
+	t.Parallel()
+	s := newEnvironment(t)
+	servers := newCrashingServers(s)
+	const deaths, items = 12, 8
+	servers.deathsLeft = map[core.RequestID]int{"j-0": deaths}
+	service := s.waitReady(s.start("vm-1"))
+	job := newJob("j", items)
+	for i := range job.Items {
+		job.Items[i].Scorer = nil
+	}
+	if err := service.Submit(t.Context(), job); err != nil {
+		t.Fatal(err)
+	}
+	s.eventually("all results", func() bool { return len(s.readResults(service, "j").Results) == items })
+	for _, result := range s.readResults(service, "j").Results {
+		if result.State != core.ItemCompleted {
+			t.Errorf("item %s is %s", result.Item, result.State)
+		}
+	}
+	if crashes, _ := servers.counts(); crashes != deaths {
+		t.Errorf("%d engines died, want %d", crashes, deaths)
+	}
+}
