Take a server that closes a probe's connection for dead

What stands before a server may accept a connection and close it when the server behind is gone. A probe that only connects took such a server for live, and its death under a request was not recorded.

--- a/internal/adapters/serverhttp/client.go
+++ b/internal/adapters/serverhttp/client.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"fescuespar/internal/core"
@@ -49,17 +51,33 @@
 	}
 }
 
-// Probe checks whether a server accepts connections, without sending a request. Errors:
-// ServerRefused, and Timeout or Canceled if the context ends first.
+// probeHold is how long a probe's connection must stay open. What stands before a dead
+// server may accept a connection and close it at once.
+const probeHold = 20 * time.Millisecond
+
+// Probe checks whether a server accepts connections and keeps them open, without sending
+// a request. Errors: ServerRefused, and Timeout or Canceled if the context ends first.
 func Probe(ctx context.Context, server core.VM) error {
 	connection, err := new(net.Dialer).DialContext(ctx, "tcp", server.Address)
 	switch {
 	case err == nil:
-		_ = connection.Close()
-		return nil
+		defer connection.Close()
+		return checkOpen(connection, server)
 	case ctx.Err() != nil:
 		return errkind.Wrap(errkind.Of(ctx.Err()), err, "%s did not accept a connection in time", server.ID)
 	default:
 		return errkind.Wrap(errkind.ServerRefused, err, "%s did not accept a connection", server.ID)
 	}
 }
+
+// checkOpen returns ServerRefused if the other end closes a connection within probeHold.
+func checkOpen(connection net.Conn, server core.VM) error {
+	if err := connection.SetReadDeadline(time.Now().Add(probeHold)); err != nil {
+		return errkind.Wrap(errkind.ServerRefused, err, "%s closed a connection", server.ID)
+	}
+	_, err := connection.Read(make([]byte, 1))
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return errkind.Wrap(errkind.ServerRefused, err, "%s closed a connection at once", server.ID)
+}
