--- a/internal/app/relay/watch.go
+++ b/internal/app/relay/watch.go
@@ -228,6 +228,9 @@
 	}
 	s.members.Observe(records, s.ports.Clock.Now())
 	s.servers.SetRateShares(s.members.RateShares(s.options.Self.VM))
+	if s.acceptsNewWork() && s.members.HasDemandGrown(s.options.Self.VM, s.servers.Demand(s.ports.Clock.Now())) {
+		s.sendAnnouncement()
+	}
 }
 
 // announce writes this process's announcement and schedules the next one, until
@@ -237,12 +240,18 @@
 	if phase == tables.PhaseStopped {
 		return
 	}
+	s.timers.After(s.sendAnnouncement(), core.ClassControl, s.announce)
+}
+
+// sendAnnouncement writes this process's announcement and returns the interval to the
+// next one.
+func (s *Service) sendAnnouncement() time.Duration {
 	interval := announce.Interval(len(s.members.Live()))
 	err := s.lanes.store.Go(func(ctx context.Context) { s.writeAnnouncement(ctx, interval) })
 	if err != nil {
 		s.log.Debug().Err(err).Msg("announcement skipped")
 	}
-	s.timers.After(interval, core.ClassControl, s.announce)
+	return interval
 }
 
 // writeAnnouncement writes this process's announcement row, with the interval to
--- a/internal/core/announce/rateshare_sim_test.go
+++ b/internal/core/announce/rateshare_sim_test.go
@@ -117,6 +117,10 @@
 			if (now+phase)%readEvery < simStep {
 				s.views[i].Observe(s.announced, simTime(now))
 				s.states[i].SetRateShares(s.views[i].RateShares(simVM(i)))
+				if demand := s.states[i].Demand(simTime(now)); s.views[i].HasDemandGrown(simVM(i), demand) {
+					beat++
+					s.announced[simVM(i)] = core.MemberRecord{Beat: beat, Every: announceEvery, Demand: demand}
+				}
 			}
 		}
 		scorer := 0
--- a/internal/tables/announced.go
+++ b/internal/tables/announced.go
@@ -37,6 +37,14 @@
 	return t.view.RateShares(self)
 }
 
+// HasDemandGrown reports whether a process's demand has grown so much since it was
+// announced that the next announcement should not wait.
+func (t *AnnouncedMembers) HasDemandGrown(self core.VMID, now []core.ServiceDemand) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.view.HasDemandGrown(self, now)
+}
+
 // Live returns the live members that are not leaving, sorted by VM. The result
 // must not be changed.
 func (t *AnnouncedMembers) Live() []core.Member {
