Bound the claim of a trial and release one whose outcome is unknown

A claim that is given up may have been stored, which would refuse the request until the trial expires after two minutes; and a caller of a stream that left during the claim left the trial unended.

Change: a claim has 500 ms; one that is not known is released by the next write; a stream waits for its claim. Rows older than the one that is known are ignored.

--- a/internal/app/relay/crashes.go
+++ b/internal/app/relay/crashes.go
@@ -22,6 +22,8 @@
 	// crashRecordWait bounds how long a retry waits until the server's death is
 	// recorded. It covers a refused connection and two calls of the table service.
 	crashRecordWait = 150 * time.Millisecond
+	// crashClaimTimeout bounds the claim of a trial, for which a caller waits.
+	crashClaimTimeout = 500 * time.Millisecond
 	// crashStoreTimeout bounds the storing of one record. What is not stored by then is
 	// tried again after the next read.
 	crashStoreTimeout = 2 * time.Second
@@ -92,17 +94,24 @@
 	}
 }
 
+// claimTrial returns false if the trial was not claimed, or it is not known.
 func (s *Service) claimTrial(ctx context.Context, fingerprint uint64) bool {
 	record, version, mayBegin := s.crashes.Trial(fingerprint, s.ports.Clock.Now())
 	if !mayBegin {
 		return false
 	}
+	ctx, cancel := context.WithTimeout(ctx, crashClaimTimeout)
+	defer cancel()
 	result, err := s.commitCrashRecord(ctx, fingerprint, record, version)
-	if err != nil || !result.Applied {
+	if err != nil {
+		s.recordStoreResult("crash records", err)
+		s.crashes.EndTrial(fingerprint, s.ports.Clock.Now()) // the claim may have been stored
 		return false
 	}
-	s.crashes.ApplyStored(fingerprint, record, result.Version, s.ports.Clock.Now())
-	return true
+	if result.Applied {
+		s.crashes.ApplyStored(fingerprint, record, result.Version, s.ports.Clock.Now())
+	}
+	return result.Applied
 }
 
 // recordAttempt records how an attempt on a server ended and then calls next, on a
--- a/internal/app/relay/crashes_test.go
+++ b/internal/app/relay/crashes_test.go
@@ -196,6 +196,28 @@
 	s.eventually("the other process knows of the deaths", func() bool { return two.State().Crashes.Held == 1 })
 }
 
+// TestUnknownClaimOfATrialIsReleased loses the reply to the claim of a trial for longer
+// than its process waits. The request is refused then, and must not stay so.
+func TestUnknownClaimOfATrialIsReleased(t *testing.T) {
+	t.Parallel()
+	s := newEnvironment(t)
+	servers := newCrashingServers(s)
+	service := s.waitReady(s.start("vm-1"))
+	request := core.RelayRequest{ID: "r", Method: "POST", Host: host, Target: "/lookup/x", Body: []byte(crashingBody)}
+	if err := s.send(service, request); err == nil {
+		t.Error("request succeeded")
+	}
+	servers.mu.Lock()
+	servers.isSound = true
+	servers.mu.Unlock()
+	s.eventually("the deaths are stored", func() bool {
+		return service.State().Crashes.Held == 1 && len(service.crashes.AllUnstored()) == 0
+	})
+	s.tables.Inject(faults.Rule{Operation: faults.Commit, Event: faults.DropAfter, Table: core.TableCrash, Count: 1})
+	s.tables.Inject(faults.Rule{Operation: faults.TableRead, Event: faults.Refuse, Table: core.TableCrash, Count: 20})
+	s.eventually("the request is served", func() bool { return s.send(service, request) == nil })
+}
+
 // TestScoringCallsAreOwedAfterDeaths has servers die under each scoring call, more often
 // than a caller's request may cost, before one is answered.
 func TestScoringCallsAreOwedAfterDeaths(t *testing.T) {
--- a/internal/app/relay/events.go
+++ b/internal/app/relay/events.go
@@ -190,17 +190,12 @@
 	return r.response, dispatch.VM.ID, r.err
 }
 
-// awaitGuard waits until it is known whether the next attempt may be sent. Errors:
-// Quarantined, Canceled.
+// awaitGuard waits until it is known whether the next attempt may be sent, also when the
+// caller has left, so that a trial is ended by this goroutine. Errors: Quarantined.
 func (s *Service) awaitGuard(st *eventStream) error {
 	permitted := make(chan error, 1)
 	s.guardAttempt(&st.guard, func(err error) { permitted <- err })
-	select {
-	case err := <-permitted:
-		return err
-	case <-st.ctx.Done():
-		return errkind.Wrap(errkind.Canceled, st.ctx.Err(), "caller stopped waiting for the stream")
-	}
+	return <-permitted
 }
 
 // awaitRecord records how an attempt ended and waits until a retry may follow.
--- a/internal/tables/crashrecords.go
+++ b/internal/tables/crashrecords.go
@@ -173,7 +173,7 @@
 	case known == nil:
 		known = &crashRecord{since: now}
 		t.records[fingerprint] = known
-	case row.Version == known.version:
+	case present && row.Version <= known.version, !present && known.version == 0:
 		return
 	}
 	known.stored, known.version, known.since = record, row.Version, now
