Count a server that dies again under its id as another death

Found in review: a server may start again under the id that it had.

Change: a death is that of an instance, the id with the time of its start as registered; the death of a trial's server always counts.

--- a/internal/app/relay/crashes.go
+++ b/internal/app/relay/crashes.go
@@ -72,7 +72,7 @@
 }
 
 func errQuarantined() error {
-	return errkind.New(errkind.Quarantined, "servers died while they ran this request; it may run again later, as the only one of its kind")
+	return errkind.New(errkind.Quarantined, "servers died while they ran this request; it may run again later")
 }
 
 // beginTrial claims the trial of a request in the table service, so that no other
@@ -153,7 +153,7 @@
 		defer cancel()
 		now := s.ports.Clock.Now()
 		if s.ports.Backend.Probe(probe, server) != nil && ctx.Err() == nil {
-			s.recordDeath(fingerprint, server.ID, now)
+			s.recordDeath(fingerprint, server.ID, endsTrial, now)
 		}
 		if endsTrial {
 			s.crashes.EndTrial(fingerprint, now)
@@ -169,8 +169,8 @@
 	}
 }
 
-func (s *Service) recordDeath(fingerprint uint64, server core.ServerID, now time.Time) {
-	deaths, recorded := s.crashes.RecordDeath(fingerprint, server, now)
+func (s *Service) recordDeath(fingerprint uint64, server core.ServerID, isTrial bool, now time.Time) {
+	deaths, recorded := s.crashes.RecordDeath(fingerprint, s.registry.InstanceOf(server), isTrial, now)
 	s.metrics.ServerDeaths.Inc(1)
 	s.log.Warn().Str("fingerprint", formatFingerprint(fingerprint)).Str("server", string(server)).
 		Int("deaths", deaths).Bool("recorded", recorded).Msg(logs.ServerDied)
--- a/internal/app/relay/crashes_test.go
+++ b/internal/app/relay/crashes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -31,6 +32,7 @@
 	crashes []time.Time
 	sent    []time.Time // arrivals of crashing requests at live servers
 	isSound bool        // no request crashes servers any more
+	keepIDs bool        // servers start again under their ids
 
 	deathsLeft map[core.RequestID]int // servers that still die under a request
 }
@@ -76,10 +78,19 @@
 	c.dead[id] = true
 	c.crashes = append(c.crashes, time.Now())
 	time.AfterFunc(restartTime, func() {
+		if c.keepIDs {
+			c.mu.Lock()
+			c.dead[id] = false
+			c.mu.Unlock()
+		}
 		c.s.mu.Lock()
 		defer c.s.mu.Unlock()
 		for i := range c.s.servers {
-			if c.s.servers[i].VM.ID == id {
+			if c.s.servers[i].VM.ID != id {
+				continue
+			}
+			c.s.servers[i].StartedUnixMs++
+			if !c.keepIDs {
 				c.s.servers[i].VM.ID = id + "+"
 			}
 		}
@@ -113,11 +124,23 @@
 // TestCrashingRequestIsNotSentOn has a request that crashes each server that runs it and
 // comes again under new ids at all processes, one of which starts late.
 func TestCrashingRequestIsNotSentOn(t *testing.T) {
-	for _, target := range []string{"/lookup/x", "/once/x", "/stream/x"} {
-		t.Run(target, func(t *testing.T) {
+	cases := []struct {
+		name, target string
+		keepIDs      bool
+	}{
+		{"idempotent", "/lookup/x", false},
+		{"at most once", "/once/x", false},
+		{"stream", "/stream/x", false},
+		{"one server that restarts under its id", "/lookup/x", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			s := newEnvironment(t)
 			servers := newCrashingServers(s)
+			if servers.keepIDs = c.keepIDs; c.keepIDs {
+				s.servers = slices.DeleteFunc(s.servers, func(e core.ServerEntry) bool { return e.VM.ID == "desk-1" || e.VM.ID == "desk-2" })
+			}
 			var processes []*Service
 			for i := range 3 {
 				processes = append(processes, s.waitReady(s.start(core.VMID(fmt.Sprint("vm-", i)))))
@@ -131,7 +154,7 @@
 				if i == sends/2 {
 					processes = append(processes, s.waitReady(s.start("vm-late")))
 				}
-				request := core.RelayRequest{ID: core.RequestID(fmt.Sprint("r-", i)), Method: "POST", Host: host, Target: target, Body: []byte(crashingBody)}
+				request := core.RelayRequest{ID: core.RequestID(fmt.Sprint("r-", i)), Method: "POST", Host: host, Target: c.target, Body: []byte(crashingBody)}
 				if s.send(processes[i%len(processes)], request) == nil {
 					t.Fatalf("request %d succeeded", i)
 				}
@@ -162,6 +185,7 @@
 	servers.mu.Lock()
 	servers.isSound = true
 	servers.mu.Unlock()
+	s.eventually("the deaths are stored", func() bool { return len(one.crashes.AllUnstored()) == 0 })
 	for _, service := range []*Service{one, two} {
 		s.eventually("the record is known", func() bool { return service.State().Crashes.Held == 1 })
 		if err := s.send(service, request(crashingBody)); !errkind.Is(err, errkind.Quarantined) {
--- a/internal/core/crash.go
+++ b/internal/core/crash.go
@@ -31,10 +31,13 @@
 	InFlight    bool     // the sender is running a copy that started before the suspicion
 }
 
+// ServerInstance names one start of a backend server, which may start again under its id.
+type ServerInstance string
+
 // CrashRecord is the row of a request fingerprint under which backend servers died, for
 // processes that share only the table service.
 type CrashRecord struct {
-	Deaths           []ServerID // servers that died while they ran the request, each once
-	TrialVM          VMID       // entry VM whose process runs the request alone, empty for none
+	Deaths           []ServerInstance // that died while they ran the request, each once
+	TrialVM          VMID             // entry VM whose process runs the request alone, empty for none
 	TrialIncarnation Incarnation
 }
--- a/internal/core/crash/record.go
+++ b/internal/core/crash/record.go
@@ -64,13 +64,13 @@
 	return record
 }
 
-// AddDeaths returns the record with further deaths. A server counts once, and no more
+// AddDeaths returns the record with further deaths. An instance counts once, and no more
 // than deathsBeforeRefusal are kept.
-func AddDeaths(record core.CrashRecord, servers []core.ServerID) core.CrashRecord {
+func AddDeaths(record core.CrashRecord, instances []core.ServerInstance) core.CrashRecord {
 	record.Deaths = slices.Clone(record.Deaths)
-	for _, server := range servers {
-		if len(record.Deaths) < deathsBeforeRefusal && !slices.Contains(record.Deaths, server) {
-			record.Deaths = append(record.Deaths, server)
+	for _, instance := range instances {
+		if len(record.Deaths) < deathsBeforeRefusal && !slices.Contains(record.Deaths, instance) {
+			record.Deaths = append(record.Deaths, instance)
 		}
 	}
 	return record
--- a/internal/core/crash/record_test.go
+++ b/internal/core/crash/record_test.go
@@ -13,7 +13,7 @@
 func TestRecordVerdict(t *testing.T) {
 	const self, incarnation = "vm-1", 7
 	trialOf := func(vm core.VMID, started core.Incarnation) core.CrashRecord {
-		return BeginTrial(core.CrashRecord{Deaths: []core.ServerID{"a", "b"}}, vm, started)
+		return BeginTrial(core.CrashRecord{Deaths: []core.ServerInstance{"a", "b"}}, vm, started)
 	}
 	cases := []struct {
 		name      string
@@ -22,12 +22,12 @@
 		want      Verdict
 	}{
 		{"no death", core.CrashRecord{}, 0, Run},
-		{"one death", core.CrashRecord{Deaths: []core.ServerID{"a"}}, 0, Run},
-		{"two deaths", core.CrashRecord{Deaths: []core.ServerID{"a", "b"}}, 0, Refuse},
-		{"two deaths, quiet", core.CrashRecord{Deaths: []core.ServerID{"a", "b"}}, quietPeriod, Hold},
-		{"three deaths", core.CrashRecord{Deaths: []core.ServerID{"a", "b", "c"}}, quietPeriod, Refuse},
-		{"three deaths, after a minute", core.CrashRecord{Deaths: []core.ServerID{"a", "b", "c"}}, time.Minute, Hold},
-		{"five deaths, after a day", core.CrashRecord{Deaths: []core.ServerID{"a", "b", "c", "d", "e"}}, 24 * time.Hour, Refuse},
+		{"one death", core.CrashRecord{Deaths: []core.ServerInstance{"a"}}, 0, Run},
+		{"two deaths", core.CrashRecord{Deaths: []core.ServerInstance{"a", "b"}}, 0, Refuse},
+		{"two deaths, quiet", core.CrashRecord{Deaths: []core.ServerInstance{"a", "b"}}, quietPeriod, Hold},
+		{"three deaths", core.CrashRecord{Deaths: []core.ServerInstance{"a", "b", "c"}}, quietPeriod, Refuse},
+		{"three deaths, after a minute", core.CrashRecord{Deaths: []core.ServerInstance{"a", "b", "c"}}, time.Minute, Hold},
+		{"five deaths, after a day", core.CrashRecord{Deaths: []core.ServerInstance{"a", "b", "c", "d", "e"}}, 24 * time.Hour, Refuse},
 		{"trial elsewhere", trialOf("vm-2", 3), time.Minute, Refuse},
 		{"trial elsewhere that never ended", trialOf("vm-2", 3), trialExpiry, Hold},
 		{"own trial", trialOf(self, incarnation), time.Minute, Refuse},
@@ -41,9 +41,9 @@
 }
 
 func TestAddDeaths(t *testing.T) {
-	before := core.CrashRecord{Deaths: []core.ServerID{"a"}}
-	after := AddDeaths(before, []core.ServerID{"a", "b", "b", "c", "d", "e", "f"})
-	if !slices.Equal(after.Deaths, []core.ServerID{"a", "b", "c", "d", "e"}) || len(before.Deaths) != 1 {
+	before := core.CrashRecord{Deaths: []core.ServerInstance{"a"}}
+	after := AddDeaths(before, []core.ServerInstance{"a", "b", "b", "c", "d", "e", "f"})
+	if !slices.Equal(after.Deaths, []core.ServerInstance{"a", "b", "c", "d", "e"}) || len(before.Deaths) != 1 {
 		t.Errorf("deaths %v of %v before", after.Deaths, before.Deaths)
 	}
 }
@@ -83,7 +83,7 @@
 	var runs []run
 	var sent, refused, lost, incarnation int
 	addDeath := func(now time.Duration, path int) {
-		death := []core.ServerID{core.ServerID(strconv.Itoa(incarnation))}
+		death := []core.ServerInstance{core.ServerInstance(strconv.Itoa(incarnation))}
 		records[path], changed[path] = EndTrial(AddDeaths(records[path], death), "vm", 1), now
 	}
 	start := func(now time.Duration, path, earlier int) {
--- a/internal/core/registration/view.go
+++ b/internal/core/registration/view.go
@@ -8,6 +8,7 @@
 package registration
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -103,6 +104,15 @@
 	return known
 }
 
+// InstanceOf returns the newest known instance of a server.
+func (v *View) InstanceOf(id core.ServerID) core.ServerInstance {
+	started := int64(0)
+	if known := v.instances[id]; known != nil {
+		started = known.startedUnixMs
+	}
+	return core.ServerInstance(fmt.Sprintf("%s@%d", id, started))
+}
+
 // forgetInstances removes the instances that are gone for longer than instanceMemory.
 func (v *View) forgetInstances(now time.Time) {
 	maps.DeleteFunc(v.instances, func(id core.ServerID, known *instance) bool {
--- a/internal/ports/porttest/tablesuite.go
+++ b/internal/ports/porttest/tablesuite.go
@@ -93,7 +93,7 @@
 		Incarnation: 5, Zone: "z", Region: "r", CallAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2", Beat: 9, Every: time.Second, Leaving: true,
 		Demand: []core.ServiceDemand{{Service: "engines", PerSecond: 45.5}},
 	},
-	core.TableCrash: core.CrashRecord{Deaths: []core.ServerID{"server-1", "server-2"}, TrialVM: "vm-4", TrialIncarnation: 6},
+	core.TableCrash: core.CrashRecord{Deaths: []core.ServerInstance{"server-1", "server-2"}, TrialVM: "vm-4", TrialIncarnation: 6},
 }
 
 func tableRecords(t *testing.T, factory TableFactory) {
--- a/internal/tables/crashrecords.go
+++ b/internal/tables/crashrecords.go
@@ -25,11 +25,11 @@
 
 type crashRecord struct {
 	stored   core.CrashRecord
-	version  core.RowVersion // of the row, zero if there is none
-	since    time.Time       // when the record was first seen in its present form
-	storedAt time.Time       // when this process last stored it
-	deaths   []core.ServerID // not stored yet
-	endTrial bool            // this process's trial has ended, which is not stored yet
+	version  core.RowVersion       // of the row, zero if there is none
+	since    time.Time             // when the record was first seen in its present form
+	storedAt time.Time             // when this process last stored it
+	deaths   []core.ServerInstance // not stored yet
+	endTrial bool                  // this process's trial has ended, which is not stored yet
 }
 
 // merged returns the record with what is not stored yet.
@@ -69,9 +69,10 @@
 	return crash.RecordVerdict(known.merged(t), t.self, t.incarnation, now.Sub(known.since))
 }
 
-// RecordDeath records that a server died while it ran a request. It returns the number of
-// deaths that are known, and false if the table is full.
-func (t *CrashRecords) RecordDeath(fingerprint uint64, server core.ServerID, now time.Time) (int, bool) {
+// RecordDeath records that a server died while it ran a request. The death of a trial's
+// server is a new one, even if its new instance is not known yet. It returns the number
+// of deaths that are known, and false if the table is full.
+func (t *CrashRecords) RecordDeath(fingerprint uint64, instance core.ServerInstance, isTrial bool, now time.Time) (int, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.records[fingerprint]
@@ -82,8 +83,12 @@
 		known = &crashRecord{}
 		t.records[fingerprint] = known
 	}
-	if !slices.Contains(known.merged(t).Deaths, server) {
-		known.deaths = append(known.deaths, server)
+	deaths := known.merged(t).Deaths
+	for isTrial && slices.Contains(deaths, instance) {
+		instance += "+"
+	}
+	if !slices.Contains(deaths, instance) {
+		known.deaths = append(known.deaths, instance)
 		known.since = now
 	}
 	return len(known.merged(t).Deaths), true
@@ -150,7 +155,7 @@
 
 // dropStored removes what the stored record already contains.
 func (r *crashRecord) dropStored() {
-	r.deaths = slices.DeleteFunc(r.deaths, func(id core.ServerID) bool { return slices.Contains(r.stored.Deaths, id) })
+	r.deaths = slices.DeleteFunc(r.deaths, func(id core.ServerInstance) bool { return slices.Contains(r.stored.Deaths, id) })
 	r.endTrial = r.endTrial && r.stored.TrialVM != ""
 }
 
--- a/internal/tables/registry.go
+++ b/internal/tables/registry.go
@@ -55,6 +55,13 @@
 	return t.entries, t.readAt
 }
 
+// InstanceOf returns the newest known instance of a server.
+func (t *Registry) InstanceOf(id core.ServerID) core.ServerInstance {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.view.InstanceOf(id)
+}
+
 // MarkLeaving records that a server announced its shutdown in the response to a
 // request sent at a time. It returns false if that was known or the response is from an
 // earlier instance of the server.
