Let a server's 5xx response clear no request under which servers died

Found in review: any response cleared a request. A slow server that gives the request up at its deadline, before the point at which it crashes others, would have let it run on without bound.

TestServerErrorDoesNotClearACrashingRequest fails with the condition taken out: the request is sent again at once.

--- a/internal/app/relay/crashes.go
+++ b/internal/app/relay/crashes.go
@@ -117,11 +117,14 @@
 // recordAttempt records how an attempt on a server ended and then calls next, on a
 // worker of the pool. If the request may be sent again, next waits for the record of the
 // server's death for at most crashRecordWait.
-func (s *Service) recordAttempt(g *crashGuard, server core.VM, err error, mayRetry bool, next workers.Step) {
+//
+// A 5xx response, whose status is given, does not clear the request: the server may have
+// given it up before the point at which others died.
+func (s *Service) recordAttempt(g *crashGuard, server core.VM, status int, err error, mayRetry bool, next workers.Step) {
 	switch {
 	case g.isExempt:
 		next()
-	case err == nil:
+	case err == nil && status < 500:
 		s.clearCrashRecord(g)
 		next()
 	case errkind.Is(err, errkind.ServerFailed) && mayRetry:
--- a/internal/app/relay/crashes_test.go
+++ b/internal/app/relay/crashes_test.go
@@ -202,6 +202,29 @@
 	}
 }
 
+// TestServerErrorDoesNotClearACrashingRequest has servers that give a request up before
+// the point at which it crashes them.
+func TestServerErrorDoesNotClearACrashingRequest(t *testing.T) {
+	t.Parallel()
+	s := newEnvironment(t)
+	newCrashingServers(s)
+	service := s.waitReady(s.start("vm-1"))
+	request := core.RelayRequest{ID: "r", Method: "POST", Host: host, Target: "/lookup/x", Body: []byte(crashingBody)}
+	if err := s.send(service, request); err == nil {
+		t.Error("request succeeded")
+	}
+	s.eventually("the deaths are known", func() bool { return service.State().Crashes.Held == 1 })
+	s.mu.Lock()
+	s.exchange = func(core.VM, core.RelayRequest) (core.RelayResponse, error) {
+		return core.RelayResponse{Status: 504}, nil
+	}
+	s.mu.Unlock()
+	s.eventually("a trial is answered with an error", func() bool { return s.send(service, request) == nil })
+	if err := s.send(service, request); !errkind.Is(err, errkind.Quarantined) {
+		t.Errorf("after a server error: %v, want %s", err, errkind.Quarantined)
+	}
+}
+
 // TestDeathIsRecordedAfterOutage loses the table service while servers die.
 func TestDeathIsRecordedAfterOutage(t *testing.T) {
 	t.Parallel()
--- a/internal/app/relay/events.go
+++ b/internal/app/relay/events.go
@@ -186,7 +186,7 @@
 	s.countCutAttempt(r.err)
 	s.noteServer(dispatch.VM.ID, now, r.response.ServerNotice)
 	s.servers.Release(dispatch, attemptResult(r.err, r.response.Status), s.ports.Clock.Now())
-	s.awaitRecord(st, dispatch.VM, r.err)
+	s.awaitRecord(st, dispatch.VM, r.response.Status, r.err)
 	return r.response, dispatch.VM.ID, r.err
 }
 
@@ -199,10 +199,10 @@
 }
 
 // awaitRecord records how an attempt ended and waits until a retry may follow.
-func (s *Service) awaitRecord(st *eventStream, server core.VM, err error) {
+func (s *Service) awaitRecord(st *eventStream, server core.VM, status int, err error) {
 	recorded := make(chan struct{})
 	mayRetry := st.progress.Resumable && st.progress.Attempts < st.progress.MaxAttempts
-	s.recordAttempt(&st.guard, server, err, mayRetry, func() { close(recorded) })
+	s.recordAttempt(&st.guard, server, status, err, mayRetry, func() { close(recorded) })
 	select {
 	case <-recorded:
 	case <-st.ctx.Done():
--- a/internal/app/relay/forward.go
+++ b/internal/app/relay/forward.go
@@ -241,7 +241,7 @@
 	s.servers.Release(dispatch, attemptResult(err, response.Status), s.ports.Clock.Now())
 	c.excluded = append(c.excluded, dispatch.VM.ID)
 	canRetry := c.attempts < max(1, c.route.Attempts) && c.ctx.Err() == nil
-	s.recordAttempt(&c.guard, dispatch.VM, err, canRetry && c.route.Kind == core.RouteIdempotent, func() {
+	s.recordAttempt(&c.guard, dispatch.VM, response.Status, err, canRetry && c.route.Kind == core.RouteIdempotent, func() {
 		s.continueCall(c, dispatch, response, err, canRetry)
 	})
 }
