Read crash records more seldom while the store is away

The store is away there for 7 s, and 295 processes ask peers for each read that fails. They are of no use in an outage, so that a read that failed is followed by none for 2 s.

--- a/internal/app/relay/crashes.go
+++ b/internal/app/relay/crashes.go
@@ -27,6 +27,9 @@
 	// crashStoreTimeout bounds the storing of one record. What is not stored by then is
 	// tried again after the next read.
 	crashStoreTimeout = 2 * time.Second
+	// crashReadBackoff is the time without reads after one that failed. An outage then
+	// gets little more load, and processes know of crashes soon after it.
+	crashReadBackoff = 2 * time.Second
 	// deathProbeTimeout is the time in which a live server accepts a connection.
 	deathProbeTimeout = 400 * time.Millisecond
 )
@@ -262,8 +265,8 @@
 // watchCrashes reads the crash records of all processes, stores what this process could
 // not store before, and removes expired records.
 func (s *Service) watchCrashes() {
-	if !s.crashesRead.CompareAndSwap(false, true) {
-		return // the last read has not ended
+	if s.ports.Clock.Now().UnixNano() < s.crashReadNotBefore.Load() || !s.crashesRead.CompareAndSwap(false, true) {
+		return // the last read has failed or not ended
 	}
 	err := s.lanes.crashes.Go(func(ctx context.Context) {
 		defer s.crashesRead.Store(false)
@@ -272,9 +275,11 @@
 		began := s.ports.Clock.Now()
 		rows, err := s.readCrashRecords(ctx)
 		s.recordStoreResult("crash records", err)
-		if err == nil {
-			s.pool.MustEnqueue(core.ClassControl, func() { s.applyCrashRecords(rows, began) })
+		if err != nil {
+			s.crashReadNotBefore.Store(s.ports.Clock.Now().Add(crashReadBackoff).UnixNano())
+			return
 		}
+		s.pool.MustEnqueue(core.ClassControl, func() { s.applyCrashRecords(rows, began) })
 	})
 	if err != nil {
 		s.crashesRead.Store(false)
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -130,16 +130,17 @@
 
 	routingUpdates *tables.Serial
 
-	started           time.Time
-	committer         commits.Committer
-	leaseManager      *leasing.Manager
-	commitAttempts    atomic.Uint64
-	plainSlots        atomic.Int64 // total slots of the plain servers
-	addressCacheNanos atomic.Int64 // how long callers may cache the entry addresses
-	graceNanos        atomic.Int64 // from the stop signal until the process is killed
-	announcementCount atomic.Uint64
-	crashesRead       atomic.Bool  // a read of the crash records is in flight
-	scoresPausedUntil atomic.Int64 // Unix time in nanoseconds
+	started            time.Time
+	committer          commits.Committer
+	leaseManager       *leasing.Manager
+	commitAttempts     atomic.Uint64
+	plainSlots         atomic.Int64 // total slots of the plain servers
+	addressCacheNanos  atomic.Int64 // how long callers may cache the entry addresses
+	graceNanos         atomic.Int64 // from the stop signal until the process is killed
+	announcementCount  atomic.Uint64
+	crashesRead        atomic.Bool  // a read of the crash records is in flight
+	crashReadNotBefore atomic.Int64 // Unix time in nanoseconds
+	scoresPausedUntil  atomic.Int64 // Unix time in nanoseconds
 }
 
 var (
