Move the state of crash records into internal/core

The table of crash records merged rows with unstored changes under its lock: a decision in the wrong layer, without a test of its own. crash.Records holds it now, as registration.View and announce.View do for theirs; the table locks.

--- a/internal/app/relay/crashes.go
+++ b/internal/app/relay/crashes.go
@@ -311,11 +311,11 @@
 
 func (s *Service) applyCrashRecords(rows map[uint64]core.Row, began time.Time) {
 	now := s.ports.Clock.Now()
-	s.crashes.ApplyAll(rows, began, now)
-	for _, fingerprint := range s.crashes.AllUnstored() {
+	unstored, expired := s.crashes.ApplyAll(rows, began, now)
+	for _, fingerprint := range unstored {
 		s.goStoreCrashRecord(fingerprint)
 	}
-	for _, fingerprint := range s.crashes.Expired(now) {
+	for _, fingerprint := range expired {
 		if !s.removesExpired(fingerprint) {
 			continue
 		}
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -15,6 +15,7 @@
 	"fescuespar/internal/app/leasing"
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/announce"
+	"fescuespar/internal/core/crash"
 	"fescuespar/internal/core/job"
 	"fescuespar/internal/core/lease"
 	"fescuespar/internal/core/routing"
@@ -179,7 +180,7 @@
 		weights:      tables.NewWeights(),
 		jobStorage:   tables.NewJobStorage(),
 		platform:     tables.NewPlatform(),
-		crashes:      tables.NewCrashRecords(options.Self.VM, options.Self.Incarnation),
+		crashes:      tables.NewCrashRecords(crash.Process{VM: options.Self.VM, Incarnation: options.Self.Incarnation}),
 
 		routingUpdates: tables.NewSerial(lockrank.RankRoutingUpdates),
 
@@ -254,16 +255,16 @@
 
 // State is a snapshot of a process's state, encoded as JSON for operators.
 type State struct {
-	Phase    string                   `json:"phase"`
-	InFlight int                      `json:"in_flight"`
-	Routes   uint64                   `json:"routes_version"`
-	Members  []core.Member            `json:"members"`
-	Leases   []tables.LeaseState      `json:"leases"`
-	Jobs     []job.Summary            `json:"jobs"`
-	Servers  []routing.View           `json:"servers"`
-	Outages  []core.PlatformOutage    `json:"outages"`
-	Crashes  tables.CrashRecordsState `json:"crashes"`
-	Pool     workers.PoolState        `json:"pool"`
+	Phase    string                `json:"phase"`
+	InFlight int                   `json:"in_flight"`
+	Routes   uint64                `json:"routes_version"`
+	Members  []core.Member         `json:"members"`
+	Leases   []tables.LeaseState   `json:"leases"`
+	Jobs     []job.Summary         `json:"jobs"`
+	Servers  []routing.View        `json:"servers"`
+	Outages  []core.PlatformOutage `json:"outages"`
+	Crashes  crash.RecordCounts    `json:"crashes"`
+	Pool     workers.PoolState     `json:"pool"`
 }
 
 // State returns a snapshot of this process's state.
--- a/internal/core/crash/record.go
+++ b/internal/core/crash/record.go
@@ -7,18 +7,11 @@
 	"fescuespar/internal/core"
 )
 
-// Processes that share a table service keep what they know of a fingerprint in one row,
-// a core.CrashRecord. The functions below decide on it, in place of a Tracker.
-//
-// The load is a request that crashes each server that runs it, and comes again and
-// again under new ids at any process, while servers also die for other reasons with
-// harmless requests in flight.
-
 const (
 	// deathsBeforeHold is the number of deaths from which a fingerprint may run only as
 	// a trial. A harmless request is rarely in flight at two deaths in a row.
 	deathsBeforeHold = 2
-	// deathsBeforeRefusal is the number of deaths from which no trial is made. Callers
+	// deathsBeforeRefusal is the number of deaths from which no trial is made. A request
 	// may cost two servers after the third.
 	deathsBeforeRefusal = 5
 	// trialExpiry is the time after which a trial whose process has not ended it is
@@ -30,12 +23,17 @@
 // number of deaths.
 var trialDelays = map[int]time.Duration{2: quietPeriod, 3: time.Minute, 4: 10 * time.Minute}
 
-// RecordVerdict returns what a process may do with a request whose record it has seen
-// unchanged for a time. On Hold it may run the request as a trial, which it first
-// claims with BeginTrial.
-func RecordVerdict(record core.CrashRecord, self core.VMID, incarnation core.Incarnation, unchanged time.Duration) Verdict {
+// Process identifies one start of an entry process.
+type Process struct {
+	VM          core.VMID
+	Incarnation core.Incarnation
+}
+
+// verdictOf returns what a process may do with a request whose record it has seen
+// unchanged for a time.
+func (p Process) verdictOf(record core.CrashRecord, unchanged time.Duration) Verdict {
 	deaths := len(record.Deaths)
-	ofEarlierStart := record.TrialVM == self && record.TrialIncarnation != incarnation
+	ofEarlierStart := record.TrialVM == p.VM && record.TrialIncarnation != p.Incarnation
 	switch {
 	case deaths < deathsBeforeHold:
 		return Run
@@ -50,23 +48,23 @@
 	}
 }
 
-// BeginTrial returns the record with a trial by a process.
-func BeginTrial(record core.CrashRecord, self core.VMID, incarnation core.Incarnation) core.CrashRecord {
-	record.TrialVM, record.TrialIncarnation = self, incarnation
+// beginTrial returns the record with a trial of the process.
+func (p Process) beginTrial(record core.CrashRecord) core.CrashRecord {
+	record.TrialVM, record.TrialIncarnation = p.VM, p.Incarnation
 	return record
 }
 
-// EndTrial returns the record without the trial of a process, if it has one.
-func EndTrial(record core.CrashRecord, self core.VMID, incarnation core.Incarnation) core.CrashRecord {
-	if record.TrialVM == self && record.TrialIncarnation == incarnation {
+// endTrial returns the record without the trial of the process, if it has one.
+func (p Process) endTrial(record core.CrashRecord) core.CrashRecord {
+	if record.TrialVM == p.VM && record.TrialIncarnation == p.Incarnation {
 		record.TrialVM, record.TrialIncarnation = "", 0
 	}
 	return record
 }
 
-// AddDeaths returns the record with further deaths. An instance counts once, and no more
+// addDeaths returns the record with further deaths. An instance counts once, and no more
 // than deathsBeforeRefusal are kept.
-func AddDeaths(record core.CrashRecord, instances []core.ServerInstance) core.CrashRecord {
+func addDeaths(record core.CrashRecord, instances []core.ServerInstance) core.CrashRecord {
 	record.Deaths = slices.Clone(record.Deaths)
 	for _, instance := range instances {
 		if len(record.Deaths) < deathsBeforeRefusal && !slices.Contains(record.Deaths, instance) {
@@ -76,8 +74,8 @@
 	return record
 }
 
-// RecordRetention returns the time after which an unchanged record is removed.
-func RecordRetention(record core.CrashRecord) time.Duration {
+// retentionOf returns the time after which an unchanged record is removed.
+func retentionOf(record core.CrashRecord) time.Duration {
 	if len(record.Deaths) <= deathsBeforeHold {
 		return suspectRetention
 	}
