Use one token bucket in routing, and the field's terms for rate limits

Reading the change again: the bucket of a rate limit repeated that of the link between regions, and ratelimit.go held the measuring of demand too.

Servers advertise limits; two tests are renamed after what they guard against (TestRequestsBeyondRateLimit, TestRequestsBeyondRateLimitOverRealProcesses, TestRateLimitAppliesWhileAdvertised). No bound or check has changed.

--- a/internal/app/relay/crashes.go
+++ b/internal/app/relay/crashes.go
@@ -48,7 +48,7 @@
 // crashGuard is the state of one request for the recognition of requests that crash
 // backend servers. Its methods are called by one step at a time.
 type crashGuard struct {
-	isExempt    bool // items and scoring calls are owed, whatever happened under them
+	isExempt    bool // the request is never held: an item of a job depends on it
 	fingerprint uint64
 	isTrial     bool // the attempt in progress is a trial
 }
--- a/internal/app/relay/limits_test.go
+++ b/internal/app/relay/limits_test.go
@@ -11,7 +11,7 @@
 	"fescuespar/internal/errkind"
 )
 
-// A server that names a limit must get at most limitFactor times what it allows, and
+// A server that advertises a limit must get at most limitFactor times what it allows, and
 // limitExtra more, in any limitWindow that begins later than contactTime after that.
 const (
 	limitWindow = 4 * time.Second
@@ -19,12 +19,12 @@
 	limitExtra  = 5
 )
 
-// limitedServers are plain servers of which some name a limit in every answer.
+// limitedServers are plain servers of which some advertise a limit in every answer.
 type limitedServers struct {
-	mu       sync.Mutex
-	limits   map[core.ServerID]float64 // requests a second
-	named    map[core.ServerID]time.Time
-	arrivals map[core.ServerID][]time.Time
+	mu           sync.Mutex
+	limits       map[core.ServerID]float64 // requests a second
+	limitedSince map[core.ServerID]time.Time
+	arrivals     map[core.ServerID][]time.Time
 }
 
 func (l *limitedServers) run(server core.VM, _ core.RelayRequest) (core.RelayResponse, error) {
@@ -35,8 +35,8 @@
 	notice := core.ServerNotice{Answered: true}
 	if limit, limited := l.limits[server.ID]; limited {
 		notice.Limited, notice.RateLimit = true, limit
-		if l.named[server.ID].IsZero() {
-			l.named[server.ID] = now
+		if l.limitedSince[server.ID].IsZero() {
+			l.limitedSince[server.ID] = now
 		}
 	}
 	return core.RelayResponse{Status: 200, Signature: "signed", ServerNotice: notice}, nil
@@ -48,7 +48,7 @@
 	defer l.mu.Unlock()
 	var bound []time.Time
 	for _, at := range l.arrivals[id] {
-		if at.Sub(l.named[id]) > contactTime {
+		if at.Sub(l.limitedSince[id]) > contactTime {
 			bound = append(bound, at)
 		}
 	}
@@ -60,9 +60,9 @@
 	return worst
 }
 
-// TestLimitedServersGetWhatTheyName has three processes, one of which sends most
-// requests, and servers of which two or all name a limit.
-func TestLimitedServersGetWhatTheyName(t *testing.T) {
+// TestRequestsBeyondRateLimit has three processes, one of which sends most
+// requests, and servers of which two or all advertise a limit.
+func TestRequestsBeyondRateLimit(t *testing.T) {
 	cases := []struct {
 		name   string
 		limits map[core.ServerID]float64
@@ -74,7 +74,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			s := newEnvironment(t)
-			servers := &limitedServers{limits: c.limits, named: make(map[core.ServerID]time.Time), arrivals: make(map[core.ServerID][]time.Time)}
+			servers := &limitedServers{limits: c.limits, limitedSince: make(map[core.ServerID]time.Time), arrivals: make(map[core.ServerID][]time.Time)}
 			s.exchange = servers.run
 			const duration = contactTime + 8*time.Second
 			var senders sync.WaitGroup
@@ -104,7 +104,7 @@
 			for id, limit := range c.limits {
 				allowed := limitFactor*limit*limitWindow.Seconds() + limitExtra
 				if worst := servers.worstWindow(id); float64(worst) > allowed {
-					t.Errorf("%s names %.1f requests a second and got %d in %v, want at most %.0f", id, limit, worst, limitWindow, allowed)
+					t.Errorf("%s takes %.1f requests a second and got %d in %v, want at most %.0f", id, limit, worst, limitWindow, allowed)
 				}
 			}
 			if len(c.limits) < 3 && refused > 0 {
--- a/internal/app/relay/watch.go
+++ b/internal/app/relay/watch.go
@@ -112,8 +112,8 @@
 	s.coordinateServices()
 }
 
-// noteServer records what a server said of itself in the response to a request sent at a
-// time. A server that announced its shutdown gets nothing new from then on.
+// noteServer records the state that a server reported in the response to a request sent at
+// a time. A server that announced its shutdown gets nothing new from then on.
 func (s *Service) noteServer(id core.ServerID, sent time.Time, notice core.ServerNotice) {
 	if s.servers.RecordNotice(id, notice, sent, s.ports.Clock.Now()) {
 		s.log.Info().Str("server", string(id)).Bool("limited", notice.Limited).Float64("per_second", notice.RateLimit).
--- a/internal/core/announce/rateshare.go
+++ b/internal/core/announce/rateshare.go
@@ -23,7 +23,7 @@
 	minGrowth    = 1
 )
 
-// RateShares returns a process's share of the rate limits that servers of a service name,
+// RateShares returns a process's share of the rate limits that servers of a service advertise,
 // for each service to which any process sends requests, and its share of those of other
 // services. The shares of all processes that read the same rows sum to one.
 //
--- a/internal/core/announce/rateshare_sim_test.go
+++ b/internal/core/announce/rateshare_sim_test.go
@@ -13,22 +13,22 @@
 )
 
 // limitSimulation runs processes that send requests to the servers of one service, of
-// which some name a rate limit, and that learn of each other's demand by announcements.
+// which some advertise a rate limit, and that learn of each other's demand by announcements.
 type limitSimulation struct {
-	random    *rand.Rand
-	states    []*routing.State
-	views     []*View
-	announced map[core.VMID]core.MemberRecord
-	arrivals  map[core.ServerID][]time.Duration
-	bound     map[core.ServerID][]time.Duration // arrivals that the limits bind
-	told      map[told]time.Duration            // when a process first had an answer that names the limit
-	limits    map[core.ServerID]float64
-	refused   int
-	sent      int
+	random     *rand.Rand
+	states     []*routing.State
+	views      []*View
+	announced  map[core.VMID]core.MemberRecord
+	arrivals   map[core.ServerID][]time.Duration
+	bound      map[core.ServerID][]time.Duration // arrivals that the limits bind
+	observedAt map[observation]time.Duration     // when a process first received a limit
+	limits     map[core.ServerID]float64
+	refused    int
+	sent       int
 }
 
-// told is a process and a server that told it of its limit.
-type told struct {
+// observation is a process that has received a server's limit.
+type observation struct {
 	process int
 	server  core.ServerID
 }
@@ -36,13 +36,13 @@
 const (
 	simService  = "desk"
 	simStep     = 5 * time.Millisecond
-	simNamed    = 8 * time.Second // servers name their limits from then on
+	simLimited  = 8 * time.Second // servers advertise limits from then on
 	simMove     = 20 * time.Second
 	simLength   = 35 * time.Second
 	simServed   = 30 * time.Millisecond // of one request
 	simContact  = 4 * time.Second
 	simWindow   = 4 * time.Second
-	simTold     = 500 * time.Millisecond // after which the limit binds a process that was told
+	simBinding  = 500 * time.Millisecond // from receiving a limit until it binds a process
 	limitFactor = 1.5
 	limitExtra  = 5
 )
@@ -51,7 +51,7 @@
 	s := &limitSimulation{
 		random: rand.New(rand.NewPCG(seed, 1)), announced: make(map[core.VMID]core.MemberRecord),
 		arrivals: make(map[core.ServerID][]time.Duration), limits: make(map[core.ServerID]float64),
-		bound: make(map[core.ServerID][]time.Duration), told: make(map[told]time.Duration),
+		bound: make(map[core.ServerID][]time.Duration), observedAt: make(map[observation]time.Duration),
 	}
 	var vms []core.VM
 	for i := range servers {
@@ -79,15 +79,15 @@
 	}
 	begun := state.Begin(vm.ID, query, clock)
 	s.arrivals[vm.ID] = append(s.arrivals[vm.ID], now)
-	heard := told{process, vm.ID}
-	if at, known := s.told[heard]; known && now-at >= simTold && now >= simNamed+simContact {
+	observed := observation{process, vm.ID}
+	if at, known := s.observedAt[observed]; known && now-at >= simBinding && now >= simLimited+simContact {
 		s.bound[vm.ID] = append(s.bound[vm.ID], now)
 	}
 	ended := clock.Add(simServed)
 	state.End(begun, routing.Result{Outcome: outlier.Succeeded}, ended, s.random)
 	limit, limited := s.limits[vm.ID]
-	if _, known := s.told[heard]; limited && !known {
-		s.told[heard] = now + simServed
+	if _, known := s.observedAt[observed]; limited && !known {
+		s.observedAt[observed] = now + simServed
 	}
 	state.RecordNotice(vm.ID, core.ServerNotice{Limited: limited, RateLimit: limit, Answered: true}, clock, ended, s.random)
 	return true
@@ -102,10 +102,10 @@
 	announceEvery, readEvery := Interval(processes), MemberReadInterval(300*time.Millisecond, processes)
 	beat := uint64(0)
 	for now := time.Duration(0); now < simLength; now += simStep {
-		if now == simNamed {
+		if now == simLimited {
 			for i := range limitedServers {
 				id := core.ServerID(fmt.Sprint("s-", i))
-				s.limits[id] = max(1, 0.5*float64(len(s.arrivals[id]))/simNamed.Seconds())
+				s.limits[id] = max(1, 0.5*float64(len(s.arrivals[id]))/simLimited.Seconds())
 			}
 		}
 		for i := range processes {
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -105,12 +105,12 @@
 	Release func() // returns the memory of Body to its budget; nil if it has none
 }
 
-// ServerNotice is what a backend server says of itself in a response.
+// ServerNotice is the state that a backend server reports in the header of a response.
 type ServerNotice struct {
 	Leaving   bool    // it shuts down soon and must get no new requests or orders
-	Limited   bool    // it takes RateLimit requests a second from all entry VMs together
-	RateLimit float64 // requests a second, zero or more
-	Answered  bool    // the server answered a request, so that it has no limit unless Limited
+	Limited   bool    // it advertises a rate limit
+	RateLimit float64 // requests a second that it takes from all entry VMs together
+	Answered  bool    // the response answers a request, so that the server has no limit unless Limited
 }
 
 // Event is one event of an event stream.
--- a/internal/core/routing/candidate.go
+++ b/internal/core/routing/candidate.go
@@ -23,9 +23,9 @@
 	CachedTokens      float64       // expected cached tokens of the prompt
 	Remote            bool          // in a different region than the requesting entry VM
 	LinkAvailable     bool          // this process's share of the link has capacity for the request
-	RateLimited       bool          // the server names a rate limit
+	RateLimited       bool          // the server advertises a rate limit
 	RateTokens        float64       // requests that this process may send now under that limit
-	RateAdvance       float64       // requests of people that it may send in advance
+	RateAdvance       float64       // interactive requests that it may send in advance
 	Pushback          time.Duration // remaining time for which it receives less work after a refusal
 
 	server *server
--- a/internal/core/routing/decide.go
+++ b/internal/core/routing/decide.go
@@ -34,7 +34,7 @@
 // only on failure. It returns NoServer when no listed server may run the
 // request, and Overloaded when only servers of other regions could run it and
 // this process's share of the link is used up, or when this process has used its
-// share of the rate limits that servers name.
+// share of the rate limits that servers advertise.
 func (s *State) Pick(query Query, now time.Time, random *rand.Rand) (core.VM, error) {
 	pool := s.pools[serviceKey{kind: query.Kind, service: query.Service}]
 	if pool == nil {
@@ -75,7 +75,7 @@
 		}
 	}
 	if pool.limitedCount > 0 {
-		return errkind.New(errkind.Overloaded, "%d of %d servers of %q name a rate limit of which this process has used its share, and no other is eligible", pool.limitedCount, pool.serverCount, query.Service)
+		return errkind.New(errkind.Overloaded, "%d of %d servers of %q advertise a rate limit of which this process has used its share, and no other is eligible", pool.limitedCount, pool.serverCount, query.Service)
 	}
 	return errkind.New(errkind.NoServer, "none of %d servers of %q is eligible for the request", pool.serverCount, query.Service)
 }
@@ -113,6 +113,7 @@
 func (s *State) fillCandidate(candidate *Candidate, srv *server, cached float64) {
 	d := &s.decision
 	version, holds := srv.adapterVersion(d.query.Adapter)
+	srv.rateLimit.refill(d.rateShare, d.now)
 	*candidate = Candidate{
 		VM: &srv.vm, HoldsAdapter: holds, Version: version, VersionLag: srv.versionLag(d.query.Adapter, version),
 		Ejected:           srv.health.Ejected(),
@@ -125,9 +126,9 @@
 		CachedTokens:      cached,
 		Remote:            srv.vm.Region != d.query.Region,
 		LinkAvailable:     d.linkAvailable,
-		RateLimited:       srv.rateLimit.named,
-		RateTokens:        srv.rateLimit.available(d.rateShare, d.now),
-		RateAdvance:       srv.rateLimit.advance(d.rateShare),
+		RateLimited:       srv.rateLimit.isActive,
+		RateTokens:        srv.rateLimit.requests.available,
+		RateAdvance:       srv.rateLimit.advance(),
 		Pushback:          srv.pushback.remaining(d.now),
 		server:            srv,
 	}
--- a/internal/core/routing/filter_ratelimit.go
+++ b/internal/core/routing/filter_ratelimit.go
@@ -2,9 +2,9 @@
 
 import "fescuespar/internal/core"
 
-// RateLimitFilter rejects servers that name a rate limit of which this process has used
-// up its share. Requests of people may use some of it in advance, so that rollouts wait
-// for them.
+// RateLimitFilter rejects servers that advertise a rate limit of which this process has
+// used up its share. Interactive requests may use some of it in advance, so that rollouts
+// wait for them.
 type RateLimitFilter struct{}
 
 // Accepts implements Filter.
--- a/internal/core/routing/gather.go
+++ b/internal/core/routing/gather.go
@@ -94,7 +94,7 @@
 
 // drawFromMatches adds a number of distinct random servers of a match set and
 // returns whether any is a candidate. If all drawn servers are rejected, it
-// tries one more server than the query excludes or name a rate limit, so that
+// tries one more server than the query excludes or advertise a rate limit, so that
 // these alone never hide an eligible server.
 func (s *State) drawFromMatches(matches *matchSet, number int, random *rand.Rand) bool {
 	if matches.count <= number {
--- a/internal/core/routing/pool.go
+++ b/internal/core/routing/pool.go
@@ -20,7 +20,7 @@
 	regions        []*regionIndex
 	detector       *outlier.Pool
 	serverCount    int
-	limitedCount   int // servers that name a rate limit
+	limitedCount   int // servers that advertise a rate limit
 	demand         demand
 	newestVersions []core.AdapterVersion // newest version ever reported for each adapter
 
@@ -65,7 +65,7 @@
 	region.serverCount++
 	p.detector.Add(&srv.health)
 	p.serverCount++
-	if srv.rateLimit.named {
+	if srv.rateLimit.isActive {
 		p.limitedCount++
 	}
 }
@@ -90,7 +90,7 @@
 	}
 	srv.region.removeFromIndex(srv)
 	srv.region.serverCount--
-	if srv.rateLimit.named {
+	if srv.rateLimit.isActive {
 		p.limitedCount--
 	}
 	if srv.region.serverCount == 0 {
--- a/internal/core/routing/ratelimit_test.go
+++ b/internal/core/routing/ratelimit_test.go
@@ -8,13 +8,13 @@
 	"fescuespar/internal/core"
 )
 
-func TestRateLimitIsInForceWhileNamed(t *testing.T) {
+func TestRateLimitAppliesWhileAdvertised(t *testing.T) {
 	now := time.Unix(1000, 0)
 	at := func(seconds int) time.Time { return now.Add(time.Duration(seconds) * time.Second) }
 	random := rand.New(rand.NewPCG(1, 2))
 	state := NewState(DefaultPolicy())
 	state.ApplyVMs([]core.VM{{ID: "a", Kind: core.KindPlain, Service: "s", State: core.VMLive}})
-	named, answered := core.ServerNotice{Limited: true, RateLimit: 5, Answered: true}, core.ServerNotice{Answered: true}
+	limited, answered := core.ServerNotice{Limited: true, RateLimit: 5, Answered: true}, core.ServerNotice{Answered: true}
 	steps := []struct {
 		name        string
 		notice      core.ServerNotice
@@ -23,8 +23,8 @@
 		wantPerSecs float64
 	}{
 		{"no limit", answered, 0, 1, false, 0},
-		{"named", named, 1, 2, true, 5},
-		{"named again", named, 2, 3, false, 5},
+		{"advertised", limited, 1, 2, true, 5},
+		{"advertised again", limited, 2, 3, false, 5},
 		{"answer to an earlier request", answered, 1, 4, false, 5},
 		{"report without a limit", core.ServerNotice{}, 3, 4, false, 5},
 		{"answer without a limit", answered, 3, 5, true, 0},
--- a/internal/tables/announced.go
+++ b/internal/tables/announced.go
@@ -30,7 +30,7 @@
 	t.live = t.view.Live()
 }
 
-// RateShares returns a process's shares of the rate limits that servers name.
+// RateShares returns a process's shares of the rate limits that servers advertise.
 func (t *AnnouncedMembers) RateShares(self core.VMID) (shares map[string]float64, others float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/tables/servers.go
+++ b/internal/tables/servers.go
@@ -94,7 +94,7 @@
 	delete(t.checking, id)
 }
 
-// RecordNotice records the rate limit that a server named, or no longer named, in the
+// RecordNotice records the rate limit that a server advertised, or no longer did, in the
 // response to a request sent at a time. It reports whether that changed.
 func (t *Servers) RecordNotice(id core.ServerID, notice core.ServerNotice, sent, now time.Time) bool {
 	t.mu.Lock()
@@ -102,7 +102,7 @@
 	return t.state.RecordNotice(id, notice, sent, now, t.random)
 }
 
-// SetRateShares sets this process's share of the rate limits that servers name, by
+// SetRateShares sets this process's share of the rate limits that servers advertise, by
 // service, and that of other services.
 func (t *Servers) SetRateShares(shares map[string]float64, others float64) {
 	t.mu.Lock()
