--- a/internal/app/relay/crashes_test.go
+++ b/internal/app/relay/crashes_test.go
@@ -282,9 +282,9 @@
 	s.eventually("the request is served", func() bool { return s.send(service, request) == nil })
 }
 
-// TestScoringCallsAreOwedAfterDeaths has servers die under each scoring call, more often
+// TestScoringCallsRunAfterDeaths has servers die under each scoring call, more often
 // than a caller's request may cost, before one is answered.
-func TestScoringCallsAreOwedAfterDeaths(t *testing.T) {
+func TestScoringCallsRunAfterDeaths(t *testing.T) {
 	t.Parallel()
 	s := newEnvironment(t)
 	servers := newCrashingServers(s)
