review: a GET that crashes servers is never held back

The transport repeats a GET on a new connection when a server dies under it. The dead server refuses that connection, which is taken for a refusal of the request, so no death is recorded.

--- a/review/stage/worker.go
+++ b/review/stage/worker.go
@@ -27,10 +27,12 @@
 	interval time.Duration            // between events
 	size     int                      // bytes of an event's data; zero for a short text
 	hangs    func(*http.Request) bool // whether a request is never answered; nil for none
+	crashes  func(*http.Request) bool // whether a request crashes the worker; nil for none
 
 	// mu guards the fields below.
-	mu   sync.Mutex
-	runs []*run
+	mu     sync.Mutex
+	runs   []*run
+	server *http.Server
 }
 
 // run is a request on which the worker began to work.
@@ -49,7 +51,11 @@
 		return err
 	}
 	w.address, w.places = listener.Addr().String(), make(chan struct{}, w.slots)
-	go func() { _ = http.Serve(listener, http.HandlerFunc(w.serve)) }()
+	server := &http.Server{Handler: http.HandlerFunc(w.serve)}
+	w.mu.Lock()
+	w.server = server
+	w.mu.Unlock()
+	go func() { _ = server.Serve(listener) }()
 	entry := map[string]any{
 		"Service": w.service, "Address": w.address, "Zone": "qc-est-a", "Version": "v1", "Slots": w.slots, "State": "ready",
 		"ColdRemainingMs": 0, "SeqNo": 0, "born": time.Now().UnixMilli(),
@@ -60,7 +66,10 @@
 	w.site.store.write("servers", w.id, entry)
 	go func() {
 		for number := 1; ; number++ {
-			time.Sleep(1200 * time.Millisecond)
+			time.Sleep(heartbeat)
+			if w.isDown(server) {
+				return
+			}
 			entry["SeqNo"] = number
 			w.site.store.write("servers", w.id, entry)
 		}
@@ -68,6 +77,28 @@
 	return nil
 }
 
+// heartbeat is HeartbeatMs of the settings.
+const heartbeat = 1200 * time.Millisecond
+
+// isDown reports whether the start of the worker that a server belongs to has ended.
+func (w *worker) isDown(server *http.Server) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.server != server
+}
+
+// crash ends the worker: its connections are reset and its address takes none. Its
+// registration lapses after three heartbeats.
+func (w *worker) crash() {
+	w.mu.Lock()
+	server, id := w.server, w.id
+	w.server = nil
+	w.mu.Unlock()
+	_ = server.Close()
+	w.site.log("worker crashes", "worker", id)
+	time.AfterFunc(3*heartbeat, func() { w.site.store.remove("servers", id) })
+}
+
 func (w *worker) models() []any {
 	return []any{map[string]any{"Name": w.model, "Version": 1, "Adapters": []string{}}}
 }
@@ -121,6 +152,10 @@
 		<-r.Context().Done()
 		return
 	}
+	if w.crashes != nil && w.crashes(r) {
+		w.crash()
+		return
+	}
 	out.Header().Set("Server-Stamp", "stamp-"+r.Header.Get("Attempt-Id"))
 	if w.model != "" {
 		complete = w.stream(out, r)
