--- a/review/stage/lane.go
+++ b/review/stage/lane.go
@@ -36,7 +36,7 @@
 		"Limits":   limits,
 	})
 	for i := range 11 {
-		w := &worker{site: s, id: fmt.Sprintf("i-coach-%d", i+1), service: "coach", slots: 32, model: "m0", events: 250, interval: 100 * time.Millisecond}
+		w := &worker{site: s, id: fmt.Sprintf("i-coach-%d", i+1), service: "coach", slots: 32, model: "m0", events: chatEvents, interval: 100 * time.Millisecond}
 		if err := w.start(); err != nil {
 			return verdict{err: err}
 		}
@@ -95,6 +95,7 @@
 }
 
 const (
+	chatEvents     = 250                     // of a whole stream
 	lookupTimeout  = 1200 * time.Millisecond // of the route
 	lookupDeadline = 3 * time.Second         // of the client
 )
@@ -104,14 +105,14 @@
 func (s *site) user(ctx context.Context, d *directory, delay time.Duration) {
 	time.Sleep(delay)
 	for ctx.Err() == nil {
-		for last := 0; last < 250 && ctx.Err() == nil; {
+		for last := 0; last < chatEvents && ctx.Err() == nil; {
 			address, err := d.pick()
 			if err != nil {
 				time.Sleep(200 * time.Millisecond)
 				continue
 			}
 			id := newID()
-			header := map[string]string{"Deadline-Ms": "60000", "Model": "m0", "Token-Count": "40,250", "Prompt-Prefix": id + ":40"}
+			header := map[string]string{"Deadline-Ms": "60000", "Model": "m0", "Token-Count": fmt.Sprintf("40,%d", chatEvents), "Prompt-Prefix": id + ":40"}
 			if last > 0 {
 				header["Last-Event-Id"] = fmt.Sprint(last)
 			}
--- a/review/stage/site.go
+++ b/review/stage/site.go
@@ -260,6 +260,8 @@
 	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(s.folder)
+	} else {
+		fmt.Println("logs of the processes:", s.folder)
 	}
 	_ = s.record.Close()
 }
