--- a/review/stage/poison.go
+++ b/review/stage/poison.go
@@ -44,7 +44,7 @@
 	startWorker = func(number int) error {
 		mu.Lock()
 		defer mu.Unlock()
-		w := &worker{site: s, id: fmt.Sprintf("i-desk-%d-%d", number, len(workers)), service: "desk", slots: 6, work: 25 * time.Millisecond}
+		w := &worker{site: s, id: fmt.Sprintf("i-desk-%d-%d", number, len(workers)), service: "desk", slots: 6, work: 10 * time.Millisecond}
 		w.crashes = func(r *http.Request) bool {
 			if !trouble || r.URL.Path != poisonPath {
 				return false
@@ -55,7 +55,7 @@
 		workers = append(workers, w)
 		return w.start()
 	}
-	for i := range 8 {
+	for i := range 10 {
 		if err := startWorker(i + 1); err != nil {
 			return verdict{err: err}
 		}
@@ -64,12 +64,12 @@
 		return verdict{err: err}
 	}
 	d := newDirectory(s, 1)
-	stop := time.Now().Add(50 * time.Second)
+	stop := time.Now().Add(56 * time.Second)
 	running.Add(2)
 	go func() {
 		defer running.Done()
 		for number := 0; time.Now().Before(stop); number++ {
-			time.Sleep(8 * time.Millisecond)
+			time.Sleep(6 * time.Millisecond)
 			running.Add(1)
 			go func() {
 				defer running.Done()
@@ -85,8 +85,8 @@
 	}()
 	go func() {
 		defer running.Done()
-		time.Sleep(3 * time.Second)
-		for ; time.Now().Before(stop); time.Sleep(2 * time.Second) {
+		time.Sleep(5 * time.Second)
+		for ; time.Now().Before(stop); time.Sleep(2500 * time.Millisecond) {
 			s.page(d, poisonPath)
 		}
 	}()
