--- a/review/stage/site.go
+++ b/review/stage/site.go
@@ -30,6 +30,10 @@
 	began  time.Time
 	relays []*relay
 
+	// starting guards closed, and is held while a process is started.
+	starting sync.Mutex
+	closed   bool // no process may be started any more
+
 	// mu guards record and its writes.
 	mu     sync.Mutex
 	record *os.File
@@ -169,6 +173,11 @@
 
 // start starts the relay's process with the command of the deploy file.
 func (r *relay) start() error {
+	r.site.starting.Lock()
+	defer r.site.starting.Unlock()
+	if r.site.closed {
+		return errors.New("the case is over")
+	}
 	log, err := os.OpenFile(filepath.Join(r.site.folder, r.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -249,6 +258,12 @@
 
 // close ends all processes and removes the temporary folder.
 func (s *site) close() {
+	s.starting.Lock()
+	defer s.starting.Unlock()
+	if s.closed {
+		return
+	}
+	s.closed = true
 	for _, r := range s.relays {
 		r.mu.Lock()
 		process, ended := r.process, r.ended
