relay: refuse requests that may outlast a planned stop

Callers whose address list still names a leaving process sent it streams and plain requests late in its grace period. The process accepted them, sent them to a backend server, and cut them when it exited; a caller can't repeat those that may run only once.

Cause: until 60% of the grace period had passed everything was accepted, whatever its deadline and whatever its route usually takes. Ruled out: an early end of the drain (the log has `draining` at 4.8 s and the exit 7.76 s after the signal), a stream that isn't counted as in flight, and the engines and deadlines (the engines were at work until the connection closed).

core/drain now decides on each forwarded request that arrives after the signal: it is accepted if its deadline lies before the end of the drain, or, in the first quarter of the grace period and at most 2 s, if twice the longest recent duration on its route fits. All others are refused as not run, so that their callers go to another process at once. No accepted request whose estimate holds can be in flight when the process ends.

Short requests are served as long as before (TestShortRequestsAreServedDuringShutdown, passes on both).

`fescuespar entry` waits up to 10 minutes for requests in flight and is unchanged.

--- a/internal/app/relay/events.go
+++ b/internal/app/relay/events.go
@@ -67,12 +67,12 @@
 	if err != nil {
 		return core.RelayResponse{}, err
 	}
-	if !s.lifecycle.BeginRequest() {
-		return core.RelayResponse{}, errkind.New(errkind.ShuttingDown, "this entry process is shutting down and accepts no new requests")
-	}
-	defer s.lifecycle.EndRequest()
 	arrived := s.ports.Clock.Now()
 	request.Deadline = requestDeadline(request.Deadline, matched.Timeout, arrived)
+	if err := s.beginForwarded(&matched, arrived, request.Deadline); err != nil {
+		return core.RelayResponse{}, err
+	}
+	defer s.lifecycle.EndRequest()
 	request.AtMostOnce = !matched.Resumable
 	st := &eventStream{
 		request: request, guard: newCrashGuard(&request.RelayRequest), route: matched, service: s.routes.Choose(&matched), ctx: ctx, sink: sink,
--- a/internal/app/relay/fakes_test.go
+++ b/internal/app/relay/fakes_test.go
@@ -37,6 +37,7 @@
 	exchange        func(core.VM, core.RelayRequest) (core.RelayResponse, error)                   // nil for status 200
 	stream          func(core.VM, core.EventsRequest, ports.EventSink) (core.RelayResponse, error) // nil for eventCount events
 	refusesRuns     func(core.VM) bool                                                             // reports whether an engine refuses runs
+	exchangeTime    time.Duration                                                                  // duration of an exchange, which its context can end; zero for none
 	hangingExchange chan struct{}                                                                  // receives at the start and the end of each hanging exchange
 	holdsVersion    func(core.VM, core.Order) bool                                                 // reports whether an order's version is loaded already
 	losesOrder      func(core.VM) bool                                                             // reports whether an order is lost before it is accepted
@@ -97,8 +98,15 @@
 // Exchange implements ports.Backend.
 func (s *environment) Exchange(ctx context.Context, server core.VM, request core.RelayRequest) (core.RelayResponse, error) {
 	s.mu.Lock()
-	exchange, hanging := s.exchange, s.hangingExchange
+	exchange, hanging, duration := s.exchange, s.hangingExchange, s.exchangeTime
 	s.mu.Unlock()
+	if duration > 0 {
+		select {
+		case <-time.After(duration):
+		case <-ctx.Done():
+			return core.RelayResponse{}, errkind.Wrap(errkind.Canceled, ctx.Err(), "exchange")
+		}
+	}
 	if hanging != nil {
 		hanging <- struct{}{}
 		<-ctx.Done()
--- a/internal/app/relay/forward.go
+++ b/internal/app/relay/forward.go
@@ -103,13 +103,13 @@
 		finish(core.RelayResponse{}, err)
 		return
 	}
-	if !s.lifecycle.BeginRequest() {
-		finish(core.RelayResponse{}, errkind.New(errkind.ShuttingDown, "this entry process is shutting down and accepts no new requests"))
+	now := s.ports.Clock.Now()
+	deadline := requestDeadline(request.Deadline, matched.Timeout, now)
+	if err := s.beginForwarded(&matched, now, deadline); err != nil {
+		finish(core.RelayResponse{}, err)
 		return
 	}
-	now := s.ports.Clock.Now()
-	c := &call{request: request, class: class, guard: guard, route: matched, routesVersion: s.routes.Current().Version, service: s.routes.Choose(&matched), arrived: now, ctx: ctx}
-	c.deadline = requestDeadline(request.Deadline, matched.Timeout, now)
+	c := &call{request: request, class: class, guard: guard, route: matched, routesVersion: s.routes.Current().Version, service: s.routes.Choose(&matched), arrived: now, deadline: deadline, ctx: ctx}
 	c.finish = func(response core.RelayResponse, err error) {
 		s.endTrial(&c.guard)
 		s.lifecycle.EndRequest()
@@ -296,7 +296,11 @@
 }
 
 func (s *Service) logRequest(c *call, response *core.RelayResponse, err error) {
-	took := s.ports.Clock.Now().Sub(c.arrived)
+	now := s.ports.Clock.Now()
+	took := now.Sub(c.arrived)
+	if c.attempts > 0 {
+		s.routeDurations.Observe(c.route.Name, took, now)
+	}
 	s.metrics.RequestTime.Update(took.Milliseconds())
 	line := s.log.Info()
 	switch {
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -115,19 +115,20 @@
 	timers *workers.Timers
 	lanes  lanes
 
-	lifecycle    *tables.Lifecycle
-	routes       *tables.Routes
-	members      *tables.AnnouncedMembers
-	leases       *tables.Leases
-	servers      *tables.Servers
-	registry     *tables.Registry
-	jobs         *tables.Jobs
-	runs         *tables.Runs
-	engineSpeeds *tables.EngineSpeeds
-	weights      *tables.Weights
-	jobStorage   *tables.JobStorage
-	platform     *tables.Platform
-	crashes      *tables.CrashRecords
+	lifecycle      *tables.Lifecycle
+	routes         *tables.Routes
+	members        *tables.AnnouncedMembers
+	leases         *tables.Leases
+	servers        *tables.Servers
+	registry       *tables.Registry
+	jobs           *tables.Jobs
+	runs           *tables.Runs
+	engineSpeeds   *tables.EngineSpeeds
+	weights        *tables.Weights
+	jobStorage     *tables.JobStorage
+	platform       *tables.Platform
+	crashes        *tables.CrashRecords
+	routeDurations *tables.RouteDurations
 
 	routingUpdates *tables.Serial
 
@@ -172,15 +173,16 @@
 		leases: tables.NewLeases(
 			lease.Self{VM: options.Self.VM, Incarnation: options.Self.Incarnation, Address: options.Self.CallAddress},
 			lease.Timing{Term: leaseTerm, RenewEvery: leaseRenewal, Margin: leaseMargin, LongestOrder: options.MinOrderInterval, OrdersByVM: true}),
-		servers:      tables.NewServersWith(routingPolicy(), random(2)),
-		registry:     tables.NewRegistry(options.RegistryRecovery),
-		jobs:         tables.NewJobs(),
-		runs:         tables.NewRuns(),
-		engineSpeeds: tables.NewEngineSpeeds(),
-		weights:      tables.NewWeights(),
-		jobStorage:   tables.NewJobStorage(),
-		platform:     tables.NewPlatform(),
-		crashes:      tables.NewCrashRecords(crash.Process{VM: options.Self.VM, Incarnation: options.Self.Incarnation}),
+		servers:        tables.NewServersWith(routingPolicy(), random(2)),
+		registry:       tables.NewRegistry(options.RegistryRecovery),
+		jobs:           tables.NewJobs(),
+		runs:           tables.NewRuns(),
+		engineSpeeds:   tables.NewEngineSpeeds(),
+		weights:        tables.NewWeights(),
+		jobStorage:     tables.NewJobStorage(),
+		platform:       tables.NewPlatform(),
+		crashes:        tables.NewCrashRecords(crash.Process{VM: options.Self.VM, Incarnation: options.Self.Incarnation}),
+		routeDurations: tables.NewRouteDurations(),
 
 		routingUpdates: tables.NewSerial(lockrank.RankRoutingUpdates),
 
--- a/internal/app/relay/shutdown.go
+++ b/internal/app/relay/shutdown.go
@@ -6,22 +6,22 @@
 
 	"fescuespar/internal/app/commits"
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/drain"
+	"fescuespar/internal/errkind"
 	"fescuespar/internal/tables"
 )
 
-// leavingGraceShare is the share of the grace period in which the process still
-// accepts requests: callers may use cached addresses.
-const leavingGraceShare = 0.6
-
 // Shutdown ends the process gracefully until the context is done: it withdraws
-// the address, releases the leases, still serves requests for a share of the grace
-// period, then refuses new ones and waits for those in flight.
+// the address, releases the leases, still serves requests that end in time, since
+// callers may use cached addresses, then refuses new ones and waits for those in
+// flight.
 func (s *Service) Shutdown(ctx context.Context) {
-	s.lifecycle.Advance(tables.PhaseLeaving)
+	plan := s.planShutdown(ctx)
+	s.lifecycle.Leave(plan)
 	s.log.Info().Str("phase", "leaving").Msg("shutdown")
 	s.pool.MustEnqueue(core.ClassControl, s.announceNow)
 	s.pool.MustEnqueue(core.ClassControl, s.updateLeases)
-	commits.Sleep(ctx, time.Duration(float64(s.graceNanos.Load())*leavingGraceShare))
+	commits.Sleep(ctx, plan.Closed().Sub(s.ports.Clock.Now()))
 	s.lifecycle.Advance(tables.PhaseDraining)
 	s.log.Info().Str("phase", "draining").Msg("shutdown")
 	select {
@@ -30,6 +30,26 @@
 	}
 }
 
+// planShutdown returns the plan of a shutdown that begins now and ends with the context.
+func (s *Service) planShutdown(ctx context.Context) drain.Plan {
+	now, grace := s.ports.Clock.Now(), time.Duration(s.graceNanos.Load())
+	end := now.Add(grace)
+	if deadline, bounded := ctx.Deadline(); bounded {
+		end = now.Add(time.Until(deadline)) // the clock of the service is not that of the context
+	}
+	return drain.NewPlan(now, grace, end)
+}
+
+// beginForwarded counts a forwarded request in flight. Errors: ShuttingDown, also if the
+// process may end before the request.
+func (s *Service) beginForwarded(matched *core.Route, arrived, deadline time.Time) error {
+	request := drain.Request{Arrived: arrived, Deadline: deadline, Longest: s.routeDurations.Longest(matched.Name, arrived)}
+	if !s.lifecycle.BeginBounded(request) {
+		return errkind.New(errkind.ShuttingDown, "this entry process is shutting down and may end before the request")
+	}
+	return nil
+}
+
 // announceNow publishes without delay that this process is shutting down.
 func (s *Service) announceNow() {
 	err := s.lanes.store.Go(func(ctx context.Context) { s.writeAnnouncement(ctx, time.Second) })
--- a/internal/tables/lifecycle.go
+++ b/internal/tables/lifecycle.go
@@ -1,6 +1,9 @@
 package tables
 
-import "fescuespar/internal/lockrank"
+import (
+	"fescuespar/internal/core/drain"
+	"fescuespar/internal/lockrank"
+)
 
 // Phase is a phase of an entry process.
 type Phase int
@@ -8,7 +11,7 @@
 // The phases, in order.
 const (
 	PhaseServing  Phase = iota // accepts new requests
-	PhaseLeaving               // address withdrawn, still accepts requests
+	PhaseLeaving               // address withdrawn, still accepts requests that end in time
 	PhaseDraining              // accepts no new requests, finishes those in flight
 	PhaseStopped
 )
@@ -23,6 +26,7 @@
 	// mu guards all fields below.
 	mu       lockrank.Mutex
 	phase    Phase
+	plan     drain.Plan // of the shutdown, from PhaseLeaving on
 	inFlight int
 	idle     chan struct{} // closed when draining and no request is in flight
 }
@@ -44,7 +48,19 @@
 	return true
 }
 
-// EndRequest ends a request that BeginRequest counted.
+// BeginBounded counts a new request in flight that ends by its deadline. It returns
+// false when the process no longer accepts requests or may end before this one.
+func (t *Lifecycle) BeginBounded(request drain.Request) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.phase >= PhaseDraining || t.phase == PhaseLeaving && !t.plan.Accepts(request) {
+		return false
+	}
+	t.inFlight++
+	return true
+}
+
+// EndRequest ends a request that BeginRequest or BeginBounded counted.
 func (t *Lifecycle) EndRequest() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -52,6 +68,15 @@
 	t.closeWhenIdle()
 }
 
+// Leave begins a shutdown with a plan.
+func (t *Lifecycle) Leave(plan drain.Plan) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.phase < PhaseLeaving {
+		t.phase, t.plan = PhaseLeaving, plan
+	}
+}
+
 // Advance moves to a later phase. It ignores an earlier one.
 func (t *Lifecycle) Advance(phase Phase) {
 	t.mu.Lock()
