relay: cancel scorer calls with their job

Callers whose batch job had ended saw its reward calls run seconds later: a call that waited at a scorer that doesn't answer was sent to another one when its attempt timed out, up to the timeout and the attempts of its route.

Cause: Scheduler.Close returns runs and scorer calls alike, but only runs had entered their cancel function in the table that closeJob uses. Ruled out: a retry of a canceled call (canRetry looks at its context).

Runs and scorer calls now begin through beginWork, which enters the cancel function and then checks that the work is still wanted. The check closes a second gap: work chosen before its job was closed and begun after was missed by the cancellation. Since an item's run and scorer call share an id, a run leaves the table before its result is handled, which may start the call. A coordinator that loses its lease cancels its scorer calls the same way; it never learned of the end of such a job.

--- a/internal/app/relay/fakes_test.go
+++ b/internal/app/relay/fakes_test.go
@@ -43,6 +43,8 @@
 	losesOrder      func(core.VM) bool                                                             // reports whether an order is lost before it is accepted
 	isDead          func(core.ServerID) bool                                                       // reports whether a server refuses connections; nil for no
 	activeRuns      int
+	activeExchanges int
+	exchanges       int // started
 }
 
 const (
@@ -99,7 +101,14 @@
 func (s *environment) Exchange(ctx context.Context, server core.VM, request core.RelayRequest) (core.RelayResponse, error) {
 	s.mu.Lock()
 	exchange, hanging, duration := s.exchange, s.hangingExchange, s.exchangeTime
+	s.exchanges++
+	s.activeExchanges++
 	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.activeExchanges--
+	}()
 	if duration > 0 {
 		select {
 		case <-time.After(duration):
--- a/internal/app/relay/run.go
+++ b/internal/app/relay/run.go
@@ -108,11 +108,10 @@
 	}
 	s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) { scheduler.RunPlaced(start.Work, dispatch.VM.ID) })
 	err = s.lanes.runs.Go(func(lane context.Context) {
-		ctx, cancel := context.WithTimeout(lane, runTimeout)
-		defer cancel()
-		s.runs.Begin(start.Work, cancel)
-		defer s.runs.End(start.Work)
-		s.executeRun(ctx, service, start, dispatch)
+		ctx, end := s.beginWork(lane, service, start.Work)
+		result := s.executeRun(ctx, service, start, dispatch)
+		end() // before the next work on the item begins
+		s.pool.MustEnqueue(core.ClassRollout, func() { s.finishRun(service, start, dispatch, result) })
 	})
 	if err != nil {
 		s.servers.Release(dispatch, routing.Result{Outcome: outlier.Abandoned}, now)
@@ -122,9 +121,26 @@
 	return nil
 }
 
+// beginWork makes work on an item cancelable until the returned function is called. The
+// context has ended already if the work is no longer wanted: its job may have been closed
+// since the work was chosen.
+func (s *Service) beginWork(lane context.Context, service string, work job.RunID) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(lane)
+	s.runs.Begin(work, cancel)
+	if !s.jobs.IsCurrent(service, work) {
+		cancel()
+	}
+	return ctx, func() {
+		s.runs.End(work)
+		cancel()
+	}
+}
+
 // executeRun sends an item to a backend server and receives its events. It blocks
 // and runs on a lane.
-func (s *Service) executeRun(ctx context.Context, service string, start job.RunStart, dispatch routing.Dispatch) {
+func (s *Service) executeRun(lane context.Context, service string, start job.RunStart, dispatch routing.Dispatch) runResult {
+	ctx, cancel := context.WithTimeout(lane, runTimeout)
+	defer cancel()
 	request := core.EventsRequest{After: start.EventsReceived, RelayRequest: core.RelayRequest{
 		ID: core.RequestID(start.Item.ID), Method: "POST", Host: start.Host, Target: start.Item.Path,
 		Header: start.Item.Header, Body: start.Item.Body,
@@ -146,8 +162,7 @@
 		response.Release() // only the status is used
 	}
 	s.noteServer(dispatch.VM.ID, dispatch.Started, response.ServerNotice)
-	result := runResult{status: response.Status, err: err, events: sink.events, duration: s.ports.Clock.Now().Sub(began)}
-	s.pool.MustEnqueue(core.ClassRollout, func() { s.finishRun(service, start, dispatch, result) })
+	return runResult{status: response.Status, err: err, events: sink.events, duration: s.ports.Clock.Now().Sub(began)}
 }
 
 // maxTextBytes bounds one run's part of an item's text. A text is returned within one
@@ -276,8 +291,7 @@
 // scoreText sends one output to its scorer as a separate request, which may be
 // retried. It blocks and runs on a lane.
 func (s *Service) scoreText(lane context.Context, service string, start job.ScoreStart) {
-	ctx, cancel := context.WithCancel(lane)
-	defer cancel()
+	ctx, end := s.beginWork(lane, service, start.Work)
 	request := core.RelayRequest{
 		ID: start.Call.ID, Method: "POST", Host: start.Call.Host, Target: start.Call.Path, Body: start.Call.Body,
 	}
@@ -287,6 +301,7 @@
 	if errkind.Is(err, errkind.Overloaded) {
 		s.scoresPausedUntil.Store(s.ports.Clock.Now().Add(scorePause).UnixNano())
 	}
+	end() // before the next call for the item begins
 	s.pool.MustEnqueue(core.ClassRollout, func() {
 		s.finishScore(service, start, response, err)
 		s.startDueWork(service)
--- /dev/null
+++ b/internal/app/relay/scoring_test.go
@@ -0,0 +1,104 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/core/job"
+)
+
+// scoringJob is a job whose texts wait for scorers that never answer.
+func scoringJob(t *testing.T, s *environment, service *Service, items int) {
+	t.Helper()
+	s.exchangeTime = time.Hour
+	for i := range s.published.Table.Routes {
+		s.published.Table.Routes[i].Timeout, s.published.Table.Routes[i].Attempts = 20*time.Second, 4
+	}
+	if err := s.waitReady(service).Submit(t.Context(), newJob("j", items)); err != nil {
+		t.Fatal(err)
+	}
+	s.eventually("scorer calls in flight", func() bool { return s.exchangeCounts().active > 0 })
+}
+
+type exchangeCounts struct{ started, active int }
+
+func (s *environment) exchangeCounts() exchangeCounts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return exchangeCounts{s.exchanges, s.activeExchanges}
+}
+
+// checkScoringEnds ends the job and fails the test if a scorer call is in flight or is
+// sent after the time in which an ended job must be quiet.
+func checkScoringEnds(t *testing.T, s *environment, service *Service) {
+	t.Helper()
+	const quietAfter = 3 * time.Second
+	if err := service.EndJob(t.Context(), "j"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(quietAfter)
+	before := s.exchangeCounts()
+	if before.active > 0 {
+		t.Errorf("%d scorer calls in flight %v after the end of their job", before.active, quietAfter)
+	}
+	time.Sleep(30 * time.Second)
+	if after := s.exchangeCounts(); after.started > before.started {
+		t.Errorf("%d scorer calls sent later than %v after the end of their job", after.started-before.started, quietAfter)
+	}
+}
+
+// TestEndingJobCancelsItsScorerCalls guards against scorer calls that are sent again
+// after their job has ended, because the first scorer did not answer.
+func TestEndingJobCancelsItsScorerCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEnvironment(t)
+		service := s.start("vm-1")
+		scoringJob(t, s, service, 4)
+		checkScoringEnds(t, s, service)
+	})
+}
+
+// TestLostLeaseCancelsScorerCalls guards against scorer calls of a former coordinator,
+// which does not learn of the end of a job that another process coordinates.
+func TestLostLeaseCancelsScorerCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEnvironment(t)
+		former := s.start("vm-1")
+		scoringJob(t, s, former, 4)
+		successor := s.waitReady(s.start("vm-2"))
+		former.Reconfigure(time.Second, 5*time.Minute) // the shutdown itself ends nothing during the test
+		go former.Shutdown(t.Context())
+		s.eventually("lease acquired by the successor", func() bool {
+			_, held := successor.leases.Holding(coordinatorLease(engineService), time.Now())
+			return held
+		})
+		checkScoringEnds(t, s, successor)
+	})
+}
+
+// TestWorkOfClosedJobDoesNotBegin guards against a run or scorer call that was chosen
+// before its job was closed and begins after the job's work was canceled.
+func TestWorkOfClosedJobDoesNotBegin(t *testing.T) {
+	s := newEnvironment(t)
+	service := s.create("vm-1")
+	now := time.Now()
+	var start job.RunStart
+	service.jobs.WithScheduler(engineService, func(scheduler *job.Scheduler) {
+		scheduler.Open(newJob("j", 1), nil, job.Policy{Attempts: 1}, now)
+		start = scheduler.NextRuns(1, now)[0]
+	})
+	ctx, end := service.beginWork(context.Background(), engineService, start.Work)
+	if ctx.Err() != nil {
+		t.Error("run of an open job is canceled at its begin")
+	}
+	end()
+	service.closeJob(engineService, core.JobID("j"))
+	ctx, end = service.beginWork(context.Background(), engineService, start.Work)
+	defer end()
+	if ctx.Err() == nil {
+		t.Error("run of a closed job begins")
+	}
+}
--- a/internal/core/job/scheduler.go
+++ b/internal/core/job/scheduler.go
@@ -88,7 +88,7 @@
 }
 
 // Close removes a job that its trainer has ended. It returns the job's active
-// runs, which the caller must cancel.
+// runs and scorer calls, which the caller must cancel.
 func (s *Scheduler) Close(id core.JobID) (cancel []RunID) {
 	row := s.jobs[id]
 	if row == nil {
@@ -104,8 +104,8 @@
 	return cancel
 }
 
-// Clear removes every job. It returns the active runs, which the caller must
-// cancel.
+// Clear removes every job. It returns the active runs and scorer calls, which the
+// caller must cancel.
 func (s *Scheduler) Clear() (cancel []RunID) {
 	for _, id := range s.IDs() {
 		cancel = append(cancel, s.Close(id)...)
@@ -230,6 +230,13 @@
 	return row, &row.items[run.Index]
 }
 
+// IsCurrent reports whether a run, or the scorer call for its text, is still wanted: its
+// job is open and the item was not started again.
+func (s *Scheduler) IsCurrent(run RunID) bool {
+	_, state := s.findRun(run)
+	return state != nil && (state.phase == running || state.phase == scoring)
+}
+
 // AddEvent appends a run's next event. It returns false if the run must be
 // cancelled: because it is no longer current, the event does not follow the
 // last one, or its weights are not allowed.
--- a/internal/tables/jobs.go
+++ b/internal/tables/jobs.go
@@ -41,6 +41,12 @@
 	return wanted
 }
 
+// IsCurrent reports whether the work on an item is still wanted.
+func (t *Jobs) IsCurrent(service string, work job.RunID) (current bool) {
+	t.WithScheduler(service, func(scheduler *job.Scheduler) { current = scheduler.IsCurrent(work) })
+	return current
+}
+
 // NextRuns returns at most limit runs to start.
 func (t *Jobs) NextRuns(service string, limit int, now time.Time) (starts []job.RunStart) {
 	t.WithScheduler(service, func(scheduler *job.Scheduler) { starts = scheduler.NextRuns(limit, now) })
