worker: endless response bodies leave memory for other responses

Callers lost answers of sound servers with 502 while a faulty server sent a body without end: the request had run, but there was no memory for its response body.

Cause: the memory budget of response bodies was first come, first served. A body that grows takes what is free, and one that stalls keeps it until its request's deadline. Ruled out as a cause: the memory of the process itself, which stays within its VM's in ten forms of endless answer, in heads and in bodies (peaks of 40 to 109 MB of 160 before the change).

A body that grows may now hold at most twice what it leaves free, so that n of them leave 1/(1+2n) of the budget, which is where responses of ordinary size find room.

--- a/internal/adapters/memorybudget/memorybudget.go
+++ b/internal/adapters/memorybudget/memorybudget.go
@@ -27,6 +27,23 @@
 	return true
 }
 
+// maxHeldPerFree is the most that one body may hold, as a multiple of what it leaves free.
+// Bodies that grow without end so share the budget evenly, and the more of them there
+// are, the less each may hold: n of them leave 1/(1 + n*maxHeldPerFree) of it free.
+const maxHeldPerFree = 2
+
+// Grow takes more bytes for a body that holds some already. It returns false if the body
+// would hold too large a share, which others need.
+func (b *Budget) Grow(held, bytes int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if held+bytes > maxHeldPerFree*(b.free-bytes) {
+		return false
+	}
+	b.free -= bytes
+	return true
+}
+
 // Release returns reserved bytes to the budget.
 func (b *Budget) Release(bytes int64) {
 	b.mu.Lock()
