relay: answer requests in flight before the end of a planned stop

Callers with a request in flight at the end of the grace period got an answer only if it was written before the process exited: the HTTP servers were closed with those requests open, and what ended them, the stop of the lanes, came last, directly before the exit.

The requests and the calls about jobs that outlast the drain are now canceled before the HTTP servers close, which wait for the answers. The log says how many there were. The answer is a 502 for whatever may have run.

--- a/internal/app/relay/shutdown.go
+++ b/internal/app/relay/shutdown.go
@@ -14,7 +14,7 @@
 // Shutdown ends the process gracefully until the context is done: it withdraws
 // the address, releases the leases, still serves requests that end in time, since
 // callers may use cached addresses, then refuses new ones and waits for those in
-// flight.
+// flight. Those that outlast the context are canceled.
 func (s *Service) Shutdown(ctx context.Context) {
 	plan := s.planShutdown(ctx)
 	s.lifecycle.Leave(plan)
@@ -27,9 +27,19 @@
 	select {
 	case <-s.lifecycle.Idle():
 	case <-ctx.Done():
+		s.cancelRequests()
 	}
 }
 
+// cancelRequests ends the requests in flight while their callers can still be answered.
+func (s *Service) cancelRequests() {
+	_, inFlight := s.lifecycle.Phase()
+	s.log.Warn().Int("requests", inFlight).Msg("requests outlast the shutdown")
+	s.lanes.calls.Cancel()
+	s.lanes.store.Cancel()
+	s.lanes.crashes.Cancel()
+}
+
 // planShutdown returns the plan of a shutdown that begins now and ends with the context.
 func (s *Service) planShutdown(ctx context.Context) drain.Plan {
 	now, grace := s.ports.Clock.Now(), time.Duration(s.graceNanos.Load())
--- a/internal/app/relay/shutdown_test.go
+++ b/internal/app/relay/shutdown_test.go
@@ -11,6 +11,7 @@
 
 	"fescuespar/internal/core"
 	"fescuespar/internal/errkind"
+	"fescuespar/internal/ports/porttest/faults"
 )
 
 // shutdownTraffic sends requests to a process throughout its shutdown, as callers do
@@ -155,3 +156,52 @@
 		})
 	}
 }
+
+// TestShutdownAnswersRequestsThatOutlastIt guards against requests whose connection
+// closes without an answer because they outlast the grace period.
+func TestShutdownAnswersRequestsThatOutlastIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			grace, drain = 10 * time.Second, 8 * time.Second
+			submitted    = 6500 * time.Millisecond // accepted, with a timeout after the end of the drain
+			answered     = 200 * time.Millisecond  // after the end of the drain
+		)
+		s := newEnvironment(t)
+		s.exchangeTime, s.eventInterval = time.Hour, time.Hour
+		for i := range s.published.Table.Routes {
+			s.published.Table.Routes[i].Timeout = time.Hour
+		}
+		service := s.waitReady(s.start("vm-1"))
+		service.Reconfigure(time.Second, grace)
+		traffic := &shutdownTraffic{service: service, began: time.Now()}
+		targets := []string{"/once/x", "/lookup/x", "/stream/x"}
+		for _, target := range targets {
+			traffic.ended.Go(func() { traffic.send(t, target, time.Hour) })
+		}
+		s.tables.Inject(faults.Rule{Operation: faults.Commit, Event: faults.Delay, Table: core.TableJob})
+		targets = append(targets, "/jobs/x")
+		traffic.ended.Go(func() {
+			time.Sleep(submitted)
+			err := service.Submit(t.Context(), newJob("j", 1))
+			traffic.mu.Lock()
+			defer traffic.mu.Unlock()
+			traffic.results = append(traffic.results, shutdownResult{"/jobs/x", submitted, err})
+		})
+		time.Sleep(time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), drain)
+		defer cancel()
+		service.Shutdown(ctx)
+		time.Sleep(answered)
+		traffic.mu.Lock()
+		defer traffic.mu.Unlock()
+		if len(traffic.results) != len(targets) {
+			t.Errorf("%d of %d requests have an answer %v after the end of the drain", len(traffic.results), len(targets), answered)
+		}
+		for _, result := range traffic.results {
+			if result.err == nil || errkind.AnswerTo(result.err).Execution == errkind.NotRun {
+				t.Errorf("request to %s: %v, want an error that does not say that it has not run", result.target, result.err)
+			}
+		}
+		s.tables.ReleaseHeld()
+	})
+}
--- a/internal/workers/lane.go
+++ b/internal/workers/lane.go
@@ -60,13 +60,18 @@
 	}
 }
 
-// Stop refuses further calls, cancels the contexts of those in flight and
-// waiting, and waits until all have returned.
-func (l *Lane) Stop() {
+// Cancel refuses further calls and cancels the contexts of those in flight and
+// waiting.
+func (l *Lane) Cancel() {
 	l.mu.Lock()
 	l.closed = true
 	l.mu.Unlock()
 	l.cancel()
+}
+
+// Stop does what Cancel does and waits until all calls have returned.
+func (l *Lane) Stop() {
+	l.Cancel()
 	l.goroutines.Wait()
 }
 
