--- a/tests/process/examples_test.go
+++ b/tests/process/examples_test.go
@@ -91,6 +91,11 @@
 			t.Fatal(err)
 		}
 		entries = append(entries, entry)
+		t.Cleanup(func() {
+			if t.Failed() {
+				t.Logf("log of %s:\n%s", entry.Name, strings.Join(entry.Lines(), "\n"))
+			}
+		})
 	}
 	return ctx, entries
 }
