relay: send scorer calls throughout a planned stop

Texts whose coordinator shut down waited without a score until another process had its lease, where the scorers' route has no deadline before the end of the grace period: applied the decision on callers' requests to scorer calls, too, and these were refused and tried again every 150 ms.

A scorer call may be cut without loss, since the next coordinator sends it again, so it is accepted until the process drains, as before. TestLeavingProcessSendsScorerCalls fails without the change.

--- a/internal/app/relay/events.go
+++ b/internal/app/relay/events.go
@@ -69,7 +69,7 @@
 	}
 	arrived := s.ports.Clock.Now()
 	request.Deadline = requestDeadline(request.Deadline, matched.Timeout, arrived)
-	if err := s.beginForwarded(&matched, arrived, request.Deadline); err != nil {
+	if err := s.beginForwarded(core.ClassInteractive, &matched, arrived, request.Deadline); err != nil {
 		return core.RelayResponse{}, err
 	}
 	defer s.lifecycle.EndRequest()
--- a/internal/app/relay/forward.go
+++ b/internal/app/relay/forward.go
@@ -105,7 +105,7 @@
 	}
 	now := s.ports.Clock.Now()
 	deadline := requestDeadline(request.Deadline, matched.Timeout, now)
-	if err := s.beginForwarded(&matched, now, deadline); err != nil {
+	if err := s.beginForwarded(class, &matched, now, deadline); err != nil {
 		finish(core.RelayResponse{}, err)
 		return
 	}
--- a/internal/app/relay/scoring_test.go
+++ b/internal/app/relay/scoring_test.go
@@ -79,6 +79,32 @@
 	})
 }
 
+// TestLeavingProcessSendsScorerCalls guards against texts that wait without a score while
+// their coordinator shuts down and no other process has taken its lease over.
+func TestLeavingProcessSendsScorerCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEnvironment(t)
+		for i := range s.published.Table.Routes {
+			s.published.Table.Routes[i].Timeout = time.Hour // longer than the grace period
+		}
+		service := s.waitReady(s.start("vm-1"))
+		service.Reconfigure(time.Second, 8*time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), 7500*time.Millisecond)
+		defer cancel()
+		ended := make(chan struct{})
+		go func() {
+			service.Shutdown(ctx)
+			close(ended)
+		}()
+		time.Sleep(3 * time.Second)
+		request := core.RelayRequest{ID: "score-1", Method: "POST", Host: host, Target: "/lookup/score"}
+		if _, err := service.forwardGuarded(t.Context(), request, core.ClassRollout, newCrashGuard(&request)); err != nil {
+			t.Errorf("scorer call during the shutdown: %v", err)
+		}
+		<-ended
+	})
+}
+
 // TestWorkOfClosedJobDoesNotBegin guards against a run or scorer call that was chosen
 // before its job was closed and begins after the job's work was canceled.
 func TestWorkOfClosedJobDoesNotBegin(t *testing.T) {
--- a/internal/app/relay/shutdown.go
+++ b/internal/app/relay/shutdown.go
@@ -51,8 +51,12 @@
 }
 
 // beginForwarded counts a forwarded request in flight. Errors: ShuttingDown, also if the
-// process may end before the request.
-func (s *Service) beginForwarded(matched *core.Route, arrived, deadline time.Time) error {
+// process may end before a caller's request. A scorer call may be cut: the next
+// coordinator of its job sends it again.
+func (s *Service) beginForwarded(class core.Class, matched *core.Route, arrived, deadline time.Time) error {
+	if class == core.ClassRollout {
+		return s.beginJobCall()
+	}
 	request := drain.Request{Arrived: arrived, Deadline: deadline, Longest: s.routeDurations.Longest(matched.Name, arrived)}
 	if !s.lifecycle.BeginBounded(request) {
 		return errkind.New(errkind.ShuttingDown, "this entry process is shutting down and may end before the request")
