--- a/internal/app/relay/limits_test.go
+++ b/internal/app/relay/limits_test.go
@@ -80,6 +80,7 @@
 			var senders sync.WaitGroup
 			var mu sync.Mutex
 			served, refused := 0, 0
+			var refusals []string // with the time since the sender began
 			for i, perSecond := range []float64{40, 2, 2} {
 				service := s.waitReady(s.start(core.VMID(fmt.Sprint("vm-", i))))
 				senders.Go(func() {
@@ -92,6 +93,7 @@
 							served++
 						case errkind.AnswerTo(err).Execution == errkind.NotRun:
 							refused++
+							refusals = append(refusals, fmt.Sprintf("vm-%d after %v: %v", i, time.Since(began), err))
 						default:
 							t.Errorf("request failed: %v", err)
 						}
@@ -108,7 +110,7 @@
 				}
 			}
 			if len(c.limits) < 3 && refused > 0 {
-				t.Errorf("%d requests refused although a server has no limit", refused)
+				t.Errorf("%d requests refused although a server has no limit: %q", refused, refusals)
 			}
 		})
 	}
