--- /dev/null
+++ b/internal/core/account.go
@@ -0,0 +1,18 @@
+package core
+
+// AccountName is the name of a client account.
+type AccountName string
+
+// KeyDigest is the SHA-256 digest of a client account's API key. The service keeps no
+// key itself.
+type KeyDigest [32]byte
+
+// Account is a client account. It is immutable.
+type Account struct {
+	Name     AccountName
+	Priority *int // takes precedence over the priority of a route; nil if the account has none
+}
+
+// Accounts are the client accounts of a route table by the digests of their keys. A
+// key that an account no longer has is absent. They are immutable.
+type Accounts map[KeyDigest]*Account
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -26,6 +26,8 @@
 	Target   time.Duration // target latency: time within which an answer has its full value
 	Priority int           // 0 is most urgent
 
+	AccountExempt bool // requests need no key of a client account
+
 	Resumable     bool          // streams may be continued on another backend server
 	SingleVersion bool          // all events of a text must come from one weight version
 	ResultsDue    time.Duration // deadline of a job's results, counted from its first submission
@@ -42,6 +44,17 @@
 type ServiceInfo struct {
 	Name  string
 	Slots int // requests that one engine runs at a time; zero for plain services
+
+	Scaling *Scaling // nil if the number of servers is fixed
+}
+
+// Scaling are the bounds and prices within which the number of a service's backend
+// servers may change.
+type Scaling struct {
+	Min, Max   int                  // servers of all kinds in one availability zone
+	BootTime   time.Duration        // from an order until a new server serves
+	SpotPrice  float64              // price of a spot server as a share of its zone's price
+	ZonePrices map[ZoneName]float64 // price of one server for one second; zones without a price have no servers
 }
 
 // CallerLimits bounds the requests that callers may send.
@@ -59,6 +72,7 @@
 	Routes   []Route
 	Services map[string]ServiceInfo
 	Limits   CallerLimits
+	Accounts Accounts // nil if the deployment has no client accounts
 }
 
 // Header maps canonical header names to their values.
@@ -80,9 +94,10 @@
 	Target     string // path and query as received
 	Header     Header // without hop-by-hop headers
 	Body       []byte
-	Model      ModelName // model of a generation request; empty for other requests
-	AtMostOnce bool      // must not run more than once
-	Deadline   time.Time // time at which the caller stops waiting; zero if unknown
+	Model      ModelName   // model of a generation request; empty for other requests
+	AtMostOnce bool        // must not run more than once
+	Deadline   time.Time   // time at which the caller stops waiting; zero if unknown
+	Account    AccountName // account that the request is served for; empty if there is none
 }
 
 // Path returns the target without its query.
