job: fail an item once its scorers have used up the route's attempts

Cause: a few scorer calls always fail. A forwarded call has up to MaxAttempts attempts, and the scheduler counted the calls that ended with an error, not the error responses, so that an item failed after MaxAttempts times MaxAttempts responses, 4 to 12 s after its text was complete. With three such items in three groups the trainer, which may leave out a tenth of the groups, waited for them. Ruled out by the same log: slots (items wait 1.3 s at most), loads of weights, results stored late (0.3 s after the score).

Change: a relayed response says how many responses of status 500 its attempts got, and the scheduler adds these up.

Both new tests fail with one error counted for a call: 4 scorer calls instead of 2.

--- a/internal/app/relay/forward.go
+++ b/internal/app/relay/forward.go
@@ -40,6 +40,7 @@
 	ctx             context.Context
 	routesVersion   uint64 // of the route table that matched it
 	attempts        int
+	errors          int                // responses with status 500 to its attempts
 	possiblyRun     bool               // an attempt may have run
 	excluded        []core.ServerID    // already tried
 	failureResponse core.RelayResponse // a backend server's 5xx response, returned if no later attempt gets a response
@@ -67,6 +68,10 @@
 	return core.CallerLimits{}
 }
 
+// serverErrorStatus is the status with which a backend server reports that it ran a
+// request and failed.
+const serverErrorStatus = 500
+
 // callResult is a backend server's response or the error instead of it.
 type callResult struct {
 	response core.RelayResponse
@@ -114,6 +119,7 @@
 		s.endTrial(&c.guard)
 		s.lifecycle.EndRequest()
 		s.logRequest(c, &response, err)
+		response.Errors = c.errors
 		finish(response, err)
 	}
 	s.startAttempt(c)
@@ -240,6 +246,9 @@
 	s.noteServer(dispatch.VM.ID, dispatch.Started, response.ServerNotice)
 	s.servers.Release(dispatch, attemptResult(err, response.Status), s.ports.Clock.Now())
 	c.excluded = append(c.excluded, dispatch.VM.ID)
+	if err == nil && response.Status == serverErrorStatus {
+		c.errors++
+	}
 	canRetry := c.attempts < max(1, c.route.Attempts) && c.ctx.Err() == nil
 	s.recordAttempt(&c.guard, dispatch.VM, response.Status, err, canRetry && c.route.Kind == core.RouteIdempotent, func() {
 		s.continueCall(c, dispatch, response, err, canRetry)
--- a/internal/app/relay/run.go
+++ b/internal/app/relay/run.go
@@ -321,10 +321,9 @@
 	if signature == "" {
 		s.metrics.ScoresMissed.Inc(1)
 		s.log.Info().Err(err).Str("job", string(start.Work.Job)).Str("request", string(start.Call.ID)).
-			Int("status", response.Status).Msg("text not scored")
+			Int("status", response.Status).Int("errors", response.Errors).Msg("text not scored")
 	}
-	failed := err == nil && response.Status == 500
 	s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) {
-		scheduler.ScoringEnded(start.Work, signature, failed, attempts, s.ports.Clock.Now())
+		scheduler.ScoringEnded(start.Work, signature, response.Errors, attempts, s.ports.Clock.Now())
 	})
 }
--- a/internal/app/relay/scoring_test.go
+++ b/internal/app/relay/scoring_test.go
@@ -62,6 +62,37 @@
 	})
 }
 
+// TestFailingScorerGetsEachAttemptOnce guards against groups that complete seconds late
+// because an item whose scorers always answer with an error is scored again after the
+// attempts of its route are used up.
+func TestFailingScorerGetsEachAttemptOnce(t *testing.T) {
+	const attempts = 2
+	synctest.Test(t, func(t *testing.T) {
+		s := newEnvironment(t)
+		s.exchange = func(core.VM, core.RelayRequest) (core.RelayResponse, error) {
+			return core.RelayResponse{Status: serverErrorStatus}, nil
+		}
+		for i := range s.published.Table.Routes {
+			s.published.Table.Routes[i].Attempts = attempts
+		}
+		service := s.waitReady(s.start("vm-1"))
+		if err := service.Submit(t.Context(), newJob("j", 1)); err != nil {
+			t.Fatal(err)
+		}
+		var page core.ResultPage
+		s.eventually("result listed", func() bool {
+			page, _ = service.Results(t.Context(), "j", 0, 0)
+			return len(page.Results) == 1
+		})
+		if page.Results[0].State != core.ItemFailed {
+			t.Errorf("state %v of an item whose scorers always fail, want failed", page.Results[0].State)
+		}
+		if started := s.exchangeCounts().started; started != attempts {
+			t.Errorf("%d scorer calls, want %d, as many as the route allows", started, attempts)
+		}
+	})
+}
+
 // TestLostLeaseCancelsScorerCalls guards against scorer calls of a former coordinator,
 // which does not learn of the end of a job that another process coordinates.
 func TestLostLeaseCancelsScorerCalls(t *testing.T) {
--- a/internal/core/job/item.go
+++ b/internal/core/job/item.go
@@ -28,7 +28,7 @@
 	versions       []core.WeightVersion
 	newest         core.WeightVersion // version of the last event
 	serverFailures int
-	scorerErrors   int       // errors answered by the scorer
+	scorerErrors   int       // error responses of scorers
 	notBefore      time.Time // earliest time of the next run or scorer call
 	avoidServer    core.ServerID
 	server         core.ServerID // on which the current run was placed
--- a/internal/core/job/scheduler.go
+++ b/internal/core/job/scheduler.go
@@ -315,9 +315,14 @@
 }
 
 // ScoringEnded handles the end of a scorer call. The signature is empty if the call
-// gave no score; failed reports that the scorer answered with an error. The
-// item fails after the given number of such errors; zero means no limit.
-func (s *Scheduler) ScoringEnded(run RunID, signature string, failed bool, attempts int, now time.Time) {
+// gave no score; errors is the number of error responses that scorers sent to the
+// call's attempts. The item fails after the given number of such responses; zero
+// means no limit.
+//
+// The load is a step with a few items whose scorers always fail: the groups of these
+// items complete only when the items have failed, and the trainer waits for them if
+// there are more such groups than it can leave out.
+func (s *Scheduler) ScoringEnded(run RunID, signature string, errors, attempts int, now time.Time) {
 	row, state := s.findRun(run)
 	if state == nil || state.phase != scoring {
 		return
@@ -328,9 +333,7 @@
 		return
 	}
 	state.phase, state.notBefore = awaitingScore, now.Add(scoreRetryDelay)
-	if failed {
-		state.scorerErrors++
-	}
+	state.scorerErrors += errors
 	if attempts > 0 && state.scorerErrors >= attempts {
 		state.finish(id, core.ItemFailed, "")
 	}
--- a/internal/core/job/scheduler_test.go
+++ b/internal/core/job/scheduler_test.go
@@ -44,7 +44,7 @@
 	if len(scores) != 1 {
 		t.Fatalf("%d scorer calls, want 1", len(scores))
 	}
-	scheduler.ScoringEnded(scores[0].Work, "signed", false, 3, at(1))
+	scheduler.ScoringEnded(scores[0].Work, "signed", 0, 3, at(1))
 }
 
 // TestLongItemsStartFirst starts a job of which a few items are several times
@@ -82,7 +82,7 @@
 		t.Fatal("the next event was rejected")
 	}
 	scheduler.RunEnded(second.Work, "engine-2", Completed, at(2))
-	scheduler.ScoringEnded(scheduler.NextScores(1, at(2))[0].Work, "signed", false, 3, at(2))
+	scheduler.ScoringEnded(scheduler.NextScores(1, at(2))[0].Work, "signed", 0, 3, at(2))
 	result := scheduler.UnstoredResults(10)[0].Result
 	if result.Text != "data-1\ndata-2\ndata-3" || !slices.Equal(result.Versions, []core.WeightVersion{1, 2}) || result.Score != "signed" {
 		t.Errorf("result %+v, want three events of versions 1 and 2 and the score", result)
@@ -279,17 +279,31 @@
 		if len(scores) != 1 {
 			t.Fatalf("no scorer call after %d without an answer", i)
 		}
-		scheduler.ScoringEnded(scores[0].Work, "", false, 2, now)
+		scheduler.ScoringEnded(scores[0].Work, "", 0, 2, now)
 	}
 	for i := range 2 {
 		now := at(float64(20 + i))
-		scheduler.ScoringEnded(scheduler.NextScores(1, now)[0].Work, "", true, 2, now)
+		scheduler.ScoringEnded(scheduler.NextScores(1, now)[0].Work, "", 1, 2, now)
 	}
 	if results := scheduler.UnstoredResults(1); len(results) != 1 || results[0].Result.State != core.ItemFailed {
 		t.Errorf("results after as many scorer errors as allowed: %+v, want one failed item", results)
 	}
 }
 
+// TestScorerErrorsOfOneCallCountEach guards against an item whose scorers always fail and
+// that is scored as many times over as its scorer call has attempts.
+func TestScorerErrorsOfOneCallCountEach(t *testing.T) {
+	scheduler := NewScheduler()
+	scheduler.Open(newTestJob("j", 1, 10), nil, policy, at(0))
+	work := scheduler.NextRuns(1, at(0))[0].Work
+	scheduler.AddEvent(work, event(1, 1))
+	scheduler.RunEnded(work, "e", Completed, at(0))
+	scheduler.ScoringEnded(scheduler.NextScores(1, at(1))[0].Work, "", 4, 4, at(1))
+	if results := scheduler.UnstoredResults(1); len(results) != 1 || results[0].Result.State != core.ItemFailed {
+		t.Errorf("results after one call with as many errors as attempts: %+v, want one failed item", results)
+	}
+}
+
 // completeAndStoreRun ends a started run and stores its result.
 func completeAndStoreRun(t *testing.T, scheduler *Scheduler, run RunID, events int) {
 	t.Helper()
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -117,6 +117,7 @@
 	Body      []byte
 	Signature string // proof that a backend server produced this response; empty if there is none
 	ServerNotice
+	Errors  int    // responses with status 500 to all attempts of the request
 	Release func() // returns the memory of Body to its budget; nil if it has none
 }
 
