lease: a leaving holder gives its lease up at once, with a last checkpoint

Cause: a holder that stops as planned kept the lease until its last order had ended (3.2 s) and did not renew it, so that it lapsed after 1.65 s, and its successor, which could not know of the orders, waited 3.2 s from then.

Change: the holder stores the texts of its runs, down to one event, and gives the lease up. The row says that it has yielded and in how long the last order has ended; the successor sends none before. A process of an earlier build waits for the term as before.

--- a/internal/app/batch.go
+++ b/internal/app/batch.go
@@ -98,7 +98,7 @@
 		}
 		owner, ok = rows[0].Record.(core.LeaseRecord)
 	}
-	if !ok || owner.Released || owner.Holder == s.options.Self.VM {
+	if !ok || owner.IsFree() || owner.Holder == s.options.Self.VM {
 		return "", errkind.New(errkind.BatchNotReady, "deployment %q has no coordinator yet", name)
 	}
 	return owner.Address, nil
--- a/internal/app/relay/checkpoint.go
+++ b/internal/app/relay/checkpoint.go
@@ -13,14 +13,15 @@
 // coordinator would generate the outputs again from the start: the longest take
 // some seconds, and a training step waits for them.
 const (
-	checkpointInterval         = time.Second
-	shutdownCheckpointInterval = 250 * time.Millisecond // while this process shuts down and hands its jobs over
-	minCheckpointEvents        = 16                     // events of the shortest output saved: about half a second of generation
-	maxCheckpointBytes         = 1 << 20                // size of one checkpoint
-	checkpointWriteTimeout     = 2 * time.Second        // the object store usually takes 25 ms, far longer under load
-	checkpointReadTimeout      = 1 * time.Second        // jobs are not opened before the read ends
-	checkpointListLimit        = 100                    // keys read from one listing
-	checkpointNumberLimit      = 1_000_000_000          // a coordinator never writes this many checkpoints
+	checkpointInterval     = time.Second
+	minCheckpointEvents    = 16                     // events of the shortest output saved: about half a second of generation
+	minHandoverEvents      = 1                      // of the last checkpoint of a process that shuts down
+	handoverTimeout        = 500 * time.Millisecond // for the last checkpoint; a takeover after the lease's term takes three times as long
+	maxCheckpointBytes     = 1 << 20                // size of one checkpoint
+	checkpointWriteTimeout = 2 * time.Second        // the object store usually takes 25 ms, far longer under load
+	checkpointReadTimeout  = 1 * time.Second        // jobs are not opened before the read ends
+	checkpointListLimit    = 100                    // keys read from one listing
+	checkpointNumberLimit  = 1_000_000_000          // a coordinator never writes this many checkpoints
 )
 
 func checkpointPrefix(service string) core.ObjectKey { return core.ObjectKey("texts-" + service + "-") }
@@ -35,26 +36,49 @@
 // and then deletes the previous one.
 func (s *Service) saveCheckpoint(service string) {
 	holding, held := s.leases.Holding(coordinatorLease(service), s.ports.Clock.Now())
-	interval := checkpointInterval
-	if !s.acceptsNewWork() {
-		interval = shutdownCheckpointInterval
+	number, previous, due := s.jobStorage.BeginCheckpoint(service, s.ports.Clock.Now(), checkpointInterval)
+	if held && due {
+		s.writeCheckpoint(service, checkpointKey(service, holding.Fence, number), previous, minCheckpointEvents, checkpointWriteTimeout, func() {})
 	}
-	number, previous, due := s.jobStorage.BeginCheckpoint(service, s.ports.Clock.Now(), interval)
-	if !held || !due {
-		return
+}
+
+// prepareHandover stores the last checkpoint of a service that this process coordinates
+// while it shuts down. It returns false until that has ended, and the lease must be kept
+// until then: the next coordinator restores the newest checkpoint only once.
+func (s *Service) prepareHandover(service string) bool {
+	holding, held := s.leases.Holding(coordinatorLease(service), s.ports.Clock.Now())
+	if !held {
+		return true
 	}
+	begins, ended := s.jobStorage.BeginHandover(service)
+	if begins {
+		number, previous, _ := s.jobStorage.BeginCheckpoint(service, s.ports.Clock.Now(), 0)
+		s.writeCheckpoint(service, checkpointKey(service, holding.Fence, number), previous, minHandoverEvents, handoverTimeout, func() {
+			s.jobStorage.EndHandover(service)
+			s.pool.MustEnqueue(core.ClassControl, s.updateLeases)
+		})
+	}
+	return ended
+}
+
+// writeCheckpoint stores the outputs of a service that have at least the given number
+// of events and then deletes the previous checkpoint. It calls done once the write has
+// ended.
+func (s *Service) writeCheckpoint(service string, key, previous core.ObjectKey, events int, timeout time.Duration, done func()) {
 	var checkpoint core.Checkpoint
 	s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) {
-		checkpoint = scheduler.Checkpoint(minCheckpointEvents, maxCheckpointBytes)
+		checkpoint = scheduler.Checkpoint(events, maxCheckpointBytes)
 	})
 	if len(checkpoint.Texts) == 0 {
+		done()
 		return
 	}
-	key := checkpointKey(service, holding.Fence, number)
 	err := s.lanes.store.Go(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, checkpointWriteTimeout)
+		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
-		if err := s.putCheckpoint(ctx, key, checkpoint); err != nil {
+		err := s.putCheckpoint(ctx, key, checkpoint)
+		done()
+		if err != nil {
 			s.log.Debug().Err(err).Str("service", service).Msg("checkpoint not written")
 			return
 		}
@@ -68,6 +92,7 @@
 	})
 	if err != nil {
 		s.log.Debug().Err(err).Str("service", service).Msg("checkpoint write not queued")
+		done()
 	}
 }
 
--- a/internal/app/relay/coordinate.go
+++ b/internal/app/relay/coordinate.go
@@ -76,7 +76,7 @@
 		}
 	}
 	for _, name := range s.leases.Names() {
-		if !wanted[name] && !s.leases.Forget(name) {
+		if !wanted[name] && !s.leases.Forget(name) && s.canRelease(name) {
 			s.leases.Release(name)
 		}
 		s.leaseManager.Advance(name)
@@ -84,6 +84,12 @@
 	s.coordinateServices()
 }
 
+// canRelease reports whether a lease may be released now. A process that shuts down first
+// stores the texts of the services that it coordinates.
+func (s *Service) canRelease(name string) bool {
+	return s.acceptsNewWork() || s.prepareHandover(strings.TrimPrefix(name, coordinatorLease("")))
+}
+
 // maxReclaimMembers is the largest number of entry processes with which each of
 // them reads every lease after its start.
 const maxReclaimMembers = 100
--- a/internal/core/lease/decide.go
+++ b/internal/core/lease/decide.go
@@ -31,7 +31,7 @@
 	if now.Before(t.renewAt) {
 		return Action{Kind: ActionWait, Until: t.renewAt}
 	}
-	return Action{Kind: ActionRenew, Commit: t.leaseCommit(id, false, now)}
+	return Action{Kind: ActionRenew, Commit: t.leaseCommit(id, t.leaseRecord(t.ordersFrom, now))}
 }
 
 func (t *Tracker) decideChallenger(now time.Time, id core.AttemptID) Action {
@@ -55,19 +55,25 @@
 // mayAcquire reports whether this process may acquire the lease when it is free.
 func (t *Tracker) mayAcquire() bool {
 	record, found := t.lease.Record.(core.LeaseRecord)
-	return !t.reclaimOnly || found && !record.Released && record.Holder == t.self.VM
+	return !t.reclaimOnly || t.reclaims(record, found)
 }
 
-// decideLeaving releases the lease once no order of this holder or an earlier one
-// can still take effect.
+// decideLeaving gives the lease up. If orders of this holder or an earlier one can still
+// take effect, the row tells the next holder how long it must not send any.
+//
+// The load is a rolling restart: a holder that kept the lease until its orders had ended,
+// without coordinating, cost the service the longest order and a takeover.
 func (t *Tracker) decideLeaving(now time.Time, id core.AttemptID) Action {
 	if !t.isHolder {
 		return Action{Kind: ActionWait}
 	}
-	if clear := t.ordersClearAt(); now.Before(clear) {
-		return Action{Kind: ActionWait, Until: clear}
+	record := t.leaseRecord(t.ordersFrom, now)
+	if clearIn := t.ordersClearAt().Sub(now); clearIn > 0 {
+		record.Yielded, record.OrdersClearIn = true, clearIn
+	} else {
+		record.Released = true
 	}
-	return Action{Kind: ActionRelease, Commit: t.leaseCommit(id, true, now)}
+	return Action{Kind: ActionRelease, Commit: t.leaseCommit(id, record)}
 }
 
 // takeoverAt returns the time from which the lease may be acquired. It is zero if
@@ -75,7 +81,7 @@
 // Otherwise it is the end of the holder's term plus the margin.
 func (t *Tracker) takeoverAt() time.Time {
 	record, found := t.lease.Record.(core.LeaseRecord)
-	if !found || record.Released || record.Holder == t.self.VM {
+	if !found || record.IsFree() || record.Holder == t.self.VM {
 		return time.Time{}
 	}
 	return t.firstSeen.Add(record.Term + t.timing.Margin)
@@ -87,7 +93,10 @@
 // VM, its row only tells whether it had finished the same wait, not when it began.
 func (t *Tracker) ordersAllowedFrom(now time.Time) time.Time {
 	record, found := t.lease.Record.(core.LeaseRecord)
-	if found && !record.Released && record.Holder == t.self.VM {
+	if found && record.Yielded {
+		return now.Add(record.OrdersClearIn)
+	}
+	if t.reclaims(record, found) {
 		if t.timing.OrdersByVM && record.OrdersClear {
 			return time.Time{}
 		}
@@ -100,6 +109,11 @@
 	return takeover.Add(t.timing.LongestOrder)
 }
 
+// reclaims reports whether an earlier process of this VM holds the lease of a row.
+func (t *Tracker) reclaims(record core.LeaseRecord, found bool) bool {
+	return found && !record.IsFree() && record.Holder == t.self.VM
+}
+
 // ordersClearAt returns the time by which all orders of this holder and of earlier
 // ones have ended.
 func (t *Tracker) ordersClearAt() time.Time {
@@ -124,7 +138,7 @@
 			{Key: fenceKey, Version: t.fence.Version},
 		},
 		Writes: []core.Write{
-			{Key: leaseKey, Record: t.leaseRecord(false, t.ordersAllowedFrom(now), now)},
+			{Key: leaseKey, Record: t.leaseRecord(t.ordersAllowedFrom(now), now)},
 			{Key: fenceKey, Record: core.FenceRecord{
 				Number: number + 1, Holder: t.self.VM, Incarnation: t.self.Incarnation}},
 		},
@@ -134,24 +148,23 @@
 // leaseCommit returns the commit that renews or releases the lease. It writes only
 // the lease row, whose version changes at every takeover, so that no condition on
 // the fence row is needed.
-func (t *Tracker) leaseCommit(id core.AttemptID, released bool, now time.Time) core.Commit {
+func (t *Tracker) leaseCommit(id core.AttemptID, record core.LeaseRecord) core.Commit {
 	leaseKey, _ := Keys(t.name)
 	return core.Commit{
 		Attempt:    id,
 		Conditions: []core.Condition{{Key: leaseKey, Version: t.lease.Version}},
-		Writes:     []core.Write{{Key: leaseKey, Record: t.leaseRecord(released, t.ordersFrom, now)}},
+		Writes:     []core.Write{{Key: leaseKey, Record: record}},
 	}
 }
 
 // leaseRecord returns the lease row of a holder that may send orders from ordersFrom
 // on.
-func (t *Tracker) leaseRecord(released bool, ordersFrom, now time.Time) core.LeaseRecord {
+func (t *Tracker) leaseRecord(ordersFrom, now time.Time) core.LeaseRecord {
 	return core.LeaseRecord{
 		Holder:      t.self.VM,
 		Incarnation: t.self.Incarnation,
 		Address:     t.self.Address,
 		Term:        t.timing.Term,
-		Released:    released,
 		OrdersClear: !now.Before(ordersFrom),
 	}
 }
--- a/internal/core/lease/holding.go
+++ b/internal/core/lease/holding.go
@@ -25,7 +25,7 @@
 
 // StartOrder reports whether an order to an engine that ignores fencing
 // numbers may be sent now, and the time by which it must have been sent. It must
-// be called before every such order: the lease is not released before the order has
+// be called before every such order: the next holder sends none before the order has
 // ended.
 func (t *Tracker) StartOrder(now time.Time) (until time.Time, allowed bool) {
 	holding, held := t.Holding(now)
@@ -36,8 +36,7 @@
 	return holding.Until, true
 }
 
-// Leave makes the tracker release the lease as soon as it is safe to do so, and not
-// acquire it again. The caller must have ended its guarded work.
+// Leave makes the tracker give the lease up and not acquire it again. The caller must have ended its guarded work.
 func (t *Tracker) Leave() { t.leaving = true }
 
 // HasLeft reports whether Leave was called and this process no longer holds the
@@ -79,7 +78,7 @@
 // may only be used as a hint to which process to contact.
 func (t *Tracker) Owner() (core.LeaseRecord, bool) {
 	record, found := t.lease.Record.(core.LeaseRecord)
-	if !found || record.Released {
+	if !found || record.IsFree() {
 		return core.LeaseRecord{}, false
 	}
 	return record, true
--- a/internal/core/lease/tracker.go
+++ b/internal/core/lease/tracker.go
@@ -38,6 +38,7 @@
 	action     Action
 	sentAt     time.Time // when it was first sent
 	ordersFrom time.Time // for ActionAcquire: see Tracker.ordersFrom
+	lastOrder  time.Time // for ActionAcquire: latest time of an order of an earlier process of this VM
 	inFlight   bool      // waiting for its reply
 	replyLost  bool      // a reply to it was lost
 	resend     bool      // a re-read of the rows showed that it may be sent again
@@ -117,7 +118,7 @@
 func (t *Tracker) rowsNameSelf() bool {
 	record, found := t.lease.Record.(core.LeaseRecord)
 	fence, fenced := t.fence.Record.(core.FenceRecord)
-	return found && fenced && !record.Released &&
+	return found && fenced && !record.IsFree() &&
 		record.Holder == t.self.VM && record.Incarnation == t.self.Incarnation &&
 		fence.Holder == t.self.VM && fence.Incarnation == t.self.Incarnation
 }
@@ -127,6 +128,9 @@
 func (t *Tracker) CommitSent(action Action, now time.Time) {
 	if t.pending == nil {
 		t.pending = &pendingCommit{action: action, sentAt: now, ordersFrom: t.ordersAllowedFrom(now)}
+		if record, found := t.lease.Record.(core.LeaseRecord); t.reclaims(record, found) {
+			t.pending.lastOrder = now
+		}
 	}
 	t.pending.inFlight = true
 	t.pending.resend = false
@@ -202,7 +206,7 @@
 	case ActionAcquire:
 		t.isHolder = true
 		t.ordersFrom = commit.ordersFrom
-		t.lastOrder = time.Time{}
+		t.lastOrder = commit.lastOrder
 	case ActionRelease:
 		t.isHolder = false
 		return
--- a/internal/core/row.go
+++ b/internal/core/row.go
@@ -78,8 +78,18 @@
 	Term        time.Duration
 	Released    bool
 	OrdersClear bool // no order of a holder on another VM can still take effect
+
+	// Yielded is set by a holder that has ended its work while its orders, or those of
+	// an earlier holder, may still take effect. Another process may acquire the lease
+	// at once, and send orders after OrdersClearIn, which counts from the acquisition.
+	// Processes that do not know the two fields wait until the term has passed.
+	Yielded       bool
+	OrdersClearIn time.Duration
 }
 
+// IsFree reports whether the holder has given the lease up.
+func (r LeaseRecord) IsFree() bool { return r.Released || r.Yielded }
+
 // FenceRecord changes only when a lease changes its holder. Guarded commits carry
 // a condition on the version of its row.
 type FenceRecord struct {
--- a/internal/tables/jobstorage.go
+++ b/internal/tables/jobstorage.go
@@ -19,6 +19,7 @@
 	jobs        map[core.JobID]storedJob
 	inProgress  map[string]bool             // storage operations in progress
 	checkpoints map[string]*checkpointState // by service
+	handovers   map[string]bool             // whether the last checkpoint before a handover has ended, by service
 	order       []core.JobID                // oldest first
 	bytes       int
 }
@@ -30,7 +31,7 @@
 
 // NewJobStorage returns an empty table.
 func NewJobStorage() *JobStorage {
-	return &JobStorage{mu: lockrank.New(lockrank.RankAnswers), jobs: make(map[core.JobID]storedJob), inProgress: make(map[string]bool), checkpoints: make(map[string]*checkpointState)}
+	return &JobStorage{mu: lockrank.New(lockrank.RankAnswers), jobs: make(map[core.JobID]storedJob), inProgress: make(map[string]bool), checkpoints: make(map[string]*checkpointState), handovers: make(map[string]bool)}
 }
 
 // Job returns a cached job.
@@ -139,6 +140,25 @@
 	t.checkpoints[service].stored = key
 }
 
+// BeginHandover reports whether the last checkpoint of a service before a handover has
+// to be begun now, and whether it has ended.
+func (t *JobStorage) BeginHandover(service string) (begins, ended bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ended, begun := t.handovers[service]
+	if !begun {
+		t.handovers[service] = false
+	}
+	return !begun, ended
+}
+
+// EndHandover records that the last checkpoint of a service before a handover has ended.
+func (t *JobStorage) EndHandover(service string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.handovers[service] = true
+}
+
 // BeginRestore records that a service's texts are being read from a checkpoint.
 func (t *JobStorage) BeginRestore(service string) { t.begin("restore " + service) }
 
