platform: admit requests by the keys of client accounts

Cause: a configuration with Tenants was served as if it had none: requests ran without a key, a caller's Api-Key and Tenant reached the servers, also from the headers of a job's items, and servers got no account of the service's own.

Change: core/account decides for which account a request is served or why it is refused, whose priority applies and who may use a job. platform/store digests the keys while it decodes them; neither a message nor an error holds one, and a configuration with an empty list of accounts admits nobody. The front end admits each request before it reads the body, and drops both fields where there are accounts; so does platform/worker, for items that were stored before, and writes the account's name. Without Tenants all passes as before, except that a call about a job gets 503 until the process has a configuration: it cannot know whether a key is needed.

--- /dev/null
+++ b/internal/app/relay/accounts.go
@@ -0,0 +1,63 @@
+package relay
+
+import (
+	"context"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/core/account"
+	"fescuespar/internal/core/logs"
+	"fescuespar/internal/core/route"
+)
+
+// hasAccounts reports whether the deployment has client accounts.
+func (s *Service) hasAccounts() bool {
+	table := s.routes.Current()
+	return table != nil && table.Accounts != nil
+}
+
+// Admit implements ports.Relay.
+func (s *Service) Admit(ctx context.Context, host, path string, credentials core.Credentials) (core.Admission, error) {
+	var matched *core.Route
+	isExempt := func(table *core.RouteTable) bool {
+		if matched = nil; table != nil {
+			matched, _ = route.Match(table, host, path)
+		}
+		return matched != nil && matched.AccountExempt
+	}
+	decision := s.authorize(ctx, credentials, isExempt)
+	if err := decision.Err(); err != nil {
+		return core.Admission{}, err
+	}
+	if matched == nil {
+		return core.Admission{}, errNoRoute(host, path)
+	}
+	return core.Admission{Route: *matched, Caller: decision.Caller}, nil
+}
+
+// admitJobCall admits a call about a job. Jobs that were submitted without an account
+// need no key if there are routes on which they can be.
+func (s *Service) admitJobCall(ctx context.Context, credentials core.Credentials) (core.Caller, error) {
+	decision := s.authorize(ctx, credentials, func(table *core.RouteTable) bool {
+		return !credentials.HasKey() && account.ExemptsJobs(table)
+	})
+	return decision.Caller, decision.Err()
+}
+
+// authorize decides about a request under the current route table.
+func (s *Service) authorize(_ context.Context, credentials core.Credentials, isExempt func(*core.RouteTable) bool) account.Decision {
+	table, removed := s.routes.CurrentAccounts()
+	return account.Authorize(table, removed, isExempt(table), credentials)
+}
+
+// logRoutesInForce logs that a route table has replaced another one, which may be nil,
+// and which accounts have lost keys.
+func (s *Service) logRoutesInForce(replaced, table *core.RouteTable) {
+	line := s.log.Info().Uint64("version", table.Version).Int("routes", len(table.Routes))
+	if table.Accounts != nil {
+		line = line.Int("accounts", len(table.AccountNames)).Int("keys", len(table.Accounts))
+	}
+	if lost := account.CountRemoved(replaced, table); len(lost) > 0 {
+		line = line.Any("keys_removed", lost)
+	}
+	line.Msg(logs.RoutesInForce)
+}
--- a/internal/app/relay/coordinate.go
+++ b/internal/app/relay/coordinate.go
@@ -7,6 +7,7 @@
 
 	"fescuespar/internal/app/leasing"
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/account"
 	"fescuespar/internal/core/announce"
 	"fescuespar/internal/core/job"
 	"fescuespar/internal/core/lease"
@@ -252,7 +253,7 @@
 	if matched, err := s.RouteOf(found.Host, found.Path); err == nil {
 		policy = job.Policy{
 			Attempts: max(1, matched.Attempts), ItemLifetime: matched.ItemLife,
-			SingleVersion: matched.SingleVersion, Priority: matched.Priority,
+			SingleVersion: matched.SingleVersion, Priority: account.Priority(s.routes.Current(), &matched, found.Account),
 		}
 	}
 	s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) { scheduler.Open(found, finished, policy, s.ports.Clock.Now()) })
@@ -266,7 +267,7 @@
 func (s *Service) itemService(start *job.RunStart) (string, error) {
 	table := s.routes.Current()
 	if table == nil {
-		return "", errkind.New(errkind.Starting, "this entry process has not loaded the route table yet")
+		return "", errStarting()
 	}
 	matched, found := route.Match(table, start.Host, start.Item.Path)
 	if !found {
--- a/internal/app/relay/fakes_test.go
+++ b/internal/app/relay/fakes_test.go
@@ -249,6 +249,9 @@
 	return service
 }
 
+// noKey are the credentials of a request without a key.
+var noKey core.Credentials
+
 // newJob returns a job with the given number of items, each with a scorer.
 func newJob(id core.JobID, items int) core.Job {
 	job := core.Job{ID: id, Host: host, Path: "/jobs/x", Model: "m", Oldest: 1}
@@ -267,7 +270,7 @@
 	s.t.Helper()
 	all := core.ResultPage{}
 	for {
-		page, err := service.Results(s.t.Context(), id, all.Next, 0)
+		page, err := service.Results(s.t.Context(), noKey, id, all.Next, 0)
 		if err != nil {
 			s.t.Fatal(err)
 		}
--- a/internal/app/relay/forward.go
+++ b/internal/app/relay/forward.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/account"
 	"fescuespar/internal/core/logs"
 	"fescuespar/internal/core/outlier"
 	"fescuespar/internal/core/route"
@@ -46,19 +47,25 @@
 	finish          func(core.RelayResponse, error)
 }
 
-// RouteOf implements ports.Relay.
+// RouteOf returns the route of a request. Errors: Starting, NotFound.
 func (s *Service) RouteOf(host, path string) (core.Route, error) {
 	table := s.routes.Current()
 	if table == nil {
-		return core.Route{}, errkind.New(errkind.Starting, "this entry process has not loaded the route table yet")
+		return core.Route{}, errStarting()
 	}
 	found, ok := route.Match(table, host, path)
 	if !ok {
-		return core.Route{}, errkind.New(errkind.NotFound, "no route matches %s%s", host, path)
+		return core.Route{}, errNoRoute(host, path)
 	}
 	return *found, nil
 }
 
+func errStarting() error { return account.Decision{Refusal: account.NotConfigured}.Err() }
+
+func errNoRoute(host, path string) error {
+	return errkind.New(errkind.NotFound, "no route matches %s%s", host, path)
+}
+
 // Limits implements ports.Relay.
 func (s *Service) Limits() core.CallerLimits {
 	if table := s.routes.Current(); table != nil {
--- a/internal/app/relay/jobs.go
+++ b/internal/app/relay/jobs.go
@@ -156,8 +156,11 @@
 }
 
 // Results implements ports.Jobs.
-func (s *Service) Results(ctx context.Context, id core.JobID, from int, wait time.Duration) (core.ResultPage, error) {
+func (s *Service) Results(ctx context.Context, credentials core.Credentials, id core.JobID, from int, wait time.Duration) (core.ResultPage, error) {
 	page := core.ResultPage{Next: from}
+	if _, err := s.admitJobCall(ctx, credentials); err != nil {
+		return page, err
+	}
 	if err := s.beginJobCall(); err != nil {
 		return page, err
 	}
@@ -226,7 +229,10 @@
 }
 
 // ItemBody implements ports.Jobs.
-func (s *Service) ItemBody(ctx context.Context, id core.JobID, item core.ItemID) ([]byte, error) {
+func (s *Service) ItemBody(ctx context.Context, credentials core.Credentials, id core.JobID, item core.ItemID) ([]byte, error) {
+	if _, err := s.admitJobCall(ctx, credentials); err != nil {
+		return nil, err
+	}
 	if err := s.beginJobCall(); err != nil {
 		return nil, err
 	}
@@ -265,7 +271,10 @@
 }
 
 // EndJob implements ports.Jobs.
-func (s *Service) EndJob(ctx context.Context, id core.JobID) error {
+func (s *Service) EndJob(ctx context.Context, credentials core.Credentials, id core.JobID) error {
+	if _, err := s.admitJobCall(ctx, credentials); err != nil {
+		return err
+	}
 	if err := s.beginJobCall(); err != nil {
 		return err
 	}
--- a/internal/app/relay/run.go
+++ b/internal/app/relay/run.go
@@ -143,8 +143,11 @@
 	defer cancel()
 	request := core.EventsRequest{After: start.EventsReceived, RelayRequest: core.RelayRequest{
 		ID: core.RequestID(start.Item.ID), Method: "POST", Host: start.Host, Target: start.Item.Path,
-		Header: start.Item.Header, Body: start.Item.Body,
+		Header: start.Item.Header, Body: start.Item.Body, HasAccounts: s.hasAccounts(),
 	}}
+	if request.HasAccounts {
+		request.Account = start.Account
+	}
 	began := s.ports.Clock.Now()
 	request.LongestGap = s.engineSpeeds.LongestGap(service, dispatch.VM.ID, began)
 	sink := &itemSink{maxEvents: start.Item.Tokens, after: start.EventsReceived, addEvent: func(event core.Event) bool { return s.jobs.AddEvent(service, start.Work, event) }}
--- a/internal/app/relay/scoring_test.go
+++ b/internal/app/relay/scoring_test.go
@@ -37,7 +37,7 @@
 func checkScoringEnds(t *testing.T, s *environment, service *Service) {
 	t.Helper()
 	const quietAfter = 3 * time.Second
-	if err := service.EndJob(t.Context(), "j"); err != nil {
+	if err := service.EndJob(t.Context(), noKey, "j"); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(quietAfter)
--- a/internal/app/relay/service_test.go
+++ b/internal/app/relay/service_test.go
@@ -109,10 +109,10 @@
 		}
 		seen[result.Item] = true
 	}
-	if body, err := two.ItemBody(t.Context(), "j", "j-3"); err != nil || string(body) != "j-3" {
+	if body, err := two.ItemBody(t.Context(), noKey, "j", "j-3"); err != nil || string(body) != "j-3" {
 		t.Errorf("item body %q, %v, want %q", body, err, "j-3")
 	}
-	if _, err := one.Results(t.Context(), "other", 0, 0); !errkind.Is(err, errkind.UnknownRequest) {
+	if _, err := one.Results(t.Context(), noKey, "other", 0, 0); !errkind.Is(err, errkind.UnknownRequest) {
 		t.Errorf("unknown job: %v, want %s", err, errkind.UnknownRequest)
 	}
 }
@@ -157,7 +157,7 @@
 	}
 	s.eventually("10 runs", func() bool { return running() == 10 })
 	for range 2 {
-		if err := two.EndJob(t.Context(), "j"); err != nil {
+		if err := two.EndJob(t.Context(), noKey, "j"); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -179,7 +179,7 @@
 		t.Errorf("reply of an applied commit lost: %v", err)
 	}
 	s.eventually("result of the job with the lost reply", func() bool { return len(s.readResults(service, "lost").Results) == 1 })
-	if _, err := service.Results(t.Context(), "refused", 0, 0); !errkind.Is(err, errkind.UnknownRequest) {
+	if _, err := service.Results(t.Context(), noKey, "refused", 0, 0); !errkind.Is(err, errkind.UnknownRequest) {
 		t.Errorf("results of a refused job: %v, want %s", err, errkind.UnknownRequest)
 	}
 }
@@ -282,7 +282,7 @@
 	const wait = 1500 * time.Millisecond // longer than the process accepts requests
 	read := make(chan error, 1)
 	go func() {
-		_, err := service.Results(t.Context(), "j", 0, wait)
+		_, err := service.Results(t.Context(), noKey, "j", 0, wait)
 		read <- err
 	}()
 	s.eventually("the read is in flight", func() bool { return service.State().InFlight > 0 })
@@ -297,7 +297,7 @@
 	case <-time.After(100 * time.Millisecond):
 		t.Error("the shutdown ended before the read was answered")
 	}
-	if _, err := service.Results(t.Context(), "j", 0, 0); !errkind.Is(err, errkind.ShuttingDown) {
+	if _, err := service.Results(t.Context(), noKey, "j", 0, 0); !errkind.Is(err, errkind.ShuttingDown) {
 		t.Errorf("read after the shutdown: %v, want %s", err, errkind.ShuttingDown)
 	}
 }
--- a/internal/app/relay/watch.go
+++ b/internal/app/relay/watch.go
@@ -64,9 +64,8 @@
 }
 
 func (s *Service) applyPublished(published core.Published) {
-	if s.routes.Apply(published.Table) {
-		s.log.Info().Uint64("version", published.Table.Version).Int("routes", len(published.Table.Routes)).
-			Msg(logs.RoutesInForce)
+	if replaced, applied := s.routes.Apply(published.Table); applied {
+		s.logRoutesInForce(replaced, published.Table)
 		s.updateRouting()
 	}
 	for _, entry := range published.Versions {
--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -150,7 +150,8 @@
 var platformNames = []string{
 	"Attempt-Id", "Server-Stamp", "Expect-Instance", "Not-Executed", "Weight-Versions", "Token-Count",
 	"Prompt-Prefix", "Deadline-Ms", "rows-tx", "rows-get", "rows-feed", "blob-put", "ScorerUri", "TrafficSplit",
-	"TargetLatencyMs", "ResultDeadlineMs", "DesiredCount", "FESCUESPAR_CONFIG", "/api/lots",
+	"TargetLatencyMs", "ResultDeadlineMs", "DesiredCount", "FESCUESPAR_CONFIG", "/api/lots", "Api-Key", "ApiKeys",
+	"Tenants", "AuthExempt",
 }
 
 // filesOutsidePlatform returns the Go files that must not contain the platform's
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -12,14 +12,15 @@
 // Job is a batch of items that are submitted together and run later,
 // independently of each other.
 type Job struct {
-	ID     JobID
-	Host   string
-	Path   string // URL path of the submission
-	Model  ModelName
-	Step   Step
-	Oldest WeightVersion // oldest weights that may produce an event of a text
-	Wanted int           // complete groups that the trainer waits for; zero for all
-	Items  []JobItem
+	ID      JobID
+	Account AccountName `cbor:"-"` // account that submitted it, stored in its row; empty if there is none
+	Host    string
+	Path    string // URL path of the submission
+	Model   ModelName
+	Step    Step
+	Oldest  WeightVersion // oldest weights that may produce an event of a text
+	Wanted  int           // complete groups that the trainer waits for; zero for all
+	Items   []JobItem
 }
 
 // JobItem is one generation request of a job.
--- a/internal/core/job/doc.go
+++ b/internal/core/job/doc.go
@@ -34,6 +34,7 @@
 type RunStart struct {
 	Work           RunID
 	Item           *core.JobItem
+	Account        core.AccountName // that submitted the job; empty if there is none
 	Host           string
 	Model          core.ModelName
 	OldestVersion  core.WeightVersion // oldest weights allowed
--- a/internal/core/job/scheduler.go
+++ b/internal/core/job/scheduler.go
@@ -162,7 +162,7 @@
 	}
 	start := RunStart{
 		Work: RunID{row.job.ID, index, s.lastRun}, Item: &row.job.Items[index],
-		Host: row.job.Host, Model: row.job.Model, OldestVersion: row.job.Oldest, EventsReceived: len(state.text), AvoidServer: state.avoidServer, Waited: now.Sub(state.waitingSince),
+		Account: row.job.Account, Host: row.job.Host, Model: row.job.Model, OldestVersion: row.job.Oldest, EventsReceived: len(state.text), AvoidServer: state.avoidServer, Waited: now.Sub(state.waitingSince),
 		IsLong: row.isLong(index),
 	}
 	if row.policy.SingleVersion && len(state.text) > 0 {
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -73,6 +73,8 @@
 	Services map[string]ServiceInfo
 	Limits   CallerLimits
 	Accounts Accounts // nil if the deployment has no client accounts
+	// AccountNames holds the client accounts by name, also those that have no key.
+	AccountNames map[AccountName]*Account
 }
 
 // Header maps canonical header names to their values.
@@ -98,6 +100,10 @@
 	AtMostOnce bool        // must not run more than once
 	Deadline   time.Time   // time at which the caller stops waiting; zero if unknown
 	Account    AccountName // account that the request is served for; empty if there is none
+
+	// HasAccounts reports that the deployment has client accounts. Header fields that
+	// carry a key or name an account are then not the caller's to set.
+	HasAccounts bool
 }
 
 // Path returns the target without its query.
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -34,6 +34,7 @@
 	CrashesServers     Kind = "crashes_servers"
 	Quarantined        Kind = "quarantined"
 	MayHaveRun         Kind = "may_have_run"
+	KeyUnconfirmed     Kind = "key_unconfirmed"
 	ClaimUnsettled     Kind = "claim_unsettled"
 	AnswerIncomplete   Kind = "answer_incomplete"
 	StoreUnavailable   Kind = "store_unavailable"
@@ -88,6 +89,7 @@
 	CrashesServers:     {http.StatusUnprocessableEntity, PossiblyRun, false},
 	Quarantined:        {http.StatusServiceUnavailable, NotRun, true},
 	MayHaveRun:         {http.StatusConflict, PossiblyRun, false},
+	KeyUnconfirmed:     {http.StatusServiceUnavailable, NotRun, true},
 	ClaimUnsettled:     {http.StatusServiceUnavailable, NotRun, false},
 	AnswerIncomplete:   {http.StatusBadGateway, PossiblyRun, true},
 	StoreUnavailable:   {http.StatusServiceUnavailable, NotRun, true},
--- a/internal/ports/relay.go
+++ b/internal/ports/relay.go
@@ -9,6 +9,11 @@
 
 // Relay is the driving port for front ends that forward requests unchanged.
 type Relay interface {
+	// Admit returns the route of a request and the account that it is served for,
+	// which a front end sets in the requests and jobs that it passes on. It may wait
+	// for a newer configuration. Errors: Starting while no route table is known,
+	// NotFound, Unauthenticated, KeyUnconfirmed; the request was not run.
+	Admit(ctx context.Context, host, path string, credentials core.Credentials) (core.Admission, error)
 	// Forward sends a request to a backend server and returns the complete
 	// response. The context must end when the response is no longer in use, which
 	// frees its memory. Errors: ServerFailed, Timeout and Canceled when the request may
@@ -19,9 +24,6 @@
 	// response is not a success, it is returned instead; otherwise the status of
 	// the returned response is zero.
 	ForwardEvents(ctx context.Context, request core.EventsRequest, sink EventSink) (core.RelayResponse, error)
-	// RouteOf returns the route of a request. Errors: Starting while no route
-	// table is known, NotFound.
-	RouteOf(host, path string) (core.Route, error)
 	// Limits returns the limits for callers' requests.
 	Limits() core.CallerLimits
 	// EntryAddresses returns the addresses that callers in a zone and region
@@ -40,19 +42,19 @@
 
 // Jobs is the driving port for front ends that accept jobs.
 type Jobs interface {
-	// Submit accepts a job durably. It may be repeated for the same job. Errors:
-	// those of RouteOf, BadRequest, StoreUnavailable when no part of the job
-	// will run, OutcomeUnknown.
+	// Submit accepts a job durably for the account that Relay.Admit returned. It may
+	// be repeated for the same job. Errors: those of Admit, BadRequest,
+	// StoreUnavailable when no part of the job will run, OutcomeUnknown.
 	Submit(ctx context.Context, job core.Job) error
 	// Results returns results from the position from on. It waits at most the
 	// time wait for the first one. Errors: UnknownRequest when there is no such
-	// job, StoreUnavailable.
-	Results(ctx context.Context, id core.JobID, from int, wait time.Duration) (core.ResultPage, error)
+	// job, those of Admit, StoreUnavailable.
+	Results(ctx context.Context, credentials core.Credentials, id core.JobID, from int, wait time.Duration) (core.ResultPage, error)
 	// ItemBody returns the body of an item. Errors: those of Results.
-	ItemBody(ctx context.Context, id core.JobID, item core.ItemID) ([]byte, error)
+	ItemBody(ctx context.Context, credentials core.Credentials, id core.JobID, item core.ItemID) ([]byte, error)
 	// EndJob ends a job durably. It is not an error if the job has ended. Errors:
 	// those of Results, OutcomeUnknown.
-	EndJob(ctx context.Context, id core.JobID) error
+	EndJob(ctx context.Context, credentials core.Credentials, id core.JobID) error
 }
 
 // Backend is a backend server that handles relayed requests.
--- a/internal/tables/routes.go
+++ b/internal/tables/routes.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/account"
 	"fescuespar/internal/core/route"
 	"fescuespar/internal/lockrank"
 )
@@ -13,6 +14,7 @@
 	// mu guards all fields below.
 	mu      lockrank.Mutex
 	current *core.RouteTable
+	removed *account.RemovedKeys // nil if the deployment never had client accounts
 	random  *rand.Rand
 }
 
@@ -22,15 +24,18 @@
 }
 
 // Apply replaces the route table if the given one is newer, and reports whether
-// it did.
-func (t *Routes) Apply(table *core.RouteTable) bool {
+// it did. It returns the replaced table, nil for the first one.
+func (t *Routes) Apply(table *core.RouteTable) (replaced *core.RouteTable, applied bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if table == nil || t.current != nil && table.Version <= t.current.Version {
-		return false
+		return nil, false
 	}
-	t.current = table
-	return true
+	replaced, t.current = t.current, table
+	if t.removed != nil || replaced != nil && replaced.Accounts != nil {
+		t.removed = t.removed.After(replaced, table)
+	}
+	return replaced, true
 }
 
 // Current returns the current route table, or nil before the first one.
@@ -40,6 +45,14 @@
 	return t.current
 }
 
+// CurrentAccounts returns the current route table, or nil before the first one, and the
+// keys that earlier ones had.
+func (t *Routes) CurrentAccounts() (*core.RouteTable, *account.RemovedKeys) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.current, t.removed
+}
+
 // Choose picks a service of a route at random.
 func (t *Routes) Choose(taken *core.Route) string {
 	t.mu.Lock()
