relay: jobs belong to the account that submitted them

Cause: any admitted request could read, end and replace every job whose id it knew. A job's body was stored under the job's id alone, so that a body stored before the row by one account would have run as another's; texts kept for items that come back, and those in checkpoints, were found by the item's id alone.

Change: a job's row has the account in a new field, left out if empty, so that rows of deployments without accounts stay as they were and earlier rows decode. Results, item bodies, ends and submissions under an existing id find nothing for another account, at every process and also where the job is cached. Bodies have a key for each account, and the body of a refused submission is deleted. Saved texts are kept for an account's item. A removed key ends no job. A job that was submitted without an account, on an exempt route or before there were accounts, is open to whoever knows its id; a caller without a key gets 401, not 404, for all others, so that it is not told which exist. If the row of an existing job can't be read the submission is answered as unknown, not as refused.

--- a/internal/app/relay/accounts.go
+++ b/internal/app/relay/accounts.go
@@ -7,6 +7,7 @@
 	"fescuespar/internal/core/account"
 	"fescuespar/internal/core/logs"
 	"fescuespar/internal/core/route"
+	"fescuespar/internal/errkind"
 )
 
 // hasAccounts reports whether the deployment has client accounts.
@@ -49,6 +50,23 @@
 	return account.Authorize(table, removed, isExempt(table), credentials)
 }
 
+// checkOwner checks that a caller may use the job of an account. Errors: UnknownRequest.
+func checkOwner(id core.JobID, owner core.AccountName, caller core.Caller) error {
+	if account.MayUseJob(owner, caller) {
+		return nil
+	}
+	return errkind.New(errkind.UnknownRequest, "job %s does not exist for account %q", id, caller.Account)
+}
+
+// jobCallError returns the error of a call about a job. A caller without a key is not told
+// whether a job exists that belongs to an account.
+func jobCallError(caller core.Caller, err error) error {
+	if caller.HasAccounts && caller.Account == "" && errkind.Is(err, errkind.UnknownRequest) {
+		return account.Decision{Refusal: account.NoKey}.Err()
+	}
+	return err
+}
+
 // logRoutesInForce logs that a route table has replaced another one, which may be nil,
 // and which accounts have lost keys.
 func (s *Service) logRoutesInForce(replaced, table *core.RouteTable) {
--- a/internal/app/relay/coordinate.go
+++ b/internal/app/relay/coordinate.go
@@ -229,7 +229,7 @@
 
 // loadJobWithResults returns a job and the items whose results are stored.
 func (s *Service) loadJobWithResults(ctx context.Context, id core.JobID) (core.Job, []core.ItemID, error) {
-	found, err := s.loadJob(ctx, id)
+	found, err := s.loadJob(ctx, id, core.Caller{})
 	if err != nil {
 		return core.Job{}, nil, err
 	}
--- a/internal/app/relay/jobs.go
+++ b/internal/app/relay/jobs.go
@@ -28,7 +28,14 @@
 	return core.RowKey{Table: core.TableResult, ID: fmt.Sprintf("%s%s/%08d", resultPrefix, id, position)}
 }
 
-func jobBodyKey(id core.JobID) core.ObjectKey { return core.ObjectKey("job-" + string(id)) }
+// jobBodyKey returns the key of a job's body. Each account has its own, so that none can
+// store a body under which another one's job with the same id would run.
+func jobBodyKey(owner core.AccountName, id core.JobID) core.ObjectKey {
+	if owner == "" {
+		return core.ObjectKey("job-" + string(id))
+	}
+	return core.ObjectKey(fmt.Sprintf("account-%d-%s-job-%s", len(owner), owner, id))
+}
 
 // Limits of the calls that callers wait for.
 const (
@@ -96,26 +103,50 @@
 	} else {
 		s.metrics.JobsAccepted.Inc(1)
 	}
+	if job.Account != "" {
+		line = line.Str("account", string(job.Account))
+	}
 	line.Str("job", string(job.ID)).Str("route", routeName).Uint64("step", uint64(job.Step)).
 		Int("items", len(job.Items)).Uint64("oldest_version", uint64(job.Oldest)).Msg(logs.JobSubmitted)
 }
 
 // storeJob stores a job's body and then its row. The job is accepted once the row
-// exists. An existing row means that the same job was submitted before.
+// exists. An existing row means that the same job was submitted before, unless it is
+// another account's. Errors: UnknownRequest if it is.
 func (s *Service) storeJob(ctx context.Context, job core.Job, matched *core.Route) error {
 	body, err := s.ports.Bodies.EncodeJob(job)
 	if err != nil {
 		return err
 	}
-	if err := s.putJobBody(ctx, jobBodyKey(job.ID), body); err != nil {
+	key := jobBodyKey(job.Account, job.ID)
+	if err := s.putJobBody(ctx, key, body); err != nil {
 		return err
 	}
-	record := core.JobRecord{Service: route.HeaviestService(matched), Items: len(job.Items), Body: jobBodyKey(job.ID)}
-	_, err = s.committer.Commit(ctx, core.Commit{
+	record := core.JobRecord{Service: route.HeaviestService(matched), Items: len(job.Items), Body: key, Account: job.Account}
+	result, err := s.committer.Commit(ctx, core.Commit{
 		Attempt:    s.newAttemptID(),
 		Conditions: []core.Condition{{Key: jobKey(job.ID)}},
 		Writes:     []core.Write{{Key: jobKey(job.ID), Record: record}},
 	})
+	if err != nil || result.Applied || !s.hasAccounts() {
+		return err
+	}
+	return s.checkSubmittedBefore(ctx, job, key)
+}
+
+// checkSubmittedBefore checks that an existing job was submitted by the same account, and
+// otherwise deletes the body that was just stored. Errors: UnknownRequest,
+// OutcomeUnknown.
+func (s *Service) checkSubmittedBefore(ctx context.Context, job core.Job, body core.ObjectKey) error {
+	caller := core.Caller{Account: job.Account, HasAccounts: true}
+	_, _, err := s.readJobRow(ctx, job.ID, caller)
+	if !errkind.Is(err, errkind.UnknownRequest) {
+		// The job is accepted if it is the account's own.
+		return errkind.Wrap(errkind.OutcomeUnknown, err, "read the row of job %s, which exists", job.ID)
+	}
+	if deleteErr := s.ports.Objects.Delete(ctx, body); deleteErr != nil {
+		s.log.Info().Err(deleteErr).Str("object", string(body)).Msg("body of a refused job not deleted")
+	}
 	return err
 }
 
@@ -142,8 +173,9 @@
 	return errkind.New(errkind.StoreUnavailable, "store job body %s: %v", key, err)
 }
 
-// readJobRow reads a job's row. Errors: UnknownRequest, StoreUnavailable.
-func (s *Service) readJobRow(ctx context.Context, id core.JobID) (core.Row, core.JobRecord, error) {
+// readJobRow reads the row of a job that a caller may use. Errors: UnknownRequest, also
+// for another account's job, StoreUnavailable.
+func (s *Service) readJobRow(ctx context.Context, id core.JobID, caller core.Caller) (core.Row, core.JobRecord, error) {
 	rows, err := s.committer.Read(ctx, jobKey(id))
 	if err != nil {
 		return core.Row{}, core.JobRecord{}, err
@@ -152,13 +184,14 @@
 	if !found {
 		return core.Row{}, record, errkind.New(errkind.UnknownRequest, "job %s does not exist", id)
 	}
-	return rows[0], record, nil
+	return rows[0], record, checkOwner(id, record.Account, caller)
 }
 
 // Results implements ports.Jobs.
 func (s *Service) Results(ctx context.Context, credentials core.Credentials, id core.JobID, from int, wait time.Duration) (core.ResultPage, error) {
 	page := core.ResultPage{Next: from}
-	if _, err := s.admitJobCall(ctx, credentials); err != nil {
+	caller, err := s.admitJobCall(ctx, credentials)
+	if err != nil {
 		return page, err
 	}
 	if err := s.beginJobCall(); err != nil {
@@ -166,9 +199,11 @@
 	}
 	defer s.lifecycle.EndRequest()
 	deadline := s.ports.Clock.Now().Add(wait)
-	_, err := callStore(ctx, s, jobCallTimeout, func(ctx context.Context) (struct{}, error) {
-		_, record, err := s.readJobRow(ctx, id)
-		page.Total = record.Items
+	_, err = callStore(ctx, s, jobCallTimeout, func(ctx context.Context) (struct{}, error) {
+		_, record, err := s.readJobRow(ctx, id, caller)
+		if err == nil {
+			page.Total = record.Items
+		}
 		return struct{}{}, err
 	})
 	for err == nil {
@@ -181,7 +216,7 @@
 		}
 	}
 	page.Next = from + len(page.Results)
-	return page, err
+	return page, jobCallError(caller, err)
 }
 
 // readResultPage reads one page of results, beginning at a position.
@@ -230,16 +265,17 @@
 
 // ItemBody implements ports.Jobs.
 func (s *Service) ItemBody(ctx context.Context, credentials core.Credentials, id core.JobID, item core.ItemID) ([]byte, error) {
-	if _, err := s.admitJobCall(ctx, credentials); err != nil {
+	caller, err := s.admitJobCall(ctx, credentials)
+	if err != nil {
 		return nil, err
 	}
 	if err := s.beginJobCall(); err != nil {
 		return nil, err
 	}
 	defer s.lifecycle.EndRequest()
-	job, err := callStore(ctx, s, jobCallTimeout, func(ctx context.Context) (core.Job, error) { return s.loadJob(ctx, id) })
+	job, err := callStore(ctx, s, jobCallTimeout, func(ctx context.Context) (core.Job, error) { return s.loadJob(ctx, id, caller) })
 	if err != nil {
-		return nil, err
+		return nil, jobCallError(caller, err)
 	}
 	for i := range job.Items {
 		if job.Items[i].ID == item {
@@ -249,13 +285,13 @@
 	return nil, errkind.New(errkind.UnknownRequest, "job %s has no item %s", id, item)
 }
 
-// loadJob returns a job from the cache or from the store. Errors:
-// UnknownRequest, StoreUnavailable.
-func (s *Service) loadJob(ctx context.Context, id core.JobID) (core.Job, error) {
+// loadJob returns a job that a caller may use from the cache or from the store. Errors:
+// those of readJobRow.
+func (s *Service) loadJob(ctx context.Context, id core.JobID, caller core.Caller) (core.Job, error) {
 	if job, cached := s.jobStorage.Job(id); cached {
-		return job, nil
+		return job, checkOwner(id, job.Account, caller)
 	}
-	_, record, err := s.readJobRow(ctx, id)
+	_, record, err := s.readJobRow(ctx, id, caller)
 	if err != nil {
 		return core.Job{}, err
 	}
@@ -265,6 +301,7 @@
 	}
 	job, err := s.ports.Bodies.DecodeJob(body)
 	if err == nil {
+		job.Account = record.Account
 		s.jobStorage.CacheJob(job, len(body))
 	}
 	return job, err
@@ -272,25 +309,26 @@
 
 // EndJob implements ports.Jobs.
 func (s *Service) EndJob(ctx context.Context, credentials core.Credentials, id core.JobID) error {
-	if _, err := s.admitJobCall(ctx, credentials); err != nil {
+	caller, err := s.admitJobCall(ctx, credentials)
+	if err != nil {
 		return err
 	}
 	if err := s.beginJobCall(); err != nil {
 		return err
 	}
 	defer s.lifecycle.EndRequest()
-	_, err := callStore(ctx, s, jobCallTimeout, func(ctx context.Context) (struct{}, error) {
-		return struct{}{}, s.markJobEnded(ctx, id)
+	_, err = callStore(ctx, s, jobCallTimeout, func(ctx context.Context) (struct{}, error) {
+		return struct{}{}, s.markJobEnded(ctx, id, caller)
 	})
 	s.log.Info().Err(err).Str("job", string(id)).Msg("job end requested")
-	return err
+	return jobCallError(caller, err)
 }
 
 // markJobEnded marks a job's row as ended, again while other writers change the
 // row. Errors: UnknownRequest, StoreUnavailable, OutcomeUnknown.
-func (s *Service) markJobEnded(ctx context.Context, id core.JobID) error {
+func (s *Service) markJobEnded(ctx context.Context, id core.JobID, caller core.Caller) error {
 	for ctx.Err() == nil {
-		row, record, err := s.readJobRow(ctx, id)
+		row, record, err := s.readJobRow(ctx, id, caller)
 		if err != nil || record.Ended {
 			return err
 		}
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -76,6 +76,7 @@
 
 // CheckpointText is the partial text of one item.
 type CheckpointText struct {
+	Account  AccountName `cbor:",omitempty"` // of the item's job; empty if there is none
 	Item     ItemID
 	Text     []string // data of the events so far
 	Versions []WeightVersion
@@ -97,6 +98,7 @@
 	Items   int
 	Body    ObjectKey // object holding the Job
 	Ended   bool
+	Account AccountName `cbor:",omitempty"` // account that submitted the job; empty if there is none
 }
 
 // ResultRecord is the row of one position in a job's results.
--- a/internal/core/job/checkpoint.go
+++ b/internal/core/job/checkpoint.go
@@ -11,6 +11,13 @@
 // for the latest jobs of several trainers.
 const maxSavedTexts = 1024
 
+// textKey identifies a saved text. Accounts may use the same ids of items, and none may
+// get the text of another one's item.
+type textKey struct {
+	account core.AccountName
+	item    core.ItemID
+}
+
 // savedText is the text of an item whose job has ended.
 type savedText struct {
 	core.CheckpointText
@@ -25,7 +32,7 @@
 	for i := range row.items {
 		id := row.job.Items[i].ID
 		if len(row.items[i].text) > 0 && !complete[row.job.Items[i].Group] {
-			s.savedTexts[id] = savedText{row.items[i].checkpoint(id), s.closedJobs}
+			s.savedTexts[textKey{row.job.Account, id}] = savedText{row.checkpoint(i), s.closedJobs}
 		}
 	}
 	s.evictSavedTexts()
@@ -35,7 +42,7 @@
 // limit is met.
 func (s *Scheduler) evictSavedTexts() {
 	for oldest := uint64(0); len(s.savedTexts) > maxSavedTexts; oldest++ {
-		maps.DeleteFunc(s.savedTexts, func(_ core.ItemID, text savedText) bool { return text.closedAt <= oldest })
+		maps.DeleteFunc(s.savedTexts, func(_ textKey, text savedText) bool { return text.closedAt <= oldest })
 	}
 }
 
@@ -55,9 +62,10 @@
 }
 
 // checkpoint returns the text that an item has generated so far.
-func (i *item) checkpoint(id core.ItemID) core.CheckpointText {
+func (row *openJob) checkpoint(index int) core.CheckpointText {
+	i := &row.items[index]
 	return core.CheckpointText{
-		Item: id, Text: i.text, Versions: i.versions, Newest: i.newest,
+		Account: row.job.Account, Item: row.job.Items[index].ID, Text: i.text, Versions: i.versions, Newest: i.newest,
 		Whole: i.phase == awaitingScore || i.phase == scoring || i.phase == stored || i.phase == awaitingStore && i.result.State == core.ItemCompleted,
 	}
 }
@@ -80,7 +88,7 @@
 				return checkpoint
 			}
 			// Events are only appended, so the copy may share the slice.
-			text := state.checkpoint(row.job.Items[i].ID)
+			text := row.checkpoint(i)
 			text.Versions = slices.Clone(text.Versions)
 			checkpoint.Texts = append(checkpoint.Texts, text)
 		}
@@ -92,7 +100,7 @@
 // jobs opened afterwards.
 func (s *Scheduler) Restore(checkpoint core.Checkpoint) {
 	for _, text := range checkpoint.Texts {
-		s.savedTexts[text.Item] = savedText{CheckpointText: text}
+		s.savedTexts[textKey{text.Account, text.Item}] = savedText{CheckpointText: text}
 	}
 }
 
@@ -100,11 +108,12 @@
 // unless some of the weights that generated it are older than this job allows.
 func (s *Scheduler) restoreSavedText(row *openJob, index int) {
 	id := row.job.Items[index].ID
-	saved, found := s.savedTexts[id]
+	key := textKey{row.job.Account, id}
+	saved, found := s.savedTexts[key]
 	if !found {
 		return
 	}
-	delete(s.savedTexts, id)
+	delete(s.savedTexts, key)
 	if slices.ContainsFunc(saved.Versions, func(v core.WeightVersion) bool { return v < row.job.Oldest }) {
 		return
 	}
--- a/internal/core/job/scheduler.go
+++ b/internal/core/job/scheduler.go
@@ -30,7 +30,7 @@
 // Scheduler schedules the jobs of one service that this process coordinates.
 type Scheduler struct {
 	jobs         map[core.JobID]*openJob
-	savedTexts   map[core.ItemID]savedText        // of ended jobs and of a former coordinator's jobs
+	savedTexts   map[textKey]savedText            // of ended jobs and of a former coordinator's jobs
 	recentGroups map[core.ModelName]*recentGroups // of the most recent jobs opened here
 	jobTokens    map[core.ModelName][]float64     // expected tokens of the most recent jobs opened here
 	lastRun      uint64
@@ -42,7 +42,7 @@
 func NewScheduler() *Scheduler {
 	return &Scheduler{
 		jobs: make(map[core.JobID]*openJob), jobTokens: make(map[core.ModelName][]float64),
-		savedTexts: make(map[core.ItemID]savedText), recentGroups: make(map[core.ModelName]*recentGroups),
+		savedTexts: make(map[textKey]savedText), recentGroups: make(map[core.ModelName]*recentGroups),
 	}
 }
 
--- a/internal/core/job/scheduler_test.go
+++ b/internal/core/job/scheduler_test.go
@@ -377,8 +377,8 @@
 		}
 		scheduler.Close(id)
 	}
-	_, oldest := scheduler.savedTexts["j0-0"]
-	_, newer := scheduler.savedTexts["j1-0"]
+	_, oldest := scheduler.savedTexts[textKey{item: "j0-0"}]
+	_, newer := scheduler.savedTexts[textKey{item: "j1-0"}]
 	if len(scheduler.savedTexts) != maxSavedTexts || oldest || !newer {
 		t.Errorf("%d texts saved; has one of the oldest job: %v, of a newer one: %v", len(scheduler.savedTexts), oldest, newer)
 	}
