relay: look a refused key up in the newest configuration before 401

Cause: a 401 is final for callers, and a process refused a key by the configuration that it happened to have. With a read every 0.3 s to 0.8 s, and while the store turns a process away, a key that had just been added was refused for good. A peer that starts while the store is away got the table as of the last full read, up to 5 s before, with keys removed since then. The store's answers that processes keep and pass on to each other held the keys themselves.

Change: a request that would be refused waits for a read of the configuration that began after it arrived. All such requests share one with the regular reads; those for requests begin 250 ms apart at least, and as far apart as a tenth of the store's reads over all processes allows. Only a read that succeeded gives 401, anything else 503 (key_unconfirmed), while known keys go on being served. Published data has a lane of its own, as reads of other tables that hang filled the one it was in.

--- a/cmd/fescuespar/relay.go
+++ b/cmd/fescuespar/relay.go
@@ -76,7 +76,7 @@
 // servers. The service is not started yet.
 func wireRelay(loaded *settings.Settings, log zerolog.Logger) (*relay.Service, []*http.Server, error) {
 	incarnation := newIncarnation()
-	direct := platformhttp.NewTransport()
+	direct := store.HideKeys(platformhttp.NewTransport())
 	node, err := detour.Listen(loaded.PeerAddress, loaded.StoreAddress, direct)
 	if err != nil {
 		return nil, nil, err
@@ -87,6 +87,7 @@
 		return detour.Peers{SameZone: near, OtherZones: far}
 	})
 	platform := store.New(transport, loaded.StoreAddress, storeTimeout, loaded.Regions, log)
+	node.ServeNewest(platform.NewestAnswer)
 	service = relay.New(relay.Options{
 		Self: core.Member{
 			VM: loaded.VM, Incarnation: incarnation, Zone: loaded.Zone, Region: loaded.Region, CallAddress: loaded.CallerAddress,
--- a/internal/adapters/detour/detour_test.go
+++ b/internal/adapters/detour/detour_test.go
@@ -241,6 +241,15 @@
 	if status, body := read(transport, "/op"); status != http.StatusNonAuthoritativeInfo || body != "/op:" {
 		t.Errorf("marked read in the outage: %d %q, want the cached response with status 203", status, body)
 	}
+	peer.ServeNewest(func(requestURI string) []byte {
+		if requestURI == "/op" {
+			return []byte("newer")
+		}
+		return nil
+	})
+	if status, body := read(transport, "/op"); status != http.StatusNonAuthoritativeInfo || body != "newer" {
+		t.Errorf("marked read of a peer with newer data: %d %q, want that with status 203", status, body)
+	}
 	if status, _ := read(transport, "/servers"); status == http.StatusOK || status == http.StatusNonAuthoritativeInfo {
 		t.Errorf("read that no peer has cached got status %d, want a failure", status)
 	}
--- a/internal/adapters/detour/node.go
+++ b/internal/adapters/detour/node.go
@@ -46,6 +46,7 @@
 	transport  *quic.Transport
 	tls        *tls.Config
 	directDown atomic.Pointer[atomic.Bool] // true while the direct path of this process is down
+	newest     atomic.Pointer[func(requestURI string) []byte]
 
 	// mu guards all fields below.
 	mu     lockrank.Mutex
@@ -79,15 +80,29 @@
 	return response, nil
 }
 
+// ServeNewest sets a function that returns this process's newest data for a marked read,
+// or nil if it has none but the cached response. It must be safe for concurrent use.
+func (n *Node) ServeNewest(newest func(requestURI string) []byte) { n.newest.Store(&newest) }
+
+// cachedBody returns the newest known body of the response to a marked read, or nil.
+func (n *Node) cachedBody(requestURI string) []byte {
+	if newest := n.newest.Load(); newest != nil {
+		if body := (*newest)(requestURI); body != nil {
+			return body
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cached[requestURI]
+}
+
 // cachedResponse returns the cached response to a marked read, or nil.
 func (n *Node) cachedResponse(incoming *http.Request) *http.Response {
 	if incoming == nil || incoming.Header.Get(AllowStaleHeader) == "" {
 		return nil
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	body, known := n.cached[incoming.RequestURI]
-	if !known {
+	body := n.cachedBody(incoming.RequestURI)
+	if body == nil {
 		return nil
 	}
 	return &http.Response{
--- a/internal/app/relay/accounts.go
+++ b/internal/app/relay/accounts.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"time"
 
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/account"
+	"fescuespar/internal/core/announce"
 	"fescuespar/internal/core/logs"
 	"fescuespar/internal/core/route"
 	"fescuespar/internal/errkind"
@@ -44,12 +46,72 @@
 	return decision.Caller, decision.Err()
 }
 
-// authorize decides about a request under the current route table.
-func (s *Service) authorize(_ context.Context, credentials core.Credentials, isExempt func(*core.RouteTable) bool) account.Decision {
+// authorize decides about a request. One that the route table in force refuses is decided
+// about again once a newer one was looked for; if that fails the refusal is not final.
+func (s *Service) authorize(ctx context.Context, credentials core.Credentials, isExempt func(*core.RouteTable) bool) account.Decision {
+	arrived := s.ports.Clock.Now()
+	decision := s.decide(credentials, isExempt)
+	if !decision.MayChange() {
+		return decision
+	}
+	isNewest := s.awaitNewest(ctx, arrived)
+	if decision = s.decide(credentials, isExempt); decision.MayChange() && !isNewest {
+		decision.Refusal = account.Unconfirmed
+	}
+	return decision
+}
+
+// decide decides about a request under the route table in force.
+func (s *Service) decide(credentials core.Credentials, isExempt func(*core.RouteTable) bool) account.Decision {
 	table, removed := s.routes.CurrentAccounts()
 	return account.Authorize(table, removed, isExempt(table), credentials)
 }
 
+// keyReadInterval returns the interval between reads of published data for requests.
+func (s *Service) keyReadInterval() time.Duration {
+	return announce.KeyReadInterval(keyReadInterval, len(s.members.Live()), s.options.StoreReadsPerSecond)
+}
+
+// awaitNewest waits for a read of published data that began at a time or later, and causes
+// one if there is none. It returns false if that read failed or did not end in time.
+func (s *Service) awaitNewest(ctx context.Context, arrived time.Time) bool {
+	interval := s.keyReadInterval()
+	limit := time.NewTimer(interval + watchTimeout)
+	defer limit.Stop()
+	for {
+		progress, readEnded := s.accounts.ReadsSince(arrived)
+		switch progress {
+		case account.Done:
+			return true
+		case account.Failed:
+			return false
+		case account.NotBegun:
+			if delay, due := s.accounts.ScheduleRead(s.ports.Clock.Now(), interval); due {
+				s.timers.After(delay, core.ClassControl, s.readForRequests)
+			}
+		}
+		select {
+		case <-readEnded:
+		case <-limit.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// readForRequests makes the read that requests wait for, unless another one has begun.
+func (s *Service) readForRequests() {
+	now := s.ports.Clock.Now()
+	delay, begun := s.accounts.BeginScheduledRead(now, s.keyReadInterval())
+	switch {
+	case begun:
+		s.readPublished(now)
+	case delay > 0:
+		s.timers.After(delay, core.ClassControl, s.readForRequests)
+	}
+}
+
 // checkOwner checks that a caller may use the job of an account. Errors: UnknownRequest.
 func checkOwner(id core.JobID, owner core.AccountName, caller core.Caller) error {
 	if account.MayUseJob(owner, caller) {
--- a/internal/app/relay/accounts_test.go
+++ b/internal/app/relay/accounts_test.go
@@ -178,3 +178,69 @@
 		}
 	}
 }
+
+// TestNewKeyIsLookedUp guards against the final refusal of a key that a newer
+// configuration has, and of any key while the newest can't be read.
+func TestNewKeyIsLookedUp(t *testing.T) {
+	s := newEnvironment(t)
+	s.publishAccounts(map[core.AccountName][]byte{"a": {1}})
+	service := s.waitReady(s.start("vm-1"))
+	admit := func(credentials core.Credentials) (core.AccountName, error) {
+		admission, err := service.Admit(t.Context(), host, "/lookup/x", credentials)
+		return admission.Caller.Account, err
+	}
+	for number := byte(2); number < 6; number++ {
+		s.publishAccounts(map[core.AccountName][]byte{"a": {1, number}})
+		if name, err := admit(withKey(number)); err != nil || name != "a" {
+			t.Errorf("key that was just added: account %q, %v", name, err)
+		}
+		if _, err := admit(withKey(number - 1)); number > 2 && !errkind.Is(err, errkind.Unauthenticated) {
+			t.Errorf("key that was removed: %v, want %s", err, errkind.Unauthenticated)
+		}
+	}
+	if _, err := admit(noKey); !errkind.Is(err, errkind.Unauthenticated) {
+		t.Errorf("no key: %v, want %s", err, errkind.Unauthenticated)
+	}
+	s.mu.Lock()
+	s.registryErr = errkind.New(errkind.StoreUnavailable, "test")
+	s.mu.Unlock()
+	for name, credentials := range map[string]core.Credentials{"unknown key": withKey(9), "removed key": withKey(2), "no key": noKey} {
+		if _, err := admit(credentials); !errkind.Is(err, errkind.KeyUnconfirmed) {
+			t.Errorf("%s while the store is unavailable: %v, want %s", name, err, errkind.KeyUnconfirmed)
+		}
+	}
+	if name, err := admit(withKey(1)); err != nil || name != "a" {
+		t.Errorf("known key while the store is unavailable: account %q, %v", name, err)
+	}
+}
+
+// TestRandomKeysShareReads guards against a store read for each request with a random key.
+func TestRandomKeysShareReads(t *testing.T) {
+	s := newEnvironment(t)
+	s.publishAccounts(map[core.AccountName][]byte{"a": {1}})
+	service := s.waitReady(s.start("vm-1"))
+	const senders, requests = 50, 4
+	s.mu.Lock()
+	before := s.publishedReads
+	s.mu.Unlock()
+	began := time.Now()
+	errs := make(chan error, senders*requests)
+	for sender := range senders {
+		go func() {
+			for request := range requests {
+				_, err := service.Admit(t.Context(), host, "/lookup/x", core.Credentials{Key: core.KeyDigest{9, byte(sender), byte(request)}})
+				errs <- err
+			}
+		}()
+	}
+	for range senders * requests {
+		if err := <-errs; !errkind.Is(err, errkind.Unauthenticated) {
+			t.Errorf("random key: %v, want %s", err, errkind.Unauthenticated)
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if reads, most := s.publishedReads-before, int(time.Since(began)/keyReadInterval)+2; reads > most {
+		t.Errorf("%d reads in %v, want at most %d", reads, time.Since(began), most)
+	}
+}
--- a/internal/app/relay/fakes_test.go
+++ b/internal/app/relay/fakes_test.go
@@ -42,6 +42,7 @@
 	holdsVersion    func(core.VM, core.Order) bool                                                 // reports whether an order's version is loaded already
 	losesOrder      func(core.VM) bool                                                             // reports whether an order is lost before it is accepted
 	isDead          func(core.ServerID) bool                                                       // reports whether a server refuses connections; nil for no
+	publishedReads  int                                                                            // reads of published data
 	activeRuns      int
 	activeExchanges int
 	exchanges       int // started
@@ -87,6 +88,7 @@
 func (s *environment) Published(context.Context) (core.Published, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.publishedReads++
 	return s.published, s.registryErr
 }
 
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -68,6 +68,8 @@
 	ordersInFlight     = 8
 	ordersWaiting      = 64
 	watchInFlight      = 4
+	publishedInFlight  = 4 // a read that hangs ends before the fourth after it begins
+	publishedWaiting   = 1
 	crashesInFlight    = 8
 	crashesWaiting     = 256
 )
@@ -88,20 +90,26 @@
 // Intervals of the periodic work.
 const (
 	watchInterval = 300 * time.Millisecond // an eighth of the time within which a change must be in force; longer in a large fleet
-	leaseInterval = 100 * time.Millisecond
-	sweepInterval = time.Second
+	// keyReadInterval is the least time between reads of the configuration for requests
+	// whose key is not known, which is the longest time that the first of them waits.
+	keyReadInterval = 250 * time.Millisecond
+	leaseInterval   = 100 * time.Millisecond
+	sweepInterval   = time.Second
 )
 
 // lanes run blocking calls, each kind with its own limit.
 type lanes struct {
-	calls   *workers.Lane // requests of callers
-	runs    *workers.Lane // items of jobs
-	scores  *workers.Lane // scoring of outputs
-	store   *workers.Lane // jobs and results
-	leases  *workers.Lane
-	orders  *workers.Lane
-	watch   *workers.Lane // registry and members
-	crashes *workers.Lane // records of requests under which servers died
+	calls  *workers.Lane // requests of callers
+	runs   *workers.Lane // items of jobs
+	scores *workers.Lane // scoring of outputs
+	store  *workers.Lane // jobs and results
+	leases *workers.Lane
+	orders *workers.Lane
+	watch  *workers.Lane // registrations and members
+	// published is for routes, accounts and weight versions, which must not wait for
+	// other reads that hang.
+	published *workers.Lane
+	crashes   *workers.Lane // records of requests under which servers died
 }
 
 // Service is one entry process without its front ends.
@@ -117,6 +125,7 @@
 
 	lifecycle      *tables.Lifecycle
 	routes         *tables.Routes
+	accounts       *tables.Accounts
 	members        *tables.AnnouncedMembers
 	leases         *tables.Leases
 	servers        *tables.Servers
@@ -158,17 +167,19 @@
 		options: options, ports: adapters, log: log, metrics: metrics.NewRelay(),
 		pool: pool, timers: workers.NewTimers(pool),
 		lanes: lanes{
-			calls:   workers.NewLane("calls", callsInFlight, callsWaiting),
-			runs:    workers.NewLane("runs", runsInFlight, 0),
-			scores:  workers.NewLane("scores", scoresInFlight, 0),
-			store:   workers.NewLane("store", storeInFlight, storeWaiting),
-			leases:  workers.NewLane("leases", leaseInFlight, leaseWaiting),
-			orders:  workers.NewLane("orders", ordersInFlight, ordersWaiting),
-			watch:   workers.NewLane("watch", watchInFlight, watchInFlight),
-			crashes: workers.NewLane("crashes", crashesInFlight, crashesWaiting),
+			calls:     workers.NewLane("calls", callsInFlight, callsWaiting),
+			runs:      workers.NewLane("runs", runsInFlight, 0),
+			scores:    workers.NewLane("scores", scoresInFlight, 0),
+			store:     workers.NewLane("store", storeInFlight, storeWaiting),
+			leases:    workers.NewLane("leases", leaseInFlight, leaseWaiting),
+			orders:    workers.NewLane("orders", ordersInFlight, ordersWaiting),
+			watch:     workers.NewLane("watch", watchInFlight, watchInFlight),
+			published: workers.NewLane("published", publishedInFlight, publishedWaiting),
+			crashes:   workers.NewLane("crashes", crashesInFlight, crashesWaiting),
 		},
 		lifecycle: tables.NewLifecycle(),
 		routes:    tables.NewRoutes(random(1)),
+		accounts:  tables.NewAccounts(),
 		members:   tables.NewAnnouncedMembers(),
 		leases: tables.NewLeases(
 			lease.Self{VM: options.Self.VM, Incarnation: options.Self.Incarnation, Address: options.Self.CallAddress},
@@ -210,7 +221,7 @@
 
 // Start starts the periodic work.
 func (s *Service) Start() {
-	s.runPeriodically(s.pollInterval, s.watchPublished)
+	s.runPeriodically(s.publishedDelay, s.watchPublished)
 	s.runPeriodically(s.pollInterval, s.watchServers)
 	s.runPeriodically(s.crashReadInterval, s.watchCrashes)
 	s.runPeriodically(s.memberReadInterval, s.watchMembers)
--- a/internal/app/relay/shutdown.go
+++ b/internal/app/relay/shutdown.go
@@ -82,6 +82,7 @@
 	s.lanes.leases.Stop()
 	s.lanes.orders.Stop()
 	s.lanes.watch.Stop()
+	s.lanes.published.Stop()
 	s.lanes.crashes.Stop()
 	s.pool.Stop()
 	s.log.Info().Str("phase", "stopped").Msg("shutdown")
--- a/internal/app/relay/watch.go
+++ b/internal/app/relay/watch.go
@@ -52,15 +52,42 @@
 	}
 }
 
-// watchPublished reads the route table and the published weight versions.
+// watchPublished reads the route table and the published weight versions, unless they
+// were read for requests within the interval.
 func (s *Service) watchPublished() {
-	s.readAndApply("published", func(ctx context.Context) (func(), error) {
+	now := s.ports.Clock.Now()
+	if s.accounts.BeginRegularRead(now, s.pollInterval()) {
+		s.readPublished(now)
+	}
+}
+
+// publishedDelay returns the time until the next regular read of published data.
+func (s *Service) publishedDelay() time.Duration {
+	return s.accounts.RegularReadDelay(s.ports.Clock.Now(), s.pollInterval())
+}
+
+// readPublished makes the read of published data that has begun at a time.
+func (s *Service) readPublished(began time.Time) {
+	err := s.lanes.published.Go(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+		defer cancel()
 		published, err := s.ports.Registry.Published(ctx)
 		if err == nil && published.Stale && s.routes.Current() != nil {
 			err = errStale
 		}
-		return func() { s.applyPublished(published) }, err
+		if s.recordStoreResult("published", err); err != nil {
+			s.accounts.EndRead(began, false)
+			return
+		}
+		s.pool.MustEnqueue(core.ClassControl, func() {
+			s.applyPublished(published)
+			s.accounts.EndRead(began, !published.Stale)
+		})
 	})
+	if err != nil {
+		s.accounts.EndRead(began, false)
+		s.log.Debug().Err(err).Msg("published data not read")
+	}
 }
 
 func (s *Service) applyPublished(published core.Published) {
--- a/internal/core/announce/view.go
+++ b/internal/core/announce/view.go
@@ -43,6 +43,9 @@
 	// crashReadShare is the share for polling crash records, which are one read. A
 	// process must know of a crash within the seconds in which it counts as in contact.
 	crashReadShare = 0.1
+	// keyReadShare is the share for reads of the configuration for requests whose key is
+	// not known, which callers with random keys can cause at every process.
+	keyReadShare = 0.1
 	// readsPerPoll is the number of reads per poll: one for routes and versions, one
 	// for backend servers.
 	readsPerPoll = 2
@@ -66,6 +69,12 @@
 	return sharedInterval(least, members, crashReadShare*float64(readsPerSecond))
 }
 
+// KeyReadInterval returns the interval from one read of the configuration to the next that
+// is made for requests whose key is not known, as PollInterval does.
+func KeyReadInterval(least time.Duration, members, readsPerSecond int) time.Duration {
+	return sharedInterval(least, members, keyReadShare*float64(readsPerSecond))
+}
+
 // sharedInterval returns the interval, at least the given one, at which a number of reads
 // may be repeated with a budget of reads per second. Without a budget there is no limit.
 func sharedInterval(least time.Duration, reads int, perSecond float64) time.Duration {
--- a/internal/core/announce/view_test.go
+++ b/internal/core/announce/view_test.go
@@ -172,8 +172,9 @@
 	const reads, least, inForce, inContact = 6000, 300 * time.Millisecond, 4 * time.Second, 4 * time.Second
 	for _, members := range []int{1, 10, 59, 300, 610} {
 		pollInterval, memberReadInterval := PollInterval(least, members, reads), MemberReadInterval(least, members)
-		crashReadInterval := CrashReadInterval(least, members, reads)
-		perSecond := float64(members) * (2/pollInterval.Seconds() + 1/memberReadInterval.Seconds() + 1/crashReadInterval.Seconds())
+		crashReadInterval, keyReadInterval := CrashReadInterval(least, members, reads), KeyReadInterval(least, members, reads)
+		perSecond := float64(members) * (2/pollInterval.Seconds() + 1/memberReadInterval.Seconds() +
+			1/crashReadInterval.Seconds() + 1/keyReadInterval.Seconds())
 		if perSecond > reads/2 {
 			t.Errorf("%d members make %.0f reads per second, want at most half of %d", members, perSecond, reads)
 		}
--- a/internal/lockrank/lockrank.go
+++ b/internal/lockrank/lockrank.go
@@ -16,6 +16,7 @@
 	RankLifecycle      Rank = 10
 	RankRoutingUpdates Rank = 15
 	RankConfiguration  Rank = 20
+	RankAccounts       Rank = 25
 	RankMembers        Rank = 30
 	RankLeases         Rank = 40
 	RankVMList         Rank = 45
