relay: operators see why keys are refused

Cause: a refused key left a line with its error and nothing else; whose key had been removed, how many requests were refused for which reason and which accounts are in force could not be seen, and anybody could fill the log by sending requests without a key.

Change: counters by reason, of reads made for requests and of calls about other accounts' jobs, gauges of accounts and keys; a line `key refused` with the reason, the account that had a removed key and the version that removed it, so that `explain REQUEST-ID` and `explain account=NAME` tell it. Lines about refused keys are bounded to 20 a second of each kind.

--- a/cmd/fescuespar/relaystatus.go
+++ b/cmd/fescuespar/relaystatus.go
@@ -4,12 +4,15 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"text/tabwriter"
 	"time"
 
 	"fescuespar/internal/app/relay"
 	"fescuespar/internal/core/routing"
 	"fescuespar/internal/errkind"
+	"fescuespar/internal/tables"
 )
 
 // relayStatus prints the state of a process on the users' platform.
@@ -27,6 +30,9 @@
 
 func writeRelayStatus(w io.Writer, state *relay.State) {
 	fmt.Fprintf(w, "%s, %d requests in flight, route table %d in force\n", state.Phase, state.InFlight, state.Routes)
+	if state.Accounts != nil {
+		writeAccounts(w, state.Accounts)
+	}
 	for _, outage := range state.Outages {
 		fmt.Fprintf(w, "platform does not answer: %s, since %s\n", outage.Service, outage.Since.Format(time.RFC3339))
 	}
@@ -41,9 +47,9 @@
 	for _, l := range state.Leases {
 		fmt.Fprintf(t, "%s\t%s\t%s\t%d\n", l.Name, l.State, orNoValue(l.Owner), l.Fence)
 	}
-	fmt.Fprintln(t, "\nJOB\tWAITING\tRUNNING\tUNSCORED\tUNSTORED\tSTORED")
+	fmt.Fprintln(t, "\nJOB\tACCOUNT\tWAITING\tRUNNING\tUNSCORED\tUNSTORED\tSTORED")
 	for _, j := range state.Jobs {
-		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\n", j.Job, j.Waiting, j.Running, j.Unscored, j.Unstored, j.Stored)
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\n", j.Job, orNoValue(string(j.Account)), j.Waiting, j.Running, j.Unscored, j.Unstored, j.Stored)
 	}
 	fmt.Fprintln(t, "\nSERVER WITHOUT NEW WORK\tSERVICE\tWHY")
 	for i := range state.Servers {
@@ -54,6 +60,17 @@
 	t.Flush()
 }
 
+// writeAccounts writes which client accounts are in force and why requests were refused.
+func writeAccounts(w io.Writer, accounts *tables.AccountsState) {
+	fmt.Fprintf(w, "%d accounts with %d keys in force, as read at %s\n", accounts.Accounts, accounts.Keys, accounts.ConfirmedAt.Format(time.RFC3339))
+	for _, reason := range slices.Sorted(maps.Keys(accounts.Refused)) {
+		fmt.Fprintf(w, "requests refused with %s: %d\n", reason, accounts.Refused[reason])
+	}
+	for _, name := range slices.Sorted(maps.Keys(accounts.Removed)) {
+		fmt.Fprintf(w, "requests with removed keys of account %s: %d\n", name, accounts.Removed[name])
+	}
+}
+
 // exclusionReason returns why a backend server gets no new work, or an empty
 // string if it gets work.
 func exclusionReason(server *routing.View) string {
--- a/cmd/fescuespar/relaystatus_test.go
+++ b/cmd/fescuespar/relaystatus_test.go
@@ -14,6 +14,7 @@
 
 	"fescuespar/internal/app/relay"
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/account"
 	"fescuespar/internal/core/job"
 	"fescuespar/internal/core/routing"
 	"fescuespar/internal/errkind"
@@ -40,7 +41,11 @@
 		Outages: []core.PlatformOutage{{Service: "servers", Since: time.Unix(1e9, 0)}},
 		Members: []core.Member{{VM: "entry-2", State: core.MemberSuspect, Zone: "z", CallAddress: "10.0.0.2:80"}},
 		Leases:  []tables.LeaseState{{Name: "work|service/m", State: "held", Owner: "entry-1", Fence: 9}},
-		Jobs:    []job.Summary{{Job: "j-4", Running: 5, Stored: 7}},
+		Jobs:    []job.Summary{{Job: "j-4", Account: "hule930", Running: 5, Stored: 7}},
+		Accounts: &tables.AccountsState{
+			Accounts: 80, Keys: 161, ConfirmedAt: time.Unix(1e9, 0),
+			Refused: map[account.Refusal]uint64{account.NoKey: 4, account.RemovedKey: 3}, Removed: map[core.AccountName]uint64{"fida11": 3},
+		},
 		Servers: []routing.View{
 			{VM: core.VM{ID: "i-1", Service: "m"}, Ejected: true, EjectedUntil: time.Unix(1e9, 0)},
 			{VM: core.VM{ID: "i-2", Service: "m"}},
@@ -56,7 +61,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, want := range []string{"route table 17", "does not answer: servers", "entry-2", "suspect", "work|service/m", "j-4", "i-1", "ejected until"} {
+	for _, want := range []string{"route table 17", "does not answer: servers", "entry-2", "suspect", "work|service/m", "j-4", "i-1", "ejected until",
+		"80 accounts with 161 keys in force", "refused with no_key: 4", "removed keys of account fida11: 3", "hule930"} {
 		if !strings.Contains(text, want) {
 			t.Errorf("output does not contain %q:\n%s", want, text)
 		}
@@ -72,6 +78,7 @@
 const sampleLog = `{"level":"warn","vm":"entry-1","server":"i-3","why":"fails","time":"2026-12-04T10:00:01Z","message":"backend server ejected"}
 {"level":"info","vm":"entry-1","request":"r-7","attempt":1,"server":"i-3","why":"cut","time":"2026-12-04T10:00:02Z","message":"attempt failed"}
 {"level":"info","vm":"entry-1","request":"r-7","routes":17,"time":"2026-12-04T10:00:03Z","message":"request ended"}
+{"level":"warn","vm":"entry-1","request":"r-8","reason":"removed_key","account":"fida11","removed_by":18,"time":"2026-12-04T10:00:04Z","message":"key refused"}
 `
 
 func TestExplainAndReport(t *testing.T) {
@@ -85,9 +92,10 @@
 		want []string
 		not  string
 	}{
-		{[]string{"r-7", file}, []string{"attempt failed", "2 of 3 lines name r-7"}, "ejected"},
+		{[]string{"r-7", file}, []string{"attempt failed", "2 of 4 lines name r-7"}, "ejected"},
 		{[]string{"--around", "10s", "r-7", file}, []string{". 10:00:01.000", "why=fails"}, ""},
-		{[]string{"routes=17", file}, []string{"request ended", "1 of 3 lines"}, "attempt failed"},
+		{[]string{"routes=17", file}, []string{"request ended", "1 of 4 lines"}, "attempt failed"},
+		{[]string{"r-8", file}, []string{"key refused", "reason=removed_key", "account=fida11", "removed_by=18"}, ""},
 	} {
 		text, err := runCommand(t, &explainCommand{}, c.args...)
 		if err != nil {
--- a/internal/app/relay/accounts.go
+++ b/internal/app/relay/accounts.go
@@ -55,12 +55,41 @@
 		return decision
 	}
 	isNewest := s.awaitNewest(ctx, arrived)
-	if decision = s.decide(credentials, isExempt); decision.MayChange() && !isNewest {
+	decision = s.decide(credentials, isExempt)
+	if !decision.MayChange() {
+		s.metrics.KeysFound.Inc(1)
+		return decision
+	}
+	if !isNewest {
 		decision.Refusal = account.Unconfirmed
 	}
+	s.recordRefusal(credentials, decision)
 	return decision
 }
 
+// recordRefusal counts and logs that a request is refused for its key.
+func (s *Service) recordRefusal(credentials core.Credentials, decision account.Decision) {
+	switch decision.Refusal {
+	case account.NoKey:
+		s.metrics.KeysMissing.Inc(1)
+	case account.RemovedKey:
+		s.metrics.KeysRemoved.Inc(1)
+	case account.Unconfirmed:
+		s.metrics.KeysUnconfirmed.Inc(1)
+	default:
+		s.metrics.KeysUnknown.Inc(1)
+	}
+	s.accounts.CountRefusal(decision)
+	line := s.refusalLog.Warn().Str("request", string(credentials.Request)).Str("reason", string(decision.Refusal))
+	if removal := decision.Removal; removal.Account != "" {
+		line = line.Str("account", string(removal.Account)).Uint64("removed_by", removal.Version)
+	}
+	if table := s.routes.Current(); table != nil {
+		line = line.Uint64("routes", table.Version)
+	}
+	line.Msg(logs.KeyRefused)
+}
+
 // decide decides about a request under the route table in force.
 func (s *Service) decide(credentials core.Credentials, isExempt func(*core.RouteTable) bool) account.Decision {
 	table, removed := s.routes.CurrentAccounts()
@@ -106,6 +135,7 @@
 	delay, begun := s.accounts.BeginScheduledRead(now, s.keyReadInterval())
 	switch {
 	case begun:
+		s.metrics.KeyReads.Inc(1)
 		s.readPublished(now)
 	case delay > 0:
 		s.timers.After(delay, core.ClassControl, s.readForRequests)
@@ -113,10 +143,11 @@
 }
 
 // checkOwner checks that a caller may use the job of an account. Errors: UnknownRequest.
-func checkOwner(id core.JobID, owner core.AccountName, caller core.Caller) error {
+func (s *Service) checkOwner(id core.JobID, owner core.AccountName, caller core.Caller) error {
 	if account.MayUseJob(owner, caller) {
 		return nil
 	}
+	s.metrics.JobsDenied.Inc(1)
 	return errkind.New(errkind.UnknownRequest, "job %s does not exist for account %q", id, caller.Account)
 }
 
@@ -136,6 +167,8 @@
 	if table.Accounts != nil {
 		line = line.Int("accounts", len(table.AccountNames)).Int("keys", len(table.Accounts))
 	}
+	s.metrics.Accounts.Update(int64(len(table.AccountNames)))
+	s.metrics.AccountKeys.Update(int64(len(table.Accounts)))
 	if lost := account.CountRemoved(replaced, table); len(lost) > 0 {
 		line = line.Any("keys_removed", lost)
 	}
--- a/internal/app/relay/forward.go
+++ b/internal/app/relay/forward.go
@@ -320,6 +320,9 @@
 		s.metrics.RequestsFailed.Inc(1)
 		line = s.log.Warn().Err(err).Str("fingerprint", formatFingerprint(c.guard.fingerprint))
 	}
+	if c.request.Account != "" {
+		line = line.Str("account", string(c.request.Account))
+	}
 	line.Str("request", string(c.request.ID)).Str("route", c.route.Name).Str("service", c.service).
 		Uint64("routes", c.routesVersion).Int("attempts", c.attempts).Int("status", response.Status).Dur("took", took).Msg(logs.RequestEnded)
 }
--- a/internal/app/relay/jobs.go
+++ b/internal/app/relay/jobs.go
@@ -184,7 +184,7 @@
 	if !found {
 		return core.Row{}, record, errkind.New(errkind.UnknownRequest, "job %s does not exist", id)
 	}
-	return rows[0], record, checkOwner(id, record.Account, caller)
+	return rows[0], record, s.checkOwner(id, record.Account, caller)
 }
 
 // Results implements ports.Jobs.
@@ -289,7 +289,7 @@
 // those of readJobRow.
 func (s *Service) loadJob(ctx context.Context, id core.JobID, caller core.Caller) (core.Job, error) {
 	if job, cached := s.jobStorage.Job(id); cached {
-		return job, checkOwner(id, job.Account, caller)
+		return job, s.checkOwner(id, job.Account, caller)
 	}
 	_, record, err := s.readJobRow(ctx, id, caller)
 	if err != nil {
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -18,6 +18,7 @@
 	"fescuespar/internal/core/crash"
 	"fescuespar/internal/core/job"
 	"fescuespar/internal/core/lease"
+	"fescuespar/internal/core/logs"
 	"fescuespar/internal/core/routing"
 	"fescuespar/internal/lockrank"
 	"fescuespar/internal/metrics"
@@ -114,10 +115,11 @@
 
 // Service is one entry process without its front ends.
 type Service struct {
-	options Options
-	ports   Ports
-	log     zerolog.Logger
-	metrics *metrics.Relay
+	options    Options
+	ports      Ports
+	log        zerolog.Logger
+	refusalLog zerolog.Logger // of refused keys, with a bounded number of lines
+	metrics    *metrics.Relay
 
 	pool   *workers.Pool
 	timers *workers.Timers
@@ -165,7 +167,8 @@
 	random := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(options.Seed, stream)) }
 	s := &Service{
 		options: options, ports: adapters, log: log, metrics: metrics.NewRelay(),
-		pool: pool, timers: workers.NewTimers(pool),
+		refusalLog: log.Sample(&zerolog.BurstSampler{Burst: logs.KeyRefusalsPerSecond, Period: time.Second}),
+		pool:       pool, timers: workers.NewTimers(pool),
 		lanes: lanes{
 			calls:     workers.NewLane("calls", callsInFlight, callsWaiting),
 			runs:      workers.NewLane("runs", runsInFlight, 0),
@@ -271,6 +274,7 @@
 	Phase    string                `json:"phase"`
 	InFlight int                   `json:"in_flight"`
 	Routes   uint64                `json:"routes_version"`
+	Accounts *tables.AccountsState `json:"accounts,omitempty"` // nil if the deployment has no client accounts
 	Members  []core.Member         `json:"members"`
 	Leases   []tables.LeaseState   `json:"leases"`
 	Jobs     []job.Summary         `json:"jobs"`
@@ -289,8 +293,10 @@
 		Servers: s.servers.Views(), Pool: s.pool.State(), Outages: s.platform.Outages(),
 		Crashes: s.crashes.State(s.ports.Clock.Now()),
 	}
-	if table := s.routes.Current(); table != nil {
+	table := s.routes.Current()
+	if table != nil {
 		state.Routes = table.Version
 	}
+	state.Accounts = s.accounts.State(table)
 	return state
 }
--- a/internal/core/logs/messages.go
+++ b/internal/core/logs/messages.go
@@ -7,6 +7,7 @@
 	RequestEnded   = "request ended"
 	RequestRefused = "refused or failed" // error as returned to the caller, also for a request that was not admitted
 	AttemptFailed  = "attempt failed"
+	KeyRefused     = "key refused" // why, and for a removed key whose it was; at most KeyRefusalsPerSecond
 
 	JobSubmitted = "job submitted"
 	JobOpened    = "job opened"
@@ -33,6 +34,10 @@
 	LinesDropped = "log lines dropped"
 )
 
+// KeyRefusalsPerSecond bounds the lines of one kind that a process writes about refused
+// keys, which anybody can cause. A busy second of a process has 400 lines of other kinds.
+const KeyRefusalsPerSecond = 20
+
 // Fields of these lines.
 const (
 	fieldRequest = "request"
--- a/internal/metrics/relay.go
+++ b/internal/metrics/relay.go
@@ -15,6 +15,13 @@
 	JobsAccepted    gometrics.Counter
 	JobsRefused     gometrics.Counter
 	JobsEnded       gometrics.Counter
+	JobsDenied      gometrics.Counter
+	KeysMissing     gometrics.Counter
+	KeysUnknown     gometrics.Counter
+	KeysRemoved     gometrics.Counter
+	KeysUnconfirmed gometrics.Counter
+	KeysFound       gometrics.Counter
+	KeyReads        gometrics.Counter
 	RunsStarted     gometrics.Counter
 	RunsCut         gometrics.Counter
 	ResultsStored   gometrics.Counter
@@ -27,6 +34,8 @@
 	TableCommits    gometrics.Counter
 	TableUnknown    gometrics.Counter
 	StoreFailures   gometrics.Counter
+	Accounts        gometrics.Gauge
+	AccountKeys     gometrics.Gauge
 	RequestTime     *Latency // ms from a request's arrival to its answer
 	RunTime         *Latency // ms from the start to the end of an item's run
 }
@@ -38,6 +47,8 @@
 		"relay.requests.served": &r.RequestsServed, "relay.requests.refused": &r.RequestsRefused,
 		"relay.requests.failed": &r.RequestsFailed, "relay.attempts": &r.Attempts, "relay.attempts.cut": &r.AttemptsCut, "relay.servers.died": &r.ServerDeaths,
 		"relay.jobs.accepted": &r.JobsAccepted, "relay.jobs.refused": &r.JobsRefused, "relay.jobs.ended": &r.JobsEnded,
+		"relay.jobs.denied": &r.JobsDenied, "relay.keys.missing": &r.KeysMissing, "relay.keys.unknown": &r.KeysUnknown,
+		"relay.keys.removed": &r.KeysRemoved, "relay.keys.unconfirmed": &r.KeysUnconfirmed, "relay.keys.found": &r.KeysFound, "relay.keys.reads": &r.KeyReads,
 		"relay.runs.started": &r.RunsStarted, "relay.runs.cut": &r.RunsCut,
 		"relay.results.stored": &r.ResultsStored, "relay.scores.missed": &r.ScoresMissed,
 		"relay.orders.sent": &r.WeightOrders, "relay.orders.failed": &r.OrdersFailed,
@@ -47,6 +58,8 @@
 	} {
 		*counter = gometrics.NewRegisteredCounter(name, r.Registry)
 	}
+	r.Accounts = gometrics.NewRegisteredGauge("relay.accounts", r.Registry)
+	r.AccountKeys = gometrics.NewRegisteredGauge("relay.accounts.keys", r.Registry)
 	for name, latency := range map[string]**Latency{"relay.request.ms": &r.RequestTime, "relay.run.ms": &r.RunTime} {
 		*latency = NewLatency()
 		if err := r.Registry.Register(name, *latency); err != nil {
--- a/internal/tables/accounts.go
+++ b/internal/tables/accounts.go
@@ -1,25 +1,36 @@
 package tables
 
 import (
+	"maps"
 	"time"
 
+	"fescuespar/internal/core"
 	"fescuespar/internal/core/account"
 	"fescuespar/internal/lockrank"
 )
 
+// maxRefusedAccounts bounds the accounts whose refusals are counted one by one: twelve
+// times those of a large deployment.
+const maxRefusedAccounts = 1024
+
 // Accounts holds the reads of the newest configuration that requests wait for, because
-// the configuration in force refuses them.
+// the configuration in force refuses them, and the numbers of refusals.
 type Accounts struct {
 	// mu guards all fields below.
 	mu        lockrank.Mutex
 	reads     account.Reads
 	scheduled bool          // a read for requests is due
 	readEnded chan struct{} // closed when the next read ends
+	refused   map[account.Refusal]uint64
+	removed   map[core.AccountName]uint64 // refused with a removed key, by the account that had it
 }
 
 // NewAccounts returns a table without reads.
 func NewAccounts() *Accounts {
-	return &Accounts{mu: lockrank.New(lockrank.RankAccounts), readEnded: make(chan struct{})}
+	return &Accounts{
+		mu: lockrank.New(lockrank.RankAccounts), readEnded: make(chan struct{}),
+		refused: make(map[account.Refusal]uint64), removed: make(map[core.AccountName]uint64),
+	}
 }
 
 // BeginRegularRead reports whether a read at the regular interval, counted from the
@@ -92,9 +103,36 @@
 	return t.reads.Since(arrived), t.readEnded
 }
 
-// ConfirmedAt returns when the newest read began that succeeded, zero if none has.
-func (t *Accounts) ConfirmedAt() time.Time {
+// CountRefusal counts a refused request.
+func (t *Accounts) CountRefusal(decision account.Decision) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.reads.Succeeded()
+	t.refused[decision.Refusal]++
+	name := decision.Removal.Account
+	if _, counted := t.removed[name]; name != "" && (counted || len(t.removed) < maxRefusedAccounts) {
+		t.removed[name]++
+	}
+}
+
+// AccountsState is the state of a deployment's client accounts in this process, encoded as
+// JSON for operators.
+type AccountsState struct {
+	Accounts    int                         `json:"accounts"`
+	Keys        int                         `json:"keys"`
+	ConfirmedAt time.Time                   `json:"confirmed_at"` // start of the newest successful read of the configuration
+	Refused     map[account.Refusal]uint64  `json:"refused"`      // requests since the start, by reason
+	Removed     map[core.AccountName]uint64 `json:"removed_keys"` // of them, those with a removed key, by the account that had it
+}
+
+// State returns the state under a route table, nil if the deployment has no accounts.
+func (t *Accounts) State(table *core.RouteTable) *AccountsState {
+	if table == nil || table.Accounts == nil {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return &AccountsState{
+		Accounts: len(table.AccountNames), Keys: len(table.Accounts), ConfirmedAt: t.reads.Succeeded(),
+		Refused: maps.Clone(t.refused), Removed: maps.Clone(t.removed),
+	}
 }
