--- a/internal/app/relay/fakes_test.go
+++ b/internal/app/relay/fakes_test.go
@@ -42,6 +42,7 @@
 	holdsVersion    func(core.VM, core.Order) bool                                                 // reports whether an order's version is loaded already
 	losesOrder      func(core.VM) bool                                                             // reports whether an order is lost before it is accepted
 	isDead          func(core.ServerID) bool                                                       // reports whether a server refuses connections; nil for no
+	publishedReads  int                                                                            // reads of published data
 	activeRuns      int
 	activeExchanges int
 	exchanges       int // started
@@ -87,6 +88,7 @@
 func (s *environment) Published(context.Context) (core.Published, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.publishedReads++
 	return s.published, s.registryErr
 }
 
@@ -249,6 +251,9 @@
 	return service
 }
 
+// noKey are the credentials of a request without a key.
+var noKey core.Credentials
+
 // newJob returns a job with the given number of items, each with a scorer.
 func newJob(id core.JobID, items int) core.Job {
 	job := core.Job{ID: id, Host: host, Path: "/jobs/x", Model: "m", Oldest: 1}
@@ -267,7 +272,7 @@
 	s.t.Helper()
 	all := core.ResultPage{}
 	for {
-		page, err := service.Results(s.t.Context(), id, all.Next, 0)
+		page, err := service.Results(s.t.Context(), noKey, id, all.Next, 0)
 		if err != nil {
 			s.t.Fatal(err)
 		}
--- a/internal/app/relay/scoring_test.go
+++ b/internal/app/relay/scoring_test.go
@@ -37,7 +37,7 @@
 func checkScoringEnds(t *testing.T, s *environment, service *Service) {
 	t.Helper()
 	const quietAfter = 3 * time.Second
-	if err := service.EndJob(t.Context(), "j"); err != nil {
+	if err := service.EndJob(t.Context(), noKey, "j"); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(quietAfter)
@@ -81,7 +81,7 @@
 		}
 		var page core.ResultPage
 		s.eventually("result listed", func() bool {
-			page, _ = service.Results(t.Context(), "j", 0, 0)
+			page, _ = service.Results(t.Context(), core.Credentials{}, "j", 0, 0)
 			return len(page.Results) == 1
 		})
 		if page.Results[0].State != core.ItemFailed {
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -18,6 +18,7 @@
 	"fescuespar/internal/core/crash"
 	"fescuespar/internal/core/job"
 	"fescuespar/internal/core/lease"
+	"fescuespar/internal/core/logs"
 	"fescuespar/internal/core/routing"
 	"fescuespar/internal/lockrank"
 	"fescuespar/internal/metrics"
@@ -68,6 +69,8 @@
 	ordersInFlight     = 8
 	ordersWaiting      = 64
 	watchInFlight      = 4
+	publishedInFlight  = 4 // a read that hangs ends before the fourth after it begins
+	publishedWaiting   = 1
 	crashesInFlight    = 8
 	crashesWaiting     = 256
 )
@@ -88,28 +91,35 @@
 // Intervals of the periodic work.
 const (
 	watchInterval = 300 * time.Millisecond // an eighth of the time within which a change must be in force; longer in a large fleet
-	leaseInterval = 100 * time.Millisecond
-	sweepInterval = time.Second
+	// keyReadInterval is the least time between reads of the configuration for requests
+	// whose key is not known, which is the longest time that the first of them waits.
+	keyReadInterval = 250 * time.Millisecond
+	leaseInterval   = 100 * time.Millisecond
+	sweepInterval   = time.Second
 )
 
 // lanes run blocking calls, each kind with its own limit.
 type lanes struct {
-	calls   *workers.Lane // requests of callers
-	runs    *workers.Lane // items of jobs
-	scores  *workers.Lane // scoring of outputs
-	store   *workers.Lane // jobs and results
-	leases  *workers.Lane
-	orders  *workers.Lane
-	watch   *workers.Lane // registry and members
-	crashes *workers.Lane // records of requests under which servers died
+	calls  *workers.Lane // requests of callers
+	runs   *workers.Lane // items of jobs
+	scores *workers.Lane // scoring of outputs
+	store  *workers.Lane // jobs and results
+	leases *workers.Lane
+	orders *workers.Lane
+	watch  *workers.Lane // registrations and members
+	// published is for routes, accounts and weight versions, which must not wait for
+	// other reads that hang.
+	published *workers.Lane
+	crashes   *workers.Lane // records of requests under which servers died
 }
 
 // Service is one entry process without its front ends.
 type Service struct {
-	options Options
-	ports   Ports
-	log     zerolog.Logger
-	metrics *metrics.Relay
+	options    Options
+	ports      Ports
+	log        zerolog.Logger
+	refusalLog zerolog.Logger // of refused keys, with a bounded number of lines
+	metrics    *metrics.Relay
 
 	pool   *workers.Pool
 	timers *workers.Timers
@@ -117,6 +127,7 @@
 
 	lifecycle      *tables.Lifecycle
 	routes         *tables.Routes
+	accounts       *tables.Accounts
 	members        *tables.AnnouncedMembers
 	leases         *tables.Leases
 	servers        *tables.Servers
@@ -156,19 +167,22 @@
 	random := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(options.Seed, stream)) }
 	s := &Service{
 		options: options, ports: adapters, log: log, metrics: metrics.NewRelay(),
-		pool: pool, timers: workers.NewTimers(pool),
+		refusalLog: log.Sample(&zerolog.BurstSampler{Burst: logs.KeyRefusalsPerSecond, Period: time.Second}),
+		pool:       pool, timers: workers.NewTimers(pool),
 		lanes: lanes{
-			calls:   workers.NewLane("calls", callsInFlight, callsWaiting),
-			runs:    workers.NewLane("runs", runsInFlight, 0),
-			scores:  workers.NewLane("scores", scoresInFlight, 0),
-			store:   workers.NewLane("store", storeInFlight, storeWaiting),
-			leases:  workers.NewLane("leases", leaseInFlight, leaseWaiting),
-			orders:  workers.NewLane("orders", ordersInFlight, ordersWaiting),
-			watch:   workers.NewLane("watch", watchInFlight, watchInFlight),
-			crashes: workers.NewLane("crashes", crashesInFlight, crashesWaiting),
+			calls:     workers.NewLane("calls", callsInFlight, callsWaiting),
+			runs:      workers.NewLane("runs", runsInFlight, 0),
+			scores:    workers.NewLane("scores", scoresInFlight, 0),
+			store:     workers.NewLane("store", storeInFlight, storeWaiting),
+			leases:    workers.NewLane("leases", leaseInFlight, leaseWaiting),
+			orders:    workers.NewLane("orders", ordersInFlight, ordersWaiting),
+			watch:     workers.NewLane("watch", watchInFlight, watchInFlight),
+			published: workers.NewLane("published", publishedInFlight, publishedWaiting),
+			crashes:   workers.NewLane("crashes", crashesInFlight, crashesWaiting),
 		},
 		lifecycle: tables.NewLifecycle(),
 		routes:    tables.NewRoutes(random(1)),
+		accounts:  tables.NewAccounts(),
 		members:   tables.NewAnnouncedMembers(),
 		leases: tables.NewLeases(
 			lease.Self{VM: options.Self.VM, Incarnation: options.Self.Incarnation, Address: options.Self.CallAddress},
@@ -210,7 +224,7 @@
 
 // Start starts the periodic work.
 func (s *Service) Start() {
-	s.runPeriodically(s.pollInterval, s.watchPublished)
+	s.runPeriodically(s.publishedDelay, s.watchPublished)
 	s.runPeriodically(s.pollInterval, s.watchServers)
 	s.runPeriodically(s.crashReadInterval, s.watchCrashes)
 	s.runPeriodically(s.memberReadInterval, s.watchMembers)
@@ -260,6 +274,7 @@
 	Phase    string                `json:"phase"`
 	InFlight int                   `json:"in_flight"`
 	Routes   uint64                `json:"routes_version"`
+	Accounts *tables.AccountsState `json:"accounts,omitempty"` // nil if the deployment has no client accounts
 	Members  []core.Member         `json:"members"`
 	Leases   []tables.LeaseState   `json:"leases"`
 	Jobs     []job.Summary         `json:"jobs"`
@@ -278,8 +293,10 @@
 		Servers: s.servers.Views(), Pool: s.pool.State(), Outages: s.platform.Outages(),
 		Crashes: s.crashes.State(s.ports.Clock.Now()),
 	}
-	if table := s.routes.Current(); table != nil {
+	table := s.routes.Current()
+	if table != nil {
 		state.Routes = table.Version
 	}
+	state.Accounts = s.accounts.State(table)
 	return state
 }
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -12,14 +12,15 @@
 // Job is a batch of items that are submitted together and run later,
 // independently of each other.
 type Job struct {
-	ID     JobID
-	Host   string
-	Path   string // URL path of the submission
-	Model  ModelName
-	Step   Step
-	Oldest WeightVersion // oldest weights that may produce an event of a text
-	Wanted int           // complete groups that the trainer waits for; zero for all
-	Items  []JobItem
+	ID      JobID
+	Account AccountName `cbor:"-"` // account that submitted it, stored in its row; empty if there is none
+	Host    string
+	Path    string // URL path of the submission
+	Model   ModelName
+	Step    Step
+	Oldest  WeightVersion // oldest weights that may produce an event of a text
+	Wanted  int           // complete groups that the trainer waits for; zero for all
+	Items   []JobItem
 }
 
 // JobItem is one generation request of a job.
@@ -75,6 +76,7 @@
 
 // CheckpointText is the partial text of one item.
 type CheckpointText struct {
+	Account  AccountName `cbor:",omitempty"` // of the item's job; empty if there is none
 	Item     ItemID
 	Text     []string // data of the events so far
 	Versions []WeightVersion
@@ -96,6 +98,7 @@
 	Items   int
 	Body    ObjectKey // object holding the Job
 	Ended   bool
+	Account AccountName `cbor:",omitempty"` // account that submitted the job; empty if there is none
 }
 
 // ResultRecord is the row of one position in a job's results.
