admission: queues by route and priority, a sample in the order of arrival

Cause: the gate knows callers only, all of equal weight.

Change: fairQueue serves callers by weighted deficit round robin, their routes by priority and routes of equal priority by deficit round robin. Of the requests that find no slot a sample is also served in the order of arrival, if the gate's bounds ask for it. Gates without routes and priorities serve in the same order as before.

--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"fescuespar/internal/core"
@@ -9,11 +10,24 @@
 
 // Request is a request to be admitted.
 type Request[T any] struct {
-	Caller   core.CallerName
+	Caller   core.CallerName // caller or account for which it is served
+	Route    string          // requests of one caller are also shared out by route; may be empty
+	Priority int             // 0 is most urgent
 	Class    core.Class
-	Cost     int       // expected tokens, by which callers are weighed against each other
-	Deadline time.Time // an answer after it is of no use
-	Payload  T         // returned when a waiting request starts or expires
+	Cost     int           // expected tokens, by which callers are weighed against each other
+	Deadline time.Time     // an answer after it is of no use
+	Expected time.Duration // expected time in flight; zero for the mean of the class
+	Payload  T             // returned when a waiting request starts or expires
+
+	Wait Wait // set by Admit if the request waits
+}
+
+// Wait describes a waiting request.
+type Wait struct {
+	Until      time.Time // it can no longer be answered in time if it has not started by then
+	class      core.Class
+	node       int
+	generation uint32 // zero if the request does not wait
 }
 
 // Bounds are one process's part of a deployment's limits.
@@ -21,6 +35,11 @@
 	Concurrent   int           // requests in flight
 	QueueLength  int           // requests waiting in each class
 	QueueTimeout time.Duration // longest wait
+	// SampleDivisor makes one in SampleDivisor requests that find no slot a sampled one,
+	// and of as many starts that of the oldest sampled one, whatever its caller and
+	// priority. Each caller is then served at least one SampleDivisor-th as often as all
+	// are. Zero for none.
+	SampleDivisor int
 }
 
 const (
@@ -32,9 +51,6 @@
 	interactiveHeadroomDivisor = 8
 	// peakHalfLife is the time in which a past peak loses half its value.
 	peakHalfLife = 30 * time.Second
-	// meanInFlightWeight is the weight of a new observation in the mean time in
-	// flight.
-	meanInFlightWeight = 0.1
 )
 
 // Gate admits the requests of one deployment in one entry process.
@@ -42,8 +58,10 @@
 	bounds          Bounds
 	queues          [core.ClassCount]*fairQueue[T]
 	inFlight        [core.ClassCount]int
-	meanInFlight    [core.ClassCount]time.Duration // mean time in flight, zero while unknown
-	interactivePeak decayingPeak                   // of interactive requests in flight
+	meanInFlight    [core.ClassCount]MeanDuration
+	queued          [core.ClassCount]uint32 // requests that found no slot
+	dequeued        [core.ClassCount]int    // waiting requests started
+	interactivePeak decayingPeak            // of interactive requests in flight
 	refused         uint64
 	refusedAt       time.Time // time of the newest refusal
 	rolloutBacklog  int       // rollouts that would start at once if slots were free
@@ -67,8 +85,7 @@
 // DeadlineTooShort when the request could not be answered in time.
 func (g *Gate[T]) Admit(request *Request[T], now time.Time) (bool, error) {
 	queue := g.queues[request.Class]
-	if queue.length == 0 && g.hasFreeSlot(request.Class, now) {
-		g.start(request.Class, now)
+	if g.TryStart(request.Class, now) {
 		return true, nil
 	}
 	if queue.length >= g.bounds.QueueLength {
@@ -76,25 +93,37 @@
 		return false, errkind.New(errkind.Overloaded, "queue is full: %d requests of class %s are waiting", queue.length, request.Class)
 	}
 	until := g.latestStart(request, now)
-	if wait := g.estimateWait(request); now.Add(wait).After(until) {
+	sampled := g.takeSample(request.Class, until.Sub(now))
+	if wait := g.estimateWait(request); now.Add(wait).After(until) && (!sampled || !now.Before(until)) {
 		g.recordRefusals(1, now)
 		return false, errkind.New(errkind.DeadlineTooShort, "request not queued: estimated wait of %s is too long for its deadline or the queue timeout", wait.Round(time.Millisecond))
 	}
-	queue.enqueue(request, until)
+	node := queue.enqueue(request, until, sampled)
+	request.Wait = Wait{Until: until, class: request.Class, node: node, generation: queue.nodes[node].generation}
 	return false, nil
 }
 
+// TryStart starts a request of a class and returns true, if a slot is free and none
+// waits.
+func (g *Gate[T]) TryStart(class core.Class, now time.Time) bool {
+	if g.queues[class].length > 0 || !g.hasFreeSlot(class, now) {
+		return false
+	}
+	g.start(class, now)
+	return true
+}
+
 // Release ends a request that was in flight for the given time. The caller must
 // call Dequeue afterwards.
 func (g *Gate[T]) Release(class core.Class, duration time.Duration) {
-	g.inFlight[class] = max(0, g.inFlight[class]-1)
-	if g.meanInFlight[class] == 0 {
-		g.meanInFlight[class] = duration
-		return
-	}
-	g.meanInFlight[class] += time.Duration(meanInFlightWeight * float64(duration-g.meanInFlight[class]))
+	g.Abandon(class)
+	g.meanInFlight[class].Observe(duration)
 }
 
+// Abandon ends a request that was in flight and says nothing about the time that others
+// take. The caller must call Dequeue afterwards.
+func (g *Gate[T]) Abandon(class core.Class) { g.inFlight[class] = max(0, g.inFlight[class]-1) }
+
 // Dequeue starts the next waiting request if a slot is free for it, and returns
 // its payload and class.
 func (g *Gate[T]) Dequeue(now time.Time) (T, core.Class, bool) {
@@ -102,7 +131,7 @@
 		if g.queues[class].length == 0 || !g.hasFreeSlot(class, now) {
 			continue
 		}
-		payload, ok := g.queues[class].dequeue()
+		payload, ok := g.dequeueFrom(class)
 		g.start(class, now)
 		return payload, class, ok
 	}
@@ -110,6 +139,14 @@
 	return empty, 0, false
 }
 
+func (g *Gate[T]) dequeueFrom(class core.Class) (T, bool) {
+	g.dequeued[class]++
+	if divisor := g.bounds.SampleDivisor; divisor > 0 && g.dequeued[class]%divisor == 0 {
+		return g.queues[class].dequeueSampled()
+	}
+	return g.queues[class].dequeue()
+}
+
 // Expire removes the waiting requests that can no longer be answered in time
 // and appends their payloads to expired.
 func (g *Gate[T]) Expire(now time.Time, expired []T) []T {
@@ -123,6 +160,22 @@
 	return expired
 }
 
+// takeSample reports whether a request that finds no slot, and may wait for the given time,
+// is a sampled one. There are no more of them than can start in time, nor than one in
+// SampleDivisor waiting requests. The choice is by the golden ratio, so that it follows no
+// pattern of arrivals.
+func (g *Gate[T]) takeSample(class core.Class, mayWait time.Duration) bool {
+	divisor := g.bounds.SampleDivisor
+	if divisor == 0 {
+		return false
+	}
+	const goldenRatio = 2654435769 // as a fraction of 2^32
+	g.queued[class]++
+	queue := g.queues[class]
+	return g.queued[class]*goldenRatio < math.MaxUint32/uint32(divisor) && queue.sampled*divisor <= queue.length &&
+		g.estimateWaitBehind(class, queue.sampled*divisor) <= mayWait
+}
+
 func (g *Gate[T]) recordRefusals(count int, now time.Time) {
 	g.refused += uint64(count)
 	g.refusedAt = now
@@ -142,7 +195,7 @@
 func (g *Gate[T]) RolloutCapacity(now time.Time) int {
 	slots := g.rolloutSlots(now)
 	waiting := g.bounds.QueueLength
-	if mean := g.meanInFlight[core.ClassRollout]; mean > 0 {
+	if mean := g.meanInFlight[core.ClassRollout].Value(); mean > 0 {
 		waiting = min(waiting, int(float64(slots)*g.bounds.QueueTimeout.Seconds()/mean.Seconds()))
 	}
 	return slots + waiting
@@ -243,7 +296,11 @@
 // latestStart returns the time until which the request may wait.
 func (g *Gate[T]) latestStart(request *Request[T], now time.Time) time.Time {
 	until := now.Add(g.bounds.QueueTimeout)
-	if latest := request.Deadline.Add(-g.meanInFlight[request.Class]); latest.Before(until) {
+	expected := request.Expected
+	if expected == 0 {
+		expected = g.meanInFlight[request.Class].Value()
+	}
+	if latest := request.Deadline.Add(-expected); latest.Before(until) {
 		return latest
 	}
 	return until
@@ -252,7 +309,7 @@
 // estimateWait estimates the wait of a new request from the observed service
 // rate.
 func (g *Gate[T]) estimateWait(request *Request[T]) time.Duration {
-	return g.estimateWaitBehind(request.Class, g.queues[request.Class].ahead(request.Caller))
+	return g.estimateWaitBehind(request.Class, g.queues[request.Class].ahead(request))
 }
 
 // estimateWaitBehind estimates the wait behind the given number of requests of
@@ -263,5 +320,5 @@
 	if class == core.ClassRollout {
 		slots = max(1, g.inFlight[core.ClassRollout])
 	}
-	return time.Duration(ahead) * g.meanInFlight[class] / time.Duration(slots)
+	return time.Duration(ahead) * g.meanInFlight[class].Value() / time.Duration(slots)
 }
--- a/internal/core/admission/gate_test.go
+++ b/internal/core/admission/gate_test.go
@@ -47,10 +47,10 @@
 		{"waits", func(*Gate[int]) {}, time.Minute, ""},
 		{"queue full", func(g *Gate[int]) { admitAll(t, g, newTestRequest("a", core.ClassInteractive, 0), 3) }, time.Minute, errkind.Overloaded},
 		{"slow service, long queue", func(g *Gate[int]) {
-			g.meanInFlight[core.ClassInteractive] = 6 * time.Second
+			g.meanInFlight[core.ClassInteractive] = MeanDuration(6 * time.Second)
 			admitAll(t, g, newTestRequest("a", core.ClassInteractive, 0), 2)
 		}, time.Minute, errkind.DeadlineTooShort},
-		{"mean run exceeds the time left", func(g *Gate[int]) { g.meanInFlight[core.ClassInteractive] = 6 * time.Second },
+		{"mean run exceeds the time left", func(g *Gate[int]) { g.meanInFlight[core.ClassInteractive] = MeanDuration(6 * time.Second) },
 			5 * time.Second, errkind.DeadlineTooShort},
 	}
 	for _, c := range cases {
@@ -266,7 +266,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewGate[int](c.bounds)
-			g.meanInFlight[core.ClassRollout] = c.meanInFlight
+			g.meanInFlight[core.ClassRollout] = MeanDuration(c.meanInFlight)
 			admitAll(t, g, newTestRequest("p", core.ClassInteractive, 0), c.interactive)
 			if got := g.RolloutCapacity(testStart); got != c.want {
 				t.Errorf("capacity %d, want %d", got, c.want)
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -19,67 +19,129 @@
 
 // node is one waiting request. Nodes are stored in a slice and reused.
 type node[T any] struct {
-	payload T
-	cost    int
-	startBy time.Time // the request expires if it still waits then
-	next    int
-}
+	payload    T
+	cost       int
+	startBy    time.Time   // the request expires if it still waits then
+	generation uint32      // number of the requests that the node has held
+	route      *routeQueue // nil for a free node
+
+	next, previous int // in the queue of its route; next also links the free nodes
 
-// callerQueue is the list of one caller's waiting requests.
-type callerQueue struct {
-	caller    core.CallerName
-	firstNode int
-	lastNode  int
-	length    int
-	deficit   int
+	sampled      bool // it is also served in the order of arrival
+	newer, older int  // among the sampled requests
 }
 
-// fairQueue serves callers by deficit round robin.
+// fairQueue serves callers by deficit round robin, weighted by their priority. Of one
+// caller it serves the routes by priority, and those of equal priority by deficit round
+// robin.
 type fairQueue[T any] struct {
-	nodes    []node[T]
-	freeNode int
-	callers  map[core.CallerName]*callerQueue
-	active   []*callerQueue // queues with waiting requests; the first is served next
-	unused   []*callerQueue
-	length   int
-	quantum  int // largest cost seen, so that each turn serves at least one request
+	nodes          []node[T]
+	freeNode       int
+	oldest, newest int // sampled nodes in the order of arrival
+	sampled        int // number of sampled nodes
+	callers        map[core.CallerName]*callerQueue
+	active         []*callerQueue // queues with waiting requests; the first is served next
+	unused         []*callerQueue
+	unusedRoutes   []*routeQueue
+	length         int
+	weight         int // sum of the weights of the active queues
+	quantum        int // largest cost seen, so that each turn of a caller of full weight serves at least one request
 }
 
 func newFairQueue[T any]() *fairQueue[T] {
-	return &fairQueue[T]{freeNode: noNode, callers: make(map[core.CallerName]*callerQueue), quantum: 1}
+	return &fairQueue[T]{freeNode: noNode, oldest: noNode, newest: noNode, callers: make(map[core.CallerName]*callerQueue), quantum: 1}
 }
 
-// enqueue adds a request at the end of its caller's queue.
-func (q *fairQueue[T]) enqueue(request *Request[T], until time.Time) {
-	p := q.queueOf(request.Caller)
+// enqueue adds a request at the end of the queue of its caller and route, and returns its
+// node. A sampled request is also served in the order of arrival and not evicted.
+func (q *fairQueue[T]) enqueue(request *Request[T], until time.Time, sampled bool) int {
+	r := q.routeOf(request)
 	index := q.allocateNode()
-	q.nodes[index] = node[T]{payload: request.Payload, cost: max(1, request.Cost), startBy: until, next: noNode}
-	q.quantum = max(q.quantum, request.Cost)
-	if p.length == 0 {
-		p.firstNode = index
+	n := &q.nodes[index]
+	n.payload, n.cost, n.startBy, n.route = request.Payload, max(1, request.Cost), until, r
+	n.next, n.previous, n.newer, n.older = noNode, r.last, noNode, noNode
+	if r.length == 0 {
+		r.first = index
 	} else {
-		q.nodes[p.lastNode].next = index
+		q.nodes[r.last].next = index
 	}
-	p.lastNode = index
-	p.length++
+	r.last = index
+	r.count(1, sampled)
 	q.length++
+	q.quantum = max(q.quantum, request.Cost)
+	if sampled {
+		q.addSampled(index)
+	}
+	return index
+}
+
+// addSampled adds a node as the newest sampled one.
+func (q *fairQueue[T]) addSampled(index int) {
+	q.nodes[index].sampled, q.nodes[index].older = true, q.newest
+	if q.newest == noNode {
+		q.oldest = index
+	} else {
+		q.nodes[q.newest].newer = index
+	}
+	q.newest = index
+	q.sampled++
+}
+
+// removeSampled removes a node from the sampled ones.
+func (q *fairQueue[T]) removeSampled(n *node[T]) {
+	if n.older == noNode {
+		q.oldest = n.newer
+	} else {
+		q.nodes[n.older].newer = n.newer
+	}
+	if n.newer == noNode {
+		q.newest = n.older
+	} else {
+		q.nodes[n.newer].older = n.older
+	}
+	q.sampled--
 }
 
 // dequeue removes and returns the next request to serve.
 func (q *fairQueue[T]) dequeue() (T, bool) {
 	for len(q.active) > 0 {
 		p := q.active[0]
-		if cost := q.nodes[p.firstNode].cost; p.deficit >= cost {
-			p.deficit -= cost
-			return q.remove(p), true
+		r := q.nextRoute(p)
+		cost := q.nodes[r.first].cost
+		if p.deficit >= fullWeight*cost {
+			p.deficit -= fullWeight * cost
+			r.deficit -= cost
+			return q.remove(r.first), true
 		}
-		p.deficit += q.quantum
+		p.deficit += p.weight * q.quantum
 		q.rotate()
 	}
 	var empty T
 	return empty, false
 }
 
+// dequeueSampled removes and returns the sampled request that has waited longest, or the
+// next one if none is sampled.
+func (q *fairQueue[T]) dequeueSampled() (T, bool) {
+	if q.oldest == noNode {
+		return q.dequeue()
+	}
+	return q.remove(q.oldest), true
+}
+
+// nextRoute returns the route of a caller whose first request is served next: one of the
+// most urgent, by deficit round robin.
+func (q *fairQueue[T]) nextRoute(p *callerQueue) *routeQueue {
+	for {
+		r := p.routes[0]
+		if r.deficit >= q.nodes[r.first].cost {
+			return r
+		}
+		r.deficit += q.quantum
+		p.rotateRoutes()
+	}
+}
+
 // rotate moves the first queue to the end of active.
 func (q *fairQueue[T]) rotate() {
 	first := q.active[0]
@@ -87,116 +149,64 @@
 	q.active[len(q.active)-1] = first
 }
 
-// remove removes the first request of the queue that is first in active.
-func (q *fairQueue[T]) remove(p *callerQueue) T {
-	index := p.firstNode
-	payload := q.nodes[index].payload
-	p.firstNode = q.nodes[index].next
+// remove removes a waiting request and returns its payload.
+func (q *fairQueue[T]) remove(index int) T {
+	n := &q.nodes[index]
+	payload, r := n.payload, n.route
+	q.link(n.previous, n.next, r)
+	if n.sampled {
+		q.removeSampled(n)
+	}
+	r.count(-1, n.sampled)
 	q.releaseNode(index)
-	p.length--
 	q.length--
-	if p.length == 0 {
-		copy(q.active, q.active[1:])
-		q.dropCaller(p, len(q.active)-1)
+	if r.length == 0 {
+		q.dropRoute(r)
 	}
 	return payload
 }
 
-// dropCaller removes the queue at the given last index of active and keeps it
-// for reuse.
-func (q *fairQueue[T]) dropCaller(p *callerQueue, end int) {
-	q.active[end] = nil
-	q.active = q.active[:end]
-	delete(q.callers, p.caller)
-	q.unused = append(q.unused, p)
-}
-
-// expire removes the requests whose startBy has passed and appends them to
-// expired.
-func (q *fairQueue[T]) expire(now time.Time, expired []T) []T {
-	remaining := q.active[:0]
-	for _, p := range q.active {
-		expired = q.expireCaller(p, now, expired)
-		if p.length > 0 {
-			remaining = append(remaining, p)
-			continue
-		}
-		delete(q.callers, p.caller)
-		q.unused = append(q.unused, p)
-	}
-	clear(q.active[len(remaining):])
-	q.active = remaining
-	return expired
-}
-
-// expireCaller removes the expired requests of one caller.
-func (q *fairQueue[T]) expireCaller(p *callerQueue, now time.Time, expired []T) []T {
-	before := noNode
-	for index := p.firstNode; index != noNode; {
-		next := q.nodes[index].next
-		if now.Before(q.nodes[index].startBy) {
-			before, index = index, next
-			continue
-		}
-		if before == noNode {
-			p.firstNode = next
-		} else {
-			q.nodes[before].next = next
-		}
-		expired = append(expired, q.nodes[index].payload)
-		q.releaseNode(index)
-		p.length--
-		q.length--
-		index = next
+// link makes two nodes of a route neighbours.
+func (q *fairQueue[T]) link(previous, next int, r *routeQueue) {
+	if previous == noNode {
+		r.first = next
+	} else {
+		q.nodes[previous].next = next
 	}
-	p.lastNode = before
-	return expired
-}
-
-// ahead estimates how many requests are served before a new one of the caller.
-func (q *fairQueue[T]) ahead(caller core.CallerName) int {
-	own := 0
-	active := len(q.active)
-	if p := q.callers[caller]; p != nil {
-		own = p.length
+	if next == noNode {
+		r.last = previous
 	} else {
-		active++
+		q.nodes[next].previous = previous
 	}
-	return min(q.length, (own+1)*active-1)
 }
 
-// queueOf returns a caller's queue, adding one at the end of active if the
-// caller has none.
-func (q *fairQueue[T]) queueOf(caller core.CallerName) *callerQueue {
-	p := q.callers[caller]
-	if p != nil {
-		return p
-	}
-	if len(q.callers) >= maxCallers {
-		caller = overflowCaller
-		if p = q.callers[caller]; p != nil {
-			return p
+// expire removes the requests whose startBy has passed and appends them to expired.
+func (q *fairQueue[T]) expire(now time.Time, expired []T) []T {
+	for index := range q.nodes {
+		if q.nodes[index].route != nil && !now.Before(q.nodes[index].startBy) {
+			expired = append(expired, q.remove(index))
 		}
 	}
-	p = q.newCallerQueue()
-	*p = callerQueue{caller: caller}
-	q.callers[caller] = p
-	q.active = append(q.active, p)
-	return p
+	return expired
 }
 
-func (q *fairQueue[T]) newCallerQueue() *callerQueue {
-	if len(q.unused) == 0 {
-		return &callerQueue{}
+// ahead estimates how many requests are served before a new one.
+func (q *fairQueue[T]) ahead(request *Request[T]) int {
+	weight := weightOf(request.Priority)
+	total, own := q.weight, 0
+	if p := q.callers[request.Caller]; p != nil {
+		own = p.ahead(request.Route, request.Priority)
+		weight = max(weight, p.weight)
+		total += weight - p.weight
+	} else {
+		total += weight
 	}
-	p := q.unused[len(q.unused)-1]
-	q.unused = q.unused[:len(q.unused)-1]
-	return p
+	return min(q.length, (own+1)*total/weight-1)
 }
 
 func (q *fairQueue[T]) allocateNode() int {
 	if q.freeNode == noNode {
-		q.nodes = append(q.nodes, node[T]{})
+		q.nodes = append(q.nodes, node[T]{generation: 1})
 		return len(q.nodes) - 1
 	}
 	index := q.freeNode
@@ -205,6 +215,6 @@
 }
 
 func (q *fairQueue[T]) releaseNode(index int) {
-	q.nodes[index] = node[T]{next: q.freeNode}
+	q.nodes[index] = node[T]{next: q.freeNode, generation: q.nodes[index].generation + 1}
 	q.freeNode = index
 }
