relay: requests wait for slots of their own service, and no longer than they can

Cause: all forwarded requests and streams shared one lane of 256 in flight and 256 waiting, in order of arrival. A stream holds its place for its whole length, and nothing ended a wait. A slow scorer held all places for scorer calls.

Change: the table slots (rank 62) has a gate for each service, and one for its streams, with the slots of its live servers and a quarter more. A wait ends in time for an answer by the caller's deadline or the route's timeout, or at once if no slot can become free by then, as a refusal that says not run. Waiting requests are served by account, weighted by priority, then by route. All together are bounded by the process's memory and descriptors, of which no service takes what others need. The coordinator submits scorer calls only as far as their service has room, and leaves a part of it to interactive requests.

--- a/cmd/fescuespar/relay.go
+++ b/cmd/fescuespar/relay.go
@@ -23,6 +23,7 @@
 	"fescuespar/internal/adapters/platformhttp"
 	"fescuespar/internal/app/relay"
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/admission"
 	"fescuespar/internal/core/logs"
 	"fescuespar/platform/front"
 	"fescuespar/platform/settings"
@@ -95,6 +96,7 @@
 		Seed: uint64(incarnation), Seeds: loaded.Seeds, Workers: relayWorkers, AddressCacheTime: loaded.AddressCacheTime,
 		MinOrderInterval: loaded.MinOrderInterval, GracePeriod: loaded.GracePeriod, RegistryRecovery: loaded.RegistryRecovery, ReclaimPeriod: leaseReclaimDelay,
 		MaxResultBytes: loaded.MaxRowBytes * 3 / 4, StoreReadsPerSecond: loaded.StoreReadsPerSecond,
+		MaxRequests: admission.Capacity(loaded.MemoryBytes, loaded.MaxDescriptors),
 	}, relay.Ports{
 		Tables: platform, Objects: platform, Registry: platform, Bodies: bodycodec.Codec{},
 		Backend: worker.New(int64(float64(loaded.MemoryBytes) * responseMemoryShare)), Clock: bootclock.Clock{},
--- a/cmd/fescuespar/relaystatus.go
+++ b/cmd/fescuespar/relaystatus.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fescuespar/internal/app/relay"
+	"fescuespar/internal/core"
 	"fescuespar/internal/core/routing"
 	"fescuespar/internal/errkind"
 )
@@ -45,6 +46,14 @@
 	for _, j := range state.Jobs {
 		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\n", j.Job, j.Waiting, j.Running, j.Unscored, j.Unstored, j.Stored)
 	}
+	fmt.Fprintln(t, "\nSLOTS OF\tREQUESTS\tSLOTS\tIN FLIGHT\tWAITING\tFOUND NO SLOT")
+	for _, slots := range state.Slots {
+		kind := "calls"
+		if slots.Stream {
+			kind = "streams"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\n", slots.Service, kind, slots.Slots, sum(slots.Gate.InFlight), sum(slots.Gate.Waiting), slots.Short)
+	}
 	fmt.Fprintln(t, "\nSERVER WITHOUT NEW WORK\tSERVICE\tWHY")
 	for i := range state.Servers {
 		if reason := exclusionReason(&state.Servers[i]); reason != "" {
@@ -54,6 +63,15 @@
 	t.Flush()
 }
 
+// sum returns the sum over all classes.
+func sum(byClass [core.ClassCount]int) int {
+	total := 0
+	for _, count := range byClass {
+		total += count
+	}
+	return total
+}
+
 // exclusionReason returns why a backend server gets no new work, or an empty
 // string if it gets work.
 func exclusionReason(server *routing.View) string {
--- a/cmd/fescuespar/relaystatus_test.go
+++ b/cmd/fescuespar/relaystatus_test.go
@@ -41,6 +41,7 @@
 		Members: []core.Member{{VM: "entry-2", State: core.MemberSuspect, Zone: "z", CallAddress: "10.0.0.2:80"}},
 		Leases:  []tables.LeaseState{{Name: "work|service/m", State: "held", Owner: "entry-1", Fence: 9}},
 		Jobs:    []job.Summary{{Job: "j-4", Running: 5, Stored: 7}},
+		Slots:   []tables.SlotState{{Service: "coach", Stream: true, Slots: 352, Short: 41}},
 		Servers: []routing.View{
 			{VM: core.VM{ID: "i-1", Service: "m"}, Ejected: true, EjectedUntil: time.Unix(1e9, 0)},
 			{VM: core.VM{ID: "i-2", Service: "m"}},
@@ -56,7 +57,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, want := range []string{"route table 17", "does not answer: servers", "entry-2", "suspect", "work|service/m", "j-4", "i-1", "ejected until"} {
+	for _, want := range []string{"route table 17", "does not answer: servers", "entry-2", "suspect", "work|service/m", "j-4", "streams", "352", "41", "i-1", "ejected until"} {
 		if !strings.Contains(text, want) {
 			t.Errorf("output does not contain %q:\n%s", want, text)
 		}
--- a/internal/app/relay/events.go
+++ b/internal/app/relay/events.go
@@ -11,6 +11,7 @@
 	"fescuespar/internal/core/routing"
 	"fescuespar/internal/errkind"
 	"fescuespar/internal/ports"
+	"fescuespar/internal/tables"
 )
 
 // eventStream is a caller's streaming request in progress. It implements
@@ -78,14 +79,30 @@
 		request: request, guard: newCrashGuard(&request.RelayRequest), route: matched, service: s.routes.Choose(&matched), ctx: ctx, sink: sink,
 		progress: route.StreamProgress{Resumable: matched.Resumable, MaxAttempts: matched.Attempts},
 	}
-	response, err := s.forwardEventsWithRetries(st)
+	taken := slot{kind: tables.SlotKind{Service: st.service, Stream: true}, class: core.ClassInteractive}
+	var response core.RelayResponse
+	if err = s.acquireStreamSlot(st, &taken, arrived); err == nil {
+		response, err = s.forwardEventsWithRetries(st)
+	}
 	s.endTrial(&st.guard)
+	s.releaseSlot(&taken, err)
 	s.logRequest(&call{
-		request: request.RelayRequest, guard: st.guard, route: matched, service: st.service, arrived: arrived, attempts: st.progress.Attempts,
+		request: request.RelayRequest, guard: st.guard, route: matched, service: st.service, arrived: arrived, attempts: st.progress.Attempts, slot: taken,
 	}, &response, err)
 	return response, err
 }
 
+// acquireStreamSlot takes a slot for a stream and waits for one if none is free.
+func (s *Service) acquireStreamSlot(st *eventStream, wanted *slot, now time.Time) error {
+	if s.slots.Acquire(wanted.kind, wanted.class, now) {
+		wanted.since = now
+		return nil
+	}
+	result := make(chan error, 1)
+	s.awaitSlot(st.ctx, wanted, s.slotRequest(&st.request.RelayRequest, &st.route, wanted.class, st.request.Deadline), func(err error) { result <- err })
+	return <-result
+}
+
 // forwardEventsWithRetries sends the request until a stream is complete, a response
 // without a stream can be passed on, or the request must not be sent again.
 func (s *Service) forwardEventsWithRetries(st *eventStream) (core.RelayResponse, error) {
--- a/internal/app/relay/fakes_test.go
+++ b/internal/app/relay/fakes_test.go
@@ -19,7 +19,7 @@
 // environment is what the processes of a test share: one store, one registry, and
 // fake engines and plain servers. It implements ports.Registry and ports.Backend.
 type environment struct {
-	t       *testing.T
+	t       testing.TB
 	log     zerolog.Logger
 	tables  *porttest.Tables
 	objects *porttest.Objects
@@ -53,7 +53,7 @@
 	host          = "h"
 )
 
-func newEnvironment(t *testing.T) *environment {
+func newEnvironment(t testing.TB) *environment {
 	s := &environment{
 		t: t, log: zerolog.Nop(), tables: porttest.NewTables(), objects: porttest.NewObjects(),
 		eventInterval: time.Millisecond, eventCount: 5, runStarts: make(map[core.RequestID][]int), orderCounts: make(map[core.ServerID]uint64),
--- a/internal/app/relay/forward.go
+++ b/internal/app/relay/forward.go
@@ -10,6 +10,7 @@
 	"fescuespar/internal/core/route"
 	"fescuespar/internal/core/routing"
 	"fescuespar/internal/errkind"
+	"fescuespar/internal/tables"
 )
 
 // routingPolicy returns the routing policy for relayed requests.
@@ -43,6 +44,7 @@
 	possiblyRun     bool               // an attempt may have run
 	excluded        []core.ServerID    // already tried
 	failureResponse core.RelayResponse // a backend server's 5xx response, returned if no later attempt gets a response
+	slot            slot
 	finish          func(core.RelayResponse, error)
 }
 
@@ -110,13 +112,29 @@
 		return
 	}
 	c := &call{request: request, class: class, guard: guard, route: matched, routesVersion: s.routes.Current().Version, service: s.routes.Choose(&matched), arrived: now, deadline: deadline, ctx: ctx}
+	c.slot = slot{kind: tables.SlotKind{Service: c.service}, class: class}
 	c.finish = func(response core.RelayResponse, err error) {
 		s.endTrial(&c.guard)
+		s.releaseSlot(&c.slot, err)
 		s.lifecycle.EndRequest()
 		s.logRequest(c, &response, err)
 		finish(response, err)
 	}
-	s.startAttempt(c)
+	if s.slots.Acquire(c.slot.kind, class, now) {
+		c.slot.since = now
+		s.startAttempt(c)
+		return
+	}
+	s.awaitSlot(ctx, &c.slot, s.slotRequest(&c.request, &c.route, class, deadline), func(err error) {
+		if err == nil {
+			err = errkind.Wrap(errkind.Canceled, ctx.Err(), "caller left before the request was sent")
+		}
+		if err != nil {
+			c.finish(core.RelayResponse{}, err)
+			return
+		}
+		s.startAttempt(c)
+	})
 }
 
 // requestDeadline returns the earlier of the caller's deadline and the end of the
@@ -299,7 +317,7 @@
 	now := s.ports.Clock.Now()
 	took := now.Sub(c.arrived)
 	if c.attempts > 0 {
-		s.routeDurations.Observe(c.route.Name, took, now)
+		s.routeDurations.Observe(c.route.Name, took, c.slot.waited, now)
 	}
 	s.metrics.RequestTime.Update(took.Milliseconds())
 	line := s.log.Info()
@@ -313,6 +331,9 @@
 		s.metrics.RequestsFailed.Inc(1)
 		line = s.log.Warn().Err(err).Str("fingerprint", formatFingerprint(c.guard.fingerprint))
 	}
+	if c.slot.waited > 0 {
+		line = line.Dur("waited", c.slot.waited)
+	}
 	line.Str("request", string(c.request.ID)).Str("route", c.route.Name).Str("service", c.service).
 		Uint64("routes", c.routesVersion).Int("attempts", c.attempts).Int("status", response.Status).Dur("took", took).Msg(logs.RequestEnded)
 }
--- a/internal/app/relay/run.go
+++ b/internal/app/relay/run.go
@@ -270,7 +270,7 @@
 }
 
 // scorePause is how long no output is sent to a scorer after all scorers were at their
-// limits.
+// limits or had no slot.
 const scorePause = 100 * time.Millisecond
 
 // startScores sends completed outputs to their scorers.
@@ -280,7 +280,7 @@
 	}
 	limit := min(scoresInFlight, max(minScoresInFlight, int(s.plainSlots.Load())/plainSlotsPerScore))
 	free := limit - s.lanes.scores.State().Running
-	for _, start := range s.jobs.NextScores(service, max(0, free), now) {
+	for _, start := range s.jobs.NextScores(service, max(0, free), now, s.newScorerRoom(now).take) {
 		err := s.lanes.scores.Go(func(lane context.Context) { s.scoreText(lane, service, start) })
 		if err != nil {
 			s.finishScore(service, start, core.RelayResponse{}, err)
@@ -298,7 +298,7 @@
 	guard := newCrashGuard(&request)
 	guard.isExempt = true
 	response, err := s.forwardGuarded(ctx, request, core.ClassRollout, guard)
-	if errkind.Is(err, errkind.Overloaded) {
+	if errkind.Is(err, errkind.Overloaded) || errkind.Is(err, errkind.DeadlineTooShort) {
 		s.scoresPausedUntil.Store(s.ports.Clock.Now().Add(scorePause).UnixNano())
 	}
 	end() // before the next call for the item begins
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -4,6 +4,7 @@
 package relay
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
@@ -49,14 +50,14 @@
 	MaxResultBytes      int           // size of the longest result stored in a row
 	ReclaimPeriod       time.Duration // time after the start in which leases of an earlier process on this VM are reclaimed
 	RegistryRecovery    time.Duration // time after an outage until all live servers have registered again
+	MaxRequests         int           // forwarded requests that the process holds, in flight and waiting; zero for the default
 }
 
 // Limits of the pool's queues and of the lanes. They bound memory; the servers'
 // slots bound the calls in flight to backend servers.
 const (
 	queueLength        = 4096
-	callsInFlight      = 256
-	callsWaiting       = 256
+	defaultMaxRequests = 512
 	runsInFlight       = 1024 // above the slots of a hundred engines
 	scoresInFlight     = 64   // outputs being scored
 	plainSlotsPerScore = 2    // scoring uses one in this many slots of plain servers and leaves the others to callers
@@ -94,7 +95,7 @@
 
 // lanes run blocking calls, each kind with its own limit.
 type lanes struct {
-	calls   *workers.Lane // requests of callers
+	calls   *workers.Lane // requests of callers that have a slot
 	runs    *workers.Lane // items of jobs
 	scores  *workers.Lane // scoring of outputs
 	store   *workers.Lane // jobs and results
@@ -129,6 +130,7 @@
 	platform       *tables.Platform
 	crashes        *tables.CrashRecords
 	routeDurations *tables.RouteDurations
+	slots          *tables.Slots
 
 	routingUpdates *tables.Serial
 
@@ -153,12 +155,13 @@
 // New returns a service that is not running yet.
 func New(options Options, adapters Ports, log zerolog.Logger) *Service {
 	pool := workers.NewPool(options.Workers, queueLength)
+	maxRequests := cmp.Or(options.MaxRequests, defaultMaxRequests)
 	random := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(options.Seed, stream)) }
 	s := &Service{
 		options: options, ports: adapters, log: log, metrics: metrics.NewRelay(),
 		pool: pool, timers: workers.NewTimers(pool),
 		lanes: lanes{
-			calls:   workers.NewLane("calls", callsInFlight, callsWaiting),
+			calls:   workers.NewLane("calls", maxRequests, maxRequests),
 			runs:    workers.NewLane("runs", runsInFlight, 0),
 			scores:  workers.NewLane("scores", scoresInFlight, 0),
 			store:   workers.NewLane("store", storeInFlight, storeWaiting),
@@ -183,6 +186,7 @@
 		platform:       tables.NewPlatform(),
 		crashes:        tables.NewCrashRecords(crash.Process{VM: options.Self.VM, Incarnation: options.Self.Incarnation}),
 		routeDurations: tables.NewRouteDurations(),
+		slots:          tables.NewSlots(maxRequests),
 
 		routingUpdates: tables.NewSerial(lockrank.RankRoutingUpdates),
 
@@ -266,6 +270,7 @@
 	Servers  []routing.View        `json:"servers"`
 	Outages  []core.PlatformOutage `json:"outages"`
 	Crashes  crash.RecordCounts    `json:"crashes"`
+	Slots    []tables.SlotState    `json:"slots"`
 	Pool     workers.PoolState     `json:"pool"`
 }
 
@@ -276,7 +281,7 @@
 		Phase: phase.String(), InFlight: inFlight, Members: s.members.Live(),
 		Leases: s.leases.State(s.ports.Clock.Now()), Jobs: s.jobs.Summaries(),
 		Servers: s.servers.Views(), Pool: s.pool.State(), Outages: s.platform.Outages(),
-		Crashes: s.crashes.State(s.ports.Clock.Now()),
+		Crashes: s.crashes.State(s.ports.Clock.Now()), Slots: s.slots.State(),
 	}
 	if table := s.routes.Current(); table != nil {
 		state.Routes = table.Version
--- a/internal/app/relay/shutdown.go
+++ b/internal/app/relay/shutdown.go
@@ -35,6 +35,7 @@
 func (s *Service) cancelRequests() {
 	_, inFlight := s.lifecycle.Phase()
 	s.log.Warn().Int("requests", inFlight).Msg("requests outlast the shutdown")
+	s.slots.RefuseWaiting(errkind.New(errkind.ShuttingDown, "this entry process ends before a slot became free"))
 	s.lanes.calls.Cancel()
 	s.lanes.store.Cancel()
 	s.lanes.crashes.Cancel()
@@ -75,6 +76,7 @@
 // Stop stops all lanes and workers without waiting for requests in flight.
 func (s *Service) Stop() {
 	s.lifecycle.Advance(tables.PhaseStopped)
+	s.slots.RefuseWaiting(errkind.New(errkind.ShuttingDown, "this entry process has stopped"))
 	s.lanes.calls.Stop()
 	s.lanes.runs.Stop()
 	s.lanes.scores.Stop()
--- a/internal/app/relay/watch.go
+++ b/internal/app/relay/watch.go
@@ -139,7 +139,7 @@
 		return
 	}
 	vms := make([]core.VM, 0, len(entries))
-	plainSlots := 0
+	plainSlots, slots := 0, make(map[string]int)
 	for i := range entries {
 		vm := entries[i].VM
 		if slots := table.Services[vm.Service].Slots; slots > 0 {
@@ -148,10 +148,14 @@
 		if vm.Kind == core.KindPlain {
 			plainSlots += vm.Slots
 		}
+		if vm.State == core.VMLive {
+			slots[vm.Service] += vm.Slots
+		}
 		vms = append(vms, vm)
 	}
 	s.plainSlots.Store(int64(plainSlots))
 	s.servers.ApplyVMs(vms)
+	s.slots.SetServices(slots, s.ports.Clock.Now())
 	for i := range entries {
 		if entries[i].VM.Kind == core.KindEngine {
 			s.servers.ApplyStatus(engineStatus(&entries[i].ServerEntry), entries[i].Since)
@@ -160,8 +164,9 @@
 }
 
 // sweepServers ejects unhealthy backend servers, restores recovered ones and logs
-// both.
+// both, and the services that are short of slots.
 func (s *Service) sweepServers() {
+	s.reportShortages()
 	ejected, restored := s.servers.Sweep(s.ports.Clock.Now())
 	for _, found := range ejected {
 		s.log.Warn().Str("server", string(found.Server)).Str("why", found.Why).Int("failures", found.Failures).
--- a/internal/core/job/scheduler.go
+++ b/internal/core/job/scheduler.go
@@ -290,9 +290,9 @@
 	Call *core.ScorerCall
 }
 
-// NextScores returns up to limit scorer calls to start. Items whose lifetime
-// has expired fail instead.
-func (s *Scheduler) NextScores(limit int, now time.Time) []ScoreStart {
+// NextScores returns up to limit scorer calls to start, without those for whose service
+// mayStart has no room. Items whose lifetime has expired fail instead.
+func (s *Scheduler) NextScores(limit int, now time.Time, mayStart func(*core.ScorerCall) bool) []ScoreStart {
 	var starts []ScoreStart
 	for _, row := range s.jobsInOrder() {
 		for i := range row.items {
@@ -307,6 +307,9 @@
 				state.finish(row.job.Items[i].ID, core.ItemFailed, "")
 				continue
 			}
+			if !mayStart(row.job.Items[i].Scorer) {
+				continue
+			}
 			state.phase = scoring
 			starts = append(starts, ScoreStart{RunID{row.job.ID, i, state.run}, row.job.Items[i].Scorer})
 		}
--- a/internal/core/job/scheduler_test.go
+++ b/internal/core/job/scheduler_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -40,7 +41,7 @@
 		}
 	}
 	scheduler.RunEnded(run, "e", Completed, at(1))
-	scores := scheduler.NextScores(10, at(1))
+	scores := scheduler.NextScores(10, at(1), anyScorer)
 	if len(scores) != 1 {
 		t.Fatalf("%d scorer calls, want 1", len(scores))
 	}
@@ -82,7 +83,7 @@
 		t.Fatal("the next event was rejected")
 	}
 	scheduler.RunEnded(second.Work, "engine-2", Completed, at(2))
-	scheduler.ScoringEnded(scheduler.NextScores(1, at(2))[0].Work, "signed", false, 3, at(2))
+	scheduler.ScoringEnded(scheduler.NextScores(1, at(2), anyScorer)[0].Work, "signed", false, 3, at(2))
 	result := scheduler.UnstoredResults(10)[0].Result
 	if result.Text != "data-1\ndata-2\ndata-3" || !slices.Equal(result.Versions, []core.WeightVersion{1, 2}) || result.Score != "signed" {
 		t.Errorf("result %+v, want three events of versions 1 and 2 and the score", result)
@@ -240,7 +241,7 @@
 	if len(after) != 2 || after["item-0"] != 20 || after["item-2"] != 0 {
 		t.Errorf("events before the runs: %v, want 20 for item-0 and none for item-2", after)
 	}
-	if scores := next.NextScores(3, at(2)); len(scores) != 1 || scores[0].Work.Index != 1 {
+	if scores := next.NextScores(3, at(2), anyScorer); len(scores) != 1 || scores[0].Work.Index != 1 {
 		t.Errorf("scorer calls %+v, want one for item-1", scores)
 	}
 	if small := scheduler.Checkpoint(16, 50); len(small.Texts) != 0 {
@@ -262,7 +263,7 @@
 	if starts := scheduler.NextRuns(1, at(1)); len(starts) != 0 {
 		t.Errorf("the text is generated again after event %d", starts[0].EventsReceived)
 	}
-	if scores := scheduler.NextScores(1, at(1)); len(scores) != 1 {
+	if scores := scheduler.NextScores(1, at(1), anyScorer); len(scores) != 1 {
 		t.Error("the text is not scored again")
 	}
 }
@@ -275,7 +276,7 @@
 	scheduler.RunEnded(work, "e", Completed, at(0))
 	for i := range 20 {
 		now := at(float64(i))
-		scores := scheduler.NextScores(1, now)
+		scores := scheduler.NextScores(1, now, anyScorer)
 		if len(scores) != 1 {
 			t.Fatalf("no scorer call after %d without an answer", i)
 		}
@@ -283,7 +284,7 @@
 	}
 	for i := range 2 {
 		now := at(float64(20 + i))
-		scheduler.ScoringEnded(scheduler.NextScores(1, now)[0].Work, "", true, 2, now)
+		scheduler.ScoringEnded(scheduler.NextScores(1, now, anyScorer)[0].Work, "", true, 2, now)
 	}
 	if results := scheduler.UnstoredResults(1); len(results) != 1 || results[0].Result.State != core.ItemFailed {
 		t.Errorf("results after as many scorer errors as allowed: %+v, want one failed item", results)
@@ -315,7 +316,7 @@
 	if results := scheduler.UnstoredResults(1); len(results) != 1 || results[0].Result.Text != "data-1" {
 		t.Errorf("results %+v, want the text of the first job", results)
 	}
-	if scores := scheduler.NextScores(1, at(2)); len(scores) != 0 {
+	if scores := scheduler.NextScores(1, at(2), anyScorer); len(scores) != 0 {
 		t.Errorf("%d scorer calls for an item without a scorer", len(scores))
 	}
 }
@@ -356,7 +357,7 @@
 			if textEvents != c.textEvents {
 				t.Errorf("second job starts with %d events, want %d", textEvents, c.textEvents)
 			}
-			if scores := scheduler.NextScores(4, at(2)); (len(scores) == 1) != c.needsScore {
+			if scores := scheduler.NextScores(4, at(2), anyScorer); (len(scores) == 1) != c.needsScore {
 				t.Errorf("%d scorer calls, want one: %v", len(scores), c.needsScore)
 			}
 		})
@@ -383,3 +384,24 @@
 		t.Errorf("%d texts saved; has one of the oldest job: %v, of a newer one: %v", len(scheduler.savedTexts), oldest, newer)
 	}
 }
+
+// anyScorer starts every scorer call.
+func anyScorer(*core.ScorerCall) bool { return true }
+
+// TestScorerCallsWithoutRoomDoNotHoldUpOthers guards against calls to one scorer that wait
+// for its slots and take the places of calls to another.
+func TestScorerCallsWithoutRoomDoNotHoldUpOthers(t *testing.T) {
+	scheduler := NewScheduler()
+	items := make([]core.JobItem, 4)
+	for i := range items {
+		items[i] = core.JobItem{ID: core.ItemID(strconv.Itoa(i)), Scorer: &core.ScorerCall{Path: []string{"/full", "/free"}[i/2]}}
+	}
+	scheduler.Open(core.Job{ID: "j", Items: items}, nil, Policy{Attempts: 1}, at(0))
+	for _, start := range scheduler.NextRuns(4, at(0)) {
+		scheduler.RunEnded(start.Work, "e", Completed, at(1))
+	}
+	starts := scheduler.NextScores(2, at(1), func(call *core.ScorerCall) bool { return call.Path == "/free" })
+	if len(starts) != 2 || starts[0].Work.Index != 2 || starts[1].Work.Index != 3 {
+		t.Errorf("scorer calls %v started, want those of the items 2 and 3", starts)
+	}
+}
--- a/internal/core/logs/messages.go
+++ b/internal/core/logs/messages.go
@@ -26,6 +26,8 @@
 	ServerLeaving       = "backend server announced its shutdown"
 	ServerLimit         = "backend server changed its rate limit"
 	ServerDied          = "backend server died while it ran a request"
+	SlotsShort          = "service is short of slots"
+	SlotsFree           = "service has free slots again"
 	RunsMoved           = "runs moved off slow engines"
 	PlatformUnavailable = "platform does not answer"
 	PlatformAvailable   = "platform answers again"
@@ -54,5 +56,6 @@
 	RoutesInForce: true, VersionNamed: true, VersionLoaded: true,
 	LeaseAcquired: true, LeaseLost: true,
 	ServerEjected: true, ServerRestored: true, ServerRemoved: true, ServerLeaving: true, ServerLimit: true, ServerDied: true, RunsMoved: true,
+	SlotsShort: true, SlotsFree: true,
 	PlatformUnavailable: true, PlatformAvailable: true,
 }
--- a/internal/lockrank/lockrank.go
+++ b/internal/lockrank/lockrank.go
@@ -22,6 +22,7 @@
 	RankServers        Rank = 50
 	RankPolls          Rank = 55
 	RankLimits         Rank = 60
+	RankSlots          Rank = 62
 	RankRouteDurations Rank = 65
 	RankCrashes        Rank = 70
 	RankRollouts       Rank = 80
--- a/internal/metrics/relay.go
+++ b/internal/metrics/relay.go
@@ -27,8 +27,11 @@
 	TableCommits    gometrics.Counter
 	TableUnknown    gometrics.Counter
 	StoreFailures   gometrics.Counter
+	SlotsAwaited    gometrics.Counter
+	SlotsRefused    gometrics.Counter
 	RequestTime     *Latency // ms from a request's arrival to its answer
 	RunTime         *Latency // ms from the start to the end of an item's run
+	SlotWait        *Latency // ms for which a request that found no slot waited for one
 }
 
 // NewRelay returns a set of zeroed metrics with its own registry.
@@ -44,10 +47,11 @@
 		"relay.leases.acquired": &r.LeasesAcquired, "relay.leases.lost": &r.LeasesLost,
 		"relay.table.reads": &r.TableReads, "relay.table.commits": &r.TableCommits,
 		"relay.table.unknown": &r.TableUnknown, "relay.store.failures": &r.StoreFailures,
+		"relay.slots.awaited": &r.SlotsAwaited, "relay.slots.refused": &r.SlotsRefused,
 	} {
 		*counter = gometrics.NewRegisteredCounter(name, r.Registry)
 	}
-	for name, latency := range map[string]**Latency{"relay.request.ms": &r.RequestTime, "relay.run.ms": &r.RunTime} {
+	for name, latency := range map[string]**Latency{"relay.request.ms": &r.RequestTime, "relay.run.ms": &r.RunTime, "relay.slot_wait.ms": &r.SlotWait} {
 		*latency = NewLatency()
 		if err := r.Registry.Register(name, *latency); err != nil {
 			panic(err) // two metrics have the same name, which is a bug in this file
--- a/internal/tables/jobs.go
+++ b/internal/tables/jobs.go
@@ -53,9 +53,9 @@
 	return starts
 }
 
-// NextScores returns at most limit texts to score.
-func (t *Jobs) NextScores(service string, limit int, now time.Time) (starts []job.ScoreStart) {
-	t.WithScheduler(service, func(scheduler *job.Scheduler) { starts = scheduler.NextScores(limit, now) })
+// NextScores returns at most limit texts to score whose calls may start.
+func (t *Jobs) NextScores(service string, limit int, now time.Time, mayStart func(*core.ScorerCall) bool) (starts []job.ScoreStart) {
+	t.WithScheduler(service, func(scheduler *job.Scheduler) { starts = scheduler.NextScores(limit, now, mayStart) })
 	return starts
 }
 
--- a/internal/tables/routedurations.go
+++ b/internal/tables/routedurations.go
@@ -3,32 +3,51 @@
 import (
 	"time"
 
+	"fescuespar/internal/core/admission"
 	"fescuespar/internal/core/drain"
 	"fescuespar/internal/lockrank"
 )
 
 // RouteDurations holds the recent durations of the requests on each route.
 type RouteDurations struct {
-	// mu guards recent.
+	// mu guards the fields below.
 	mu     lockrank.Mutex
-	recent map[string]*drain.Recent // by the route's name
+	routes map[string]*routeDuration // by name
+}
+
+type routeDuration struct {
+	recent drain.Recent           // from the arrival to the end
+	mean   admission.MeanDuration // without the wait for a slot
 }
 
 // NewRouteDurations returns a table without durations.
 func NewRouteDurations() *RouteDurations {
-	return &RouteDurations{mu: lockrank.New(lockrank.RankRouteDurations), recent: make(map[string]*drain.Recent)}
+	return &RouteDurations{mu: lockrank.New(lockrank.RankRouteDurations), routes: make(map[string]*routeDuration)}
 }
 
-// Observe adds the duration of a request on a route.
-func (t *RouteDurations) Observe(route string, duration time.Duration, now time.Time) {
+// Observe adds the duration of a request on a route, of which it waited some time for a
+// slot.
+func (t *RouteDurations) Observe(route string, duration, waited time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	row := t.recent[route]
+	row := t.routes[route]
 	if row == nil {
-		row = &drain.Recent{}
-		t.recent[route] = row
+		row = &routeDuration{}
+		t.routes[route] = row
+	}
+	row.recent.Observe(duration, now)
+	row.mean.Observe(duration - waited)
+}
+
+// Mean returns the mean duration of a route's recent requests without their waits for
+// slots, zero if there were none.
+func (t *RouteDurations) Mean(route string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if row := t.routes[route]; row != nil {
+		return row.mean.Value()
 	}
-	row.Observe(duration, now)
+	return 0
 }
 
 // Longest returns the longest recent duration of a route's requests, zero if there
@@ -36,8 +55,8 @@
 func (t *RouteDurations) Longest(route string, now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if row := t.recent[route]; row != nil {
-		return row.Longest(now)
+	if row := t.routes[route]; row != nil {
+		return row.recent.Longest(now)
 	}
 	return 0
 }
