relay: cold and returning servers get a share of their work that follows their answers

Cause: a server that has just started got all its work at once, while it is several times slower for the time that its registration tells. One that returned from an ejection got almost none for 20 s: the weight that grew with the time was a divisor of its cost, with which it lost against every other server.

Change: core/pace decides the share of its usual work that such a server gets: a quarter while it is cold, an eighth when it returns, doubling each second after that, faster with answers in time, less with slow ones, refusals and failures. Each process takes a paced server into that share of its decisions, so that the number of processes does not matter and no message is needed; items of jobs get that share of an engine's slots. Without another server the pace counts in the cost only, and at most two fifths of a pool's work are moved. All other servers, and fescuespar entry, are used as before.

--- a/cmd/fescuespar/relaystatus.go
+++ b/cmd/fescuespar/relaystatus.go
@@ -54,9 +54,9 @@
 		}
 		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\n", slots.Service, kind, slots.Slots, sum(slots.Gate.InFlight), sum(slots.Gate.Waiting), slots.Short)
 	}
-	fmt.Fprintln(t, "\nSERVER WITHOUT NEW WORK\tSERVICE\tWHY")
+	fmt.Fprintln(t, "\nSERVER WITHOUT ALL ITS WORK\tSERVICE\tWHY")
 	for i := range state.Servers {
-		if reason := exclusionReason(&state.Servers[i]); reason != "" {
+		if reason := restrictionReason(&state.Servers[i]); reason != "" {
 			fmt.Fprintf(t, "%s\t%s\t%s\n", state.Servers[i].VM.ID, state.Servers[i].VM.Service, reason)
 		}
 	}
@@ -72,14 +72,16 @@
 	return total
 }
 
-// exclusionReason returns why a backend server gets no new work, or an empty
-// string if it gets work.
-func exclusionReason(server *routing.View) string {
+// restrictionReason returns why a backend server gets no new work or only a part of its
+// usual work, or an empty string if it gets its usual work.
+func restrictionReason(server *routing.View) string {
 	switch {
 	case server.Unreachable:
 		return "cannot be reached"
 	case server.Ejected:
 		return "is ejected until " + server.EjectedUntil.Format(time.RFC3339)
+	case server.Paced != "":
+		return fmt.Sprintf("%s, gets %.0f%% of its usual work", server.Paced, 100*server.PaceShare)
 	default:
 		return ""
 	}
--- a/cmd/fescuespar/relaystatus_test.go
+++ b/cmd/fescuespar/relaystatus_test.go
@@ -15,6 +15,7 @@
 	"fescuespar/internal/app/relay"
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/job"
+	"fescuespar/internal/core/pace"
 	"fescuespar/internal/core/routing"
 	"fescuespar/internal/errkind"
 	"fescuespar/internal/tables"
@@ -45,6 +46,7 @@
 		Servers: []routing.View{
 			{VM: core.VM{ID: "i-1", Service: "m"}, Ejected: true, EjectedUntil: time.Unix(1e9, 0)},
 			{VM: core.VM{ID: "i-2", Service: "m"}},
+			{VM: core.VM{ID: "i-3", Service: "m"}, Paced: pace.Cold, PaceShare: 0.25},
 		},
 	}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -57,7 +59,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, want := range []string{"route table 17", "does not answer: servers", "entry-2", "suspect", "work|service/m", "j-4", "streams", "352", "41", "i-1", "ejected until"} {
+	for _, want := range []string{"route table 17", "does not answer: servers", "entry-2", "suspect", "work|service/m", "j-4", "streams", "352", "41", "i-1", "ejected until", "i-3", "is cold, gets 25%"} {
 		if !strings.Contains(text, want) {
 			t.Errorf("output does not contain %q:\n%s", want, text)
 		}
--- a/internal/app/relay/forward.go
+++ b/internal/app/relay/forward.go
@@ -18,6 +18,7 @@
 	policy := routing.DefaultPolicy()
 	policy.PrefixEntries = 1 << 12 // enough for the prompts of the running training steps; entry VMs may be small
 	policy.ConnectionCost = connectionCost
+	policy.Pace = true
 	return policy
 }
 
--- a/internal/app/relay/run.go
+++ b/internal/app/relay/run.go
@@ -98,7 +98,7 @@
 	}
 	query := routing.Query{
 		Kind: s.serverKind(target), Service: target, Adapter: core.AdapterName(start.Model),
-		Version: start.OldestVersion, ExactVersion: start.ExactVersion, RequiresFreeSlot: true,
+		Version: start.OldestVersion, ExactVersion: start.ExactVersion, RequiresFreeSlot: true, KeepsPace: start.KeepsPace(),
 		Zone: s.options.Self.Zone, Region: s.options.Self.Region, Class: core.ClassRollout,
 		ExpectedTokens: start.Item.Tokens, Prefix: promptHashes(start.Item.Parts), Exclude: avoided.EnginesFor(&start),
 	}
--- a/internal/app/relay/watch.go
+++ b/internal/app/relay/watch.go
@@ -7,6 +7,8 @@
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/announce"
 	"fescuespar/internal/core/logs"
+	"fescuespar/internal/core/registration"
+	"fescuespar/internal/core/routing"
 	"fescuespar/internal/errkind"
 	"fescuespar/internal/tables"
 )
@@ -155,7 +157,9 @@
 	}
 	s.plainSlots.Store(int64(plainSlots))
 	s.servers.ApplyVMs(vms)
-	s.slots.SetServices(slots, s.ports.Clock.Now())
+	now := s.ports.Clock.Now()
+	s.servers.ApplyColdStarts(coldStarts(entries, now), now)
+	s.slots.SetServices(slots, now)
 	for i := range entries {
 		if entries[i].VM.Kind == core.KindEngine {
 			s.servers.ApplyStatus(engineStatus(&entries[i].ServerEntry), entries[i].Since)
@@ -163,9 +167,36 @@
 	}
 }
 
+// coldStarts returns the servers that are still slow after their start.
+func coldStarts(entries []registration.Server, now time.Time) []routing.ColdStart {
+	var starts []routing.ColdStart
+	for i := range entries {
+		if now.Before(entries[i].ColdUntil) {
+			starts = append(starts, routing.ColdStart{Server: entries[i].VM.ID, StartedUnixMs: entries[i].StartedUnixMs, Until: entries[i].ColdUntil})
+		}
+	}
+	return starts
+}
+
+// reportPaces logs the begin and end of servers' paces.
+func (s *Service) reportPaces() {
+	changes, paced := s.servers.PaceChanges()
+	s.metrics.ServersPaced.Update(int64(paced))
+	for _, change := range changes {
+		if change.Began {
+			s.metrics.PacesBegun.Inc(1)
+			s.log.Info().Str("server", string(change.Server)).Str("why", string(change.Reason)).Float64("share", change.Share).Msg(logs.PaceBegan)
+			continue
+		}
+		s.log.Info().Str("server", string(change.Server)).Str("why", string(change.Reason)).Float64("share", change.Share).
+			Dur("lasted", change.Lasted).Msg(logs.PaceEnded)
+	}
+}
+
 // sweepServers ejects unhealthy backend servers, restores recovered ones and logs
-// both, and the services that are short of slots.
+// both, the servers that are paced and the services that are short of slots.
 func (s *Service) sweepServers() {
+	defer s.reportPaces()
 	s.reportShortages()
 	ejected, restored := s.servers.Sweep(s.ports.Clock.Now())
 	for _, found := range ejected {
--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -150,7 +150,7 @@
 var platformNames = []string{
 	"Attempt-Id", "Server-Stamp", "Expect-Instance", "Not-Executed", "Weight-Versions", "Token-Count",
 	"Prompt-Prefix", "Deadline-Ms", "rows-tx", "rows-get", "rows-feed", "blob-put", "ScorerUri", "TrafficSplit",
-	"TargetLatencyMs", "ResultDeadlineMs", "DesiredCount", "FESCUESPAR_CONFIG", "/api/lots",
+	"TargetLatencyMs", "ResultDeadlineMs", "ColdRemainingMs", "DesiredCount", "FESCUESPAR_CONFIG", "/api/lots",
 }
 
 // filesOutsidePlatform returns the Go files that must not contain the platform's
--- a/internal/core/job/avoided.go
+++ b/internal/core/job/avoided.go
@@ -22,6 +22,10 @@
 // weak before a weak one is accepted. A run loses as much there until it is moved.
 const weakEngineWait = 500 * time.Millisecond
 
+// KeepsPace reports whether the run waits rather than start on a cold or returning engine
+// beyond that engine's pace.
+func (s *RunStart) KeepsPace() bool { return s.Waited < slowEngineWait }
+
 // EnginesFor returns the engines on which the run must not be placed.
 func (a AvoidedEngines) EnginesFor(start *RunStart) []core.ServerID {
 	avoided := slices.Clone(a.Loading[start.Model])
--- a/internal/core/logs/messages.go
+++ b/internal/core/logs/messages.go
@@ -25,6 +25,8 @@
 	ServerRemoved       = "backend server gone"
 	ServerLeaving       = "backend server announced its shutdown"
 	ServerLimit         = "backend server changed its rate limit"
+	PaceBegan           = "backend server gets a part of its usual work"
+	PaceEnded           = "backend server gets its usual work"
 	ServerDied          = "backend server died while it ran a request"
 	SlotsShort          = "service is short of slots"
 	SlotsFree           = "service has free slots again"
@@ -56,6 +58,6 @@
 	RoutesInForce: true, VersionNamed: true, VersionLoaded: true,
 	LeaseAcquired: true, LeaseLost: true,
 	ServerEjected: true, ServerRestored: true, ServerRemoved: true, ServerLeaving: true, ServerLimit: true, ServerDied: true, RunsMoved: true,
-	SlotsShort: true, SlotsFree: true,
+	SlotsShort: true, SlotsFree: true, PaceBegan: true, PaceEnded: true,
 	PlatformUnavailable: true, PlatformAvailable: true,
 }
--- a/internal/core/registration/view.go
+++ b/internal/core/registration/view.go
@@ -22,6 +22,7 @@
 	Since             time.Time // when the registration was first read in its present form
 	AcceptedOrders    uint64    // orders accepted since the server's start, as it reported
 	HasReportedOrders bool      // the server has reported its accepted orders
+	ColdUntil         time.Time // when this instance is no longer slow after its start; in the past if it was not when first read
 }
 
 // instanceMemory is how long an instance is remembered after its registration was last
@@ -33,7 +34,8 @@
 	startedUnixMs int64
 	firstRead     time.Time // when a registration of it was first read
 	lastRead      time.Time
-	leaving       bool // it announced its shutdown in a response
+	leaving       bool      // it announced its shutdown in a response
+	coldUntil     time.Time // by its first registration
 }
 
 // View is one process's view of the registered servers. It is not safe for
@@ -67,12 +69,13 @@
 	listed := make(map[core.ServerID]bool, len(entries))
 	for _, entry := range entries {
 		listed[entry.VM.ID] = true
-		if v.observeInstance(&entry, now).leaving {
+		known := v.observeInstance(&entry, now)
+		if known.leaving {
 			entry.VM.State = core.VMLeaving
 		}
 		before, found := v.servers[entry.VM.ID]
 		if !found || !equalEntries(before.ServerEntry, entry) {
-			server := Server{ServerEntry: entry, Since: now}
+			server := Server{ServerEntry: entry, Since: now, ColdUntil: known.coldUntil}
 			if before.StartedUnixMs == entry.StartedUnixMs {
 				server.AcceptedOrders, server.HasReportedOrders = before.AcceptedOrders, before.HasReportedOrders
 			}
@@ -97,7 +100,7 @@
 func (v *View) observeInstance(entry *core.ServerEntry, now time.Time) *instance {
 	known := v.instances[entry.VM.ID]
 	if known == nil || known.startedUnixMs != entry.StartedUnixMs {
-		known = &instance{startedUnixMs: entry.StartedUnixMs, firstRead: now}
+		known = &instance{startedUnixMs: entry.StartedUnixMs, firstRead: now, coldUntil: now.Add(entry.ColdFor)}
 		v.instances[entry.VM.ID] = known
 	}
 	known.lastRead = now
--- a/internal/core/registration/view_test.go
+++ b/internal/core/registration/view_test.go
@@ -136,6 +136,23 @@
 	}
 }
 
+// TestColdTimeBeginsWithTheInstance guards against a cold time that begins anew with each
+// read of a registration that still tells it.
+func TestColdTimeBeginsWithTheInstance(t *testing.T) {
+	view := NewView(time.Second)
+	cold := entry("a", "1")
+	cold.ColdFor = 3 * time.Second
+	view.Observe([]core.ServerEntry{cold}, at(1))
+	cold.VM.Slots = 7 // a change, so that the entry is taken in again
+	for number, want := range []time.Time{at(4), at(8)} {
+		cold.StartedUnixMs = int64(7 * number)
+		registered, _ := view.Observe([]core.ServerEntry{cold}, at(float64(2+3*number)))
+		if got := registered[0].ColdUntil; !got.Equal(want) {
+			t.Errorf("instance %d is cold until %v, want %v", number, got, want)
+		}
+	}
+}
+
 func TestGoneInstancesAreForgotten(t *testing.T) {
 	view := newSettledView()
 	for i := range 100 {
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -153,6 +153,7 @@
 	VM            VM
 	Models        []ModelVersion // weights that the server holds; empty for plain services
 	StartedUnixMs int64          // start time of this incarnation in Unix milliseconds
+	ColdFor       time.Duration  // time from the writing of the registration in which the server is still slow after its start
 }
 
 // ModelVersion is a version of the weights of one model.
--- a/internal/core/routing/candidate.go
+++ b/internal/core/routing/candidate.go
@@ -27,6 +27,8 @@
 	RateTokens        float64       // requests that this process may send now under that limit
 	RateAdvance       float64       // interactive requests that it may send in advance
 	Pushback          time.Duration // remaining time for which it receives less work after a refusal
+	PaceShare         float64       // share of its usual work that it gets, above 0 and up to 1; 1 also if its pace does not filter
+	PaceDraw          float64       // random number from 0 to 1, the same for all candidates of a decision
 
 	server *server
 	cost   float64 // seconds; set when the candidate is scored
--- a/internal/core/routing/decide.go
+++ b/internal/core/routing/decide.go
@@ -24,8 +24,10 @@
 	peerRatio        float64
 	linkAvailable    bool
 	rateShare        float64 // this process's share of the servers' rate limits
-	entriesChecked   int     // valid prefix index entries examined
-	prefixCandidates int     // candidates found through those entries
+	paceDraw         float64
+	ignoresPace      bool // servers' paces count in the cost only
+	entriesChecked   int  // valid prefix index entries examined
+	prefixCandidates int  // candidates found through those entries
 	candidates       [maxCandidates]Candidate
 	candidateCount   int
 }
@@ -41,11 +43,15 @@
 		return core.VM{}, errkind.New(errkind.NoServer, "no listed server of kind %s runs %q", query.Kind, query.Service)
 	}
 	s.beginDecision(pool, &query, now)
-	s.gatherLocal(random)
-	if s.remoteMayBeCheaper() {
-		s.gatherRemote(random)
-	}
 	d := &s.decision
+	if len(pool.paced.servers) > 0 {
+		d.paceDraw = random.Float64()
+	}
+	s.gather(random)
+	if d.candidateCount == 0 && len(pool.paced.servers) > 0 && (!query.KeepsPace || pool.lossFactor(now) < 1) {
+		d.ignoresPace = true
+		s.gather(random)
+	}
 	if d.candidateCount == 0 {
 		if pool.limitedCount > 0 {
 			pool.demand.add(now)
@@ -55,10 +61,19 @@
 	return *d.candidates[s.picker.Pick(d.candidates[:d.candidateCount], random)].VM, nil
 }
 
+// gather adds the candidates of a decision.
+func (s *State) gather(random *rand.Rand) {
+	s.gatherLocal(random)
+	if s.remoteMayBeCheaper() {
+		s.gatherRemote(random)
+	}
+}
+
 func (s *State) beginDecision(pool *pool, query *Query, now time.Time) {
 	d := &s.decision
 	d.query, d.now, d.pool = *query, now, pool
 	d.candidateCount, d.entriesChecked, d.prefixCandidates = 0, 0, 0
+	d.ignoresPace = false
 	d.peerRatio = pool.peerRatio(s.processCount)
 	d.rateShare = s.rateShare(pool)
 	d.linkAvailable = pool.isOnlyIn(query.Region) || s.link.hasCapacity(query.Class, query.crossRegionBytes(), now)
@@ -114,10 +129,11 @@
 	d := &s.decision
 	version, holds := srv.adapterVersion(d.query.Adapter)
 	srv.rateLimit.refill(d.rateShare, d.now)
+	weight, paceShare := s.weights(srv)
 	*candidate = Candidate{
 		VM: &srv.vm, HoldsAdapter: holds, Version: version, VersionLag: srv.versionLag(d.query.Adapter, version),
 		Ejected:           srv.health.Ejected(),
-		Weight:            srv.health.Weight(d.pool.detector.RampUp(), d.now),
+		Weight:            weight,
 		OwnStreams:        srv.load.own.streams,
 		HasIdleConnection: srv.load.hasIdleConnection(d.now),
 		LoadTokens:        s.loadTokens(srv, d.peerRatio, d.now),
@@ -130,10 +146,26 @@
 		RateTokens:        srv.rateLimit.requests.available,
 		RateAdvance:       srv.rateLimit.advance(),
 		Pushback:          srv.pushback.remaining(d.now),
+		PaceShare:         paceShare,
+		PaceDraw:          d.paceDraw,
 		server:            srv,
 	}
 }
 
+// weights returns the weight of a server in its cost and the share of its usual work by
+// which it is filtered. Its pace counts in one of them.
+func (s *State) weights(srv *server) (weight, paceShare float64) {
+	d := &s.decision
+	switch {
+	case !s.policy.Pace:
+		return srv.health.Weight(d.pool.detector.RampUp(), d.now), 1
+	case d.ignoresPace:
+		return s.paceShare(srv, d.now), 1
+	default:
+		return 1, s.paceShare(srv, d.now)
+	}
+}
+
 func (s *State) totalCost(candidate *Candidate) float64 {
 	total := 0.0
 	for _, scorer := range s.scorers {
--- a/internal/core/routing/policy.go
+++ b/internal/core/routing/policy.go
@@ -13,6 +13,7 @@
 	ZoneRoundTrip          time.Duration // to another availability zone of the region
 	ConnectionCost         time.Duration // waiting time equivalent to opening a connection
 	MaxReportAge           time.Duration // older load reports of engines are ignored
+	Pace                   bool          // cold and returning servers get their work by package pace, not by the outlier policy's RampUp
 
 	PrefixEntries int           // capacity of the prefix index; a power of two
 	DispatchTTL   time.Duration // how long a dispatched prompt counts as cached
--- a/internal/core/routing/pool.go
+++ b/internal/core/routing/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/outlier"
@@ -21,6 +22,7 @@
 	detector       *outlier.Pool
 	serverCount    int
 	limitedCount   int // servers that advertise a rate limit
+	paced          pacedServers
 	demand         demand
 	newestVersions []core.AdapterVersion // newest version ever reported for each adapter
 
@@ -68,6 +70,22 @@
 	if srv.rateLimit.isActive {
 		p.limitedCount++
 	}
+	if srv.pace.IsActive() {
+		p.addPaced(srv)
+	}
+}
+
+// addPaced adds a paced server, if it is not there yet.
+func (p *pool) addPaced(srv *server) {
+	p.paced.computedAt = time.Time{}
+	if !slices.Contains(p.paced.servers, srv) {
+		p.paced.servers = append(p.paced.servers, srv)
+	}
+}
+
+func (p *pool) removePaced(srv *server) {
+	p.paced.computedAt = time.Time{}
+	p.paced.servers = slices.DeleteFunc(p.paced.servers, func(other *server) bool { return other == srv })
 }
 
 // recentlyUsedCount is how many recently used servers are candidates of every
@@ -96,6 +114,7 @@
 	if srv.region.serverCount == 0 {
 		p.regions = slices.DeleteFunc(p.regions, func(r *regionIndex) bool { return r == srv.region })
 	}
+	p.removePaced(srv)
 	p.detector.Remove(&srv.health)
 	p.serverCount--
 	srv.pool, srv.region = nil, nil
--- a/internal/core/routing/property_test.go
+++ b/internal/core/routing/property_test.go
@@ -52,6 +52,7 @@
 		}
 	case 5:
 		h.state.Sweep(h.now, h.random)
+		h.state.ApplyColdStarts([]ColdStart{{Server: vm.ID, StartedUnixMs: h.now.UnixMilli(), Until: h.now.Add(2 * time.Second)}}, h.now)
 	}
 }
 
@@ -96,14 +97,14 @@
 	parameters := gopter.DefaultTestParametersWithSeed(5)
 	parameters.MinSuccessfulTests = 200
 	properties := gopter.NewProperties(parameters)
-	properties.Property("after any history", prop.ForAll(func(seed uint64, steps []int) bool {
+	properties.Property("after any history", prop.ForAll(func(seed uint64, steps []int, paced bool) bool {
 		h := &history{random: rand.New(rand.NewPCG(seed, 1)), now: testStart}
 		h.vms = engineVMs(12)
 		for i := range 4 {
 			h.vms[i].Region = "west"
 		}
 		policy := DefaultPolicy()
-		policy.PrefixEntries = 64
+		policy.PrefixEntries, policy.Pace = 64, paced
 		h.state = NewState(policy)
 		h.state.ApplyVMs(h.vms)
 		for _, number := range steps {
@@ -113,6 +114,6 @@
 			}
 		}
 		return true
-	}, gen.UInt64(), gen.SliceOfN(60, gen.IntRange(0, 5))))
+	}, gen.UInt64(), gen.SliceOfN(60, gen.IntRange(0, 5)), gen.Bool()))
 	properties.TestingRun(t)
 }
--- a/internal/core/routing/query.go
+++ b/internal/core/routing/query.go
@@ -23,6 +23,7 @@
 	CostPerVersion   time.Duration   // waiting time equivalent to being one version behind the newest
 	Exclude          []core.ServerID // servers that must not be chosen
 	RequiresFreeSlot bool            // only servers on which this process has a free slot
+	KeepsPace        bool            // the request waits rather than exceed the pace of a server, unless most servers are paced
 }
 
 // allowsVersion reports whether weights of a version may serve the request.
@@ -66,6 +67,9 @@
 	reservedBytes  float64 // reserved on the link, zero within a region
 }
 
+func (r *Result) failed() bool    { return r.Outcome == outlier.Failed }
+func (r *Result) succeeded() bool { return r.Outcome == outlier.Succeeded }
+
 // Result describes how a dispatch ended.
 type Result struct {
 	Outcome outlier.Outcome
--- a/internal/core/routing/server.go
+++ b/internal/core/routing/server.go
@@ -5,6 +5,7 @@
 
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/outlier"
+	"fescuespar/internal/core/pace"
 )
 
 // server is the routing state of one backend server.
@@ -22,6 +23,9 @@
 	health            outlier.Server
 	pushback          pushback
 	rateLimit         rateLimit
+	pace              pace.Pace
+	pacedStart        int64   // Unix milliseconds of the newest start for which it was paced as cold, or noStart
+	sweptShare        float64 // its share of the usual work at the last Sweep; zero while it is not paced
 
 	slot        uint32  // index in State.slots
 	cacheEpoch  uint32  // changes when the engine loses its cache
@@ -30,6 +34,9 @@
 	cachedCount int     // estimated entries in the cache, from the events received
 }
 
+// noStart is server.pacedStart before the first cold start.
+const noStart = -1
+
 // eligible reports whether the server may receive new requests.
 func (r *server) eligible() bool {
 	return r.vm.State == core.VMLive && !r.health.Ejected()
@@ -72,6 +79,9 @@
 
 	Unreachable bool    `json:"unreachable"`          // recent connection attempts failed
 	RateLimit   float64 `json:"rate_limit,omitempty"` // requests a second that it takes from all processes, zero for no limit
+
+	Paced     pace.Reason `json:"paced,omitempty"`      // why it gets less than its usual work; empty in full use
+	PaceShare float64     `json:"pace_share,omitempty"` // share of its usual work while it is paced, at the last Sweep
 }
 
 func (r *server) view() View {
@@ -80,5 +90,6 @@
 		Polled: r.vm.Kind == core.KindEngine && !r.unpolled, ReportedAt: r.load.reportedAt,
 		Ejected: r.health.Ejected(), EjectedUntil: r.health.Until(),
 		Unreachable: !r.health.UnreachableSince().IsZero(), RateLimit: r.rateLimit.perSecond,
+		Paced: r.pace.Reason(), PaceShare: r.sweptShare,
 	}
 }
--- a/internal/core/routing/speed.go
+++ b/internal/core/routing/speed.go
@@ -52,6 +52,15 @@
 	}
 }
 
+// expected returns the seconds that some work takes at a load, zero if no request has
+// completed yet.
+func (s *speed) expected(work, load float64) float64 {
+	if s.sumWork == 0 {
+		return 0
+	}
+	return work * (s.base + s.slope*load)
+}
+
 // effectiveSlope returns the fitted slope, but at least the slope at which
 // doublingStreams mean requests double the time of a token, so that a less
 // loaded server always costs less.
--- a/internal/core/routing/state.go
+++ b/internal/core/routing/state.go
@@ -30,6 +30,8 @@
 	rateShares     map[string]float64 // this process's share of the rate limits, by service
 	otherRateShare float64            // of services without one
 
+	paceChanges []PaceChange // not yet returned
+
 	filters  []Filter
 	scorers  []Scorer
 	picker   Picker
@@ -48,7 +50,7 @@
 
 		otherRateShare: initialRateShare,
 
-		filters: []Filter{LiveFilter{}, HealthFilter{}, VersionFilter{}, ExcludeFilter{}, SlotFilter{}, PushbackFilter{}, RateLimitFilter{}, LinkFilter{}},
+		filters: []Filter{LiveFilter{}, HealthFilter{}, VersionFilter{}, ExcludeFilter{}, SlotFilter{}, PushbackFilter{}, RateLimitFilter{}, PaceFilter{}, LinkFilter{}},
 		scorers: []Scorer{
 			WaitScorer{}, LinkScorer{Policy: policy.Link}, ZoneScorer{RoundTrip: policy.ZoneRoundTrip}, LagScorer{}, ConnectScorer{Cost: policy.ConnectionCost},
 			PushbackScorer{},
@@ -97,7 +99,7 @@
 func (s *State) newServer() *server {
 	s.lastIncarnation++
 	s.lastCacheEpoch++
-	srv := &server{incarnation: s.lastIncarnation, cacheEpoch: s.lastCacheEpoch}
+	srv := &server{incarnation: s.lastIncarnation, cacheEpoch: s.lastCacheEpoch, pacedStart: noStart}
 	if last := len(s.freeSlots) - 1; last >= 0 {
 		srv.slot = s.freeSlots[last]
 		s.freeSlots = s.freeSlots[:last]
@@ -245,6 +247,9 @@
 		work = ended.prefillWork + float64(result.Tokens)
 	}
 	duration := now.Sub(ended.Started)
+	if srv.pace.IsActive() {
+		s.recordPace(srv, &ended, result, work, now)
+	}
 	if result.Outcome == outlier.Succeeded {
 		srv.pool.speed.addSample(work, ended.loadBefore+float64(ended.ExpectedTokens), duration)
 	}
@@ -286,6 +291,7 @@
 	srv := s.serversByID[id]
 	if srv != nil && srv.pool.detector.MarkReachable(&srv.health, now) {
 		srv.region.reindex(srv)
+		s.paceReturn(srv, now)
 	}
 }
 
@@ -311,8 +317,10 @@
 	for _, srv := range s.sortedServers {
 		if srv.eligible() != (len(srv.bucketEntries) > 0) {
 			srv.region.reindex(srv)
+			s.paceReturn(srv, now)
 		}
 	}
+	s.endPaces(now)
 }
 
 // EjectedServers returns the servers that receive no new requests because they fail,
--- a/internal/metrics/relay.go
+++ b/internal/metrics/relay.go
@@ -29,6 +29,8 @@
 	StoreFailures   gometrics.Counter
 	SlotsAwaited    gometrics.Counter
 	SlotsRefused    gometrics.Counter
+	PacesBegun      gometrics.Counter
+	ServersPaced    gometrics.Gauge
 	RequestTime     *Latency // ms from a request's arrival to its answer
 	RunTime         *Latency // ms from the start to the end of an item's run
 	SlotWait        *Latency // ms for which a request that found no slot waited for one
@@ -47,7 +49,7 @@
 		"relay.leases.acquired": &r.LeasesAcquired, "relay.leases.lost": &r.LeasesLost,
 		"relay.table.reads": &r.TableReads, "relay.table.commits": &r.TableCommits,
 		"relay.table.unknown": &r.TableUnknown, "relay.store.failures": &r.StoreFailures,
-		"relay.slots.awaited": &r.SlotsAwaited, "relay.slots.refused": &r.SlotsRefused,
+		"relay.slots.awaited": &r.SlotsAwaited, "relay.slots.refused": &r.SlotsRefused, "relay.paces.begun": &r.PacesBegun,
 	} {
 		*counter = gometrics.NewRegisteredCounter(name, r.Registry)
 	}
@@ -57,5 +59,6 @@
 			panic(err) // two metrics have the same name, which is a bug in this file
 		}
 	}
+	r.ServersPaced = gometrics.NewRegisteredGauge("relay.servers.paced", r.Registry)
 	return r
 }
--- a/internal/tables/servers.go
+++ b/internal/tables/servers.go
@@ -44,6 +44,21 @@
 	t.state.ApplyVMs(vms)
 }
 
+// ApplyColdStarts begins the pace of servers that have started since the last call.
+func (t *Servers) ApplyColdStarts(starts []routing.ColdStart, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state.ApplyColdStarts(starts, now)
+}
+
+// PaceChanges returns the paces that began and ended since the last call, and the number
+// of servers that are paced.
+func (t *Servers) PaceChanges() (changes []routing.PaceChange, paced int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state.PaceChanges(), t.state.PacedCount()
+}
+
 // HasList reports whether a VM list has been applied. Before that Acquire refuses
 // every request.
 func (t *Servers) HasList() bool {
