--- a/cmd/fescuespar/relaystatus.go
+++ b/cmd/fescuespar/relaystatus.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"fescuespar/internal/app/relay"
+	"fescuespar/internal/core"
 	"fescuespar/internal/core/routing"
 	"fescuespar/internal/errkind"
 	"fescuespar/internal/tables"
@@ -51,9 +52,17 @@
 	for _, j := range state.Jobs {
 		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\n", j.Job, orNoValue(string(j.Account)), j.Waiting, j.Running, j.Unscored, j.Unstored, j.Stored)
 	}
-	fmt.Fprintln(t, "\nSERVER WITHOUT NEW WORK\tSERVICE\tWHY")
+	fmt.Fprintln(t, "\nSLOTS OF\tREQUESTS\tSLOTS\tIN FLIGHT\tWAITING\tFOUND NO SLOT")
+	for _, slots := range state.Slots {
+		kind := "calls"
+		if slots.Stream {
+			kind = "streams"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\n", slots.Service, kind, slots.Slots, sum(slots.Gate.InFlight), sum(slots.Gate.Waiting), slots.Short)
+	}
+	fmt.Fprintln(t, "\nSERVER WITHOUT ALL ITS WORK\tSERVICE\tWHY")
 	for i := range state.Servers {
-		if reason := exclusionReason(&state.Servers[i]); reason != "" {
+		if reason := restrictionReason(&state.Servers[i]); reason != "" {
 			fmt.Fprintf(t, "%s\t%s\t%s\n", state.Servers[i].VM.ID, state.Servers[i].VM.Service, reason)
 		}
 	}
@@ -71,14 +80,25 @@
 	}
 }
 
-// exclusionReason returns why a backend server gets no new work, or an empty
-// string if it gets work.
-func exclusionReason(server *routing.View) string {
+// sum returns the sum over all classes.
+func sum(byClass [core.ClassCount]int) int {
+	total := 0
+	for _, count := range byClass {
+		total += count
+	}
+	return total
+}
+
+// restrictionReason returns why a backend server gets no new work or only a part of its
+// usual work, or an empty string if it gets its usual work.
+func restrictionReason(server *routing.View) string {
 	switch {
 	case server.Unreachable:
 		return "cannot be reached"
 	case server.Ejected:
 		return "is ejected until " + server.EjectedUntil.Format(time.RFC3339)
+	case server.Paced != "":
+		return fmt.Sprintf("%s, gets %.0f%% of its usual work", server.Paced, 100*server.PaceShare)
 	default:
 		return ""
 	}
--- a/cmd/fescuespar/relaystatus_test.go
+++ b/cmd/fescuespar/relaystatus_test.go
@@ -16,6 +16,7 @@
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/account"
 	"fescuespar/internal/core/job"
+	"fescuespar/internal/core/pace"
 	"fescuespar/internal/core/routing"
 	"fescuespar/internal/errkind"
 	"fescuespar/internal/tables"
@@ -46,9 +47,11 @@
 			Accounts: 80, Keys: 161, ConfirmedAt: time.Unix(1e9, 0),
 			Refused: map[account.Refusal]uint64{account.NoKey: 4, account.RemovedKey: 3}, Removed: map[core.AccountName]uint64{"fida11": 3},
 		},
+		Slots: []tables.SlotState{{Service: "coach", Stream: true, Slots: 352, Short: 41}},
 		Servers: []routing.View{
 			{VM: core.VM{ID: "i-1", Service: "m"}, Ejected: true, EjectedUntil: time.Unix(1e9, 0)},
 			{VM: core.VM{ID: "i-2", Service: "m"}},
+			{VM: core.VM{ID: "i-3", Service: "m"}, Paced: pace.Cold, PaceShare: 0.25},
 		},
 	}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -62,7 +65,8 @@
 		t.Fatal(err)
 	}
 	for _, want := range []string{"route table 17", "does not answer: servers", "entry-2", "suspect", "work|service/m", "j-4", "i-1", "ejected until",
-		"80 accounts with 161 keys in force", "refused with no_key: 4", "removed keys of account fida11: 3", "hule930"} {
+		"80 accounts with 161 keys in force", "refused with no_key: 4", "removed keys of account fida11: 3", "hule930",
+		"streams", "352", "41", "i-3", "is cold, gets 25%"} {
 		if !strings.Contains(text, want) {
 			t.Errorf("output does not contain %q:\n%s", want, text)
 		}
