detour: a write that a peer may have made is not reported as refused

Callers of the store were told that a write had no effect although the platform had carried it out: the platform refused the write on the direct path (503 or 429), a peer made the call, and the peer's response was lost. The transport then returned the first refusal, which means "not done", so that the caller sent the same write again.

A write through peers now marks the error of a call that a peer may have made, and the transport returns that error in place of the refusal. Without peers a refused write is no longer sent a second time on the direct path, with a body that had been read.

TestRefusedWriteLostByPeerIsNoRefusal fails on the code before ("status 503, want an error") and passes now.

--- a/internal/adapters/detour/detour_test.go
+++ b/internal/adapters/detour/detour_test.go
@@ -15,10 +15,10 @@
 
 // faultyTransport is a direct transport with faults that tests switch on. With
 // hang set, as in a network partition, calls block until their context ends. With
-// refuse set, calls get status 503.
+// refuse set, calls get status 503. With lose set, calls are made and their responses lost.
 type faultyTransport struct {
-	hang, refuse atomic.Bool
-	calls        atomic.Int64
+	hang, refuse, lose atomic.Bool
+	calls              atomic.Int64
 }
 
 func (f *faultyTransport) RoundTrip(request *http.Request) (*http.Response, error) {
@@ -30,7 +30,12 @@
 	if f.refuse.Load() {
 		return &http.Response{StatusCode: http.StatusServiceUnavailable, Body: http.NoBody, Header: http.Header{}}, nil
 	}
-	return http.DefaultTransport.RoundTrip(request)
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err == nil && f.lose.Load() {
+		_ = response.Body.Close()
+		return nil, io.ErrUnexpectedEOF
+	}
+	return response, err
 }
 
 // newTransportWithPeer returns a transport with one peer, and the direct transports
@@ -145,6 +150,28 @@
 	}
 }
 
+// TestRefusedWriteLostByPeerIsNoRefusal guards against a write that the platform refused
+// at first and carried out for a peer, whose response was lost: reported as refused, it was
+// taken for not done and sent again.
+func TestRefusedWriteLostByPeerIsNoRefusal(t *testing.T) {
+	var writes atomic.Int64
+	platform := platformServer(t, &writes)
+	transport, ownDirect, peerDirect := newTransportWithPeer(t, platform)
+	ownDirect.refuse.Store(true)
+	peerDirect.lose.Store(true)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, platform.URL+"/tx", strings.NewReader("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := transport.RoundTrip(request)
+	if err == nil {
+		t.Errorf("status %d, want an error", response.StatusCode)
+	}
+	if writes.Load() != 1 {
+		t.Errorf("%d writes carried out, want 1", writes.Load())
+	}
+}
+
 func TestOutageOfBothPathsIsAnError(t *testing.T) {
 	var writes atomic.Int64
 	platform := platformServer(t, &writes)
--- a/internal/adapters/detour/peercall.go
+++ b/internal/adapters/detour/peercall.go
@@ -28,6 +28,9 @@
 
 var errNoPeer = errors.New("no peer could make the call")
 
+// errMayBeMade marks the error of a write that a peer may have made.
+var errMayBeMade = errors.New("a peer may have made the call")
+
 // callViaPeers makes a call through a peer, or directly if there are no peers. The
 // call counts as sent once it was written to a peer. A refusal of the platform or
 // a cached response of a peer is returned only if no other peer has a better one.
@@ -63,7 +66,7 @@
 			fallback = preferCached(fallback, response)
 		case sent:
 			closeBody(fallback)
-			return nil, err
+			return nil, errors.Join(errMayBeMade, err)
 		default:
 			dialer.lastErr = err
 		}
--- a/internal/adapters/detour/transport.go
+++ b/internal/adapters/detour/transport.go
@@ -157,16 +157,8 @@
 		response.Body = &bodyWithCleanup{response.Body, cancel}
 		return response, nil
 	case err == nil:
-		if retried, retryErr := t.callViaPeers(request); retryErr == nil && !isRefusal(retried) {
-			t.setDown(true)
-			closeBody(response)
-			cancel()
-			return retried, nil
-		} else if retryErr == nil {
-			closeBody(retried)
-		}
 		response.Body = &bodyWithCleanup{response.Body, cancel}
-		return response, nil
+		return t.retryRefusedWrite(request, response)
 	default:
 		if errors.Is(context.Cause(ctx), errDirectDown) {
 			return nil, errors.Join(errDirectDown, err)
@@ -178,6 +170,28 @@
 	}
 }
 
+// retryRefusedWrite sends a write that the platform refused through peers. It returns
+// the refusal only if no peer may have made the call.
+func (t *Transport) retryRefusedWrite(request *http.Request, refusal *http.Response) (*http.Response, error) {
+	if peers := t.peers(); len(peers.SameZone)+len(peers.OtherZones) == 0 {
+		return refusal, nil
+	}
+	retried, err := t.callViaPeers(request)
+	switch {
+	case errors.Is(err, errMayBeMade):
+		closeBody(refusal)
+		return nil, err
+	case err != nil:
+		return refusal, nil
+	case isRefusal(retried):
+		closeBody(retried)
+		return refusal, nil
+	}
+	t.setDown(true)
+	closeBody(refusal)
+	return retried, nil
+}
+
 // readResult is the result of a read on one path.
 type readResult struct {
 	response *http.Response
