adapters: HTTP clients send a request once

Callers saw 503.

Cause: http.Transport sends a request again by itself when a kept connection ends before the response: GET, HEAD, OPTIONS and TRACE without a body, and any method without a body that has an Idempotency-Key. The server had died, so that the copy met a refused connection, and that dial error became the outcome of the attempt: "not run". The request went on to the next server, and no death was recorded. If the server was back already it got the request twice, also with a fingerprint that was to run as a trial only.

The new package adapters/sendonce holds the transport of all clients: it makes requests that http.Transport can't repeat, counts the bytes written to the connection, and sends a request on another connection only if none of its bytes was written. Such errors are sendonce.ErrNotSent, which replaces the tests for dial errors, so that a request counts as not run exactly if nothing was sent. Reads of the platform are repeated once by platformhttp's own decision, because a failed read counts as an outage. Redirects, which are a second request, are followed by no client, the operators' included. internal/archtest refuses other uses of net/http's clients and transports.

TestRequestsAreSentOnce walks the clients (relay, streams, orders, reports, engines, plain services, scorers, store, detour, operators) with a server that dies after the last byte of a request. TestDeathOnKeptConnectionIsRecognised has a GET that crashes all four servers of a service before, and two, from which on it is held, now. TestBytesOnTheWireAreUnchanged: servers get the same bytes as before, except for the case of the name of an idempotency key.

--- a/cmd/fescuespar/options.go
+++ b/cmd/fescuespar/options.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"strings"
 	"time"
@@ -94,8 +93,7 @@
 	if token == "" {
 		return nil, usageError("one of --token, --token-file and FESCUESPAR_TOKEN is required")
 	}
-	// The zero Transport ignores proxies set in the environment: VMs are reached by IP number.
-	return operatorclient.New(address, token, &http.Client{Timeout: o.Timeout, Transport: &http.Transport{}}), nil
+	return operatorclient.New(address, token, o.Timeout), nil
 }
 
 // serviceOptions select the entry process to connect to.
--- a/internal/adapters/operatorclient/client.go
+++ b/internal/adapters/operatorclient/client.go
@@ -8,12 +8,13 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 
 	"fescuespar/internal/adapters/configjson"
+	"fescuespar/internal/adapters/sendonce"
 	"fescuespar/internal/core"
 	"fescuespar/internal/errkind"
 )
@@ -29,12 +30,14 @@
 }
 
 // New returns a client of the entry process at an address, which is host:port or a
-// URL. The client authenticates with the token.
-func New(address, token string, client *http.Client) *Client {
+// URL. The client authenticates with the token and uses no proxy. Each request takes at most
+// the timeout, and opens a connection of its own, as commands send few.
+func New(address, token string, timeout time.Duration) *Client {
 	if !strings.Contains(address, "://") {
 		address = "http://" + address
 	}
-	return &Client{strings.TrimSuffix(address, "/"), token, client}
+	transport := sendonce.New(&http.Transport{DisableKeepAlives: true})
+	return &Client{strings.TrimSuffix(address, "/"), token, sendonce.NewClient(transport, timeout)}
 }
 
 // Configuration returns the configuration in force.
@@ -120,11 +123,10 @@
 	return answer, nil
 }
 
-// transportKind returns the error kind of a request without an answer. If no
-// connection was made, the request cannot have had an effect.
+// transportKind returns the error kind of a request without an answer. If nothing of
+// it was sent, it cannot have had an effect.
 func transportKind(method string, err error) errkind.Kind {
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
+	if errors.Is(err, sendonce.ErrNotSent) {
 		return errkind.PeerUnreachable
 	}
 	return lostAnswerKind(method)
--- a/internal/adapters/plainhttp/client.go
+++ b/internal/adapters/plainhttp/client.go
@@ -5,13 +5,12 @@
 import (
 	"bytes"
 	"context"
-	"io"
+	"errors"
 	"net/http"
-	"net/http/httptrace"
 	"strings"
-	"sync/atomic"
 	"time"
 
+	"fescuespar/internal/adapters/sendonce"
 	"fescuespar/internal/adapters/serverhttp"
 	"fescuespar/internal/core"
 	"fescuespar/internal/errkind"
@@ -48,16 +47,12 @@
 // connection. On a reused one, the server could close the idle connection while
 // the call is being sent, and the client could not tell whether the call ran.
 func (c *Client) Call(ctx context.Context, server core.VM, request core.PlainRequest) (core.PlainResponse, error) {
-	var sent atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
-	})
 	outgoing, err := newRequest(ctx, server, request)
 	if err != nil {
 		return core.PlainResponse{}, err
 	}
 	response, err := c.clientFor(request).Do(outgoing)
-	if err != nil && !sent.Load() {
+	if errors.Is(err, sendonce.ErrNotSent) {
 		return core.PlainResponse{}, errkind.Wrap(errkind.ServerRefused, err, "connect to backend server %s", server.ID)
 	}
 	if err != nil {
@@ -97,11 +92,10 @@
 
 func newRequest(ctx context.Context, server core.VM, request core.PlainRequest) (*http.Request, error) {
 	target := serverhttp.URL(server, "/"+strings.TrimPrefix(request.Path, "/"))
-	outgoing, err := http.NewRequestWithContext(ctx, request.Method, target, nil)
+	outgoing, err := http.NewRequestWithContext(ctx, request.Method, target, bytes.NewReader(request.Body))
 	if err != nil {
 		return nil, errkind.Wrap(errkind.BadRequest, err, "build request to %s", server.ID)
 	}
-	setBody(outgoing, request.Body)
 	for name, value := range request.Header {
 		if !isReservedHeader(name) {
 			outgoing.Header.Set(name, value)
@@ -114,13 +108,6 @@
 	return outgoing, nil
 }
 
-// setBody sets a body that the transport cannot rewind, so that it cannot resend
-// the call on another connection.
-func setBody(outgoing *http.Request, body []byte) {
-	outgoing.Body = io.NopCloser(bytes.NewReader(body))
-	outgoing.ContentLength = int64(len(body))
-}
-
 // hopHeaders are the headers that apply to a single connection and are not
 // forwarded.
 var hopHeaders = map[string]bool{
--- a/internal/adapters/platformhttp/client.go
+++ b/internal/adapters/platformhttp/client.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"fescuespar/internal/adapters/sendonce"
 	"fescuespar/internal/errkind"
 )
 
@@ -41,25 +43,25 @@
 }
 
 // NewTransport returns a transport with the connection limits for calls to the
-// platform.
-func NewTransport() *http.Transport {
-	return &http.Transport{
+// platform. It sends a read once more if a kept connection ends before the reply, which
+// says nothing about the platform: a read that fails counts as an outage.
+func NewTransport() http.RoundTripper {
+	return sendonce.NewRepeatingReads(&http.Transport{
 		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConns:           maxIdleConnections,
 		MaxIdleConnsPerHost:    maxIdleConnections,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxReplyHeaderBytes,
 		DisableCompression:     true,
-	}
+	})
 }
 
 // NewWithTransport is like New but uses the given transport.
 func NewWithTransport(transport http.RoundTripper, base string, timeout time.Duration) *Client {
-	returnRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{
 		base:    base,
 		timeout: timeout,
-		http:    &http.Client{Transport: transport, CheckRedirect: returnRedirect},
+		http:    sendonce.NewClient(transport, 0),
 	}
 }
 
@@ -107,7 +109,7 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return 0, nil, call.noReply(err, connected.Load())
+		return 0, nil, call.noReply(err, connected.Load() && !errors.Is(err, sendonce.ErrNotSent))
 	}
 	defer response.Body.Close()
 	answer, err := call.readReply(response)
--- a/internal/adapters/serverhttp/client.go
+++ b/internal/adapters/serverhttp/client.go
@@ -11,6 +11,7 @@
 	"os"
 	"time"
 
+	"fescuespar/internal/adapters/sendonce"
 	"fescuespar/internal/core"
 	"fescuespar/internal/errkind"
 )
@@ -22,8 +23,8 @@
 	maxHeaderBytes   = 64 << 10
 )
 
-// NewClient returns a client that reuses connections, follows no redirects and uses
-// no proxy. dialTimeout bounds the opening of a connection.
+// NewClient returns a client that reuses connections, sends each request once, follows no
+// redirects and uses no proxy. dialTimeout bounds the opening of a connection.
 func NewClient(dialTimeout time.Duration) *http.Client {
 	return newClient(dialTimeout, false)
 }
@@ -38,17 +39,14 @@
 
 func newClient(dialTimeout time.Duration, unpooled bool) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:            dialer.DialContext,
-			MaxIdleConnsPerHost:    maxIdlePerServer,
-			IdleConnTimeout:        idleConnTimeout,
-			MaxResponseHeaderBytes: maxHeaderBytes,
-			DisableCompression:     true,
-			DisableKeepAlives:      unpooled,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	return sendonce.NewClient(sendonce.New(&http.Transport{
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    maxIdlePerServer,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:     true,
+		DisableKeepAlives:      unpooled,
+	}), 0)
 }
 
 // probeHold is how long a probe's connection must stay open. What stands before a dead
--- a/internal/adapters/serverhttp/errors.go
+++ b/internal/adapters/serverhttp/errors.go
@@ -5,9 +5,9 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 
+	"fescuespar/internal/adapters/sendonce"
 	"fescuespar/internal/core"
 	"fescuespar/internal/errkind"
 )
@@ -59,23 +59,18 @@
 }
 
 // TransportError returns the error for a request without a complete response:
-// Canceled or Timeout if the context ended, ServerRefused if no connection could
-// be opened, ServerFailed otherwise.
+// Canceled or Timeout if the context ended, ServerRefused if nothing of the request
+// was sent, ServerFailed otherwise.
 func TransportError(ctx context.Context, server core.VM, err error) error {
 	if ended := ctx.Err(); ended != nil {
 		return errkind.Wrap(errkind.Of(ended), err, "request to backend server %s", server.ID)
 	}
-	if isDialError(err) {
+	if errors.Is(err, sendonce.ErrNotSent) {
 		return errkind.Wrap(errkind.ServerRefused, err, "connect to backend server %s", server.ID)
 	}
 	return errkind.Wrap(errkind.ServerFailed, err, "request to backend server %s", server.ID)
 }
 
-func isDialError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 // errTooLarge reports a body that exceeds its size limit.
 var errTooLarge = errors.New("body exceeds its size limit")
 
--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -3,6 +3,7 @@
 package archtest
 
 import (
+	"go/ast"
 	"go/parser"
 	"go/token"
 	"io/fs"
@@ -126,6 +127,68 @@
 	}
 }
 
+// ownTransportNames are names of net/http that make requests over a transport which may
+// send a request twice.
+var ownTransportNames = map[string]bool{
+	"Client": true, "Transport": true, "DefaultClient": true, "DefaultTransport": true,
+	"Get": true, "Head": true, "Post": true, "PostForm": true,
+}
+
+// clientsOutsideSendonce returns the uses of these names, except for a transport that is
+// passed on to sendonce and for the type of a field, variable or parameter.
+func clientsOutsideSendonce(t *testing.T, name string, content any) []string {
+	t.Helper()
+	parsed, err := parser.ParseFile(token.NewFileSet(), name, content, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var found []string
+	allowed := make(map[ast.Node]bool)
+	ast.Inspect(parsed, func(node ast.Node) bool {
+		switch node := node.(type) {
+		case *ast.CallExpr:
+			if isSelector(node.Fun, "sendonce", map[string]bool{"New": true, "NewRepeatingReads": true}) {
+				ast.Inspect(node.Args[0], func(below ast.Node) bool { allowed[below] = true; return true })
+			}
+		case *ast.StarExpr:
+			allowed[node.X] = true
+		case *ast.SelectorExpr:
+			if isSelector(node, "http", ownTransportNames) && !allowed[node] {
+				found = append(found, name+" uses http."+node.Sel.Name)
+			}
+		}
+		return true
+	})
+	return found
+}
+
+func isSelector(node ast.Node, qualifier string, names map[string]bool) bool {
+	selector, ok := node.(*ast.SelectorExpr)
+	if !ok {
+		return false
+	}
+	base, ok := selector.X.(*ast.Ident)
+	return ok && base.Name == qualifier && names[selector.Sel.Name]
+}
+
+// TestClientsSendOnce guards against a client whose library sends a request twice.
+func TestClientsSendOnce(t *testing.T) {
+	for _, folder := range []string{"internal", "cmd", "platform", "standin", "bench"} {
+		for _, file := range readFiles(t, "../..", folder) {
+			if strings.Contains(filepath.ToSlash(file.path), "internal/adapters/sendonce/") {
+				continue
+			}
+			for _, message := range clientsOutsideSendonce(t, file.path, nil) {
+				t.Error(message)
+			}
+		}
+	}
+	const sample = "package p\nvar a, b = sendonce.New(&http.Transport{}), &http.Client{}\nvar c *http.Client"
+	if got := clientsOutsideSendonce(t, "sample.go", sample); len(got) != 1 {
+		t.Errorf("found %v in the sample, want the composite literal of the client", got)
+	}
+}
+
 // isTestOnly reports whether a path belongs to the fakes or the contract suites.
 func isTestOnly(path string) bool {
 	return strings.Contains(path, "internal/ports/porttest") || strings.Contains(path, "internal/ports/backendtest") ||
--- a/standin/engine/weights.go
+++ b/standin/engine/weights.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"strconv"
 
+	"fescuespar/internal/adapters/sendonce"
 	"fescuespar/internal/core"
 	"fescuespar/standin/platform"
 )
@@ -16,6 +17,7 @@
 // the weights of a deployment from the weight store at a base URL, as a reader
 // in the given region.
 func FetchWeightsFrom(base string, region core.RegionName, deployment core.DeploymentName) func(context.Context, core.WeightVersion) error {
+	client := sendonce.NewClient(sendonce.New(&http.Transport{}), 0)
 	return func(ctx context.Context, version core.WeightVersion) error {
 		target := base + "/weights/" + url.PathEscape(string(deployment)) + "/" + strconv.FormatUint(uint64(version), 10)
 		request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
@@ -23,7 +25,7 @@
 			return err
 		}
 		request.Header.Set(platform.RegionHeader, string(region))
-		response, err := http.DefaultClient.Do(request)
+		response, err := client.Do(request)
 		if err != nil {
 			return err
 		}
--- a/standin/entryclient/entryclient.go
+++ b/standin/entryclient/entryclient.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"fescuespar/internal/adapters/sendonce"
 	"fescuespar/internal/errkind"
 	"fescuespar/internal/lockrank"
 	"fescuespar/standin/httpjson"
@@ -78,9 +79,9 @@
 // New returns a client with the given initial addresses, each of the form
 // host:port.
 func New(addresses []string, token string) *Client {
-	transport := &http.Transport{ResponseHeaderTimeout: responseHeaderTimeout}
+	transport := sendonce.New(&http.Transport{ResponseHeaderTimeout: responseHeaderTimeout})
 	return &Client{
-		token: token, http: &http.Client{Transport: transport},
+		token: token, http: sendonce.NewClient(transport, 0),
 		mu: lockrank.New(lockrank.RankExternal), addresses: slices.Clone(addresses),
 	}
 }
--- a/standin/platform/client.go
+++ b/standin/platform/client.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"fescuespar/internal/adapters/sendonce"
 	"fescuespar/internal/core"
 	"fescuespar/internal/ports/porttest/faults"
 )
@@ -28,7 +29,7 @@
 // NewClient returns a client of the platform at a base URL such as
 // "http://127.0.0.1:8080".
 func NewClient(base string) *Client {
-	return &Client{baseURL: base, http: &http.Client{Timeout: controlTimeout}}
+	return &Client{baseURL: base, http: sendonce.NewClient(sendonce.New(&http.Transport{}), controlTimeout)}
 }
 
 // AddVM registers a VM, or replaces all its fields if it is registered
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -251,13 +250,13 @@
 
 // Status fetches the status of an entry process.
 func (s *Site) Status(ctx context.Context, entry *Entry) (configjson.Status, error) {
-	return operatorclient.New(entry.Address, OperatorToken, http.DefaultClient).Status(ctx)
+	return operatorclient.New(entry.Address, OperatorToken, 0).Status(ctx)
 }
 
 // InFlight returns the number of requests in flight at an entry process, as
 // reported in its state dump, or -1 if it cannot be fetched.
 func (s *Site) InFlight(ctx context.Context, entry *Entry) int {
-	dump, err := operatorclient.New(entry.Address, OperatorToken, http.DefaultClient).Dump(ctx)
+	dump, err := operatorclient.New(entry.Address, OperatorToken, 0).Dump(ctx)
 	if err != nil {
 		return -1
 	}
--- a/tests/process/operations_test.go
+++ b/tests/process/operations_test.go
@@ -222,7 +222,7 @@
 // awaitLimitMembers waits until the limits are divided among count processes.
 func (o *operationsTest) awaitLimitMembers(count int) {
 	o.t.Helper()
-	client := operatorclient.New(o.entries[0].Address, site.OperatorToken, http.DefaultClient)
+	client := operatorclient.New(o.entries[0].Address, site.OperatorToken, 0)
 	for o.ctx.Err() == nil {
 		var state struct {
 			Limits []struct {
--- a/tests/process/process_test.go
+++ b/tests/process/process_test.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -280,7 +279,7 @@
 
 func awaitGeneration(ctx context.Context, t *testing.T, entry *site.Entry, generation core.Generation) {
 	t.Helper()
-	client := operatorclient.New(entry.Address, site.OperatorToken, http.DefaultClient)
+	client := operatorclient.New(entry.Address, site.OperatorToken, 0)
 	for ctx.Err() == nil {
 		config, err := client.Configuration(ctx)
 		if err == nil && config.Generation >= generation {
@@ -297,7 +296,7 @@
 	t.Parallel()
 	ctx, _, entries := startSite(t, 3)
 	client := func(entry *site.Entry) *operatorclient.Client {
-		return operatorclient.New(entry.Address, site.OperatorToken, http.DefaultClient)
+		return operatorclient.New(entry.Address, site.OperatorToken, 0)
 	}
 	for base := core.Generation(1); base <= 8; base++ {
 		config, err := client(entries[0]).Configuration(ctx)
