relay: a takeover reads which items are settled, not the results

Cause: opening a job read all results with their texts to learn the ids of the listed items. A text above three quarters of RowBytes is an object of its own, which takes 25 ms, one after the other, so that 300 need 7.5 s. The read was bounded by 5 s and began again after each failure, with the next read of jobs.

The coordinator now writes a row with one bit for each settled item of a job in the transaction that lists results. A successor reads the job's body, this row and the results after it, of which there are none unless a release without this row has listed them; then the job's row again, so that no item starts of a job that ended during a long read. What it reads does not grow with what is listed. A read that fails goes on where it stopped. Rows of results in objects name their item and state. Opening a job compares each item with the listed ones by a map; it was quadratic.

--- a/internal/adapters/recordcodec/recordcodec.go
+++ b/internal/adapters/recordcodec/recordcodec.go
@@ -26,6 +26,7 @@
 	core.TableWeight:   codecFor[core.WeightRecord](),
 	core.TableJob:      codecFor[core.JobRecord](),
 	core.TableResult:   codecFor[core.ResultRecord](),
+	core.TableSettled:  codecFor[core.SettledRecord](),
 	core.TableMember:   codecFor[core.MemberRecord](),
 	core.TableCrash:    codecFor[core.CrashRecord](),
 }
--- a/internal/app/relay/coordinate.go
+++ b/internal/app/relay/coordinate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strings"
-	"time"
 
 	"fescuespar/internal/app/leasing"
 	"fescuespar/internal/core"
@@ -190,7 +189,7 @@
 		case record.Ended && open:
 			s.closeJob(service, id)
 		case !record.Ended && !open && s.jobStorage.BeginJobRead(id):
-			s.openJob(service, id)
+			s.openJob(service, &jobRead{id: id})
 		}
 	}
 }
@@ -203,64 +202,6 @@
 	s.log.Info().Str("job", string(id)).Int("canceled", len(canceled)).Msg(logs.JobEnded)
 }
 
-// jobReadTimeout bounds the read of a job together with its results.
-const jobReadTimeout = 5 * time.Second
-
-// openJob reads a job and its stored results and starts the remaining items.
-func (s *Service) openJob(service string, id core.JobID) {
-	err := s.lanes.store.Go(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, jobReadTimeout)
-		defer cancel()
-		found, finished, err := s.loadJobWithResults(ctx, id)
-		s.pool.MustEnqueue(core.ClassRollout, func() {
-			s.jobStorage.EndJobRead(id)
-			if err != nil {
-				s.log.Warn().Err(err).Str("job", string(id)).Msg("job read failed; retrying with the next read of jobs")
-				return
-			}
-			s.startJob(service, found, finished)
-		})
-	})
-	if err != nil {
-		s.jobStorage.EndJobRead(id)
-	}
-}
-
-// loadJobWithResults returns a job and the items whose results are stored.
-func (s *Service) loadJobWithResults(ctx context.Context, id core.JobID) (core.Job, []core.ItemID, error) {
-	found, err := s.loadJob(ctx, id)
-	if err != nil {
-		return core.Job{}, nil, err
-	}
-	var finished []core.ItemID
-	for {
-		results, err := s.readResultPage(ctx, id, len(finished))
-		if err != nil || len(results) == 0 {
-			return found, finished, err
-		}
-		for i := range results {
-			finished = append(finished, results[i].Item)
-		}
-	}
-}
-
-func (s *Service) startJob(service string, found core.Job, finished []core.ItemID) {
-	if _, held := s.leases.Holding(coordinatorLease(service), s.ports.Clock.Now()); !held {
-		return
-	}
-	policy := job.Policy{Attempts: 1}
-	if matched, err := s.RouteOf(found.Host, found.Path); err == nil {
-		policy = job.Policy{
-			Attempts: max(1, matched.Attempts), ItemLifetime: matched.ItemLife,
-			SingleVersion: matched.SingleVersion, Priority: matched.Priority,
-		}
-	}
-	s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) { scheduler.Open(found, finished, policy, s.ports.Clock.Now()) })
-	s.log.Info().Str("job", string(found.ID)).Str("service", service).Int("items", len(found.Items)).
-		Int("listed", len(finished)).Uint64("oldest_version", uint64(found.Oldest)).Msg(logs.JobOpened)
-	s.startDueWork(service)
-}
-
 // itemService returns the service that the current route table selects for an
 // item.
 func (s *Service) itemService(start *job.RunStart) (string, error) {
--- a/internal/app/relay/jobs.go
+++ b/internal/app/relay/jobs.go
@@ -18,6 +18,7 @@
 	workPartition = "work|"
 	jobPrefix     = workPartition + "job/"
 	resultPrefix  = workPartition + "list/"
+	settledPrefix = workPartition + "settled/"
 )
 
 func jobKey(id core.JobID) core.RowKey {
@@ -28,6 +29,12 @@
 	return core.RowKey{Table: core.TableResult, ID: fmt.Sprintf("%s%s/%08d", resultPrefix, id, position)}
 }
 
+// settledKey has a part after the job's id, so that rows of different jobs are not read as
+// one range, with those of the jobs between them.
+func settledKey(id core.JobID) core.RowKey {
+	return core.RowKey{Table: core.TableSettled, ID: settledPrefix + string(id) + "/items"}
+}
+
 func jobBodyKey(id core.JobID) core.ObjectKey { return core.ObjectKey("job-" + string(id)) }
 
 // Limits of the calls that callers wait for.
@@ -181,8 +188,8 @@
 	return page, err
 }
 
-// readResultPage reads one page of results, beginning at a position.
-func (s *Service) readResultPage(ctx context.Context, id core.JobID, from int) ([]core.ItemResult, error) {
+// scanResults reads the rows of at most maxPageResults results, beginning at a position.
+func (s *Service) scanResults(ctx context.Context, id core.JobID, from int) ([]core.Row, error) {
 	prefix := resultKey(id, 0).ID
 	prefix = prefix[:len(prefix)-len("00000000")]
 	after := prefix
@@ -190,7 +197,12 @@
 		after = resultKey(id, from-1).ID
 	}
 	s.metrics.TableReads.Inc(1)
-	rows, err := s.ports.Tables.Scan(ctx, core.TableResult, prefix, after, maxPageResults)
+	return s.ports.Tables.Scan(ctx, core.TableResult, prefix, after, maxPageResults)
+}
+
+// readResultPage reads one page of results, beginning at a position.
+func (s *Service) readResultPage(ctx context.Context, id core.JobID, from int) ([]core.ItemResult, error) {
+	rows, err := s.scanResults(ctx, id, from)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/app/relay/listing.go
+++ b/internal/app/relay/listing.go
@@ -42,13 +42,13 @@
 	s.commitResults(service, results, core.Commit{Attempt: s.newAttemptID(), Conditions: []core.Condition{holding.Guard}})
 }
 
-// commitResults stores results. The same commit is repeated until its outcome is
+// commitResults stores results and which items are settled by them. The same commit is repeated until its outcome is
 // known, because another commit could assign the positions to other results.
 func (s *Service) commitResults(service string, results []job.PositionedResult, commit core.Commit) {
 	err := s.lanes.store.Go(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, resultCommitTimeout)
 		defer cancel()
-		err := s.addResultWrites(ctx, results, &commit)
+		err := s.addResultWrites(ctx, service, results, &commit)
 		var result core.CommitResult
 		if err == nil {
 			result, err = s.committer.Commit(ctx, commit)
@@ -61,9 +61,9 @@
 	}
 }
 
-// addResultWrites adds the results' rows and the conditions that they are absent
-// to a commit, unless the commit has writes already.
-func (s *Service) addResultWrites(ctx context.Context, results []job.PositionedResult, commit *core.Commit) error {
+// addResultWrites adds the results' rows, the conditions that they are absent and the
+// rows of the settled items to a commit, unless the commit has writes already.
+func (s *Service) addResultWrites(ctx context.Context, service string, results []job.PositionedResult, commit *core.Commit) error {
 	if len(commit.Writes) > 0 {
 		return nil
 	}
@@ -78,6 +78,11 @@
 	for _, write := range writes {
 		commit.Conditions = append(commit.Conditions, core.Condition{Key: write.Key})
 	}
+	var settled []job.SettledJob
+	s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) { settled = scheduler.SettledAfter(results) })
+	for _, state := range settled {
+		writes = append(writes, core.Write{Key: settledKey(state.Job), Record: state.Record})
+	}
 	commit.Writes = writes
 	return nil
 }
@@ -98,7 +103,7 @@
 	if err := s.ports.Objects.Put(ctx, key, body); err != nil {
 		return core.ResultRecord{}, errkind.Wrap(errkind.StoreUnavailable, err, "store result of item %s", result.Result.Item)
 	}
-	return core.ResultRecord{Overflow: key}, nil
+	return core.ResultRecord{Result: core.ItemResult{Item: result.Result.Item, State: result.Result.State}, Overflow: key}, nil
 }
 
 func (s *Service) finishResultCommit(service string, results []job.PositionedResult, commit core.Commit, result core.CommitResult, err error) {
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -100,8 +100,14 @@
 
 // ResultRecord is the row of one position in a job's results.
 type ResultRecord struct {
-	Result   ItemResult
-	Overflow ObjectKey // object holding the result if it is too long for a row
+	Result   ItemResult // without text, versions and score if it is too long for a row
+	Overflow ObjectKey  // object holding the result if it is too long for a row
+}
+
+// SettledRecord is the row that names the items of a job whose results are listed. It is
+// written together with the results, so that a new coordinator reads no results.
+type SettledRecord struct {
+	Items []byte // one bit for each item of the job, in order, the lowest bit of a byte first
 }
 
 // MemberRecord is the row with which an entry process announces itself. Readers
--- a/internal/core/job/scheduler.go
+++ b/internal/core/job/scheduler.go
@@ -54,8 +54,12 @@
 	}
 	s.lastOpened++
 	row := &openJob{job: job, policy: policy, openedAt: now, sequence: s.lastOpened, items: make([]item, len(job.Items)), longTokens: longItemTokens(&job), nextPosition: len(listed)}
+	isListed := make(map[core.ItemID]bool, len(listed))
+	for _, id := range listed {
+		isListed[id] = true
+	}
 	for i := range job.Items {
-		if slices.Contains(listed, job.Items[i].ID) {
+		if isListed[job.Items[i].ID] {
 			row.items[i].phase = stored
 			continue
 		}
--- a/internal/core/row.go
+++ b/internal/core/row.go
@@ -16,6 +16,7 @@
 	TableWeight   TableName = "weight"   // WeightRecord
 	TableJob      TableName = "job"      // JobRecord
 	TableResult   TableName = "result"   // ResultRecord
+	TableSettled  TableName = "settled"  // SettledRecord
 	TableMember   TableName = "member"   // MemberRecord
 	TableCrash    TableName = "crash"    // CrashRecord
 )
@@ -148,5 +149,6 @@
 func (WeightRecord) isRecord()   {}
 func (JobRecord) isRecord()      {}
 func (ResultRecord) isRecord()   {}
+func (SettledRecord) isRecord()  {}
 func (MemberRecord) isRecord()   {}
 func (CrashRecord) isRecord()    {}
--- a/internal/ports/porttest/records.go
+++ b/internal/ports/porttest/records.go
@@ -23,6 +23,7 @@
 	core.TableWeight:   copyWith(copyFlat[core.WeightRecord]),
 	core.TableJob:      copyWith(copyFlat[core.JobRecord]),
 	core.TableResult:   copyWith(copyResult),
+	core.TableSettled:  copyWith(copySettled),
 	core.TableMember:   copyWith(copyMember),
 	core.TableCrash:    copyWith(copyCrash),
 }
@@ -90,6 +91,11 @@
 	return record
 }
 
+func copySettled(record core.SettledRecord) core.SettledRecord {
+	record.Items = bytes.Clone(record.Items)
+	return record
+}
+
 func copyResult(record core.ResultRecord) core.ResultRecord {
 	record.Result.Versions = slices.Clone(record.Result.Versions)
 	return record
--- a/internal/ports/porttest/tablesuite.go
+++ b/internal/ports/porttest/tablesuite.go
@@ -89,6 +89,7 @@
 		},
 		Overflow: "result-1",
 	},
+	core.TableSettled: core.SettledRecord{Items: []byte{0b10000001, 0, 255}},
 	core.TableMember: core.MemberRecord{
 		Incarnation: 5, Zone: "z", Region: "r", CallAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2", Beat: 9, Every: time.Second, Leaving: true,
 		Demand: []core.ServiceDemand{{Service: "engines", PerSecond: 45.5}},
