relay: a transaction of long results stays below the store's limit

The client refuses more than 1,048,576 B with TooLarge, the coordinator logs "results not stored; retrying", and takes the same 20 results again: no further result of the service is listed. It needs 17 or more texts near the limit that end within one commit.

A transaction now takes results with 640 KB of texts at most, and one at least.

--- a/internal/app/relay/listing.go
+++ b/internal/app/relay/listing.go
@@ -15,8 +15,8 @@
 	// including the reads that follow a lost reply.
 	resultCommitTimeout = 5 * time.Second
 	// maxResultsPerCommit is the number of results in one transaction. The store
-	// accepts 100 entries and 1 MB, and a long result takes a third of the
-	// maximum row size.
+	// accepts 100 entries, and each result may add a condition, its row and a row of
+	// settled items.
 	maxResultsPerCommit = 20
 	// resultCommitInterval is the pause between two transactions, in which results
 	// accumulate. One partition of the store accepts some hundred transactions a
@@ -34,7 +34,9 @@
 		return
 	}
 	var results []job.PositionedResult
-	s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) { results = scheduler.UnstoredResults(maxResultsPerCommit) })
+	s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) {
+		results = job.FirstResults(scheduler.UnstoredResults(maxResultsPerCommit), job.MaxCommitTextBytes)
+	})
 	if len(results) == 0 {
 		s.jobStorage.EndResultWrite(service)
 		return
--- a/internal/core/job/settled.go
+++ b/internal/core/job/settled.go
@@ -17,6 +17,21 @@
 	return settled
 }
 
+// MaxCommitTextBytes bounds the texts of the results that one transaction stores. The
+// store accepts 1 MB, and its encoding of a row adds a third.
+const MaxCommitTextBytes = 640 << 10
+
+// FirstResults returns the first of some results, as many as have texts of at most the
+// given bytes in all, but one at least.
+func FirstResults(results []PositionedResult, bytes int) []PositionedResult {
+	for i := range results {
+		if bytes -= len(results[i].Result.Text); bytes < 0 && i > 0 {
+			return results[:i]
+		}
+	}
+	return results
+}
+
 // SettledJob is the record of a job's settled items.
 type SettledJob struct {
 	Job    core.JobID
