relay: results before a late object are listed

With an object store fifty times as slow as usual, 1.25 s an object, the long results of one transaction don't fit into its 5 s. The coordinator gave the transaction up, took the same results again and stored their objects under new keys, so that nothing was listed as long as the store was slow.

The transaction now includes the results before the first one that can't be stored in time, for which 3 s of the 5 s are used. TestLateObjectKeepsResultsBeforeIt fails without it (0 results included).

--- a/internal/app/relay/listing.go
+++ b/internal/app/relay/listing.go
@@ -14,6 +14,10 @@
 	// resultCommitTimeout is the timeout of one attempt to store results,
 	// including the reads that follow a lost reply.
 	resultCommitTimeout = 5 * time.Second
+	// resultPutTimeout bounds the storing of the long results of one transaction, which
+	// takes 25 ms each, or fifty times that when the store is slow. The rest of
+	// resultCommitTimeout is for the transaction.
+	resultPutTimeout = 3 * time.Second
 	// maxResultsPerCommit is the number of results in one transaction. The store
 	// accepts 100 entries, and each result may add a condition, its row and a row of
 	// settled items.
@@ -50,8 +54,9 @@
 	err := s.lanes.store.Go(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, resultCommitTimeout)
 		defer cancel()
-		err := s.addResultWrites(ctx, service, results, &commit)
 		var result core.CommitResult
+		included, err := s.addResultWrites(ctx, service, results, &commit)
+		results = results[:included]
 		if err == nil {
 			result, err = s.committer.Commit(ctx, commit)
 		}
@@ -64,19 +69,28 @@
 }
 
 // addResultWrites adds the results' rows, the conditions that they are absent and the
-// rows of the settled items to a commit, unless the commit has writes already.
-func (s *Service) addResultWrites(ctx context.Context, service string, results []job.PositionedResult, commit *core.Commit) error {
+// rows of the settled items to a commit, unless the commit has writes already. It returns
+// the number of results that the commit includes: if a long result can't be stored now,
+// those before it.
+func (s *Service) addResultWrites(ctx context.Context, service string, results []job.PositionedResult, commit *core.Commit) (int, error) {
 	if len(commit.Writes) > 0 {
-		return nil
+		return len(results), nil
 	}
+	put, cancel := context.WithTimeout(ctx, resultPutTimeout)
+	defer cancel()
 	var writes []core.Write
 	for _, result := range results {
-		record, err := s.resultRecord(ctx, result)
+		record, err := s.resultRecord(put, result)
+		if err != nil && len(writes) == 0 {
+			return 0, err
+		}
 		if err != nil {
-			return err
+			s.log.Debug().Err(err).Str("service", service).Int("results", len(results)).Int("included", len(writes)).Msg("long result not stored; committing those before it")
+			break
 		}
 		writes = append(writes, core.Write{Key: resultKey(result.Job, result.Position), Record: record})
 	}
+	results = results[:len(writes)]
 	for _, write := range writes {
 		commit.Conditions = append(commit.Conditions, core.Condition{Key: write.Key})
 	}
@@ -86,7 +100,7 @@
 		writes = append(writes, core.Write{Key: settledKey(state.Job), Record: state.Record})
 	}
 	commit.Writes = writes
-	return nil
+	return len(results), nil
 }
 
 // resultRecord returns the record of a result's row. A result that is too long for
--- a/internal/app/relay/reopen_test.go
+++ b/internal/app/relay/reopen_test.go
@@ -1,12 +1,17 @@
 package relay
 
 import (
+	"context"
 	"fmt"
+	"strings"
 	"testing"
+	"time"
 
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/job"
 	"fescuespar/internal/errkind"
 	"fescuespar/internal/ports"
+	"fescuespar/internal/ports/porttest/faults"
 )
 
 // TestTakeoverReadsNoListedResults guards against a successor that reads every result with
@@ -71,8 +76,8 @@
 	const results, missing = 130, 110 // two pages; the object that can't be read at first
 	s := newEnvironment(t)
 	service := s.create("vm-1")
-	job := newJob("j", results)
-	body, err := service.ports.Bodies.EncodeJob(job)
+	submitted := newJob("j", results)
+	body, err := service.ports.Bodies.EncodeJob(submitted)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -86,7 +91,7 @@
 	objects := make(map[core.ObjectKey][]byte)
 	for n := range results {
 		key := core.ObjectKey(fmt.Sprint("result-", n))
-		if objects[key], err = service.ports.Bodies.EncodeResult(core.ItemResult{Item: job.Items[n].ID, State: core.ItemCompleted}); err != nil {
+		if objects[key], err = service.ports.Bodies.EncodeResult(core.ItemResult{Item: submitted.Items[n].ID, State: core.ItemCompleted}); err != nil {
 			t.Fatal(err)
 		}
 		if n != missing {
@@ -106,10 +111,32 @@
 	if err := service.continueJobRead(t.Context(), read); err != nil {
 		t.Fatal(err)
 	}
-	if len(read.listed) != results || read.listed[missing] != job.Items[missing].ID {
+	if len(read.listed) != results || read.listed[missing] != submitted.Items[missing].ID {
 		t.Errorf("%d items listed, want %d in order", len(read.listed), results)
 	}
 	if reads, want := s.objects.Counters().Gets-before, uint64(1+results+1); reads != want {
 		t.Errorf("%d objects read, want %d: the job, each result and the failed read", reads, want)
 	}
 }
+
+// TestLateObjectKeepsResultsBeforeIt guards against a slow object store for which no result
+// is listed at all: the long results of a transaction were stored again from the first.
+func TestLateObjectKeepsResultsBeforeIt(t *testing.T) {
+	const latency, timeout = 100 * time.Millisecond, 450 * time.Millisecond
+	s := newEnvironment(t)
+	service := s.create("vm-1")
+	s.objects.Inject(faults.Rule{Operation: faults.ObjectWrite, Event: faults.Delay, Delay: latency})
+	var results []job.PositionedResult
+	for n := range 10 {
+		results = append(results, job.PositionedResult{Job: "j", Position: n, Index: n, Result: core.ItemResult{
+			Item: core.ItemID(fmt.Sprint("j-", n)), State: core.ItemCompleted, Text: strings.Repeat("t", 2000),
+		}})
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+	var commit core.Commit
+	included, err := service.addResultWrites(ctx, engineService, results, &commit)
+	if err != nil || included == 0 || included == len(results) || len(commit.Writes) != included || len(commit.Conditions) != included {
+		t.Errorf("%d results included, %d writes, %d conditions, %v", included, len(commit.Writes), len(commit.Conditions), err)
+	}
+}
