--- a/internal/app/relay/jobs.go
+++ b/internal/app/relay/jobs.go
@@ -18,6 +18,7 @@
 	workPartition = "work|"
 	jobPrefix     = workPartition + "job/"
 	resultPrefix  = workPartition + "list/"
+	settledPrefix = workPartition + "settled/"
 )
 
 func jobKey(id core.JobID) core.RowKey {
@@ -37,6 +38,12 @@
 	return core.ObjectKey(fmt.Sprintf("account-%d-%s-job-%s", len(owner), owner, id))
 }
 
+// settledKey has a part after the job's id, so that rows of different jobs are not read as
+// one range, with those of the jobs between them.
+func settledKey(id core.JobID) core.RowKey {
+	return core.RowKey{Table: core.TableSettled, ID: settledPrefix + string(id) + "/items"}
+}
+
 // Limits of the calls that callers wait for.
 const (
 	jobCallTimeout     = 3 * time.Second        // for one call to the store, several times its usual duration
@@ -219,8 +226,8 @@
 	return page, jobCallError(caller, err)
 }
 
-// readResultPage reads one page of results, beginning at a position.
-func (s *Service) readResultPage(ctx context.Context, id core.JobID, from int) ([]core.ItemResult, error) {
+// scanResults reads the rows of at most maxPageResults results, beginning at a position.
+func (s *Service) scanResults(ctx context.Context, id core.JobID, from int) ([]core.Row, error) {
 	prefix := resultKey(id, 0).ID
 	prefix = prefix[:len(prefix)-len("00000000")]
 	after := prefix
@@ -228,7 +235,12 @@
 		after = resultKey(id, from-1).ID
 	}
 	s.metrics.TableReads.Inc(1)
-	rows, err := s.ports.Tables.Scan(ctx, core.TableResult, prefix, after, maxPageResults)
+	return s.ports.Tables.Scan(ctx, core.TableResult, prefix, after, maxPageResults)
+}
+
+// readResultPage reads one page of results, beginning at a position.
+func (s *Service) readResultPage(ctx context.Context, id core.JobID, from int) ([]core.ItemResult, error) {
+	rows, err := s.scanResults(ctx, id, from)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/app/relay/listing.go
+++ b/internal/app/relay/listing.go
@@ -14,9 +14,13 @@
 	// resultCommitTimeout is the timeout of one attempt to store results,
 	// including the reads that follow a lost reply.
 	resultCommitTimeout = 5 * time.Second
+	// resultPutTimeout bounds the storing of the long results of one transaction, which
+	// takes 25 ms each, or fifty times that when the store is slow. The rest of
+	// resultCommitTimeout is for the transaction.
+	resultPutTimeout = 3 * time.Second
 	// maxResultsPerCommit is the number of results in one transaction. The store
-	// accepts 100 entries and 1 MB, and a long result takes a third of the
-	// maximum row size.
+	// accepts 100 entries, and each result may add a condition, its row and a row of
+	// settled items.
 	maxResultsPerCommit = 20
 	// resultCommitInterval is the pause between two transactions, in which results
 	// accumulate. One partition of the store accepts some hundred transactions a
@@ -34,7 +38,9 @@
 		return
 	}
 	var results []job.PositionedResult
-	s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) { results = scheduler.UnstoredResults(maxResultsPerCommit) })
+	s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) {
+		results = job.FirstResults(scheduler.UnstoredResults(maxResultsPerCommit), job.MaxCommitTextBytes)
+	})
 	if len(results) == 0 {
 		s.jobStorage.EndResultWrite(service)
 		return
@@ -42,14 +48,15 @@
 	s.commitResults(service, results, core.Commit{Attempt: s.newAttemptID(), Conditions: []core.Condition{holding.Guard}})
 }
 
-// commitResults stores results. The same commit is repeated until its outcome is
+// commitResults stores results and which items are settled by them. The same commit is repeated until its outcome is
 // known, because another commit could assign the positions to other results.
 func (s *Service) commitResults(service string, results []job.PositionedResult, commit core.Commit) {
 	err := s.lanes.store.Go(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, resultCommitTimeout)
 		defer cancel()
-		err := s.addResultWrites(ctx, results, &commit)
 		var result core.CommitResult
+		included, err := s.addResultWrites(ctx, service, results, &commit)
+		results = results[:included]
 		if err == nil {
 			result, err = s.committer.Commit(ctx, commit)
 		}
@@ -61,25 +68,39 @@
 	}
 }
 
-// addResultWrites adds the results' rows and the conditions that they are absent
-// to a commit, unless the commit has writes already.
-func (s *Service) addResultWrites(ctx context.Context, results []job.PositionedResult, commit *core.Commit) error {
+// addResultWrites adds the results' rows, the conditions that they are absent and the
+// rows of the settled items to a commit, unless the commit has writes already. It returns
+// the number of results that the commit includes: if a long result can't be stored now,
+// those before it.
+func (s *Service) addResultWrites(ctx context.Context, service string, results []job.PositionedResult, commit *core.Commit) (int, error) {
 	if len(commit.Writes) > 0 {
-		return nil
+		return len(results), nil
 	}
+	put, cancel := context.WithTimeout(ctx, resultPutTimeout)
+	defer cancel()
 	var writes []core.Write
 	for _, result := range results {
-		record, err := s.resultRecord(ctx, result)
+		record, err := s.resultRecord(put, result)
+		if err != nil && len(writes) == 0 {
+			return 0, err
+		}
 		if err != nil {
-			return err
+			s.log.Debug().Err(err).Str("service", service).Int("results", len(results)).Int("included", len(writes)).Msg("long result not stored; committing those before it")
+			break
 		}
 		writes = append(writes, core.Write{Key: resultKey(result.Job, result.Position), Record: record})
 	}
+	results = results[:len(writes)]
 	for _, write := range writes {
 		commit.Conditions = append(commit.Conditions, core.Condition{Key: write.Key})
 	}
+	var settled []job.SettledJob
+	s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) { settled = scheduler.SettledAfter(results) })
+	for _, state := range settled {
+		writes = append(writes, core.Write{Key: settledKey(state.Job), Record: state.Record})
+	}
 	commit.Writes = writes
-	return nil
+	return len(results), nil
 }
 
 // resultRecord returns the record of a result's row. A result that is too long for
@@ -98,7 +119,7 @@
 	if err := s.ports.Objects.Put(ctx, key, body); err != nil {
 		return core.ResultRecord{}, errkind.Wrap(errkind.StoreUnavailable, err, "store result of item %s", result.Result.Item)
 	}
-	return core.ResultRecord{Overflow: key}, nil
+	return core.ResultRecord{Result: core.ItemResult{Item: result.Result.Item, State: result.Result.State}, Overflow: key}, nil
 }
 
 func (s *Service) finishResultCommit(service string, results []job.PositionedResult, commit core.Commit, result core.CommitResult, err error) {
