--- a/internal/app/relay/events.go
+++ b/internal/app/relay/events.go
@@ -172,8 +172,8 @@
 	now := s.ports.Clock.Now()
 	query := routing.Query{
 		Kind: s.serverKind(st.service), Service: st.service, Class: core.ClassInteractive, ExpectedTokens: 1,
-		Adapter: core.AdapterName(st.request.Model),
-		Zone:    s.options.Self.Zone, Region: s.options.Self.Region, Exclude: st.excluded,
+		Adapter: core.AdapterName(st.request.Model), BodyBytes: len(st.request.Body),
+		Zone: s.options.Self.Zone, Region: s.options.Self.Region, Exclude: st.excluded,
 	}
 	if st.route.SingleVersion && st.request.Version != 0 {
 		query.Version, query.ExactVersion = st.request.Version, true
--- a/internal/app/relay/forward.go
+++ b/internal/app/relay/forward.go
@@ -19,6 +19,7 @@
 	policy.PrefixEntries = 1 << 12 // enough for the prompts of the running training steps; entry VMs may be small
 	policy.ConnectionCost = connectionCost
 	policy.Pace = true
+	policy.BytesPerSlot = bytesPerSlot
 	return policy
 }
 
@@ -27,6 +28,11 @@
 // connections do not get most of the load.
 const connectionCost = 15 * time.Millisecond
 
+// bytesPerSlot is what a server is taken to bear of requests in flight for each of its
+// slots. Registrations do not tell its memory; eight slots so bear one body of the largest
+// size that callers may send, 32 MiB.
+const bytesPerSlot = 4 << 20
+
 // defaultTimeout applies to requests without a deadline or a route timeout.
 const defaultTimeout = 30 * time.Second
 
@@ -189,7 +195,7 @@
 	dispatch, err := s.servers.Acquire(routing.Query{
 		Kind: s.serverKind(c.service), Service: c.service, Class: c.class, ExpectedTokens: 1,
 		Zone: s.options.Self.Zone, Region: s.options.Self.Region, Exclude: c.excluded,
-		ExpectedBytes: len(c.request.Body),
+		ExpectedBytes: len(c.request.Body), BodyBytes: len(c.request.Body),
 	}, now)
 	if err != nil {
 		s.finishWithoutResponse(c, err)
--- a/internal/app/relay/run.go
+++ b/internal/app/relay/run.go
@@ -100,7 +100,7 @@
 		Kind: s.serverKind(target), Service: target, Adapter: core.AdapterName(start.Model),
 		Version: start.OldestVersion, ExactVersion: start.ExactVersion, RequiresFreeSlot: true, KeepsPace: start.KeepsPace(),
 		Zone: s.options.Self.Zone, Region: s.options.Self.Region, Class: core.ClassRollout,
-		ExpectedTokens: start.Item.Tokens, Prefix: promptHashes(start.Item.Parts), Exclude: avoided.EnginesFor(&start),
+		ExpectedTokens: start.Item.Tokens, BodyBytes: len(start.Item.Body), Prefix: promptHashes(start.Item.Parts), Exclude: avoided.EnginesFor(&start),
 	}
 	dispatch, err := s.servers.Acquire(query, now)
 	if err != nil {
--- a/internal/core/routing/candidate.go
+++ b/internal/core/routing/candidate.go
@@ -16,6 +16,7 @@
 	Ejected           bool
 	Weight            float64       // share of its normal load that it may receive, above 0 and up to 1
 	OwnStreams        int           // this process's requests in flight on the server
+	BytesInFlight     int           // of this process's requests on the server
 	HasIdleConnection bool          // an idle connection to the server probably exists
 	LoadTokens        float64       // estimated tokens in flight, prompts and answers, without this request
 	SecondsPerToken   float64       // on an idle server
--- a/internal/core/routing/decide.go
+++ b/internal/core/routing/decide.go
@@ -89,6 +89,9 @@
 			}
 		}
 	}
+	if s.policy.BytesPerSlot > 0 && query.BodyBytes > smallBody && pool.bytesInFlight > 0 {
+		return errkind.New(errkind.Overloaded, "servers of %q hold %d bytes of this process's requests, no %d more fit", query.Service, pool.bytesInFlight, query.BodyBytes)
+	}
 	if pool.limitedCount > 0 {
 		return errkind.New(errkind.Overloaded, "%d of %d servers of %q advertise a rate limit of which this process has used its share, and no other is eligible", pool.limitedCount, pool.serverCount, query.Service)
 	}
@@ -134,6 +137,7 @@
 		VM: &srv.vm, HoldsAdapter: holds, Version: version, VersionLag: srv.versionLag(d.query.Adapter, version),
 		Ejected:           srv.health.Ejected(),
 		Weight:            weight,
+		BytesInFlight:     srv.bytesInFlight,
 		OwnStreams:        srv.load.own.streams,
 		HasIdleConnection: srv.load.hasIdleConnection(d.now),
 		LoadTokens:        s.loadTokens(srv, d.peerRatio, d.now),
--- a/internal/core/routing/policy.go
+++ b/internal/core/routing/policy.go
@@ -13,6 +13,7 @@
 	ZoneRoundTrip          time.Duration // to another availability zone of the region
 	ConnectionCost         time.Duration // waiting time equivalent to opening a connection
 	MaxReportAge           time.Duration // older load reports of engines are ignored
+	BytesPerSlot           int           // bytes of requests in flight that a server bears for each of its slots; zero for no bound
 	Pace                   bool          // cold and returning servers get their work by package pace, not by the outlier policy's RampUp
 
 	PrefixEntries int           // capacity of the prefix index; a power of two
--- a/internal/core/routing/pool.go
+++ b/internal/core/routing/pool.go
@@ -23,6 +23,7 @@
 	serverCount    int
 	limitedCount   int // servers that advertise a rate limit
 	paced          pacedServers
+	bytesInFlight  int // of this process's requests
 	demand         demand
 	newestVersions []core.AdapterVersion // newest version ever reported for each adapter
 
@@ -73,6 +74,7 @@
 	if srv.pace.IsActive() {
 		p.addPaced(srv)
 	}
+	p.bytesInFlight += srv.bytesInFlight
 }
 
 // addPaced adds a paced server, if it is not there yet.
@@ -115,6 +117,7 @@
 		p.regions = slices.DeleteFunc(p.regions, func(r *regionIndex) bool { return r == srv.region })
 	}
 	p.removePaced(srv)
+	p.bytesInFlight -= srv.bytesInFlight
 	p.detector.Remove(&srv.health)
 	p.serverCount--
 	srv.pool, srv.region = nil, nil
--- a/internal/core/routing/query.go
+++ b/internal/core/routing/query.go
@@ -19,6 +19,7 @@
 	Class            core.Class
 	ExpectedTokens   int             // expected tokens of prompt and answer
 	ExpectedBytes    int             // expected bytes of prompt and answer; zero for bytesPerToken for each expected token
+	BodyBytes        int             // size of the request's body
 	Prefix           []uint64        // core.PrefixHashes of the prompt; nil when it is shorter than one block
 	CostPerVersion   time.Duration   // waiting time equivalent to being one version behind the newest
 	Exclude          []core.ServerID // servers that must not be chosen
@@ -65,6 +66,7 @@
 	prefillWork    float64 // expected work for the prompt, in generated tokens
 	answerTokens   float64 // expected tokens of the answer
 	reservedBytes  float64 // reserved on the link, zero within a region
+	bodyBytes      int     // of the request, while it is in flight
 }
 
 func (r *Result) failed() bool    { return r.Outcome == outlier.Failed }
--- a/internal/core/routing/server.go
+++ b/internal/core/routing/server.go
@@ -20,6 +20,7 @@
 	region            *regionIndex
 	bucketEntries     []bucketEntry // buckets that contain the server; empty while it is not eligible
 	load              load
+	bytesInFlight     int // of this process's requests
 	health            outlier.Server
 	pushback          pushback
 	rateLimit         rateLimit
@@ -93,3 +94,10 @@
 		Paced: r.pace.Reason(), PaceShare: r.sweptShare,
 	}
 }
+
+// addBytes counts bytes of requests that are sent to the server, or ends a negative
+// number of them.
+func (r *server) addBytes(bytes int) {
+	r.bytesInFlight += bytes
+	r.pool.bytesInFlight += bytes
+}
--- a/internal/core/routing/state.go
+++ b/internal/core/routing/state.go
@@ -50,7 +50,7 @@
 
 		otherRateShare: initialRateShare,
 
-		filters: []Filter{LiveFilter{}, HealthFilter{}, VersionFilter{}, ExcludeFilter{}, SlotFilter{}, PushbackFilter{}, RateLimitFilter{}, PaceFilter{}, LinkFilter{}},
+		filters: []Filter{LiveFilter{}, HealthFilter{}, VersionFilter{}, ExcludeFilter{}, SlotFilter{}, PushbackFilter{}, RateLimitFilter{}, PaceFilter{}, BytesFilter{PerSlot: policy.BytesPerSlot}, LinkFilter{}},
 		scorers: []Scorer{
 			WaitScorer{}, LinkScorer{Policy: policy.Link}, ZoneScorer{RoundTrip: policy.ZoneRoundTrip}, LagScorer{}, ConnectScorer{Cost: policy.ConnectionCost},
 			PushbackScorer{},
@@ -218,6 +218,8 @@
 		s.link.reserve(begun.reservedBytes)
 	}
 	srv.load.add(1, query.ExpectedTokens, now)
+	begun.bodyBytes = query.BodyBytes
+	srv.addBytes(query.BodyBytes)
 	srv.rateLimit.take(s.rateShare(srv.pool), now)
 	srv.pool.demand.add(now)
 	srv.pool.recordUse(srv)
@@ -237,6 +239,7 @@
 		return
 	}
 	srv.load.add(-1, -ended.ExpectedTokens, now)
+	srv.addBytes(-ended.bodyBytes)
 	if result.Refused {
 		srv.pushback.recordRefusal(now)
 	} else if result.Outcome == outlier.Succeeded {
