lease: a reclaimed lease is not released before the former orders have ended

Cause: all processes are killed, the holder's VM starts again, takes its own lease back and is stopped as planned before it gives an order. The release waits for the last order of the holder. This process has given none, and since the row says that orders of other VMs have ended (OrdersClear), it may order at once; the same time was used for the release. So the release did not wait, and the next holder ordered at once, while the last order of the killed process was less than 3 s old.

The tracker now keeps when all orders sent before its holding have ended, apart from when it may order itself. If it takes over from a process of its own VM, whose last order may be as late as its end, that is one longest order after the acquisition. The same holds if a process acquires its own expired lease again.

TestReclaimedLeaseIsReleasedAfterFormerOrders fails on the code before (release at 1 s, want 5 s).

--- a/internal/core/invariants/lease_test.go
+++ b/internal/core/invariants/lease_test.go
@@ -67,6 +67,12 @@
 		}
 	case op == 13 && d.variant%4 == 0:
 		s.restart(i)
+		if d.variant%8 == 0 { // and is stopped as planned as soon as it has read the rows and acquired the lease
+			for range 2 {
+				s.performAction(i, s.trackers[i], now, answered, false)
+			}
+			s.trackers[i].Leave()
+		}
 	case op == 14 && d.variant%2 == 0:
 		tracker.Leave()
 		if tracker.HasLeft() {
--- a/internal/core/lease/decide.go
+++ b/internal/core/lease/decide.go
@@ -54,8 +54,8 @@
 
 // mayAcquire reports whether this process may acquire the lease when it is free.
 func (t *Tracker) mayAcquire() bool {
-	record, found := t.lease.Record.(core.LeaseRecord)
-	return !t.reclaimOnly || found && !record.Released && record.Holder == t.self.VM
+	_, held := t.heldByOwnVM()
+	return !t.reclaimOnly || held
 }
 
 // decideLeaving releases the lease once no order of this holder or an earlier one
@@ -86,11 +86,23 @@
 // of the former holder has ended. If the former holder is an earlier process of this
 // VM, its row only tells whether it had finished the same wait, not when it began.
 func (t *Tracker) ordersAllowedFrom(now time.Time) time.Time {
+	if record, held := t.heldByOwnVM(); held && t.timing.OrdersByVM && record.OrdersClear {
+		return time.Time{}
+	}
+	return t.formerClearAt(now)
+}
+
+// heldByOwnVM returns the lease row if it names a process of this VM as the holder.
+func (t *Tracker) heldByOwnVM() (core.LeaseRecord, bool) {
 	record, found := t.lease.Record.(core.LeaseRecord)
-	if found && !record.Released && record.Holder == t.self.VM {
-		if t.timing.OrdersByVM && record.OrdersClear {
-			return time.Time{}
-		}
+	return record, found && !record.Released && record.Holder == t.self.VM
+}
+
+// formerClearAt returns the time by which all orders that were sent before this process
+// acquires the lease now have ended. The last one of an earlier process of this VM may
+// be as late as its end, which the row does not tell.
+func (t *Tracker) formerClearAt(now time.Time) time.Time {
+	if _, held := t.heldByOwnVM(); held {
 		return now.Add(t.timing.LongestOrder)
 	}
 	takeover := t.takeoverAt()
@@ -101,12 +113,12 @@
 }
 
 // ordersClearAt returns the time by which all orders of this holder and of earlier
-// ones have ended.
+// ones, also of this VM, have ended.
 func (t *Tracker) ordersClearAt() time.Time {
 	if t.lastOrder.IsZero() {
-		return t.ordersFrom
+		return t.formerClear
 	}
-	return t.lastOrder.Add(t.timing.LongestOrder)
+	return t.lastOrder.Add(t.timing.LongestOrder) // not before formerClear: it was sent later than all former ones
 }
 
 // acquireCommit returns the commit that makes this process the holder. It writes
--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -243,6 +243,30 @@
 	}
 }
 
+// TestReclaimedLeaseIsReleasedAfterFormerOrders guards against two VMs that order one
+// engine: a process that reclaimed its VM's lease and left before it gave an order released
+// the lease at once, while the last order of the killed process could still take effect.
+func TestReclaimedLeaseIsReleasedAfterFormerOrders(t *testing.T) {
+	byVM := timing
+	byVM.OrdersByVM = true
+	for name, incarnation := range map[string]core.Incarnation{"of an earlier process": 2, "of this process": 3} {
+		tracker := New("x", Self{VM: "vm1", Incarnation: 3}, byVM)
+		leaseRow, fenceRow := heldRows(8, false)
+		leaseRow.Record = core.LeaseRecord{Holder: "vm1", Incarnation: incarnation, Term: timing.Term, OrdersClear: true}
+		tracker.Observe(leaseRow, fenceRow, at(0))
+		action := tracker.Decide(at(0), "a1")
+		tracker.CommitSent(action, at(0))
+		tracker.Committed(core.CommitResult{Applied: true, Version: 10}, at(0.1))
+		tracker.Leave()
+		if got := tracker.Decide(at(1), "a2"); got.Kind != ActionWait || got.Until != at(5) {
+			t.Errorf("lease %s: %v until %v, want wait until the last order before the acquisition has ended", name, got.Kind, got.Until)
+		}
+		if got := tracker.Decide(at(5), "a2"); got.Kind != ActionRelease {
+			t.Errorf("lease %s: %v after its last order has ended, want release", name, got.Kind)
+		}
+	}
+}
+
 // TestRenewalsRecordOrdersClear acquires an expired lease and renews it before and
 // after the last order of the former holder has ended.
 func TestRenewalsRecordOrdersClear(t *testing.T) {
--- a/internal/core/lease/tracker.go
+++ b/internal/core/lease/tracker.go
@@ -26,6 +26,7 @@
 	isHolder     bool
 	trustedUntil time.Time
 	ordersFrom   time.Time // no order to an engine that ignores fencing before this time
+	formerClear  time.Time // when all orders sent before this holding have ended
 	lastOrder    time.Time // when the last order to such an engine was allowed
 	renewAt      time.Time
 	leaving      bool
@@ -35,12 +36,13 @@
 
 // pendingCommit is a commit that was sent and whose outcome is not known yet.
 type pendingCommit struct {
-	action     Action
-	sentAt     time.Time // when it was first sent
-	ordersFrom time.Time // for ActionAcquire: see Tracker.ordersFrom
-	inFlight   bool      // waiting for its reply
-	replyLost  bool      // a reply to it was lost
-	resend     bool      // a re-read of the rows showed that it may be sent again
+	action      Action
+	sentAt      time.Time // when it was first sent
+	ordersFrom  time.Time // for ActionAcquire: see Tracker.ordersFrom
+	formerClear time.Time // for ActionAcquire: see Tracker.formerClear
+	inFlight    bool      // waiting for its reply
+	replyLost   bool      // a reply to it was lost
+	resend      bool      // a re-read of the rows showed that it may be sent again
 }
 
 // New returns a tracker that has read nothing yet.
@@ -108,6 +110,7 @@
 		t.isHolder = true
 		t.trustedUntil = time.Time{}
 		t.ordersFrom = now.Add(t.timing.LongestOrder)
+		t.formerClear = t.ordersFrom
 		t.renewAt = now
 	}
 }
@@ -126,7 +129,7 @@
 // called before the first byte is sent: the trusted term starts at this time.
 func (t *Tracker) CommitSent(action Action, now time.Time) {
 	if t.pending == nil {
-		t.pending = &pendingCommit{action: action, sentAt: now, ordersFrom: t.ordersAllowedFrom(now)}
+		t.pending = &pendingCommit{action: action, sentAt: now, ordersFrom: t.ordersAllowedFrom(now), formerClear: t.formerClearAt(now)}
 	}
 	t.pending.inFlight = true
 	t.pending.resend = false
@@ -201,7 +204,7 @@
 	switch commit.action.Kind {
 	case ActionAcquire:
 		t.isHolder = true
-		t.ordersFrom = commit.ordersFrom
+		t.ordersFrom, t.formerClear = commit.ordersFrom, commit.formerClear
 		t.lastOrder = time.Time{}
 	case ActionRelease:
 		t.isHolder = false
