app: an order that waited in its lane is checked again when it is sent

Whether an order may be sent was decided before it entered the lane of orders, and the release of the lease counts from that decision. With all places of the lane taken, an order left it up to a term later, and even after the process had released its lease.

The order is checked again where it is sent, in the relay and in entry: the process must hold the lease, under the same fencing number in the relay, and must not be leaving, and the release counts from then.

--- a/internal/app/relay/orders.go
+++ b/internal/app/relay/orders.go
@@ -9,6 +9,7 @@
 
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/job"
+	"fescuespar/internal/core/lease"
 	"fescuespar/internal/core/logs"
 	"fescuespar/internal/core/weights"
 	"fescuespar/internal/errkind"
@@ -116,10 +117,9 @@
 // sendLoadOrder sends one order if the coordinator lease is still valid.
 func (s *Service) sendLoadOrder(service string, vm core.VM, model core.ModelName, version core.WeightVersion) {
 	name := core.DeploymentName(model)
-	lease := coordinatorLease(service)
-	validUntil, allowed := s.leases.StartOrder(lease, s.ports.Clock.Now())
-	holding, held := s.leases.Holding(lease, s.ports.Clock.Now())
-	if !allowed || !held {
+	leaseName := coordinatorLease(service)
+	holding, allowed := s.startOrder(leaseName)
+	if !allowed {
 		s.weights.WithdrawOrder(name, vm.ID)
 		return
 	}
@@ -137,7 +137,8 @@
 	}
 	order.Orders = &accepted
 	err := s.lanes.orders.Go(func(ctx context.Context) {
-		if !s.ports.Clock.Now().Before(validUntil) {
+		// Again, as the order may have waited: the release of the lease counts from here.
+		if current, allowed := s.startOrder(leaseName); !allowed || current.Fence != order.Fence {
 			s.weights.WithdrawOrder(name, vm.ID)
 			return
 		}
@@ -154,6 +155,15 @@
 	}
 }
 
+// startOrder reports whether an order may be sent now, and under which holding. The lease
+// is not released until the order has ended.
+func (s *Service) startOrder(name string) (lease.Holding, bool) {
+	now := s.ports.Clock.Now()
+	_, allowed := s.leases.StartOrder(name, now)
+	holding, held := s.leases.Holding(name, now)
+	return holding, allowed && held
+}
+
 // fetchAcceptedOrders reads an engine's number of accepted orders, with one request
 // per engine at a time.
 func (s *Service) fetchAcceptedOrders(vm core.VM) {
--- /dev/null
+++ b/internal/app/relay/orders_test.go
@@ -0,0 +1,55 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"fescuespar/internal/core"
+	"fescuespar/internal/core/lease"
+	"fescuespar/internal/workers"
+)
+
+// TestWaitingOrderIsNotSentAfterRelease guards against two VMs that order one engine: an
+// order that waited in the lane was sent after its process had released the lease.
+func TestWaitingOrderIsNotSentAfterRelease(t *testing.T) {
+	s := newEnvironment(t)
+	service := s.waitReady(s.start("vm-1"))
+	publish := func(version core.WeightVersion) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.published.Versions = []core.ModelVersion{{Model: "m", Version: version}}
+	}
+	publish(2)
+	s.eventually("version 2 on all engines", func() bool { return s.allLoaded(2) })
+	blocked := make(chan struct{})
+	for range ordersInFlight {
+		if err := service.lanes.orders.Go(func(context.Context) { <-blocked }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.eventually("lane of orders full", func() bool { return service.lanes.orders.State().Running == ordersInFlight })
+	waiting := service.lanes.orders.State().Waiting
+	publish(3)
+	s.eventually("order waiting", func() bool { return service.lanes.orders.State().Waiting > waiting })
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	go service.Shutdown(ctx)
+	s.eventually("lease released", func() bool {
+		leaseKey, _ := lease.Keys(coordinatorLease(engineService))
+		rows, err := s.tables.Read(t.Context(), []core.RowKey{leaseKey})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return rows[0].Record.(core.LeaseRecord).Released
+	})
+	close(blocked)
+	s.eventually("lane of orders empty", func() bool { return service.lanes.orders.State() == workers.LaneState{} })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, order := range s.orders {
+		if order.Version == 3 {
+			t.Errorf("order %+v was sent after the release of the lease", order)
+		}
+	}
+}
--- a/internal/app/weights.go
+++ b/internal/app/weights.go
@@ -164,14 +164,14 @@
 // numbers, the order is sent only while the lease is certain to be held.
 func (s *Service) sendOrder(deployment *core.Deployment, vm core.VM, order core.Order) {
 	name := deployment.Name
-	until, allowed := s.orderDeadline(deployment)
-	if !allowed {
+	if !s.startOrder(deployment) {
 		s.weights.WithdrawOrder(name, vm.ID)
 		return
 	}
 	s.metrics.WeightOrders.Inc(1)
 	err := s.lanes.control.Go(func(ctx context.Context) {
-		if !until.IsZero() && !s.ports.Clock.Now().Before(until) {
+		// Again, as the order may have waited: the release of the lease counts from here.
+		if !s.startOrder(deployment) {
 			s.weights.WithdrawOrder(name, vm.ID)
 			return
 		}
@@ -187,11 +187,12 @@
 	}
 }
 
-// orderDeadline returns the time until which an order may be sent. Zero means
-// no limit, since the engine itself refuses a late order.
-func (s *Service) orderDeadline(deployment *core.Deployment) (until time.Time, allowed bool) {
+// startOrder reports whether an order may be sent now. Engines that check fencing numbers
+// refuse a late one themselves.
+func (s *Service) startOrder(deployment *core.Deployment) bool {
 	if deployment.Fencing {
-		return time.Time{}, true
+		return true
 	}
-	return s.leases.StartOrder(ordersLease(deployment.Service), s.ports.Clock.Now())
+	_, allowed := s.leases.StartOrder(ordersLease(deployment.Service), s.ports.Clock.Now())
+	return allowed
 }
