--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -177,32 +177,6 @@
 	}
 }
 
-// TestReclaimedLeaseKeepsTheLastOrder guards against a VM that reclaims its lease after a
-// kill, stops as planned at once and lets its successor send orders beside the last one of
-// its earlier process.
-func TestReclaimedLeaseKeepsTheLastOrder(t *testing.T) {
-	byVM := timing
-	byVM.OrdersByVM = true
-	tracker := New("x", Self{VM: "vm2", Incarnation: 2}, byVM)
-	leaseRow, fenceRow := heldRows(5, false)
-	record := leaseRow.Record.(core.LeaseRecord)
-	record.OrdersClear = true
-	leaseRow.Record = record
-	tracker.Observe(leaseRow, fenceRow, at(0))
-	action := tracker.Decide(at(0), "a1")
-	tracker.CommitSent(action, at(0))
-	tracker.Committed(core.CommitResult{Applied: true, Version: 6}, at(0))
-	tracker.Leave()
-	release := tracker.Decide(at(1), "a2")
-	if release.Kind != ActionRelease {
-		t.Fatalf("action of a leaving holder: %v, want release", release.Kind)
-	}
-	want := byVM.LongestOrder - time.Second
-	if got := release.Commit.Writes[0].Record.(core.LeaseRecord); got.Released || got.OrdersClearIn != want {
-		t.Errorf("lease row %+v, want orders to clear in %v", got, want)
-	}
-}
-
 func TestValidateRejectsTermTooShortToRenew(t *testing.T) {
 	if timing.Validate() != nil || (Timing{Term: 6 * time.Second, RenewEvery: 3 * time.Second, Margin: time.Second}).Validate() == nil {
 		t.Error("Validate must accept the default timing and reject a term shorter than the margin plus two renewal intervals")
@@ -279,6 +253,35 @@
 	}
 }
 
+// TestReclaimedLeaseIsReleasedAfterFormerOrders guards against two VMs that order one
+// engine: a process that reclaimed its VM's lease and left before it gave an order let its
+// successor order at once, while the last order of the killed process could still take
+// effect.
+func TestReclaimedLeaseKeepsFormerOrders(t *testing.T) {
+	byVM := timing
+	byVM.OrdersByVM = true
+	for name, incarnation := range map[string]core.Incarnation{"of an earlier process": 2, "of this process": 3} {
+		tracker := New("x", Self{VM: "vm1", Incarnation: 3}, byVM)
+		leaseRow, fenceRow := heldRows(8, false)
+		leaseRow.Record = core.LeaseRecord{Holder: "vm1", Incarnation: incarnation, Term: timing.Term, OrdersClear: true}
+		tracker.Observe(leaseRow, fenceRow, at(0))
+		action := tracker.Decide(at(0), "a1")
+		tracker.CommitSent(action, at(0))
+		tracker.Committed(core.CommitResult{Applied: true, Version: 10}, at(0.1))
+		tracker.Leave()
+		for _, c := range []struct{ left, clearIn float64 }{{1, 4}, {5, 0}} {
+			release := tracker.Decide(at(c.left), "a2")
+			if release.Kind != ActionRelease {
+				t.Fatalf("lease %s: %v of a process that leaves, want release", name, release.Kind)
+			}
+			got := release.Commit.Writes[0].Record.(core.LeaseRecord)
+			if got.OrdersClearIn.Seconds() != c.clearIn || got.Yielded != (c.clearIn > 0) || got.Released == got.Yielded {
+				t.Errorf("lease %s, left after %v s: row %+v, want orders to clear in %v s", name, c.left, got, c.clearIn)
+			}
+		}
+	}
+}
+
 // TestRenewalsRecordOrdersClear acquires an expired lease and renews it before and
 // after the last order of the former holder has ended.
 func TestRenewalsRecordOrdersClear(t *testing.T) {
