--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -151,6 +151,7 @@
 	"Attempt-Id", "Server-Stamp", "Expect-Instance", "Not-Executed", "Weight-Versions", "Token-Count",
 	"Prompt-Prefix", "Deadline-Ms", "rows-tx", "rows-get", "rows-feed", "blob-put", "ScorerUri", "TrafficSplit",
 	"TargetLatencyMs", "ResultDeadlineMs", "DesiredCount", "FESCUESPAR_CONFIG", "/api/lots",
+	"Duty-Holder", "Fencing-Token", "WindowNo", "NowMs",
 }
 
 // filesOutsidePlatform returns the Go files that must not contain the platform's
