truetime: agreed offset between the store's clock and true time

Cause: windows of usage are of true time. A VM's time of day may jump by seconds, and the store's clock, the same for all processes, has an unknown origin. Nothing read it.

Change: the store client passes on NowMs of its answers about rows with the times of the call. core/truetime estimates from it the difference to the process's monotonic clock, where short round trips count most and age like drifting clocks, and adds the median of what the processes measured, which they tell each other in a new field of their announcements; without it a row has the same bytes as before. A process does not follow a jump of its own time of day unless the others confirm it. Rows of counts, reports and what is settled get their record types here. Nothing uses these parts yet.

--- a/internal/adapters/recordcodec/recordcodec.go
+++ b/internal/adapters/recordcodec/recordcodec.go
@@ -28,6 +28,9 @@
 	core.TableResult:   codecFor[core.ResultRecord](),
 	core.TableMember:   codecFor[core.MemberRecord](),
 	core.TableCrash:    codecFor[core.CrashRecord](),
+	core.TableUsage:    codecFor[core.UsageRecord](),
+	core.TableReport:   codecFor[core.ReportRecord](),
+	core.TableSettled:  codecFor[core.SettledRecord](),
 }
 
 // Header values of answers may contain any bytes, so strings are not checked for
--- a/internal/core/announce/view.go
+++ b/internal/core/announce/view.go
@@ -90,6 +90,8 @@
 type View struct {
 	rows   map[core.VMID]*memberRow
 	readAt time.Time
+
+	readableSince time.Time // begin of the reads without a longer gap
 }
 
 // NewView returns an empty view.
@@ -102,6 +104,7 @@
 		elapsed = now.Sub(v.readAt)
 	}
 	v.readAt = now
+	v.updateReadable(elapsed, now)
 	for id := range v.rows {
 		if _, listed := rows[id]; !listed {
 			delete(v.rows, id)
--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -29,3 +29,18 @@
 	Spot    bool
 	Count   int
 }
+
+// StoreTime is one reading of the clock of the platform's store.
+type StoreTime struct {
+	Sent, Received time.Time     // of the call; of the process's monotonic clock
+	Now            time.Duration // the store's clock, whose origin is unknown
+}
+
+// Total returns the number of requests of all accounts.
+func (r *UsageReport) Total() uint64 {
+	var total uint64
+	for _, count := range r.Counts {
+		total += count
+	}
+	return total
+}
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -117,6 +117,16 @@
 	Every       time.Duration // interval until the next announcement
 	Leaving     bool
 	Demand      []ServiceDemand // of this process, sorted by service
+
+	Usage *MemberUsage `cbor:",omitempty"` // nil if usage is not reported, or true time is not known yet
+}
+
+// MemberUsage is the part of an announcement that serves reports of usage.
+type MemberUsage struct {
+	// ClockOffset is the VM's time of day minus the clock of the platform's store.
+	ClockOffset time.Duration
+	// CountedThrough is the last window of which the process has written all counts.
+	CountedThrough UsageWindow
 }
 
 // ServiceDemand is the number of requests a second that an entry process sends to the
--- a/internal/core/row.go
+++ b/internal/core/row.go
@@ -18,6 +18,9 @@
 	TableResult   TableName = "result"   // ResultRecord
 	TableMember   TableName = "member"   // MemberRecord
 	TableCrash    TableName = "crash"    // CrashRecord
+	TableUsage    TableName = "usage"    // UsageRecord
+	TableReport   TableName = "report"   // ReportRecord
+	TableSettled  TableName = "settled"  // SettledRecord
 )
 
 // RowKey identifies one row.
@@ -139,6 +142,24 @@
 	Version WeightVersion
 }
 
+// UsageRecord holds what one process has counted in one window. It is replaced when the
+// counts change and removed with the commit of the window's report.
+type UsageRecord struct {
+	Window UsageWindow
+	Counts map[AccountName]uint64
+}
+
+// ReportRecord fixes the content of a window's report. It is written once, and removed
+// some time after the platform has accepted the report.
+type ReportRecord struct {
+	Report UsageReport
+}
+
+// SettledRecord is written with every commit of reports. Its version orders them.
+type SettledRecord struct {
+	Next UsageWindow // first window whose report is not fixed
+}
+
 func (LeaseRecord) isRecord()    {}
 func (FenceRecord) isRecord()    {}
 func (ClaimRecord) isRecord()    {}
@@ -150,3 +171,6 @@
 func (ResultRecord) isRecord()   {}
 func (MemberRecord) isRecord()   {}
 func (CrashRecord) isRecord()    {}
+func (UsageRecord) isRecord()    {}
+func (ReportRecord) isRecord()   {}
+func (SettledRecord) isRecord()  {}
--- a/internal/lockrank/lockrank.go
+++ b/internal/lockrank/lockrank.go
@@ -29,6 +29,10 @@
 	RankWeights        Rank = 90
 	RankClaims         Rank = 100
 	RankAnswers        Rank = 110
+	RankTrueTime       Rank = 112
+	RankUsageCounts    Rank = 114
+	RankUsageReports   Rank = 116
+	RankDutyCalls      Rank = 118
 	RankPlatform       Rank = 120
 	RankQueue          Rank = 200
 	RankTimers         Rank = 210
--- a/internal/ports/ports.go
+++ b/internal/ports/ports.go
@@ -146,3 +146,9 @@
 type Clock interface {
 	Now() time.Time
 }
+
+// TimeOfDay returns a VM's time of day. It may jump, in either direction; its times carry
+// no monotonic reading.
+type TimeOfDay interface {
+	TimeOfDay() time.Time
+}
--- a/internal/ports/porttest/records.go
+++ b/internal/ports/porttest/records.go
@@ -25,6 +25,9 @@
 	core.TableResult:   copyWith(copyResult),
 	core.TableMember:   copyWith(copyMember),
 	core.TableCrash:    copyWith(copyCrash),
+	core.TableUsage:    copyWith(copyUsage),
+	core.TableReport:   copyWith(copyReport),
+	core.TableSettled:  copyWith(copyFlat[core.SettledRecord]),
 }
 
 // copyRecord returns a deep copy of a record, nil for nil. Errors: BadRequest
@@ -82,6 +85,10 @@
 
 func copyMember(record core.MemberRecord) core.MemberRecord {
 	record.Demand = slices.Clone(record.Demand)
+	if record.Usage != nil {
+		usage := *record.Usage
+		record.Usage = &usage
+	}
 	return record
 }
 
@@ -90,6 +97,16 @@
 	return record
 }
 
+func copyUsage(record core.UsageRecord) core.UsageRecord {
+	record.Counts = maps.Clone(record.Counts)
+	return record
+}
+
+func copyReport(record core.ReportRecord) core.ReportRecord {
+	record.Report.Counts = maps.Clone(record.Report.Counts)
+	return record
+}
+
 func copyResult(record core.ResultRecord) core.ResultRecord {
 	record.Result.Versions = slices.Clone(record.Result.Versions)
 	return record
--- a/internal/ports/porttest/tablesuite.go
+++ b/internal/ports/porttest/tablesuite.go
@@ -92,8 +92,12 @@
 	core.TableMember: core.MemberRecord{
 		Incarnation: 5, Zone: "z", Region: "r", CallAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2", Beat: 9, Every: time.Second, Leaving: true,
 		Demand: []core.ServiceDemand{{Service: "engines", PerSecond: 45.5}},
+		Usage:  &core.MemberUsage{ClockOffset: -time.Hour, CountedThrough: 353445120},
 	},
-	core.TableCrash: core.CrashRecord{Deaths: []core.ServerInstance{"server-1", "server-2"}, TrialVM: "vm-4", TrialIncarnation: 6},
+	core.TableUsage:   core.UsageRecord{Window: 7, Counts: map[core.AccountName]uint64{"hule930": 412}},
+	core.TableReport:  core.ReportRecord{Report: core.UsageReport{Window: 7, Counts: map[core.AccountName]uint64{"hule930": 412}}},
+	core.TableSettled: core.SettledRecord{Next: 8},
+	core.TableCrash:   core.CrashRecord{Deaths: []core.ServerInstance{"server-1", "server-2"}, TrialVM: "vm-4", TrialIncarnation: 6},
 }
 
 func tableRecords(t *testing.T, factory TableFactory) {
--- a/internal/tables/announced.go
+++ b/internal/tables/announced.go
@@ -45,6 +45,24 @@
 	return t.view.HasDemandGrown(self, now)
 }
 
+// ClockOffsets returns the clock offsets that the other processes have published, and the
+// number of other processes.
+func (t *AnnouncedMembers) ClockOffsets(self core.VMID) (offsets []time.Duration, processes int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.view.ClockOffsets(self)
+}
+
+// CountedThrough returns the last window of which all processes have written their counts,
+// false if no process counts, and since when the members have been read without a longer
+// gap.
+func (t *AnnouncedMembers) CountedThrough() (through core.UsageWindow, found bool, readableSince time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	through, found = t.view.CountedThrough()
+	return through, found, t.view.ReadableSince()
+}
+
 // Live returns the live members that are not leaving, sorted by VM. The result
 // must not be changed.
 func (t *AnnouncedMembers) Live() []core.Member {
