truetime: agreement of processes that start while the others are away

Change: true time is not known before the other processes were read, needs the offsets of most processes, and of two that disagree goes by that of the others. The offset of a process counts for a minute after its last announcement and through its restart. A row of a deployment that reports usage always has the field; zero offset and window mean that they are not known yet. ReadableSince is now while the last read is too old.

--- a/internal/core/announce/usage_test.go
+++ b/internal/core/announce/usage_test.go
@@ -37,11 +37,17 @@
 	}
 }
 
-func TestClockOffsetsOfLiveProcesses(t *testing.T) {
+// TestClockOffsetsOfOtherProcesses has a process that is gone for long, and one that
+// publishes no offset.
+func TestClockOffsetsOfOtherProcesses(t *testing.T) {
 	view := NewView()
-	for i := range uint64(20) {
+	for i := range uint64(5 * offsetLife / time.Second) {
+		restarted := usageRow(i, 2)
+		if i > 10 { // as a process that has started again and has measured nothing yet
+			restarted.Usage.ClockOffset = 0
+		}
 		view.Observe(map[core.VMID]core.MemberRecord{
-			"self": usageRow(i, 1), "a": usageRow(i, 2), "gone": usageRow(1, 3), "old": {Beat: i, Every: every},
+			"self": usageRow(i, 1), "a": restarted, "gone": usageRow(1, 3), "old": {Beat: i, Every: every},
 		}, at(0.25*float64(i)))
 	}
 	if offsets, processes := view.ClockOffsets("self"); len(offsets) != 1 || offsets[0] != 2 || processes != 2 {
@@ -54,7 +60,10 @@
 	for _, seconds := range []float64{0, 0.3, 0.6, 9, 9.3} {
 		view.Observe(map[core.VMID]core.MemberRecord{"a": usageRow(1, 1)}, at(seconds))
 	}
-	if since := view.ReadableSince(); !since.Equal(at(9)) {
+	if since := view.ReadableSince(at(9.5)); !since.Equal(at(9)) {
 		t.Errorf("readable since %v, want the first read after the outage", since)
 	}
+	if since := view.ReadableSince(at(20)); !since.Equal(at(20)) {
+		t.Errorf("readable since %v in an outage, want now", since)
+	}
 }
--- a/internal/core/announce/view.go
+++ b/internal/core/announce/view.go
@@ -84,6 +84,7 @@
 type memberRow struct {
 	record       core.MemberRecord
 	unchangedFor time.Duration // time for which the row was seen unchanged
+	clockOffset  time.Duration // as last published, also by an earlier process of the VM; zero for none
 }
 
 // View holds the members as read by one process. It is not safe for concurrent use.
@@ -113,7 +114,7 @@
 	for id, record := range rows {
 		known := v.rows[id]
 		if known == nil || !isSameAnnouncement(&known.record, &record) {
-			v.rows[id] = &memberRow{record: record}
+			v.rows[id] = &memberRow{record: record, clockOffset: publishedOffset(known, &record)}
 			continue
 		}
 		known.unchangedFor += min(elapsed, time.Duration(maxGapShare*float64(record.Every)))
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -118,14 +118,16 @@
 	Leaving     bool
 	Demand      []ServiceDemand // of this process, sorted by service
 
-	Usage *MemberUsage `cbor:",omitempty"` // nil if usage is not reported, or true time is not known yet
+	Usage *MemberUsage `cbor:",omitempty"` // nil if usage is not reported
 }
 
 // MemberUsage is the part of an announcement that serves reports of usage.
 type MemberUsage struct {
-	// ClockOffset is the VM's time of day minus the clock of the platform's store.
+	// ClockOffset is the VM's time of day minus the clock of the platform's store, zero if
+	// it is not known yet.
 	ClockOffset time.Duration
-	// CountedThrough is the last window of which the process has written all counts.
+	// CountedThrough is the last window of which the process has written all counts, zero
+	// while true time is not known.
 	CountedThrough UsageWindow
 }
 
--- a/internal/core/truetime/clock.go
+++ b/internal/core/truetime/clock.go
@@ -1,30 +1,30 @@
 package truetime
 
 import (
+	"slices"
 	"time"
 
 	"fescuespar/internal/core"
 )
 
-// agreementWait is the time after the start of a process from which it goes by the offsets
-// that it knows, although most processes have not published any. All processes of a fleet
-// that starts together publish theirs within two announcements.
+// agreementWait is the time after a process has first read the other processes from which it
+// goes by the offsets that it knows, although most have not published any. All processes of
+// a fleet that starts together publish theirs within two announcements.
 const agreementWait = 5 * time.Second
 
 // Clock is true time as one process knows it. It is not safe for concurrent use.
 type Clock struct {
-	started     time.Time
-	store       StoreClock
-	own         timeOfDay
-	others      []time.Duration // offsets published by other processes
-	members     int             // live other processes
-	membersRead bool
-	agreed      time.Duration
-	hasAgreed   bool
+	store     StoreClock
+	own       timeOfDay
+	others    []time.Duration // offsets published by other processes
+	members   int             // live other processes
+	readSince time.Time       // when the other processes were first read
+	agreed    time.Duration
+	hasAgreed bool
 }
 
-// New returns a clock of a process that started at a time.
-func New(started time.Time) *Clock { return &Clock{started: started} }
+// New returns a clock that has read nothing yet.
+func New() *Clock { return new(Clock) }
 
 // ObserveStore adds a reading of the store's clock.
 func (c *Clock) ObserveStore(t core.StoreTime) {
@@ -38,7 +38,8 @@
 	store, known := c.store.Offset(now)
 	var confirmed time.Duration
 	if known = known && len(c.others) > 0; known {
-		confirmed = store + agree(c.others, c.agreed, c.hasAgreed)
+		confirmed, known = agree(c.others, c.agreed, c.hasAgreed)
+		confirmed += store
 	}
 	c.own.observe(timeOfDay.Sub(now), confirmed, known)
 	c.updateAgreed(now)
@@ -47,7 +48,10 @@
 // SetOthers sets the offsets that other processes have published, and the number of
 // other processes that are live.
 func (c *Clock) SetOthers(offsets []time.Duration, members int, now time.Time) {
-	c.others, c.members, c.membersRead = offsets, members, true
+	c.others, c.members = offsets, members
+	if c.readSince.IsZero() {
+		c.readSince = now
+	}
 	c.updateAgreed(now)
 }
 
@@ -58,29 +62,39 @@
 	return c.own.followed - store, known && c.own.known
 }
 
+// updateAgreed sets the agreed offset from those of most processes, or of all that are
+// known if the others have published none for long.
 func (c *Clock) updateAgreed(now time.Time) {
-	offsets := append([]time.Duration(nil), c.others...)
+	if c.readSince.IsZero() {
+		return
+	}
+	offsets := slices.Clone(c.others)
 	if measured, known := c.Measured(now); known {
 		offsets = append(offsets, measured)
 	}
 	if len(offsets) == 0 {
 		return
 	}
-	c.agreed, c.hasAgreed = agree(offsets, c.agreed, c.hasAgreed), true
+	isMost := 2*len(offsets) > c.members+1
+	agreed, isClear := agree(offsets, c.agreed, c.hasAgreed)
+	if !isClear && len(c.others) > 0 {
+		// The others have run for longer and have followed no jump since.
+		agreed, isClear = agree(c.others, c.agreed, c.hasAgreed)
+	}
+	if isMost && isClear || now.Sub(c.readSince) >= agreementWait {
+		c.agreed, c.hasAgreed = agreed, true
+	}
 }
 
 // Agreed returns true time minus the store's clock, and false while too few processes
 // have published an offset.
-func (c *Clock) Agreed(now time.Time) (time.Duration, bool) {
-	isAgreement := c.membersRead && 2*len(c.others) >= c.members
-	return c.agreed, c.hasAgreed && (isAgreement || now.Sub(c.started) >= agreementWait)
-}
+func (c *Clock) Agreed() (time.Duration, bool) { return c.agreed, c.hasAgreed }
 
 // At returns true time at a time of the process's clock, and false while it is not
 // known.
 func (c *Clock) At(now time.Time) (time.Time, bool) {
 	store, known := c.store.Offset(now)
-	agreed, isAgreed := c.Agreed(now)
+	agreed, isAgreed := c.Agreed()
 	if !known || !isAgreed {
 		return time.Time{}, false
 	}
--- a/internal/core/truetime/offset.go
+++ b/internal/core/truetime/offset.go
@@ -42,21 +42,22 @@
 	t.known, t.newest = true, offset
 }
 
-// agree returns the median of the offsets that processes measured. Of an even number it
-// returns the mean of the middle two or, if one of them is that of a jump, the one that
-// is nearer to the offset agreed before.
-func agree(offsets []time.Duration, before time.Duration, hasBefore bool) time.Duration {
+// agree returns the median of the offsets that processes measured, which are not none. Of
+// an even number it returns the mean of the middle two or, if one of them is that of a
+// jump, the one that is nearer to the offset agreed before. Without one before it is not
+// clear which is right.
+func agree(offsets []time.Duration, before time.Duration, hasBefore bool) (agreed time.Duration, isClear bool) {
 	sorted := slices.Sorted(slices.Values(offsets))
 	middle := len(sorted) / 2
 	low, high := sorted[max(0, middle-1)], sorted[middle]
 	switch {
 	case len(sorted)%2 == 1:
-		return high
+		return high, true
 	case high-low <= maxStep:
-		return low + (high-low)/2
+		return low + (high-low)/2, true
 	case hasBefore && high-before < before-low:
-		return high
+		return high, true
 	default:
-		return low
+		return low, hasBefore
 	}
 }
--- a/internal/core/truetime/truetime_test.go
+++ b/internal/core/truetime/truetime_test.go
@@ -64,7 +64,7 @@
 	return f
 }
 
-func (f *fleet) restart(vm *fleetVM) { vm.clock = New(vm.now(f.now)) }
+func (f *fleet) restart(vm *fleetVM) { vm.clock = New() }
 
 // run lets each VM read the store and its time of day once in a second, publish, and read
 // what the others have published.
@@ -202,7 +202,7 @@
 	f := newFleet(1, 1)
 	f.vms[0].readStore(f.random, f.now)
 	f.vms[0].readTimeOfDay(f.now)
-	f.now += agreementWait
+	f.readOthers(0)
 	if fromTrue, _ := f.worst(t); fromTrue > 4*tolerance {
 		t.Errorf("%v from true time", fromTrue)
 	}
--- a/internal/tables/announced.go
+++ b/internal/tables/announced.go
@@ -56,11 +56,11 @@
 // CountedThrough returns the last window of which all processes have written their counts,
 // false if no process counts, and since when the members have been read without a longer
 // gap.
-func (t *AnnouncedMembers) CountedThrough() (through core.UsageWindow, found bool, readableSince time.Time) {
+func (t *AnnouncedMembers) CountedThrough(now time.Time) (through core.UsageWindow, found bool, readableSince time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	through, found = t.view.CountedThrough()
-	return through, found, t.view.ReadableSince()
+	return through, found, t.view.ReadableSince(now)
 }
 
 // Live returns the live members that are not leaving, sorted by VM. The result
--- a/internal/tables/truetime.go
+++ b/internal/tables/truetime.go
@@ -15,9 +15,9 @@
 	clock *truetime.Clock
 }
 
-// NewTrueTime returns a table of a process that started at a time.
-func NewTrueTime(started time.Time) *TrueTime {
-	return &TrueTime{mu: lockrank.New(lockrank.RankTrueTime), clock: truetime.New(started)}
+// NewTrueTime returns a table that knows nothing yet.
+func NewTrueTime() *TrueTime {
+	return &TrueTime{mu: lockrank.New(lockrank.RankTrueTime), clock: truetime.New()}
 }
 
 // ObserveStore adds a reading of the store's clock.
@@ -50,10 +50,10 @@
 }
 
 // Agreed returns the offset that is in force in this process.
-func (t *TrueTime) Agreed(now time.Time) (time.Duration, bool) {
+func (t *TrueTime) Agreed() (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.clock.Agreed(now)
+	return t.clock.Agreed()
 }
 
 // Conversion returns the conversion of times of the process's clock to true time as known
