--- a/internal/core/logs/messages.go
+++ b/internal/core/logs/messages.go
@@ -30,6 +30,10 @@
 	PlatformUnavailable = "platform does not answer"
 	PlatformAvailable   = "platform answers again"
 
+	UsageSettled  = "usage report fixed"
+	UsageAccepted = "usage report accepted"
+	UsageRefused  = "usage report not accepted"
+
 	LinesDropped = "log lines dropped"
 )
 
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -118,6 +118,10 @@
 	Signature string // proof that a backend server produced this response; empty if there is none
 	ServerNotice
 	Release func() // returns the memory of Body to its budget; nil if it has none
+
+	// SentAfter is the time from the start of the exchange until the whole request was
+	// sent, zero if it was not. It is set with an error too.
+	SentAfter time.Duration
 }
 
 // ServerNotice is the state that a backend server reports in the header of a response.
--- a/internal/tables/leases.go
+++ b/internal/tables/leases.go
@@ -19,18 +19,26 @@
 	timing lease.Timing
 
 	// mu guards all fields below.
-	mu   lockrank.Mutex
-	rows map[string]*leaseRow
+	mu      lockrank.Mutex
+	rows    map[string]*leaseRow
+	timings map[string]lease.Timing // of the leases whose timing is not the usual one
 }
 
 // NewLeases returns an empty table.
 func NewLeases(self lease.Self, timing lease.Timing) *Leases {
 	return &Leases{
 		self: self, timing: timing,
-		mu: lockrank.New(lockrank.RankLeases), rows: make(map[string]*leaseRow),
+		mu: lockrank.New(lockrank.RankLeases), rows: make(map[string]*leaseRow), timings: make(map[string]lease.Timing),
 	}
 }
 
+// UseTiming sets the timing of one lease. It must be called before the lease is tracked.
+func (t *Leases) UseTiming(name string, timing lease.Timing) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.timings[name] = timing
+}
+
 // Follow starts tracking a lease and acquires it when it is free.
 func (t *Leases) Follow(name string) {
 	t.mu.Lock()
@@ -51,7 +59,11 @@
 func (t *Leases) row(name string) *leaseRow {
 	row := t.rows[name]
 	if row == nil || !row.callInFlight && row.tracker.HasLeft() {
-		row = &leaseRow{tracker: lease.New(name, t.self, t.timing)}
+		timing, isOwn := t.timings[name]
+		if !isOwn {
+			timing = t.timing
+		}
+		row = &leaseRow{tracker: lease.New(name, t.self, timing)}
 		t.rows[name] = row
 	}
 	return row
@@ -138,6 +150,23 @@
 	return row.tracker.StartOrder(now)
 }
 
+// StartCall reports whether a call under a lease may be sent now, with the holding under
+// which it is sent. It counts as an order to what does not check fencing numbers: it is
+// refused while one of a former holder may still take effect, and the lease is not released
+// before it has ended.
+func (t *Leases) StartCall(name string, now time.Time) (lease.Holding, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row := t.rows[name]
+	if row == nil {
+		return lease.Holding{}, false
+	}
+	if _, allowed := row.tracker.StartOrder(now); !allowed {
+		return lease.Holding{}, false
+	}
+	return row.tracker.Holding(now)
+}
+
 // Holder returns the last known holder of a tracked lease.
 func (t *Leases) Holder(name string) (core.LeaseRecord, bool) {
 	t.mu.Lock()
