relay: usage reports of client accounts

Cause: deployments whose settings have the duty usage_report must tell the platform, for each window of true time, how many requests of each account servers began to run. Nothing counted or reported them.

Change: each process counts the attempts of forwarded requests that name an account and writes the counts to its rows; the announcement tells the VM's clock offset and the last window that is written. One process holds the lease duty|platform, adds up the rows, fixes the reports and sends them; it checks the lease immediately before each call. Its lease waits for the calls of an earlier process on the same VM as well, since their fencing numbers are lower. A planned stop writes what is left. Without the duty no lease is followed and no row, call or byte is added.

--- a/cmd/fescuespar/relay.go
+++ b/cmd/fescuespar/relay.go
@@ -21,9 +21,11 @@
 	"fescuespar/internal/adapters/logwrite"
 	"fescuespar/internal/adapters/metricstext"
 	"fescuespar/internal/adapters/platformhttp"
+	"fescuespar/internal/adapters/wallclock"
 	"fescuespar/internal/app/relay"
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/logs"
+	"fescuespar/platform/cloud"
 	"fescuespar/platform/front"
 	"fescuespar/platform/settings"
 	"fescuespar/platform/store"
@@ -87,6 +89,9 @@
 		return detour.Peers{SameZone: near, OtherZones: far}
 	})
 	platform := store.New(transport, loaded.StoreAddress, storeTimeout, loaded.Regions, log)
+	if loaded.Duties.IsActive() {
+		platform.ObserveTime(bootclock.Clock{}, func(reading core.StoreTime) { service.ObserveStoreTime(reading) })
+	}
 	service = relay.New(relay.Options{
 		Self: core.Member{
 			VM: loaded.VM, Incarnation: incarnation, Zone: loaded.Zone, Region: loaded.Region, CallAddress: loaded.CallerAddress,
@@ -95,9 +100,14 @@
 		Seed: uint64(incarnation), Seeds: loaded.Seeds, Workers: relayWorkers, AddressCacheTime: loaded.AddressCacheTime,
 		MinOrderInterval: loaded.MinOrderInterval, GracePeriod: loaded.GracePeriod, RegistryRecovery: loaded.RegistryRecovery, ReclaimPeriod: leaseReclaimDelay,
 		MaxResultBytes: loaded.MaxRowBytes * 3 / 4, StoreReadsPerSecond: loaded.StoreReadsPerSecond,
+		Duties: relay.DutyOptions{
+			ReportsUsage: loaded.Duties.UsageReport, CallsPerSecond: loaded.Duties.CallsPerSecond,
+			ReportWindow: loaded.Duties.ReportWindow, ReportDue: loaded.Duties.ReportDue,
+		},
 	}, relay.Ports{
 		Tables: platform, Objects: platform, Registry: platform, Bodies: bodycodec.Codec{},
 		Backend: worker.New(int64(float64(loaded.MemoryBytes) * responseMemoryShare)), Clock: bootclock.Clock{},
+		PlatformAPI: cloud.New(loaded.Duties.Address, bootclock.Clock{}, loaded.Duties.ThawSlack), TimeOfDay: wallclock.Clock{},
 	}, log)
 	maxBodyBytes := int64(float64(loaded.MemoryBytes) * bodyMemoryShare)
 	callers := front.New(service, service, bootclock.Clock{}, maxBodyBytes, log)
--- a/cmd/fescuespar/relaystatus.go
+++ b/cmd/fescuespar/relaystatus.go
@@ -30,6 +30,7 @@
 	for _, outage := range state.Outages {
 		fmt.Fprintf(w, "platform does not answer: %s, since %s\n", outage.Service, outage.Since.Format(time.RFC3339))
 	}
+	writeUsageStatus(w, state.Usage)
 	const minWidth, tabWidth, padding = 0, 0, 2
 	t := tabwriter.NewWriter(w, minWidth, tabWidth, padding, ' ', 0)
 	fmt.Fprintln(t, "\nVM\tSTATE\tZONE\tLOAD\tADDRESS")
@@ -54,6 +55,19 @@
 	t.Flush()
 }
 
+// writeUsageStatus prints the state of the reports of usage, if there are any.
+func writeUsageStatus(w io.Writer, state *relay.UsageState) {
+	if state == nil {
+		return
+	}
+	fmt.Fprintf(w, "usage: window %d, counted through %d, %d requests lost, time of day off by %v, reported by %s\n",
+		state.Window, state.CountedThrough, state.Lost, state.ClockDeviation.Round(time.Millisecond), orNoValue(state.Holder))
+	if reports := state.Reports; reports != nil {
+		fmt.Fprintf(w, "usage reports: fixed up to window %d, %d owed, %d of them late, oldest of window %d\n",
+			reports.Next-1, reports.Owed, reports.Late, reports.Oldest)
+	}
+}
+
 // exclusionReason returns why a backend server gets no new work, or an empty
 // string if it gets work.
 func exclusionReason(server *routing.View) string {
--- a/internal/app/relay/coordinate.go
+++ b/internal/app/relay/coordinate.go
@@ -8,6 +8,7 @@
 	"fescuespar/internal/app/leasing"
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/announce"
+	"fescuespar/internal/core/duty"
 	"fescuespar/internal/core/job"
 	"fescuespar/internal/core/lease"
 	"fescuespar/internal/core/logs"
@@ -28,6 +29,10 @@
 		OnAcquired: func(name string, holding lease.Holding) {
 			s.metrics.LeasesAcquired.Inc(1)
 			s.log.Info().Str("lease", name).Uint64("fence", uint64(holding.Fence)).Msg(logs.LeaseAcquired)
+			if name == duty.LeaseName {
+				s.performDuties()
+				return
+			}
 			s.restoreCheckpoint(strings.TrimPrefix(name, coordinatorLease("")))
 		},
 		OnLost: func(name string) {
@@ -52,14 +57,25 @@
 	return services
 }
 
+// leaseNames returns the names of the leases for which processes compete.
+func (s *Service) leaseNames() []string {
+	var names []string
+	for _, service := range s.coordinatedServices() {
+		names = append(names, coordinatorLease(service))
+	}
+	if s.options.hasDuties() {
+		names = append(names, duty.LeaseName)
+	}
+	return names
+}
+
 // updateLeases advances the leases for which this process is a candidate,
 // releases the others, and runs the coordinator work of those that it holds.
 func (s *Service) updateLeases() {
 	wanted := make(map[string]bool)
 	if s.acceptsNewWork() {
 		live := s.members.Live()
-		for _, service := range s.coordinatedServices() {
-			name := coordinatorLease(service)
+		for _, name := range s.leaseNames() {
 			// A holder keeps its lease when candidates that rank before it
 			// restart, as in a rolling restart: each change of coordinator
 			// stops orders to engines for seconds.
--- a/internal/app/relay/events.go
+++ b/internal/app/relay/events.go
@@ -27,6 +27,7 @@
 	excluded        []core.ServerID         // already tried
 	failureResponse core.RelayResponse      // a backend server's 5xx response, returned if no later attempt begins a stream
 	onHead          func(core.ServerNotice) // called for each attempt's head
+	onEvent         func()                  // called for each event of an attempt
 }
 
 // Head implements ports.EventSink. Only the first attempt's head is passed on; the
@@ -47,6 +48,7 @@
 // Event implements ports.EventSink. An event out of order is an error, as is a change
 // of the weight version on a route that allows only one.
 func (st *eventStream) Event(event core.Event) error {
+	st.onEvent()
 	if event.ID != st.request.After+1 {
 		return errkind.New(errkind.ServerFailed, "event %d received after event %d", event.ID, st.request.After)
 	}
@@ -168,6 +170,7 @@
 	st.progress.Attempts++
 	s.metrics.Attempts.Inc(1)
 	st.onHead = func(notice core.ServerNotice) { s.noteServer(dispatch.VM.ID, now, notice) }
+	st.onEvent = s.countFirstEvent(st.request.Account)
 	request := st.request
 	request.FirstEventWithin, request.LongestGap = s.streamTimeouts(st, dispatch.VM.ID, now)
 	result := make(chan callResult, 1)
--- a/internal/app/relay/forward.go
+++ b/internal/app/relay/forward.go
@@ -184,7 +184,9 @@
 	err = s.lanes.calls.Go(func(lane context.Context) {
 		ctx, cancel := s.mergeContexts(lane, c.ctx, request.Deadline)
 		defer cancel()
+		ended := s.countAttempt(c)
 		response, err := s.ports.Backend.Exchange(ctx, dispatch.VM, request)
+		ended(response, err)
 		releaseWith(c.ctx, response)
 		s.pool.MustEnqueue(core.ClassInteractive, func() { s.finishAttempt(c, dispatch, response, err) })
 	})
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -34,6 +34,9 @@
 	Registry ports.Registry
 	Backend  ports.Backend
 	Clock    ports.Clock
+
+	PlatformAPI ports.PlatformAPI // nil if the deployment has no duties
+	TimeOfDay   ports.TimeOfDay   // nil if the deployment has no duties
 }
 
 // Options are the settings of one entry process.
@@ -49,6 +52,7 @@
 	MaxResultBytes      int           // size of the longest result stored in a row
 	ReclaimPeriod       time.Duration // time after the start in which leases of an earlier process on this VM are reclaimed
 	RegistryRecovery    time.Duration // time after an outage until all live servers have registered again
+	Duties              DutyOptions
 }
 
 // Limits of the pool's queues and of the lanes. They bound memory; the servers'
@@ -70,6 +74,8 @@
 	watchInFlight      = 4
 	crashesInFlight    = 8
 	crashesWaiting     = 256
+	dutiesInFlight     = 2 // one write of counts and one of reports
+	platformInFlight   = 1 // so that calls arrive in the order of their fencing numbers
 )
 
 // Timing of leases. A holder that dies is replaced within the term and the margin;
@@ -80,6 +86,11 @@
 	leaseMargin  = 150 * time.Millisecond
 )
 
+// leaseTiming returns the timing of the coordinators' leases.
+func leaseTiming(options *Options) lease.Timing {
+	return lease.Timing{Term: leaseTerm, RenewEvery: leaseRenewal, Margin: leaseMargin, LongestOrder: options.MinOrderInterval, OrdersByVM: true}
+}
+
 // commitReplyTimeout is the timeout of the reply to a commit, after which its rows
 // are read again. A store slowed down eighty times still answers within it, and it
 // is short enough for a lease to survive one lost reply.
@@ -102,6 +113,9 @@
 	orders  *workers.Lane
 	watch   *workers.Lane // registry and members
 	crashes *workers.Lane // records of requests under which servers died
+
+	duties   *workers.Lane // rows of counts and reports
+	platform *workers.Lane // calls to the platform's interface
 }
 
 // Service is one entry process without its front ends.
@@ -132,6 +146,8 @@
 
 	routingUpdates *tables.Serial
 
+	duties duties
+
 	started            time.Time
 	committer          commits.Committer
 	leaseManager       *leasing.Manager
@@ -166,13 +182,16 @@
 			orders:  workers.NewLane("orders", ordersInFlight, ordersWaiting),
 			watch:   workers.NewLane("watch", watchInFlight, watchInFlight),
 			crashes: workers.NewLane("crashes", crashesInFlight, crashesWaiting),
+
+			duties:   workers.NewLane("duties", dutiesInFlight, dutiesInFlight),
+			platform: workers.NewLane("platform", platformInFlight, 0),
 		},
 		lifecycle: tables.NewLifecycle(),
 		routes:    tables.NewRoutes(random(1)),
 		members:   tables.NewAnnouncedMembers(),
 		leases: tables.NewLeases(
 			lease.Self{VM: options.Self.VM, Incarnation: options.Self.Incarnation, Address: options.Self.CallAddress},
-			lease.Timing{Term: leaseTerm, RenewEvery: leaseRenewal, Margin: leaseMargin, LongestOrder: options.MinOrderInterval, OrdersByVM: true}),
+			leaseTiming(&options)),
 		servers:        tables.NewServersWith(routingPolicy(), random(2)),
 		registry:       tables.NewRegistry(options.RegistryRecovery),
 		jobs:           tables.NewJobs(),
@@ -188,6 +207,7 @@
 
 		started: adapters.Clock.Now(),
 	}
+	s.duties = newDuties(&options)
 	s.committer = commits.Committer{
 		Tables: adapters.Tables, ReplyTimeout: commitReplyTimeout,
 		OnCommit:    func() { s.metrics.TableCommits.Inc(1) },
@@ -216,6 +236,7 @@
 	s.runPeriodically(s.memberReadInterval, s.watchMembers)
 	s.runPeriodically(constantInterval(leaseInterval), s.updateLeases)
 	s.runPeriodically(constantInterval(sweepInterval), s.sweepServers)
+	s.startDuties()
 	s.announce()
 }
 
@@ -266,6 +287,7 @@
 	Servers  []routing.View        `json:"servers"`
 	Outages  []core.PlatformOutage `json:"outages"`
 	Crashes  crash.RecordCounts    `json:"crashes"`
+	Usage    *UsageState           `json:"usage,omitempty"` // nil if usage is not reported
 	Pool     workers.PoolState     `json:"pool"`
 }
 
@@ -276,7 +298,7 @@
 		Phase: phase.String(), InFlight: inFlight, Members: s.members.Live(),
 		Leases: s.leases.State(s.ports.Clock.Now()), Jobs: s.jobs.Summaries(),
 		Servers: s.servers.Views(), Pool: s.pool.State(), Outages: s.platform.Outages(),
-		Crashes: s.crashes.State(s.ports.Clock.Now()),
+		Crashes: s.crashes.State(s.ports.Clock.Now()), Usage: s.usageState(),
 	}
 	if table := s.routes.Current(); table != nil {
 		state.Routes = table.Version
--- a/internal/app/relay/shutdown.go
+++ b/internal/app/relay/shutdown.go
@@ -26,6 +26,7 @@
 	s.log.Info().Str("phase", "draining").Msg("shutdown")
 	select {
 	case <-s.lifecycle.Idle():
+		s.flushUsage(ctx)
 	case <-ctx.Done():
 		s.cancelRequests()
 	}
@@ -83,6 +84,8 @@
 	s.lanes.orders.Stop()
 	s.lanes.watch.Stop()
 	s.lanes.crashes.Stop()
+	s.lanes.duties.Stop()
+	s.lanes.platform.Stop()
 	s.pool.Stop()
 	s.log.Info().Str("phase", "stopped").Msg("shutdown")
 }
--- a/internal/app/relay/watch.go
+++ b/internal/app/relay/watch.go
@@ -227,6 +227,7 @@
 		}
 	}
 	s.members.Observe(records, s.ports.Clock.Now())
+	s.applyClockOffsets()
 	s.servers.SetRateShares(s.members.RateShares(s.options.Self.VM))
 	if s.acceptsNewWork() && s.members.HasDemandGrown(s.options.Self.VM, s.servers.Demand(s.ports.Clock.Now())) {
 		s.sendAnnouncement()
@@ -264,7 +265,7 @@
 		Incarnation: self.Incarnation, Zone: self.Zone, Region: self.Region, CallAddress: self.CallAddress,
 		PeerAddress: self.PeerAddress, Power: self.Power,
 		Beat: s.announcementCount.Add(1), Every: interval, Leaving: !s.acceptsNewWork(),
-		Demand: s.servers.Demand(s.ports.Clock.Now()),
+		Demand: s.servers.Demand(s.ports.Clock.Now()), Usage: s.announcedUsage(),
 	}
 	s.metrics.TableCommits.Inc(1)
 	_, err := s.ports.Tables.Commit(ctx, core.Commit{
--- a/internal/core/duty/pace.go
+++ b/internal/core/duty/pace.go
@@ -13,11 +13,12 @@
 	// which the holder of the duty uses. Another holder may follow within seconds.
 	callShare = 0.2
 	// firstBackoff and maxBackoff are the shortest and the longest pause after failed
-	// calls. A report has some seconds left for several calls.
+	// calls. A report has some seconds left for several calls, and one process that calls
+	// once a second is no load.
 	firstBackoff = 250 * time.Millisecond
-	maxBackoff   = 4 * time.Second
+	maxBackoff   = time.Second
 	// refusedBackoff is the shortest pause after a call that was refused.
-	refusedBackoff = time.Second
+	refusedBackoff = 500 * time.Millisecond
 	// minTimeout and maxTimeout bound the timeout of a call. With the shortest one a report
 	// is sent several times before it is due; a call that is carried out although its answer
 	// is not awaited may be repeated. With the longest one answers after 50 times their
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -121,14 +121,15 @@
 	Usage *MemberUsage `cbor:",omitempty"` // nil if usage is not reported
 }
 
-// MemberUsage is the part of an announcement that serves reports of usage.
+// MemberUsage is the part of an announcement that serves reports of usage. Its encoded names
+// are short, because every process reads the announcements of all.
 type MemberUsage struct {
 	// ClockOffset is the VM's time of day minus the clock of the platform's store, zero if
 	// it is not known yet.
-	ClockOffset time.Duration
+	ClockOffset time.Duration `cbor:"o,omitempty"`
 	// CountedThrough is the last window of which the process has written all counts, zero
 	// while true time is not known.
-	CountedThrough UsageWindow
+	CountedThrough UsageWindow `cbor:"c,omitempty"`
 }
 
 // ServiceDemand is the number of requests a second that an entry process sends to the
--- a/internal/core/logs/messages.go
+++ b/internal/core/logs/messages.go
@@ -30,9 +30,10 @@
 	PlatformUnavailable = "platform does not answer"
 	PlatformAvailable   = "platform answers again"
 
-	UsageSettled  = "usage report fixed"
-	UsageAccepted = "usage report accepted"
-	UsageRefused  = "usage report not accepted"
+	UsageSettled    = "usage report fixed"
+	UsageAccepted   = "usage report accepted"
+	UsageRefused    = "usage report not accepted"
+	TimeOfDayJumped = "time of day has jumped"
 
 	LinesDropped = "log lines dropped"
 )
--- a/internal/core/truetime/clock.go
+++ b/internal/core/truetime/clock.go
@@ -33,16 +33,19 @@
 }
 
 // ObserveTimeOfDay adds a reading of the VM's time of day, taken at a time of the
-// process's clock.
-func (c *Clock) ObserveTimeOfDay(now, timeOfDay time.Time) {
+// process's clock. It reports whether the time of day is that of a jump which is not
+// followed, and whether it was before.
+func (c *Clock) ObserveTimeOfDay(now, timeOfDay time.Time) (jumped, hadJumped bool) {
 	store, known := c.store.Offset(now)
 	var confirmed time.Duration
 	if known = known && len(c.others) > 0; known {
 		confirmed, known = agree(c.others, c.agreed, c.hasAgreed)
 		confirmed += store
 	}
+	hadJumped = c.own.jumped
 	c.own.observe(timeOfDay.Sub(now), confirmed, known)
 	c.updateAgreed(now)
+	return c.own.jumped, hadJumped
 }
 
 // SetOthers sets the offsets that other processes have published, and the number of
--- a/internal/metrics/relay.go
+++ b/internal/metrics/relay.go
@@ -27,6 +27,17 @@
 	TableCommits    gometrics.Counter
 	TableUnknown    gometrics.Counter
 	StoreFailures   gometrics.Counter
+	UsageBegun      gometrics.Counter
+	UsageWrites     gometrics.Counter
+	UsageSettled    gometrics.Counter
+	UsageAccepted   gometrics.Counter
+	UsageLate       gometrics.Counter
+	UsageLateRows   gometrics.Counter
+	DutyCalls       gometrics.Counter
+	DutyFailures    gometrics.Counter
+	UsageLost       gometrics.Gauge
+	UsageOwed       gometrics.Gauge
+	DutyHeld        gometrics.Gauge
 	RequestTime     *Latency // ms from a request's arrival to its answer
 	RunTime         *Latency // ms from the start to the end of an item's run
 }
@@ -44,9 +55,17 @@
 		"relay.leases.acquired": &r.LeasesAcquired, "relay.leases.lost": &r.LeasesLost,
 		"relay.table.reads": &r.TableReads, "relay.table.commits": &r.TableCommits,
 		"relay.table.unknown": &r.TableUnknown, "relay.store.failures": &r.StoreFailures,
+		"relay.usage.begun": &r.UsageBegun, "relay.usage.writes": &r.UsageWrites, "relay.usage.settled": &r.UsageSettled,
+		"relay.usage.accepted": &r.UsageAccepted, "relay.usage.late": &r.UsageLate, "relay.usage.late_rows": &r.UsageLateRows,
+		"relay.duty.calls": &r.DutyCalls, "relay.duty.failures": &r.DutyFailures,
 	} {
 		*counter = gometrics.NewRegisteredCounter(name, r.Registry)
 	}
+	for name, gauge := range map[string]*gometrics.Gauge{
+		"relay.usage.lost": &r.UsageLost, "relay.usage.owed": &r.UsageOwed, "relay.duty.held": &r.DutyHeld,
+	} {
+		*gauge = gometrics.NewRegisteredGauge(name, r.Registry)
+	}
 	for name, latency := range map[string]**Latency{"relay.request.ms": &r.RequestTime, "relay.run.ms": &r.RunTime} {
 		*latency = NewLatency()
 		if err := r.Registry.Register(name, *latency); err != nil {
--- a/internal/tables/truetime.go
+++ b/internal/tables/truetime.go
@@ -27,11 +27,13 @@
 	t.clock.ObserveStore(reading)
 }
 
-// ObserveTimeOfDay adds a reading of the VM's time of day, taken at time now.
-func (t *TrueTime) ObserveTimeOfDay(now, timeOfDay time.Time) {
+// ObserveTimeOfDay adds a reading of the VM's time of day, taken at time now. It reports
+// whether the time of day is that of a jump which is not followed, and whether it was
+// before.
+func (t *TrueTime) ObserveTimeOfDay(now, timeOfDay time.Time) (jumped, hadJumped bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.clock.ObserveTimeOfDay(now, timeOfDay)
+	return t.clock.ObserveTimeOfDay(now, timeOfDay)
 }
 
 // SetOthers sets the offsets that other processes have published, and the number of other
