--- a/cmd/fescuespar/relaystatus_test.go
+++ b/cmd/fescuespar/relaystatus_test.go
@@ -18,6 +18,7 @@
 	"fescuespar/internal/core/job"
 	"fescuespar/internal/core/pace"
 	"fescuespar/internal/core/routing"
+	"fescuespar/internal/core/usage"
 	"fescuespar/internal/errkind"
 	"fescuespar/internal/tables"
 )
@@ -48,6 +49,10 @@
 			Refused: map[account.Refusal]uint64{account.NoKey: 4, account.RemovedKey: 3}, Removed: map[core.AccountName]uint64{"fida11": 3},
 		},
 		Slots: []tables.SlotState{{Service: "coach", Stream: true, Slots: 352, Short: 41}},
+		Usage: &relay.UsageState{
+			Holder: "entry-3", Window: 353445121, CountedThrough: 353445119, Lost: 4, ClockDeviation: 1500 * time.Millisecond,
+			Reports: &usage.Summary{Next: 353445119, Owed: 6, Late: 2, Oldest: 353445112},
+		},
 		Servers: []routing.View{
 			{VM: core.VM{ID: "i-1", Service: "m"}, Ejected: true, EjectedUntil: time.Unix(1e9, 0)},
 			{VM: core.VM{ID: "i-2", Service: "m"}},
@@ -66,7 +71,9 @@
 	}
 	for _, want := range []string{"route table 17", "does not answer: servers", "entry-2", "suspect", "work|service/m", "j-4", "i-1", "ejected until",
 		"80 accounts with 161 keys in force", "refused with no_key: 4", "removed keys of account fida11: 3", "hule930",
-		"streams", "352", "41", "i-3", "is cold, gets 25%"} {
+		"streams", "352", "41", "i-3", "is cold, gets 25%",
+
+		"window 353445121", "4 requests lost", "off by 1.5s", "reported by entry-3", "6 owed, 2 of them late, oldest of window 353445112"} {
 		if !strings.Contains(text, want) {
 			t.Errorf("output does not contain %q:\n%s", want, text)
 		}
--- a/internal/adapters/recordcodec/recordcodec.go
+++ b/internal/adapters/recordcodec/recordcodec.go
@@ -29,6 +29,9 @@
 	core.TableSettled:  codecFor[core.SettledRecord](),
 	core.TableMember:   codecFor[core.MemberRecord](),
 	core.TableCrash:    codecFor[core.CrashRecord](),
+	core.TableUsage:    codecFor[core.UsageRecord](),
+	core.TableReport:   codecFor[core.ReportRecord](),
+	core.TableReported: codecFor[core.ReportedRecord](),
 }
 
 // Header values of answers may contain any bytes, so strings are not checked for
--- a/internal/adapters/recordcodec/recordcodec_test.go
+++ b/internal/adapters/recordcodec/recordcodec_test.go
@@ -34,3 +34,12 @@
 		t.Errorf("row with an account: %+v, %v, %v", got, err, decodeErr)
 	}
 }
+
+// TestMembersWithoutUsageHaveNoField guards against more bytes in the announcements of
+// deployments that report no usage.
+func TestMembersWithoutUsageHaveNoField(t *testing.T) {
+	plain, err := Encode(core.TableMember, core.MemberRecord{Beat: 1})
+	if err != nil || bytes.Contains(plain, []byte("Usage")) {
+		t.Errorf("row without usage %q, %v", plain, err)
+	}
+}
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -36,6 +36,9 @@
 	Registry ports.Registry
 	Backend  ports.Backend
 	Clock    ports.Clock
+
+	PlatformAPI ports.PlatformAPI // nil if the deployment has no duties
+	TimeOfDay   ports.TimeOfDay   // nil if the deployment has no duties
 }
 
 // Options are the settings of one entry process.
@@ -52,6 +55,7 @@
 	ReclaimPeriod       time.Duration // time after the start in which leases of an earlier process on this VM are reclaimed
 	RegistryRecovery    time.Duration // time after an outage until all live servers have registered again
 	MaxRequests         int           // forwarded requests that the process holds, in flight and waiting; zero for the default
+	Duties              DutyOptions
 }
 
 // Limits of the pool's queues and of the lanes. They bound memory; the servers'
@@ -74,6 +78,8 @@
 	publishedWaiting   = 1
 	crashesInFlight    = 8
 	crashesWaiting     = 256
+	dutiesInFlight     = 2 // one write of counts and one of reports
+	platformInFlight   = 1 // so that calls arrive in the order of their fencing numbers
 )
 
 // Timing of leases. A holder that dies is replaced within the term and the margin;
@@ -84,6 +90,11 @@
 	leaseMargin  = 150 * time.Millisecond
 )
 
+// leaseTiming returns the timing of the coordinators' leases.
+func leaseTiming(options *Options) lease.Timing {
+	return lease.Timing{Term: leaseTerm, RenewEvery: leaseRenewal, Margin: leaseMargin, LongestOrder: options.MinOrderInterval, OrdersByVM: true}
+}
+
 // commitReplyTimeout is the timeout of the reply to a commit, after which its rows
 // are read again. A store slowed down eighty times still answers within it, and it
 // is short enough for a lease to survive one lost reply.
@@ -112,6 +123,9 @@
 	// other reads that hang.
 	published *workers.Lane
 	crashes   *workers.Lane // records of requests under which servers died
+
+	duties   *workers.Lane // rows of counts and reports
+	platform *workers.Lane // calls to the platform's interface
 }
 
 // Service is one entry process without its front ends.
@@ -145,6 +159,8 @@
 
 	routingUpdates *tables.Serial
 
+	duties duties
+
 	started            time.Time
 	committer          commits.Committer
 	leaseManager       *leasing.Manager
@@ -182,6 +198,9 @@
 			watch:     workers.NewLane("watch", watchInFlight, watchInFlight),
 			published: workers.NewLane("published", publishedInFlight, publishedWaiting),
 			crashes:   workers.NewLane("crashes", crashesInFlight, crashesWaiting),
+
+			duties:   workers.NewLane("duties", dutiesInFlight, dutiesInFlight),
+			platform: workers.NewLane("platform", platformInFlight, 0),
 		},
 		lifecycle: tables.NewLifecycle(),
 		routes:    tables.NewRoutes(random(1)),
@@ -189,7 +208,7 @@
 		members:   tables.NewAnnouncedMembers(),
 		leases: tables.NewLeases(
 			lease.Self{VM: options.Self.VM, Incarnation: options.Self.Incarnation, Address: options.Self.CallAddress},
-			lease.Timing{Term: leaseTerm, RenewEvery: leaseRenewal, Margin: leaseMargin, LongestOrder: options.MinOrderInterval, OrdersByVM: true}),
+			leaseTiming(&options)),
 		servers:        tables.NewServersWith(routingPolicy(), random(2)),
 		registry:       tables.NewRegistry(options.RegistryRecovery),
 		jobs:           tables.NewJobs(),
@@ -206,6 +225,7 @@
 
 		started: adapters.Clock.Now(),
 	}
+	s.duties = newDuties(&options)
 	s.committer = commits.Committer{
 		Tables: adapters.Tables, ReplyTimeout: commitReplyTimeout,
 		OnCommit:    func() { s.metrics.TableCommits.Inc(1) },
@@ -234,6 +254,7 @@
 	s.runPeriodically(s.memberReadInterval, s.watchMembers)
 	s.runPeriodically(constantInterval(leaseInterval), s.updateLeases)
 	s.runPeriodically(constantInterval(sweepInterval), s.sweepServers)
+	s.startDuties()
 	s.announce()
 }
 
@@ -286,6 +307,7 @@
 	Outages  []core.PlatformOutage `json:"outages"`
 	Crashes  crash.RecordCounts    `json:"crashes"`
 	Slots    []tables.SlotState    `json:"slots"`
+	Usage    *UsageState           `json:"usage,omitempty"` // nil if usage is not reported
 	Pool     workers.PoolState     `json:"pool"`
 }
 
@@ -296,7 +318,7 @@
 		Phase: phase.String(), InFlight: inFlight, Members: s.members.Live(),
 		Leases: s.leases.State(s.ports.Clock.Now()), Jobs: s.jobs.Summaries(),
 		Servers: s.servers.Views(), Pool: s.pool.State(), Outages: s.platform.Outages(),
-		Crashes: s.crashes.State(s.ports.Clock.Now()), Slots: s.slots.State(),
+		Crashes: s.crashes.State(s.ports.Clock.Now()), Slots: s.slots.State(), Usage: s.usageState(),
 	}
 	table := s.routes.Current()
 	if table != nil {
--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -215,6 +215,7 @@
 	"Prompt-Prefix", "Deadline-Ms", "rows-tx", "rows-get", "rows-feed", "blob-put", "ScorerUri", "TrafficSplit",
 	"TargetLatencyMs", "ResultDeadlineMs", "ColdRemainingMs", "DesiredCount", "FESCUESPAR_CONFIG", "/api/lots", "Api-Key", "ApiKeys",
 	"Tenants", "AuthExempt",
+	"Duty-Holder", "Fencing-Token", "WindowNo", "NowMs",
 }
 
 // filesOutsidePlatform returns the Go files that must not contain the platform's
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -126,6 +126,19 @@
 	Every       time.Duration // interval until the next announcement
 	Leaving     bool
 	Demand      []ServiceDemand // of this process, sorted by service
+
+	Usage *MemberUsage `cbor:",omitempty"` // nil if usage is not reported
+}
+
+// MemberUsage is the part of an announcement that serves reports of usage. Its encoded names
+// are short, because every process reads the announcements of all.
+type MemberUsage struct {
+	// ClockOffset is the VM's time of day minus the clock of the platform's store, zero if
+	// it is not known yet.
+	ClockOffset time.Duration `cbor:"o,omitempty"`
+	// CountedThrough is the last window of which the process has written all counts, zero
+	// while true time is not known.
+	CountedThrough UsageWindow `cbor:"c,omitempty"`
 }
 
 // ServiceDemand is the number of requests a second that an entry process sends to the
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -125,6 +125,10 @@
 	ServerNotice
 	Errors  int    // responses with status 500 to all attempts of the request
 	Release func() // returns the memory of Body to its budget; nil if it has none
+
+	// SentAfter is the time from the start of the exchange until the whole request was
+	// sent, zero if it was not. It is set with an error too.
+	SentAfter time.Duration
 }
 
 // ServerNotice is the state that a backend server reports in the header of a response.
--- a/internal/core/row.go
+++ b/internal/core/row.go
@@ -19,6 +19,9 @@
 	TableSettled  TableName = "settled"  // SettledRecord
 	TableMember   TableName = "member"   // MemberRecord
 	TableCrash    TableName = "crash"    // CrashRecord
+	TableUsage    TableName = "usage"    // UsageRecord
+	TableReport   TableName = "report"   // ReportRecord
+	TableReported TableName = "reported" // ReportedRecord
 )
 
 // RowKey identifies one row.
@@ -150,6 +153,24 @@
 	Version WeightVersion
 }
 
+// UsageRecord holds what one process has counted in one window. It is replaced when the
+// counts change and removed with the commit of the window's report.
+type UsageRecord struct {
+	Window UsageWindow
+	Counts map[AccountName]uint64
+}
+
+// ReportRecord fixes the content of a window's report. It is written once, and removed
+// some time after the platform has accepted the report.
+type ReportRecord struct {
+	Report UsageReport
+}
+
+// ReportedRecord is written with every commit of reports. Its version orders them.
+type ReportedRecord struct {
+	Next UsageWindow // first window whose report is not fixed
+}
+
 func (LeaseRecord) isRecord()    {}
 func (FenceRecord) isRecord()    {}
 func (ClaimRecord) isRecord()    {}
@@ -162,3 +183,6 @@
 func (SettledRecord) isRecord()  {}
 func (MemberRecord) isRecord()   {}
 func (CrashRecord) isRecord()    {}
+func (UsageRecord) isRecord()    {}
+func (ReportRecord) isRecord()   {}
+func (ReportedRecord) isRecord() {}
--- a/internal/metrics/relay.go
+++ b/internal/metrics/relay.go
@@ -40,6 +40,17 @@
 	SlotsRefused    gometrics.Counter
 	PacesBegun      gometrics.Counter
 	ServersPaced    gometrics.Gauge
+	UsageBegun      gometrics.Counter
+	UsageWrites     gometrics.Counter
+	UsageSettled    gometrics.Counter
+	UsageAccepted   gometrics.Counter
+	UsageLate       gometrics.Counter
+	UsageLateRows   gometrics.Counter
+	DutyCalls       gometrics.Counter
+	DutyFailures    gometrics.Counter
+	UsageLost       gometrics.Gauge
+	UsageOwed       gometrics.Gauge
+	DutyHeld        gometrics.Gauge
 	RequestTime     *Latency // ms from a request's arrival to its answer
 	RunTime         *Latency // ms from the start to the end of an item's run
 	SlotWait        *Latency // ms for which a request that found no slot waited for one
@@ -61,11 +72,19 @@
 		"relay.table.reads": &r.TableReads, "relay.table.commits": &r.TableCommits,
 		"relay.table.unknown": &r.TableUnknown, "relay.store.failures": &r.StoreFailures,
 		"relay.slots.awaited": &r.SlotsAwaited, "relay.slots.refused": &r.SlotsRefused, "relay.paces.begun": &r.PacesBegun,
+		"relay.usage.begun": &r.UsageBegun, "relay.usage.writes": &r.UsageWrites, "relay.usage.settled": &r.UsageSettled,
+		"relay.usage.accepted": &r.UsageAccepted, "relay.usage.late": &r.UsageLate, "relay.usage.late_rows": &r.UsageLateRows,
+		"relay.duty.calls": &r.DutyCalls, "relay.duty.failures": &r.DutyFailures,
 	} {
 		*counter = gometrics.NewRegisteredCounter(name, r.Registry)
 	}
 	r.Accounts = gometrics.NewRegisteredGauge("relay.accounts", r.Registry)
 	r.AccountKeys = gometrics.NewRegisteredGauge("relay.accounts.keys", r.Registry)
+	for name, gauge := range map[string]*gometrics.Gauge{
+		"relay.usage.lost": &r.UsageLost, "relay.usage.owed": &r.UsageOwed, "relay.duty.held": &r.DutyHeld,
+	} {
+		*gauge = gometrics.NewRegisteredGauge(name, r.Registry)
+	}
 	for name, latency := range map[string]**Latency{"relay.request.ms": &r.RequestTime, "relay.run.ms": &r.RunTime, "relay.slot_wait.ms": &r.SlotWait} {
 		*latency = NewLatency()
 		if err := r.Registry.Register(name, *latency); err != nil {
--- a/internal/ports/porttest/records.go
+++ b/internal/ports/porttest/records.go
@@ -26,6 +26,9 @@
 	core.TableSettled:  copyWith(copySettled),
 	core.TableMember:   copyWith(copyMember),
 	core.TableCrash:    copyWith(copyCrash),
+	core.TableUsage:    copyWith(copyUsage),
+	core.TableReport:   copyWith(copyReport),
+	core.TableReported: copyWith(copyFlat[core.ReportedRecord]),
 }
 
 // copyRecord returns a deep copy of a record, nil for nil. Errors: BadRequest
@@ -83,6 +86,10 @@
 
 func copyMember(record core.MemberRecord) core.MemberRecord {
 	record.Demand = slices.Clone(record.Demand)
+	if record.Usage != nil {
+		usage := *record.Usage
+		record.Usage = &usage
+	}
 	return record
 }
 
@@ -96,6 +103,16 @@
 	return record
 }
 
+func copyUsage(record core.UsageRecord) core.UsageRecord {
+	record.Counts = maps.Clone(record.Counts)
+	return record
+}
+
+func copyReport(record core.ReportRecord) core.ReportRecord {
+	record.Report.Counts = maps.Clone(record.Report.Counts)
+	return record
+}
+
 func copyResult(record core.ResultRecord) core.ResultRecord {
 	record.Result.Versions = slices.Clone(record.Result.Versions)
 	return record
