routing: a slow server is used rather than none

Cause: the server without a rate limit was ejected because it was slow for a moment. An ejection assumes that the others take the work, and these had reached the rate limits that they advertise, so that every request beyond was refused for the 5 to 6 s of the ejection. Ruled out by reading: requests before the first answer that tells a limit, and a draw of candidates that misses a server.

A decision that finds no candidate now takes a server that is ejected only because it is slow, unless the request waits for a free slot.

--- a/internal/app/relay/limits_test.go
+++ b/internal/app/relay/limits_test.go
@@ -25,9 +25,21 @@
 	limits       map[core.ServerID]float64 // requests a second
 	limitedSince map[core.ServerID]time.Time
 	arrivals     map[core.ServerID][]time.Time
+	slow         core.ServerID // takes slowTime for each request in the first slowFor; empty for none
+	startedAt    time.Time
 }
 
+// A server is slow as on a busy machine, where one pause raises its mean time above
+// several times that of the others.
+const (
+	slowTime = 30 * time.Millisecond
+	slowFor  = contactTime + 4*time.Second
+)
+
 func (l *limitedServers) run(server core.VM, _ core.RelayRequest) (core.RelayResponse, error) {
+	if server.ID == l.slow && time.Since(l.startedAt) < slowFor {
+		time.Sleep(slowTime)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
@@ -61,20 +73,23 @@
 }
 
 // TestRequestsBeyondRateLimit has three processes, one of which sends most
-// requests, and servers of which two or all advertise a limit.
+// requests, and servers of which two or all advertise a limit. It also guards against
+// refusals while the only server without a limit is ejected because it is slow.
 func TestRequestsBeyondRateLimit(t *testing.T) {
 	cases := []struct {
 		name   string
 		limits map[core.ServerID]float64
+		slow   core.ServerID
 	}{
-		{"two of three", map[core.ServerID]float64{"desk-0": 4, "desk-1": 2.2}},
-		{"all", map[core.ServerID]float64{"desk-0": 4, "desk-1": 6, "desk-2": 5}},
+		{"two of three", map[core.ServerID]float64{"desk-0": 4, "desk-1": 2.2}, ""},
+		{"two of three, the other one slow", map[core.ServerID]float64{"desk-0": 4, "desk-1": 2.2}, "desk-2"},
+		{"all", map[core.ServerID]float64{"desk-0": 4, "desk-1": 6, "desk-2": 5}, ""},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			s := newEnvironment(t)
-			servers := &limitedServers{limits: c.limits, limitedSince: make(map[core.ServerID]time.Time), arrivals: make(map[core.ServerID][]time.Time)}
+			servers := &limitedServers{limits: c.limits, limitedSince: make(map[core.ServerID]time.Time), arrivals: make(map[core.ServerID][]time.Time), slow: c.slow, startedAt: time.Now()}
 			s.exchange = servers.run
 			const duration = contactTime + 8*time.Second
 			var senders sync.WaitGroup
--- a/internal/core/outlier/server.go
+++ b/internal/core/outlier/server.go
@@ -54,6 +54,12 @@
 // outlier or unreachable.
 func (s *Server) Ejected() bool { return s.ejected || !s.lastUnreachable.IsZero() }
 
+// EjectedAsSlow reports whether the server is out of service only because it is slower
+// than its peers.
+func (s *Server) EjectedAsSlow() bool {
+	return s.ejected && s.reason == reasonSlow && s.lastUnreachable.IsZero()
+}
+
 // UnreachableSince returns the time of the newest failed connection, or zero if
 // the server is reachable.
 func (s *Server) UnreachableSince() time.Time { return s.lastUnreachable }
--- a/internal/core/routing/decide.go
+++ b/internal/core/routing/decide.go
@@ -23,6 +23,7 @@
 	pool             *pool
 	peerRatio        float64
 	linkAvailable    bool
+	acceptsSlow      bool    // servers that are ejected because they are slow may be candidates
 	rateShare        float64 // this process's share of the servers' rate limits
 	entriesChecked   int     // valid prefix index entries examined
 	prefixCandidates int     // candidates found through those entries
@@ -46,6 +47,9 @@
 		s.gatherRemote(random)
 	}
 	d := &s.decision
+	if d.candidateCount == 0 {
+		s.gatherSlow(random)
+	}
 	if d.candidateCount == 0 {
 		if pool.limitedCount > 0 {
 			pool.demand.add(now)
@@ -58,7 +62,7 @@
 func (s *State) beginDecision(pool *pool, query *Query, now time.Time) {
 	d := &s.decision
 	d.query, d.now, d.pool = *query, now, pool
-	d.candidateCount, d.entriesChecked, d.prefixCandidates = 0, 0, 0
+	d.candidateCount, d.entriesChecked, d.prefixCandidates, d.acceptsSlow = 0, 0, 0, false
 	d.peerRatio = pool.peerRatio(s.processCount)
 	d.rateShare = s.rateShare(pool)
 	d.linkAvailable = pool.isOnlyIn(query.Region) || s.link.hasCapacity(query.Class, query.crossRegionBytes(), now)
@@ -113,11 +117,15 @@
 func (s *State) fillCandidate(candidate *Candidate, srv *server, cached float64) {
 	d := &s.decision
 	version, holds := srv.adapterVersion(d.query.Adapter)
+	ejected, weight := srv.health.Ejected(), srv.health.Weight(d.pool.detector.RampUp(), d.now)
+	if d.acceptsSlow && srv.isOnlySlow() {
+		ejected, weight = false, 1
+	}
 	srv.rateLimit.refill(d.rateShare, d.now)
 	*candidate = Candidate{
 		VM: &srv.vm, HoldsAdapter: holds, Version: version, VersionLag: srv.versionLag(d.query.Adapter, version),
-		Ejected:           srv.health.Ejected(),
-		Weight:            srv.health.Weight(d.pool.detector.RampUp(), d.now),
+		Ejected:           ejected,
+		Weight:            weight,
 		OwnStreams:        srv.load.own.streams,
 		HasIdleConnection: srv.load.hasIdleConnection(d.now),
 		LoadTokens:        s.loadTokens(srv, d.peerRatio, d.now),
--- a/internal/core/routing/index.go
+++ b/internal/core/routing/index.go
@@ -31,6 +31,7 @@
 	adapters      []*adapterIndex
 	unreported    bucket // polled engines without a report
 	unpolled      bucket // engines not polled by this process
+	slow          bucket // live servers that are ejected because they are slow
 	reportedCount int    // engines indexed by their reports
 	serverCount   int    // all servers of the region, including ineligible ones
 }
@@ -100,8 +101,11 @@
 // out of all buckets while it is not eligible.
 func (r *regionIndex) reindex(srv *server) {
 	r.removeFromIndex(srv)
+	srv.placedAs = srv.placement()
 	switch {
-	case !srv.eligible():
+	case srv.placedAs == unlisted:
+	case srv.placedAs == listedSlow:
+		r.slow.add(srv)
 	case srv.vm.Kind != core.KindEngine:
 		r.bucketFor("", 0).add(srv)
 	case srv.unpolled:
@@ -113,7 +117,7 @@
 	default:
 		r.indexByAdapter(srv)
 	}
-	if srv.vm.Kind == core.KindEngine && srv.hasReport && len(srv.bucketEntries) > 0 {
+	if srv.vm.Kind == core.KindEngine && srv.hasReport && srv.placedAs == listed && len(srv.bucketEntries) > 0 {
 		srv.countedAsReported = true
 		r.reportedCount++
 	}
--- a/internal/core/routing/server.go
+++ b/internal/core/routing/server.go
@@ -17,7 +17,8 @@
 	countedAsReported bool // included in regionIndex.reportedCount
 	pool              *pool
 	region            *regionIndex
-	bucketEntries     []bucketEntry // buckets that contain the server; empty while it is not eligible
+	bucketEntries     []bucketEntry // buckets that contain the server; empty while it is unlisted
+	placedAs          placement     // in these buckets
 	load              load
 	health            outlier.Server
 	pushback          pushback
@@ -32,9 +33,12 @@
 
 // eligible reports whether the server may receive new requests.
 func (r *server) eligible() bool {
-	return r.vm.State == core.VMLive && !r.health.Ejected()
+	return r.eligibleState() && !r.health.Ejected()
 }
 
+// eligibleState reports whether the VM list says that the server takes requests.
+func (r *server) eligibleState() bool { return r.vm.State == core.VMLive }
+
 // service returns the service that the server runs: the model that an engine
 // reported, otherwise the service in the VM list.
 func (r *server) service() string {
--- a/internal/core/routing/state.go
+++ b/internal/core/routing/state.go
@@ -309,7 +309,7 @@
 		pool.detector.Sweep(now, random)
 	}
 	for _, srv := range s.sortedServers {
-		if srv.eligible() != (len(srv.bucketEntries) > 0) {
+		if srv.placement() != srv.placedAs {
 			srv.region.reindex(srv)
 		}
 	}
