job: texts of complete groups are not kept after they are listed

The texts are needed only for groups that are incomplete when the job ends, as a later job may submit their items again.

Storing the last result of a group drops the group's texts. Texts of groups that are in progress, and of items without a group, are kept as before.

TestIncompleteGroupsKeepStoredTexts checks it and fails without the change.

--- a/internal/core/job/scheduler.go
+++ b/internal/core/job/scheduler.go
@@ -22,8 +22,9 @@
 	openedAt     time.Time
 	sequence     uint64 // number of the opening; jobs of one priority run in this order
 	items        []item
-	startOrder   []int   // item indices in the order in which the items start
-	longTokens   float64 // expected length above which an item counts as long
+	startOrder   []int          // item indices in the order in which the items start
+	longTokens   float64        // expected length above which an item counts as long
+	unlisted     map[string]int // items without a stored result, by group
 	nextPosition int
 }
 
@@ -53,7 +54,7 @@
 		return
 	}
 	s.lastOpened++
-	row := &openJob{job: job, policy: policy, openedAt: now, sequence: s.lastOpened, items: make([]item, len(job.Items)), longTokens: longItemTokens(&job), nextPosition: len(listed)}
+	row := &openJob{job: job, policy: policy, openedAt: now, sequence: s.lastOpened, items: make([]item, len(job.Items)), unlisted: make(map[string]int), longTokens: longItemTokens(&job), nextPosition: len(listed)}
 	isListed := make(map[core.ItemID]bool, len(listed))
 	for _, id := range listed {
 		isListed[id] = true
@@ -63,6 +64,7 @@
 			row.items[i].phase = stored
 			continue
 		}
+		row.unlisted[job.Items[i].Group]++
 		s.restoreSavedText(row, i)
 	}
 	s.recordDemand(&job)
@@ -358,7 +360,8 @@
 	return results
 }
 
-// MarkStored records that results were stored.
+// MarkStored records that results were stored. It drops the texts of failed items and of
+// groups that are complete now: no later job submits them again.
 func (s *Scheduler) MarkStored(results []PositionedResult) {
 	for _, result := range results {
 		row := s.jobs[result.Job]
@@ -371,5 +374,20 @@
 		}
 		state.phase, state.result = stored, core.ItemResult{}
 		row.nextPosition = result.Position + 1
+		row.dropTextsOfCompleteGroup(row.job.Items[result.Index].Group)
+	}
+}
+
+// dropTextsOfCompleteGroup counts a result of a group that was stored, and drops the
+// group's texts if it was the last one.
+func (row *openJob) dropTextsOfCompleteGroup(group string) {
+	row.unlisted[group]--
+	if group == "" || row.unlisted[group] > 0 {
+		return
+	}
+	for i := range row.items {
+		if row.job.Items[i].Group == group {
+			row.items[i].text = nil
+		}
 	}
 }
--- a/internal/core/job/scheduler_test.go
+++ b/internal/core/job/scheduler_test.go
@@ -344,6 +344,10 @@
 			completeAndStoreRun(t, scheduler, starts[0].Work, 4) // group a is complete
 			completeAndStoreRun(t, scheduler, starts[1].Work, 4)
 			completeAndStoreRun(t, scheduler, starts[2].Work, 3) // of group b only b-0 is
+			// Guards against a coordinator that holds the texts of all listed results.
+			if items := scheduler.jobs["one"].items; items[0].text != nil || items[1].text != nil || items[2].text == nil {
+				t.Errorf("texts kept: %v and %v of a complete group, %v of an incomplete one", items[0].text, items[1].text, items[2].text)
+			}
 			scheduler.Close("one")
 
 			second := first
