--- a/internal/core/routing/decide.go
+++ b/internal/core/routing/decide.go
@@ -23,6 +23,7 @@
 	pool             *pool
 	peerRatio        float64
 	linkAvailable    bool
+	acceptsSlow      bool    // servers that are ejected because they are slow may be candidates
 	rateShare        float64 // this process's share of the servers' rate limits
 	paceDraw         float64
 	ignoresPace      bool // servers' paces count in the cost only
@@ -52,6 +53,9 @@
 		d.ignoresPace = true
 		s.gather(random)
 	}
+	if d.candidateCount == 0 {
+		s.gatherSlow(random)
+	}
 	if d.candidateCount == 0 {
 		if pool.limitedCount > 0 {
 			pool.demand.add(now)
@@ -73,7 +77,7 @@
 	d := &s.decision
 	d.query, d.now, d.pool = *query, now, pool
 	d.candidateCount, d.entriesChecked, d.prefixCandidates = 0, 0, 0
-	d.ignoresPace = false
+	d.ignoresPace, d.acceptsSlow = false, false
 	d.peerRatio = pool.peerRatio(s.processCount)
 	d.rateShare = s.rateShare(pool)
 	d.linkAvailable = pool.isOnlyIn(query.Region) || s.link.hasCapacity(query.Class, query.crossRegionBytes(), now)
@@ -131,11 +135,15 @@
 func (s *State) fillCandidate(candidate *Candidate, srv *server, cached float64) {
 	d := &s.decision
 	version, holds := srv.adapterVersion(d.query.Adapter)
+	ejected := srv.health.Ejected()
 	srv.rateLimit.refill(d.rateShare, d.now)
 	weight, paceShare := s.weights(srv)
+	if d.acceptsSlow && srv.isOnlySlow() {
+		ejected, weight = false, 1
+	}
 	*candidate = Candidate{
 		VM: &srv.vm, HoldsAdapter: holds, Version: version, VersionLag: srv.versionLag(d.query.Adapter, version),
-		Ejected:           srv.health.Ejected(),
+		Ejected:           ejected,
 		Weight:            weight,
 		BytesInFlight:     srv.bytesInFlight,
 		OwnStreams:        srv.load.own.streams,
