job: items of several accounts start by turns

Cause: items start by their job's priority and the order in which jobs were opened. An account that submits a large job holds up the items of all others on the same engines until its own have started.

Change: with open jobs of several accounts the one that has used the least expected tokens for its weight starts the next item; the weights are those of waiting requests. Jobs of one account, and all jobs of deployments without accounts, start in the same order as before. The policy of a job names its account; it stays empty until job records have one.

--- a/internal/core/admission/callerqueue.go
+++ b/internal/core/admission/callerqueue.go
@@ -15,7 +15,8 @@
 // fullWeight is the weight of a caller whose requests are the most urgent.
 const fullWeight = 4
 
-func weightOf(priority int) int {
+// Weight returns the weight of a caller whose most urgent request has a priority.
+func Weight(priority int) int {
 	return callerWeights[min(max(0, priority), len(callerWeights)-1)]
 }
 
@@ -199,7 +200,7 @@
 	before := p.weight
 	p.weight = 0
 	if len(p.routes) > 0 {
-		p.weight = weightOf(p.routes[0].priority)
+		p.weight = Weight(p.routes[0].priority)
 	}
 	q.weight += p.weight - before
 }
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -192,7 +192,7 @@
 
 // ahead estimates how many requests are served before a new one.
 func (q *fairQueue[T]) ahead(request *Request[T]) int {
-	weight := weightOf(request.Priority)
+	weight := Weight(request.Priority)
 	total, own := q.weight, 0
 	if p := q.callers[request.Caller]; p != nil {
 		own = p.ahead(request.Route, request.Priority)
--- a/internal/core/job/doc.go
+++ b/internal/core/job/doc.go
@@ -20,6 +20,7 @@
 	ItemLifetime  time.Duration // time after the job was opened at which its items fail; zero for no limit
 	SingleVersion bool          // all events of a text must come from one weight version
 	Priority      int           // 0 is the most urgent
+	Account       core.AccountName
 }
 
 // RunID identifies one run of an item. Each new run of an item gets a higher
--- a/internal/core/job/scheduler.go
+++ b/internal/core/job/scheduler.go
@@ -36,6 +36,7 @@
 	lastRun      uint64
 	lastOpened   uint64
 	closedJobs   uint64
+	turns        accountTurns
 }
 
 // NewScheduler returns a Scheduler without jobs.
@@ -127,24 +128,19 @@
 	return rows
 }
 
-// NextRuns returns up to limit runs to start, by job and then in the start order of
-// each job's items. Items whose lifetime has expired fail instead.
+// NextRuns returns up to limit runs to start: by turns of the accounts, then by job and in
+// the start order of each job's items. Items whose lifetime has expired fail instead.
 func (s *Scheduler) NextRuns(limit int, now time.Time) []RunStart {
 	var starts []RunStart
-	for _, row := range s.jobsInOrder() {
-		for _, i := range row.startOrder {
-			if len(starts) == limit {
-				return starts
-			}
-			if row.items[i].phase != waiting || now.Before(row.items[i].notBefore) {
-				continue
-			}
-			if row.isExpired(now) {
-				row.items[i].finish(row.job.Items[i].ID, core.ItemFailed, "")
-				continue
-			}
-			starts = append(starts, s.startRun(row, i, now))
+	queues := s.turns.queues(s.jobsInOrder())
+	for len(starts) < limit && len(queues) > 0 {
+		queue := nextQueue(queues)
+		row, i, found := queue.next(now)
+		if !found {
+			queues = slices.DeleteFunc(queues, func(other *accountQueue) bool { return other == queue })
+			continue
 		}
+		starts = append(starts, s.startRun(row, i, now))
 	}
 	return starts
 }
@@ -188,8 +184,9 @@
 
 // RunPlaced records the engine on which a run was placed.
 func (s *Scheduler) RunPlaced(run RunID, engine core.ServerID) {
-	if _, state := s.findRun(run); state != nil {
+	if row, state := s.findRun(run); state != nil {
 		state.server, state.waitingSince = engine, time.Time{}
+		s.turns.placed(row, run.Index)
 	}
 }
 
