tables: the replays of slots and of accounts share one model

Cause: the test of accounts that share scarce slots had a model of its own beside that of the load patterns.

--- a/internal/tables/slots_replay_test.go
+++ b/internal/tables/slots_replay_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -20,20 +22,23 @@
 	replayCapacity = 512                    // requests held by one process of 324 MB
 )
 
-// load is requests of one kind that arrive at a steady rate.
+// load is requests of one kind and account that arrive at a steady rate.
 type load struct {
 	kind      SlotKind
+	account   core.CallerName
+	priority  int
 	slots     int // of the service's servers
 	perSecond float64
 	runs      time.Duration // at a server; longer than the timeout for servers that answer late
 	timeout   time.Duration
 	until     time.Duration // last arrival
+	random    *rand.Rand    // of the times between arrivals; nil for equal ones
 }
 
 // results are the outcomes of the requests of one load.
 type results struct {
-	served, refused, cut, unanswered int             // unanswered: answerSlack after the timeout
-	waits                            []time.Duration // from arrival to a server's answer
+	sent, served, refused, cut, unanswered int             // unanswered: answerSlack after the timeout
+	waits                                  []time.Duration // from arrival to a server's answer
 }
 
 func (r *results) String() string {
@@ -87,8 +92,8 @@
 	slots *Slots
 }
 
-func newSlotStarter(clock *virtualtime.Clock, loads []*load) *slotStarter {
-	s := &slotStarter{clock: clock, slots: NewSlots(replayCapacity)}
+func newSlotStarter(clock *virtualtime.Clock, loads []*load, capacity int) *slotStarter {
+	s := &slotStarter{clock: clock, slots: NewSlots(capacity)}
 	services := make(map[string]int)
 	for _, l := range loads {
 		services[l.kind.Service] = l.slots
@@ -103,7 +108,7 @@
 		return
 	}
 	wait, started, err := s.slots.Wait(l.kind, &admission.Request[AdmissionCallback]{
-		Class: core.ClassInteractive, Cost: 1, Deadline: now.Add(l.timeout), Payload: resume,
+		Caller: l.account, Priority: l.priority, Class: core.ClassInteractive, Cost: 1, Deadline: now.Add(l.timeout), Payload: resume,
 	}, now)
 	if err != nil || started {
 		resume(err)
@@ -127,8 +132,10 @@
 		all[i] = &results{}
 		var arrive func()
 		arrive = func() {
-			if clock.Now() < l.until {
-				clock.After(time.Duration(float64(time.Second)/l.perSecond), arrive)
+			if interval := float64(time.Second) / l.perSecond; clock.Now() < l.until && l.random != nil {
+				clock.After(time.Duration(interval*l.random.ExpFloat64()), arrive)
+			} else if clock.Now() < l.until {
+				clock.After(time.Duration(interval), arrive)
 			}
 			serve(clock, policy, l, all[i])
 		}
@@ -140,6 +147,7 @@
 
 func serve(clock *virtualtime.Clock, policy starter, l *load, r *results) {
 	arrived, answered := clock.Now(), false
+	r.sent++
 	clock.After(l.timeout+answerSlack, func() {
 		if !answered {
 			r.unanswered++
@@ -200,7 +208,7 @@
 				t.Logf("one lane: %s: %v", c.loads[i].kind.Service, r)
 			}
 			var after virtualtime.Clock
-			for i, r := range replay(&after, newSlotStarter(&after, c.loads), c.loads) {
+			for i, r := range replay(&after, newSlotStarter(&after, c.loads, replayCapacity), c.loads) {
 				l := c.loads[i]
 				t.Logf("slots: %s: %v", l.kind.Service, r)
 				if r.unanswered > 0 {
@@ -213,3 +221,52 @@
 		})
 	}
 }
+
+// TestAccountsShareScarceSlots has 80 accounts at a service of 8 slots, which serves 400
+// requests a second. It guards against a large account that starves small ones, and
+// against accounts that are starved by their size or priority: each must be served at
+// least a quarter as often as all requests are.
+func TestAccountsShareScarceSlots(t *testing.T) {
+	const minShare, runs, timeout, length = 0.25, 25 * time.Millisecond, 1200 * time.Millisecond, 20 * time.Second
+	for _, c := range []struct {
+		name     string
+		large    []float64 // requests a second of the large accounts
+		small    float64   // of each of the others
+		priority func(i int) int
+	}{
+		{"one large account", []float64{1800}, 2, func(int) int { return 0 }},
+		{"few large accounts", []float64{700, 500, 300}, 4, func(int) int { return 0 }},
+		{"three priorities", []float64{700, 500, 300}, 10, func(i int) int { return i % 3 }},
+		{"a large account of the lowest priority", []float64{4000}, 8, func(i int) int { return map[bool]int{true: 5}[i == 0] }},
+	} {
+		for _, capacity := range []int{100, 2000} {
+			t.Run(fmt.Sprintf("%s/capacity=%d", c.name, capacity), func(t *testing.T) {
+				var clock virtualtime.Clock
+				random := rand.New(rand.NewPCG(3, 4))
+				var loads []*load
+				for i := range 80 {
+					l := &load{kind: SlotKind{Service: "desk"}, account: core.CallerName(fmt.Sprint("a", i)), priority: c.priority(i),
+						slots: 8, perSecond: c.small, runs: runs, timeout: timeout, until: length, random: random}
+					if i < len(c.large) {
+						l.perSecond = c.large[i]
+					}
+					loads = append(loads, l)
+				}
+				all := replay(&clock, newSlotStarter(&clock, loads, capacity), loads)
+				sent, served, least := 0, 0, 0
+				for i, r := range all {
+					sent, served = sent+r.sent, served+r.served
+					if r.served*all[least].sent < all[least].served*r.sent {
+						least = i
+					}
+				}
+				overall, share := float64(served)/float64(sent), float64(all[least].served)/float64(all[least].sent)
+				t.Logf("%.3f of all requests served, least of %s (priority %d, %.0f a second): %.3f", overall, loads[least].account, loads[least].priority, loads[least].perSecond, share)
+				due := minShare * overall * float64(all[least].sent)
+				if float64(all[least].served) < due-3*math.Sqrt(due) { // three standard deviations
+					t.Errorf("account %s is served %.3f times as often as all requests, want at least %v", loads[least].account, share/overall, minShare)
+				}
+			})
+		}
+	}
+}
--- a/internal/tables/slots_test.go
+++ b/internal/tables/slots_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -10,113 +9,8 @@
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/admission"
 	"fescuespar/internal/errkind"
-	"fescuespar/internal/virtualtime"
 )
 
-// account is a client account of the overload tests.
-type account struct {
-	name           core.CallerName
-	perSecond      float64
-	priority       int
-	sent, answered int
-}
-
-// overload sends the accounts' requests of 25 ms each, due in 1.2 s, to a service of 8
-// slots, which serves 400 a second, and counts what is answered.
-func overload(accounts []*account, capacity int) {
-	const runs, timeout, length = 25 * time.Millisecond, 1200 * time.Millisecond, 20 * time.Second
-	var clock virtualtime.Clock
-	slots := NewSlots(capacity)
-	kind := SlotKind{Service: "desk"}
-	slots.SetServices(map[string]int{"desk": 8}, clock.Time())
-	random := rand.New(rand.NewPCG(3, 4))
-	for _, a := range accounts {
-		var arrive func()
-		arrive = func() {
-			if clock.Now() < length {
-				clock.After(time.Duration(random.ExpFloat64()/a.perSecond*float64(time.Second)), arrive)
-			}
-			a.sent++
-			deadline := clock.Time().Add(timeout)
-			resume := func(err error) {
-				if err != nil {
-					return
-				}
-				clock.After(runs, func() {
-					if !clock.Time().After(deadline) {
-						a.answered++
-					}
-					slots.Release(kind, core.ClassInteractive, runs, clock.Time())
-				})
-			}
-			if slots.Acquire(kind, core.ClassInteractive, clock.Time()) {
-				resume(nil)
-				return
-			}
-			wait, started, err := slots.Wait(kind, &admission.Request[AdmissionCallback]{
-				Caller: a.name, Route: "r", Priority: a.priority, Class: core.ClassInteractive, Cost: 1,
-				Deadline: deadline, Expected: runs, Payload: resume,
-			}, clock.Time())
-			if err != nil || started {
-				resume(err)
-				return
-			}
-			clock.After(wait.Until().Sub(clock.Time()), func() { slots.Cancel(wait) })
-		}
-		clock.After(time.Duration(random.Int64N(int64(time.Second))), arrive)
-	}
-	clock.RunUntil(length + 2*timeout)
-}
-
-// TestAccountsShareScarceSlots guards against a large account that starves small ones, and
-// against accounts that are starved by their size or priority: each must be served at
-// least a quarter as often as all requests are.
-func TestAccountsShareScarceSlots(t *testing.T) {
-	const minShare = 0.25
-	for _, c := range []struct {
-		name     string
-		large    []float64 // requests a second of the large accounts
-		small    float64   // of each of the others
-		priority func(i int) int
-	}{
-		{"one large account", []float64{1800}, 2, func(int) int { return 0 }},
-		{"few large accounts", []float64{700, 500, 300}, 4, func(int) int { return 0 }},
-		{"three priorities", []float64{700, 500, 300}, 10, func(i int) int { return i % 3 }},
-		{"a large account of the lowest priority", []float64{4000}, 8, func(i int) int { return map[bool]int{true: 5}[i == 0] }},
-	} {
-		for _, capacity := range []int{100, 2000} {
-			t.Run(fmt.Sprintf("%s/capacity=%d", c.name, capacity), func(t *testing.T) {
-				var accounts []*account
-				for i := range 80 {
-					a := &account{name: core.CallerName(fmt.Sprint("a", i)), perSecond: c.small, priority: c.priority(i)}
-					if i < len(c.large) {
-						a.perSecond = c.large[i]
-					}
-					accounts = append(accounts, a)
-				}
-				overload(accounts, capacity)
-				sent, answered := 0, 0
-				for _, a := range accounts {
-					sent, answered = sent+a.sent, answered+a.answered
-				}
-				overall := float64(answered) / float64(sent)
-				least := accounts[0]
-				for _, a := range accounts {
-					if a.answered*least.sent < least.answered*a.sent {
-						least = a
-					}
-				}
-				share := float64(least.answered) / float64(least.sent)
-				due := minShare * overall * float64(least.sent)
-				t.Logf("%.3f of all requests answered, least of %s (priority %d, %.0f a second): %.3f", overall, least.name, least.priority, least.perSecond, share)
-				if float64(least.answered) < due-3*math.Sqrt(due) { // three standard deviations
-					t.Errorf("account %s is served %.3f times as often as all requests, want at least %v", least.name, share/overall, minShare)
-				}
-			})
-		}
-	}
-}
-
 // TestScorerCallsAndRequestsShareSlots guards against a wave of scorer calls that starves
 // interactive requests to the same service, and the reverse.
 func TestScorerCallsAndRequestsShareSlots(t *testing.T) {
