docs: what the replay of paces leaves out for engines

The coordinator moves runs off slow engines and resumes texts after their last event; the replay does neither, and its note and comment said otherwise or nothing.

--- a/internal/core/routing/pace_replay_test.go
+++ b/internal/core/routing/pace_replay_test.go
@@ -14,7 +14,7 @@
 
 // paceModel is a service and its load. Callers of plain services stop waiting at the
 // timeout. Items of jobs wait for free slots at one process, which alone sends them, and
-// go on elsewhere when their engine is gone.
+// begin anew elsewhere when their engine is gone.
 type paceModel struct {
 	kind     core.ServerKind
 	servers  int
