relay: the account of a job reaches the turns of accounts

Cause: the merge of turns left the policy of a job without its account, so that all jobs counted as one account's. Change: the policy names the account. Measured: builds; the turns themselves are tested in internal/core/job.

--- a/internal/app/relay/reopen.go
+++ b/internal/app/relay/reopen.go
@@ -119,7 +119,7 @@
 	if matched, err := s.RouteOf(found.Host, found.Path); err == nil {
 		policy = job.Policy{
 			Attempts: max(1, matched.Attempts), ItemLifetime: matched.ItemLife,
-			SingleVersion: matched.SingleVersion, Priority: account.Priority(s.routes.Current(), &matched, found.Account),
+			SingleVersion: matched.SingleVersion, Priority: account.Priority(s.routes.Current(), &matched, found.Account), Account: found.Account,
 		}
 	}
 	s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) { scheduler.Open(found, finished, policy, s.ports.Clock.Now()) })
