relay: keep memory and connections from clients outside the limits

Callers that sent bodies in chunks made a process take many times the memory of its VM, and ones that announced bodies and sent nothing left thousands of descriptors open. A body of unknown length reserved 64 KB whatever it became, one of known length all of it before a byte arrived, io.ReadAll copied both while they grew, the decoding of a job took what its items take, unread answers had no end, and net/http reads up to 256 KB of a refused body without a time limit and keeps its connection for half a second more. At the port of the other processes a call's head had no limit, its body none over all calls.

- One budget of 0.35 of the VM's memory counts what callers and peers send and what is read for them, while it is held (core/memory, memorybudget).
Bodies and answers are read, kept and sent in pieces (core.Body) without a copy.
Jobs are decoded from the pieces, item by item.
Forward returns only once no attempt uses the request's body.
- httpguard wraps the connections of all HTTP servers: a bound for each listener from MaxFds and the memory, the configuration's limits in force for head, idle time and progress of bodies, a bound on unread answers, and on the time that a refused body keeps its connection.
A body that is too slow gets 408 and one without memory 503, both not run.
Two lengths, or a length beside chunks, which net/http accepts, get 400.
- A read that ended at its deadline left the caller without an answer from the front end, for which net/http sends 200; it now gets its status.
- quicguard bounds handshakes and connections at the port of the processes.
- The decision on which memory a process may use per VM is in one place; the share for bodies of 0.2, which could not hold the largest one on the smallest VM, goes.

--- a/cmd/fescuespar/relay.go
+++ b/cmd/fescuespar/relay.go
@@ -17,13 +17,16 @@
 	"fescuespar/internal/adapters/bodycodec"
 	"fescuespar/internal/adapters/bootclock"
 	"fescuespar/internal/adapters/detour"
-	"fescuespar/internal/adapters/httpfront"
+	"fescuespar/internal/adapters/httpguard"
 	"fescuespar/internal/adapters/logwrite"
+	"fescuespar/internal/adapters/memorybudget"
 	"fescuespar/internal/adapters/metricstext"
 	"fescuespar/internal/adapters/platformhttp"
 	"fescuespar/internal/app/relay"
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/connection"
 	"fescuespar/internal/core/logs"
+	"fescuespar/internal/metrics"
 	"fescuespar/platform/front"
 	"fescuespar/platform/settings"
 	"fescuespar/platform/store"
@@ -39,17 +42,14 @@
 }
 
 const (
-	storeTimeout        = 3 * time.Second // a slow store still answers within this time
-	relayWorkers        = 4
-	leaseReclaimDelay   = 10 * time.Second        // longer than most store outages during which processes restart
-	heapMemoryShare     = 0.6                     // share of the VM's memory for the Go heap
-	bodyMemoryShare     = 0.2                     // share of the VM's memory for callers' request bodies
-	responseMemoryShare = 0.2                     // share of the VM's memory for backend servers' response bodies
-	logBufferLines      = 4096                    // log lines buffered for standard output; beyond it lines are dropped and counted
-	maxHeaderBytes      = 1 << 16                 // size of a caller's header; the limits of routes are lower
-	requestReadTimeout  = 10 * time.Second        // time to read a whole request
-	maxCloseTime        = 1500 * time.Millisecond // for answers that are being written when the shutdown is over
-	closeReserve        = 500 * time.Millisecond  // part of the shutdown grace reserved for closing connections
+	storeTimeout      = 3 * time.Second // a slow store still answers within this time
+	relayWorkers      = 4
+	leaseReclaimDelay = 10 * time.Second        // longer than most store outages during which processes restart
+	heapMemoryShare   = 0.6                     // share of the VM's memory for the Go heap
+	heldMemoryShare   = 0.35                    // share of the VM's memory for what callers send and what is read for them; on the smallest VM, two thirds of it hold the largest body of 32 MB
+	logBufferLines    = 4096                    // log lines buffered for standard output; beyond it lines are dropped and counted
+	maxCloseTime      = 1500 * time.Millisecond // for answers that are being written when the shutdown is over
+	closeReserve      = 500 * time.Millisecond  // part of the shutdown grace reserved for closing connections
 )
 
 // Execute runs the service until SIGTERM or SIGINT.
@@ -74,14 +74,19 @@
 
 // wireRelay connects the adapters to the relay service and starts the HTTP
 // servers. The service is not started yet.
-func wireRelay(loaded *settings.Settings, log zerolog.Logger) (*relay.Service, []*http.Server, error) {
+func wireRelay(loaded *settings.Settings, log zerolog.Logger) (*relay.Service, []*httpguard.Server, error) {
 	incarnation := newIncarnation()
+	memory := memorybudget.New(int64(float64(loaded.MemoryBytes) * heldMemoryShare))
+	clients := metrics.NewClients()
 	direct := platformhttp.NewTransport()
-	node, err := detour.Listen(loaded.PeerAddress, loaded.StoreAddress, direct)
+	var service *relay.Service
+	node, err := detour.Listen(loaded.PeerAddress, loaded.StoreAddress, direct, detour.Limits{
+		MaxConnections: connection.BoundsFor(loaded.MemoryBytes, loaded.MaxDescriptors).Peers, Memory: memory,
+		Refused: func() { clients.PeersRefused.Inc(1) },
+	})
 	if err != nil {
 		return nil, nil, err
 	}
-	var service *relay.Service
 	transport := detour.NewTransport(direct, node, func() detour.Peers {
 		near, far := service.PeerAddresses()
 		return detour.Peers{SameZone: near, OtherZones: far}
@@ -97,26 +102,45 @@
 		MaxResultBytes: loaded.MaxRowBytes * 3 / 4, StoreReadsPerSecond: loaded.StoreReadsPerSecond,
 	}, relay.Ports{
 		Tables: platform, Objects: platform, Registry: platform, Bodies: bodycodec.Codec{},
-		Backend: worker.New(int64(float64(loaded.MemoryBytes) * responseMemoryShare)), Clock: bootclock.Clock{},
+		Backend: worker.New(memory), Clock: bootclock.Clock{},
+		Memory: memory,
 	}, log)
-	maxBodyBytes := int64(float64(loaded.MemoryBytes) * bodyMemoryShare)
-	callers := front.New(service, service, bootclock.Clock{}, maxBodyBytes, log)
-	var servers []*http.Server
+	callers := front.New(service, service, bootclock.Clock{}, memory, log)
+	servers, err := serveClients(loaded, service, callers, memory, clients, log)
+	if err != nil {
+		return nil, nil, err
+	}
+	clients.Register(service.Metrics().Registry, metrics.RelayPrefix, clientGauges(servers, memory))
+	return service, servers, nil
+}
+
+// serveClients starts the HTTP servers of a process, each with its own bound on
+// connections and all with one budget of memory.
+func serveClients(loaded *settings.Settings, service *relay.Service, callers *front.Front, memory *memorybudget.Budget, clients *metrics.Clients, log zerolog.Logger) ([]*httpguard.Server, error) {
+	bounds := connection.BoundsFor(loaded.MemoryBytes, loaded.MaxDescriptors)
+	var servers []*httpguard.Server
 	for _, endpoint := range []struct {
-		address string
-		handler http.Handler
+		name, address  string
+		handler        http.Handler
+		maxConnections int
 	}{
-		{loaded.CallerAddress, callers.CallerHandler()}, {loaded.DirectoryAddress, callers.DirectoryHandler()}, {loaded.ReadinessAddress, callers.ReadinessHandler()},
-		{loaded.MetricsAddress, monitoringHandler(service, log)},
+		{"callers", loaded.CallerAddress, callers.CallerHandler(), bounds.Callers},
+		{"directory", loaded.DirectoryAddress, callers.DirectoryHandler(), bounds.Directory},
+		{"readiness", loaded.ReadinessAddress, callers.ReadinessHandler(), bounds.Monitoring},
+		{"metrics", loaded.MetricsAddress, monitoringHandler(service, log), bounds.Monitoring},
 	} {
 		if endpoint.address == "" {
 			continue
 		}
 		listener, err := net.Listen("tcp", endpoint.address)
 		if err != nil {
-			return nil, nil, err
+			return nil, err
 		}
-		server := httpfront.NewServer(endpoint.handler, httpfront.ServerLimits{MaxHeaderBytes: maxHeaderBytes, ReadTimeout: requestReadTimeout})
+		guard := httpguard.New(httpguard.Options{
+			Name: endpoint.name, MaxConnections: endpoint.maxConnections, Memory: memory, Limits: service.Limits,
+			Count: countEvents(clients), Log: log,
+		})
+		server := guard.NewServer(endpoint.handler)
 		servers = append(servers, server)
 		go func() {
 			if err := server.Serve(listener); err != http.ErrServerClosed {
@@ -124,7 +148,7 @@
 			}
 		}()
 	}
-	return service, servers, nil
+	return servers, nil
 }
 
 // URL paths served on the metrics address.
@@ -152,7 +176,7 @@
 
 // runRelayUntilSignal reloads the settings periodically and on SIGHUP, and shuts
 // down on SIGTERM or SIGINT.
-func runRelayUntilSignal(loaded *settings.Settings, service *relay.Service, servers []*http.Server, log zerolog.Logger) error {
+func runRelayUntilSignal(loaded *settings.Settings, service *relay.Service, servers []*httpguard.Server, log zerolog.Logger) error {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	ticker := time.NewTicker(reloadInterval)
--- a/internal/adapters/detour/detour_test.go
+++ b/internal/adapters/detour/detour_test.go
@@ -11,8 +11,13 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"fescuespar/internal/adapters/memorybudget"
 )
 
+// limits returns limits that no call of these tests reaches.
+func limits() Limits { return Limits{MaxConnections: 64, Memory: memorybudget.New(64 << 20)} }
+
 // faultyTransport is a direct transport with faults that tests switch on. With
 // hang set, as in a network partition, calls block until their context ends. With
 // refuse set, calls get status 503.
@@ -39,12 +44,12 @@
 	t.Helper()
 	host := strings.TrimPrefix(platform.URL, "http://")
 	ownDirect, peerDirect := &faultyTransport{}, &faultyTransport{}
-	peer, err := Listen("127.0.0.1:0", host, peerDirect)
+	peer, err := Listen("127.0.0.1:0", host, peerDirect, limits())
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(peer.Close)
-	node, err := Listen("127.0.0.1:0", host, ownDirect)
+	node, err := Listen("127.0.0.1:0", host, ownDirect, limits())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -205,13 +210,13 @@
 	platform := platformServer(t, &writes)
 	host := strings.TrimPrefix(platform.URL, "http://")
 	oldDirect, newDirect := &faultyTransport{}, &faultyTransport{}
-	peer, err := Listen("127.0.0.1:0", host, oldDirect)
+	peer, err := Listen("127.0.0.1:0", host, oldDirect, limits())
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(peer.Close)
 	oldTransport := NewTransport(oldDirect, peer, func() Peers { return Peers{} })
-	node, err := Listen("127.0.0.1:0", host, newDirect)
+	node, err := Listen("127.0.0.1:0", host, newDirect, limits())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -291,7 +296,7 @@
 		}
 	}))
 	t.Cleanup(platform.Close)
-	node, err := Listen("127.0.0.1:0", strings.TrimPrefix(platform.URL, "http://"), http.DefaultTransport)
+	node, err := Listen("127.0.0.1:0", strings.TrimPrefix(platform.URL, "http://"), http.DefaultTransport, limits())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -362,7 +367,7 @@
 	nodes := make([]*Node, len(directs))
 	for i := range directs {
 		directs[i] = &faultyTransport{}
-		node, err := Listen("127.0.0.1:0", host, directs[i])
+		node, err := Listen("127.0.0.1:0", host, directs[i], limits())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/adapters/detour/node.go
+++ b/internal/adapters/detour/node.go
@@ -9,7 +9,6 @@
 	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"errors"
 	"io"
 	"math/big"
 	"net"
@@ -19,6 +18,8 @@
 
 	"github.com/quic-go/quic-go"
 
+	"fescuespar/internal/adapters/memorybudget"
+	"fescuespar/internal/adapters/quicguard"
 	"fescuespar/internal/lockrank"
 )
 
@@ -26,10 +27,13 @@
 const protocol = "fescuespar-detour/1"
 
 const (
-	callTimeout      = 3 * time.Second // for a call made for a peer
+	callTimeout      = 3 * time.Second  // for a call made for a peer
+	transferTimeout  = 10 * time.Second // to receive a call or to send its response; several times what the largest takes on the slowest VM's line
 	handshakeTimeout = time.Second
 	idleTimeout      = 20 * time.Second
-	maxCalls         = 32 // concurrent calls of one connection
+	maxCalls         = 32       // concurrent calls of one connection
+	maxAllCalls      = 128      // concurrent calls for all peers
+	maxHeadBytes     = 16 << 10 // of a call
 	maxBodyBytes     = 8 << 20
 	// failedHeader marks a response that a peer generated because its own call failed.
 	failedHeader = "X-Detour-Failed"
@@ -46,6 +50,9 @@
 	transport  *quic.Transport
 	tls        *tls.Config
 	directDown atomic.Pointer[atomic.Bool] // true while the direct path of this process is down
+	memory     *memorybudget.Budget
+	gate       *quicguard.Gate
+	calls      chan struct{} // holds one element for each call that is made for a peer
 
 	// mu guards all fields below.
 	mu     lockrank.Mutex
@@ -96,9 +103,16 @@
 	}
 }
 
-// Listen opens a UDP socket on the address and serves calls of peers. It makes
-// them with direct, and only to the given host.
-func Listen(address, host string, direct http.RoundTripper) (*Node, error) {
+// Limits bound what peers, and unknown senders, make a node hold.
+type Limits struct {
+	MaxConnections int                  // incoming
+	Memory         *memorybudget.Budget // for calls and their responses
+	Refused        func()               // called for each connection that is refused or closed for another one; may be nil
+}
+
+// Listen opens a UDP socket on the address and serves calls of peers within the limits.
+// It makes them with direct, and only to the given host.
+func Listen(address, host string, direct http.RoundTripper, limits Limits) (*Node, error) {
 	resolved, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, err
@@ -119,8 +133,10 @@
 		},
 		mu: lockrank.New(lockrank.RankAdapter), conns: make(map[string]*quic.Conn),
 		cached: make(map[string][]byte),
+		memory: limits.Memory, gate: quicguard.New(limits.MaxConnections, limits.Refused), calls: make(chan struct{}, maxAllCalls),
 	}
-	listener, err := node.transport.Listen(node.tls, quicConfig())
+	node.gate.Protect(node.transport)
+	listener, err := node.transport.Listen(node.tls, incomingConfig())
 	if err != nil {
 		return nil, err
 	}
@@ -142,6 +158,18 @@
 	}
 }
 
+// incomingWindow bounds what a peer may send on a connection before it is read. It is
+// counted for each incoming connection.
+const incomingWindow = 256 << 10
+
+// incomingConfig returns the configuration of incoming connections.
+func incomingConfig() *quic.Config {
+	config := quicConfig()
+	config.InitialConnectionReceiveWindow, config.MaxConnectionReceiveWindow = 64<<10, incomingWindow
+	config.MaxStreamReceiveWindow = incomingWindow
+	return config
+}
+
 // selfSigned returns a certificate that identifies nobody. TLS needs one to encrypt.
 func selfSigned() (tls.Certificate, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
@@ -153,87 +181,6 @@
 	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, err
 }
 
-func (n *Node) accept(listener *quic.Listener) {
-	for {
-		conn, err := listener.Accept(context.Background())
-		if err != nil {
-			return
-		}
-		go n.serve(conn)
-	}
-}
-
-func (n *Node) serve(conn *quic.Conn) {
-	for {
-		stream, err := conn.AcceptStream(context.Background())
-		if err != nil {
-			return
-		}
-		go n.handle(stream)
-	}
-}
-
-// handle makes one call for a peer and writes the response.
-func (n *Node) handle(stream *quic.Stream) {
-	defer stream.Close()
-	incoming, response, err := n.forward(stream)
-	if err != nil || isRefusal(response) {
-		if known := n.cachedResponse(incoming); known != nil {
-			response, err = known, nil
-		}
-	}
-	if err != nil {
-		response = &http.Response{
-			StatusCode: http.StatusServiceUnavailable, ProtoMajor: 1, ProtoMinor: 1,
-			Header: http.Header{failedHeader: {"1"}}, Body: http.NoBody,
-		}
-		if mayHaveBeenSent(err) {
-			response.StatusCode = http.StatusBadGateway
-		}
-	}
-	defer response.Body.Close()
-	_ = response.Write(stream) // an error means that the peer is gone
-}
-
-// errNotSent marks the failure of a call that was not sent to the platform.
-var errNotSent = errors.New("call was not sent to the platform")
-
-func mayHaveBeenSent(err error) bool { return !errors.Is(err, errNotSent) }
-
-func (n *Node) forward(stream io.Reader) (*http.Request, *http.Response, error) {
-	incoming, err := http.ReadRequest(bufio.NewReader(stream))
-	if err != nil {
-		return nil, nil, errors.Join(errNotSent, err)
-	}
-	if directDown := n.directDown.Load(); directDown != nil && directDown.Load() {
-		return incoming, nil, errors.Join(errNotSent, errDirectDown)
-	}
-	body, err := io.ReadAll(io.LimitReader(incoming.Body, maxBodyBytes))
-	if err != nil {
-		return incoming, nil, errors.Join(errNotSent, err)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	outgoing, err := http.NewRequestWithContext(ctx, incoming.Method, "http://"+n.host+incoming.RequestURI, bytes.NewReader(body))
-	if err != nil {
-		return incoming, nil, errors.Join(errNotSent, err)
-	}
-	outgoing.Header = incoming.Header.Clone()
-	response, err := n.callDirect(outgoing)
-	if err != nil {
-		return incoming, nil, err
-	}
-	// The body must be read before the deferred cancel ends the context.
-	answer, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
-	_ = response.Body.Close()
-	if err != nil {
-		return incoming, nil, err
-	}
-	response.Body, response.ContentLength = io.NopCloser(bytes.NewReader(answer)), int64(len(answer))
-	response.TransferEncoding = nil
-	return incoming, response, nil
-}
-
 // callVia makes a call through the peer at the address. sent tells whether the peer
 // may have made it.
 func (n *Node) callVia(request *http.Request, address string) (response *http.Response, sent bool, err error) {
--- a/internal/app/plaincall.go
+++ b/internal/app/plaincall.go
@@ -212,7 +212,7 @@
 	if call.guard.dispatch == nil {
 		r := &call.request
 		call.guard = crashGuard{
-			fingerprint: crash.Fingerprint(r.Body, string(r.Deployment), r.Method, r.Path),
+			fingerprint: crash.Fingerprint(core.NewBody(r.Body), string(r.Deployment), r.Method, r.Path),
 			service:     call.deployment.Service, class: core.ClassInteractive, deadline: r.Deadline,
 			dispatch:        func() error { return s.dispatchCall(call) },
 			fail:            func(err error) { s.failCallNotRun(call, err) },
--- a/internal/app/relay/crashes_test.go
+++ b/internal/app/relay/crashes_test.go
@@ -62,7 +62,7 @@
 		return core.RelayResponse{}, errkind.New(errkind.ServerRefused, "connection refused")
 	}
 	diesAnyway := c.deathsLeft[request.ID] > 0
-	if c.isSound || string(request.Body) != crashingBody && !diesAnyway {
+	if c.isSound || string(request.Body.Bytes()) != crashingBody && !diesAnyway {
 		return core.RelayResponse{Status: 200, Signature: "signed"}, nil
 	}
 	if diesAnyway {
@@ -154,7 +154,7 @@
 				if i == sends/2 {
 					processes = append(processes, s.waitReady(s.start("vm-late")))
 				}
-				request := core.RelayRequest{ID: core.RequestID(fmt.Sprint("r-", i)), Method: "POST", Host: host, Target: c.target, Body: []byte(crashingBody)}
+				request := core.RelayRequest{ID: core.RequestID(fmt.Sprint("r-", i)), Method: "POST", Host: host, Target: c.target, Body: core.NewBody([]byte(crashingBody))}
 				if s.send(processes[i%len(processes)], request) == nil {
 					t.Fatalf("request %d succeeded", i)
 				}
@@ -177,7 +177,7 @@
 	servers := newCrashingServers(s)
 	one, two := s.waitReady(s.start("vm-1")), s.waitReady(s.start("vm-2"))
 	request := func(body string) core.RelayRequest {
-		return core.RelayRequest{ID: "r", Method: "POST", Host: host, Target: "/lookup/x", Body: []byte(body)}
+		return core.RelayRequest{ID: "r", Method: "POST", Host: host, Target: "/lookup/x", Body: core.NewBody([]byte(body))}
 	}
 	if err := s.send(one, request(crashingBody)); !errkind.Is(err, errkind.ServerFailed) {
 		t.Errorf("two servers died: %v, want %s", err, errkind.ServerFailed)
@@ -209,7 +209,7 @@
 	s := newEnvironment(t)
 	newCrashingServers(s)
 	service := s.waitReady(s.start("vm-1"))
-	request := core.RelayRequest{ID: "r", Method: "POST", Host: host, Target: "/lookup/x", Body: []byte(crashingBody)}
+	request := core.RelayRequest{ID: "r", Method: "POST", Host: host, Target: "/lookup/x", Body: core.NewBody([]byte(crashingBody))}
 	if err := s.send(service, request); err == nil {
 		t.Error("request succeeded")
 	}
@@ -232,7 +232,7 @@
 	newCrashingServers(s)
 	one, two := s.waitReady(s.start("vm-1")), s.waitReady(s.start("vm-2"))
 	s.tables.Inject(faults.Rule{Operation: faults.Commit, Event: faults.Refuse, Table: core.TableCrash, Count: 2})
-	request := core.RelayRequest{ID: "r", Method: "POST", Host: host, Target: "/lookup/x", Body: []byte(crashingBody)}
+	request := core.RelayRequest{ID: "r", Method: "POST", Host: host, Target: "/lookup/x", Body: core.NewBody([]byte(crashingBody))}
 	if err := s.send(one, request); err == nil {
 		t.Error("request succeeded")
 	}
@@ -267,7 +267,7 @@
 	s := newEnvironment(t)
 	servers := newCrashingServers(s)
 	service := s.waitReady(s.start("vm-1"))
-	request := core.RelayRequest{ID: "r", Method: "POST", Host: host, Target: "/lookup/x", Body: []byte(crashingBody)}
+	request := core.RelayRequest{ID: "r", Method: "POST", Host: host, Target: "/lookup/x", Body: core.NewBody([]byte(crashingBody))}
 	if err := s.send(service, request); err == nil {
 		t.Error("request succeeded")
 	}
--- a/internal/app/relay/events_test.go
+++ b/internal/app/relay/events_test.go
@@ -64,7 +64,7 @@
 // sendStatus returns an answer without a stream.
 func sendStatus(status int) func(core.EventsRequest, ports.EventSink) (core.RelayResponse, error) {
 	return func(core.EventsRequest, ports.EventSink) (core.RelayResponse, error) {
-		return core.RelayResponse{Status: status, Body: []byte("error text")}, nil
+		return core.RelayResponse{Status: status, Body: core.NewBody([]byte("error text"))}, nil
 	}
 }
 
--- a/internal/app/relay/forward.go
+++ b/internal/app/relay/forward.go
@@ -86,12 +86,9 @@
 	if err != nil {
 		return core.RelayResponse{}, err
 	}
-	select {
-	case r := <-result:
-		return r.response, r.err
-	case <-ctx.Done():
-		return core.RelayResponse{}, errkind.Wrap(errkind.Canceled, ctx.Err(), "caller stopped waiting for the answer")
-	}
+	// Also when the caller has left: until the call has ended, its body is in use.
+	r := <-result
+	return r.response, r.err
 }
 
 // admitRequest starts a caller's request. It calls finish once, on a worker of the
@@ -170,7 +167,7 @@
 	dispatch, err := s.servers.Acquire(routing.Query{
 		Kind: s.serverKind(c.service), Service: c.service, Class: c.class, ExpectedTokens: 1,
 		Zone: s.options.Self.Zone, Region: s.options.Self.Region, Exclude: c.excluded,
-		ExpectedBytes: len(c.request.Body),
+		ExpectedBytes: c.request.Body.Len(),
 	}, now)
 	if err != nil {
 		s.finishWithoutResponse(c, err)
--- a/internal/app/relay/jobs.go
+++ b/internal/app/relay/jobs.go
@@ -231,7 +231,7 @@
 		return nil, err
 	}
 	defer s.lifecycle.EndRequest()
-	job, err := callStore(ctx, s, jobCallTimeout, func(ctx context.Context) (core.Job, error) { return s.loadJob(ctx, id) })
+	job, err := callStore(ctx, s, jobCallTimeout, func(ctx context.Context) (core.Job, error) { return s.loadJobForCaller(ctx, id) })
 	if err != nil {
 		return nil, err
 	}
@@ -243,6 +243,27 @@
 	return nil, errkind.New(errkind.UnknownRequest, "job %s has no item %s", id, item)
 }
 
+// maxJobBytes is the largest size of a job's body, that of an object. Its decoded form
+// takes about as much again.
+const maxJobBytes = 8 << 20
+
+// loadJobForCaller returns a job if there is memory for it while it is decoded. Errors:
+// those of loadJob, Overloaded.
+func (s *Service) loadJobForCaller(ctx context.Context, id core.JobID) (core.Job, error) {
+	if job, cached := s.jobStorage.Job(id); cached {
+		return job, nil
+	}
+	if s.ports.Memory == nil {
+		return s.loadJob(ctx, id)
+	}
+	release, ok := s.ports.Memory.Take(2 * maxJobBytes)
+	if !ok {
+		return core.Job{}, errkind.New(errkind.Overloaded, "no memory to read job %s", id)
+	}
+	defer release()
+	return s.loadJob(ctx, id)
+}
+
 // loadJob returns a job from the cache or from the store. Errors:
 // UnknownRequest, StoreUnavailable.
 func (s *Service) loadJob(ctx context.Context, id core.JobID) (core.Job, error) {
--- a/internal/app/relay/run.go
+++ b/internal/app/relay/run.go
@@ -143,7 +143,7 @@
 	defer cancel()
 	request := core.EventsRequest{After: start.EventsReceived, RelayRequest: core.RelayRequest{
 		ID: core.RequestID(start.Item.ID), Method: "POST", Host: start.Host, Target: start.Item.Path,
-		Header: start.Item.Header, Body: start.Item.Body,
+		Header: start.Item.Header, Body: core.NewBody(start.Item.Body),
 	}}
 	began := s.ports.Clock.Now()
 	request.LongestGap = s.engineSpeeds.LongestGap(service, dispatch.VM.ID, began)
@@ -293,7 +293,7 @@
 func (s *Service) scoreText(lane context.Context, service string, start job.ScoreStart) {
 	ctx, end := s.beginWork(lane, service, start.Work)
 	request := core.RelayRequest{
-		ID: start.Call.ID, Method: "POST", Host: start.Call.Host, Target: start.Call.Path, Body: start.Call.Body,
+		ID: start.Call.ID, Method: "POST", Host: start.Call.Host, Target: start.Call.Path, Body: core.NewBody(start.Call.Body),
 	}
 	guard := newCrashGuard(&request)
 	guard.isExempt = true
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -34,6 +34,7 @@
 	Registry ports.Registry
 	Backend  ports.Backend
 	Clock    ports.Clock
+	Memory   ports.Memory // nil for no limit
 }
 
 // Options are the settings of one entry process.
--- a/internal/core/crash/fingerprint.go
+++ b/internal/core/crash/fingerprint.go
@@ -1,10 +1,14 @@
 package crash
 
-import "hash/fnv"
+import (
+	"hash/fnv"
+
+	"fescuespar/internal/core"
+)
 
 // Fingerprint returns a hash of what identifies a request, the same in every process. A
 // nil body counts as absent.
-func Fingerprint(body []byte, parts ...string) uint64 {
+func Fingerprint(body core.Body, parts ...string) uint64 {
 	hash := fnv.New64a()
 	for i, part := range parts {
 		if i > 0 {
@@ -14,7 +18,9 @@
 	}
 	if body != nil {
 		_, _ = hash.Write([]byte{0})
-		_, _ = hash.Write(body)
+		for _, piece := range body {
+			_, _ = hash.Write(piece)
+		}
 	}
 	return hash.Sum64()
 }
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -93,7 +93,7 @@
 	Host       string
 	Target     string // path and query as received
 	Header     Header // without hop-by-hop headers
-	Body       []byte
+	Body       Body
 	Model      ModelName   // model of a generation request; empty for other requests
 	AtMostOnce bool        // must not run more than once
 	Deadline   time.Time   // time at which the caller stops waiting; zero if unknown
@@ -114,7 +114,7 @@
 type RelayResponse struct {
 	Status    int
 	Header    Header // without hop-by-hop headers
-	Body      []byte
+	Body      Body
 	Signature string // proof that a backend server produced this response; empty if there is none
 	ServerNotice
 	Release func() // returns the memory of Body to its budget; nil if it has none
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -18,6 +18,7 @@
 const (
 	BadRequest         Kind = "bad_request"
 	TooLarge           Kind = "too_large"
+	BodyTooSlow        Kind = "body_too_slow"
 	Unauthenticated    Kind = "unauthenticated"
 	Forbidden          Kind = "forbidden"
 	UnknownDeployment  Kind = "unknown_deployment"
@@ -72,6 +73,7 @@
 var answers = map[Kind]Answer{
 	BadRequest:         {http.StatusBadRequest, NotRun, false},
 	TooLarge:           {http.StatusRequestEntityTooLarge, NotRun, false},
+	BodyTooSlow:        {http.StatusRequestTimeout, NotRun, true},
 	Unauthenticated:    {http.StatusUnauthorized, NotRun, false},
 	Forbidden:          {http.StatusForbidden, NotRun, false},
 	UnknownDeployment:  {http.StatusNotFound, NotRun, false},
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -27,7 +27,11 @@
 	for name := range (Gauges{}).byName() {
 		registered = append(registered, name)
 	}
-	NewRelay().Registry.Each(func(name string, _ any) { registered = append(registered, name) })
+	relay := NewRelay()
+	for _, prefix := range []string{"", RelayPrefix} {
+		NewClients().Register(relay.Registry, prefix, ClientGauges{})
+	}
+	relay.Registry.Each(func(name string, _ any) { registered = append(registered, name) })
 	slices.Sort(listed)
 	slices.Sort(registered)
 	if !slices.Equal(listed, registered) {
@@ -71,6 +75,17 @@
 	}
 }
 
+// TestEveryClientMetricIsUsed does the same for the metrics of clients outside the limits.
+func TestEveryClientMetricIsUsed(t *testing.T) {
+	source := readSource(t, "../../cmd/fescuespar")
+	counters := reflect.TypeFor[Clients]()
+	for i := range counters.NumField() {
+		if name := counters.Field(i).Name; !strings.Contains(source, "."+name) {
+			t.Errorf("counter %s is never incremented", name)
+		}
+	}
+}
+
 // readSource returns the Go source of a folder without its tests.
 func readSource(t *testing.T, folder string) string {
 	t.Helper()
--- a/internal/ports/relay.go
+++ b/internal/ports/relay.go
@@ -10,8 +10,9 @@
 // Relay is the driving port for front ends that forward requests unchanged.
 type Relay interface {
 	// Forward sends a request to a backend server and returns the complete
-	// response. The context must end when the response is no longer in use, which
-	// frees its memory. Errors: ServerFailed, Timeout and Canceled when the request may
+	// response. It returns once the request's body is no longer in use, also when the
+	// context has ended. The context must end when the response is no longer in use,
+	// which frees its memory. Errors: ServerFailed, Timeout and Canceled when the request may
 	// have run; with any other kind it was refused and not run.
 	Forward(ctx context.Context, request core.RelayRequest) (core.RelayResponse, error)
 	// ForwardEvents sends a request whose response is a stream of events and
@@ -78,6 +79,13 @@
 	Order(ctx context.Context, server core.VM, order core.Order) (core.OrderReply, error)
 }
 
+// Memory is the memory that a process may hold for its callers.
+type Memory interface {
+	// Take takes bytes from it until release is called. It returns false if callers
+	// hold too much already.
+	Take(bytes int64) (release func(), ok bool)
+}
+
 // Registry is where operators, trainers and backend servers publish routes,
 // weight versions and registrations for the entry processes.
 type Registry interface {
