--- a/internal/app/relay/jobs.go
+++ b/internal/app/relay/jobs.go
@@ -285,7 +285,7 @@
 		return nil, err
 	}
 	defer s.lifecycle.EndRequest()
-	job, err := callStore(ctx, s, jobCallTimeout, func(ctx context.Context) (core.Job, error) { return s.loadJob(ctx, id, caller) })
+	job, err := callStore(ctx, s, jobCallTimeout, func(ctx context.Context) (core.Job, error) { return s.loadJobForCaller(ctx, id, caller) })
 	if err != nil {
 		return nil, jobCallError(caller, err)
 	}
@@ -297,6 +297,24 @@
 	return nil, errkind.New(errkind.UnknownRequest, "job %s has no item %s", id, item)
 }
 
+// maxJobBytes is the largest size of a job's body, that of an object. Its decoded form
+// takes about as much again.
+const maxJobBytes = 8 << 20
+
+// loadJobForCaller returns a job if there is memory for it while it is decoded. Errors:
+// those of loadJob, Overloaded.
+func (s *Service) loadJobForCaller(ctx context.Context, id core.JobID, caller core.Caller) (core.Job, error) {
+	if _, cached := s.jobStorage.Job(id); cached || s.ports.Memory == nil {
+		return s.loadJob(ctx, id, caller)
+	}
+	release, ok := s.ports.Memory.Take(2 * maxJobBytes)
+	if !ok {
+		return core.Job{}, errkind.New(errkind.Overloaded, "no memory to read job %s", id)
+	}
+	defer release()
+	return s.loadJob(ctx, id, caller)
+}
+
 // loadJob returns a job that a caller may use from the cache or from the store. Errors:
 // those of readJobRow.
 func (s *Service) loadJob(ctx context.Context, id core.JobID, caller core.Caller) (core.Job, error) {
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -36,6 +36,7 @@
 	Registry ports.Registry
 	Backend  ports.Backend
 	Clock    ports.Clock
+	Memory   ports.Memory // nil for no limit
 
 	PlatformAPI ports.PlatformAPI // nil if the deployment has no duties
 	TimeOfDay   ports.TimeOfDay   // nil if the deployment has no duties
