entry: the same protection against clients outside the limits

The HTTP front ends of `fescuespar entry` had limits for each request and none for all of them: bodies of 4 MiB on any number of connections, JSON that takes twenty times its size once decoded, answers that nobody reads. Its peers' port took any number of handshakes.

httpfront.NewServer guards its connections with httpguard, as relay does, and bodies count as read and as decoded; peerquic uses quicguard. New settings body_limits.memory (512 MiB) and body_limits.connections (16,384, above the calls in flight and waiting of all lanes) have defaults that no caller inside the limits reaches. A body that arrives steadily may take longer than body_limits.arrival.

TestBodiesBeyondTheMemoryAreRefused: a body of 4 KB that takes 110 KB of 32 is refused as not run, and nothing stays held. TestMalformedRequestsAreRefusedOnce: two equal lengths and a length beside chunks, which net/http by itself accepts (TestMalformedRequests in platform/front), do not reach the service.

--- a/cmd/fescuespar/entry.go
+++ b/cmd/fescuespar/entry.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"io"
 	"net"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -15,11 +14,14 @@
 	"github.com/rs/zerolog"
 
 	"fescuespar/internal/adapters/httpfront"
+	"fescuespar/internal/adapters/httpguard"
 	"fescuespar/internal/adapters/logwrite"
+	"fescuespar/internal/adapters/memorybudget"
 	"fescuespar/internal/adapters/settings"
 	"fescuespar/internal/app"
 	"fescuespar/internal/core"
 	"fescuespar/internal/errkind"
+	"fescuespar/internal/metrics"
 )
 
 // entryCommand runs the service on an entry VM.
@@ -48,9 +50,13 @@
 	if err != nil {
 		return err
 	}
+	memory, clients := memorybudget.New(loaded.BodyLimits.MaxHeldBytes), metrics.NewClients()
 	server := httpfront.NewServer(parts.handler, httpfront.ServerLimits{
 		MaxHeaderBytes: int(loaded.BodyLimits.MaxHeaderBytes), ReadTimeout: loaded.BodyLimits.ReadTimeout,
+		MaxConnections: loaded.BodyLimits.MaxConnections, Memory: memory, Count: countEvents(clients), Log: log,
 	})
+	clients.Register(parts.service.Metrics().Registry, "", clientGauges([]*httpguard.Server{server}, memory))
+	parts.peers.OnRefusal(func() { clients.PeersRefused.Inc(1) })
 	serveErrors := make(chan error, 1)
 	go func() { serveErrors <- server.Serve(parts.listener) }()
 	parts.service.Start()
@@ -60,7 +66,7 @@
 
 // runUntilSignal logs the state on SIGUSR1 and shuts down on SIGTERM or SIGINT.
 // Errors: Internal when the server for callers fails.
-func (c *entryCommand) runUntilSignal(loaded *settings.Settings, parts *entryProcess, server *http.Server, serveErrors <-chan error, log zerolog.Logger) error {
+func (c *entryCommand) runUntilSignal(loaded *settings.Settings, parts *entryProcess, server *httpguard.Server, serveErrors <-chan error, log zerolog.Logger) error {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	for {
--- a/internal/adapters/httpfront/errors.go
+++ b/internal/adapters/httpfront/errors.go
@@ -5,6 +5,7 @@
 
 	"github.com/kataras/iris/v12"
 
+	"fescuespar/internal/adapters/httpguard"
 	"fescuespar/internal/errkind"
 )
 
@@ -40,6 +41,7 @@
 // WriteError writes the answer that errkind defines for the kind of an error.
 func WriteError(ctx iris.Context, err error) {
 	answer := errkind.AnswerTo(err)
+	httpguard.Refuse(ctx.ResponseWriter(), ctx.Request())
 	if answer.Retryable {
 		ctx.Header("Retry-After", retryAfterSeconds)
 	}
--- a/internal/adapters/httpfront/fakes_test.go
+++ b/internal/adapters/httpfront/fakes_test.go
@@ -12,6 +12,7 @@
 	"fescuespar/internal/adapters/auth"
 	"fescuespar/internal/adapters/callerhttp"
 	"fescuespar/internal/adapters/httpfront"
+	"fescuespar/internal/adapters/memorybudget"
 	"fescuespar/internal/adapters/operatorhttp"
 	"fescuespar/internal/adapters/trainerhttp"
 	"fescuespar/internal/core"
@@ -154,11 +155,22 @@
 
 func serve(t *testing.T, s drivingPorts) *httptest.Server {
 	t.Helper()
+	server, _ := serveWith(t, s, 64<<20)
+	return server
+}
+
+// serveWith starts a server with the given memory for requests, in bytes.
+func serveWith(t *testing.T, s drivingPorts, bytes int64) (*httptest.Server, *memorybudget.Budget) {
+	t.Helper()
+	memory := memorybudget.New(bytes)
 	server := httptest.NewUnstartedServer(nil)
-	server.Config = httpfront.NewServer(buildHandler(t, newFront(s)), httpfront.ServerLimits{ReadTimeout: arrivalTimeout})
+	guarded := httpfront.NewServer(buildHandler(t, newFront(s)), httpfront.ServerLimits{
+		MaxHeaderBytes: 64 << 10, ReadTimeout: arrivalTimeout, MaxConnections: 256, Memory: memory,
+	})
+	server.Config, server.Listener = guarded.Server, guarded.Guard.Listener(server.Listener)
 	server.Start()
 	t.Cleanup(server.Close)
-	return server
+	return server, memory
 }
 
 func newFront(s drivingPorts) *httpfront.Front {
--- a/internal/adapters/httpfront/httpfront.go
+++ b/internal/adapters/httpfront/httpfront.go
@@ -13,6 +13,8 @@
 	"github.com/kataras/iris/v12"
 
 	"fescuespar/internal/adapters/auth"
+	"fescuespar/internal/adapters/httpguard"
+	"fescuespar/internal/adapters/memorybudget"
 	"fescuespar/internal/core"
 	"fescuespar/internal/errkind"
 )
@@ -72,6 +74,12 @@
 	return f.App, nil
 }
 
+// Memory that a body takes, in bytes for each of its bytes.
+const (
+	bodyMemoryFactor = 3  // as read: io.ReadAll copies it while it grows
+	jsonMemoryFactor = 24 // beside that, if decoded: an array of the smallest objects
+)
+
 // HandlerFunc handles a request from an authenticated sender.
 type HandlerFunc func(ctx iris.Context, sender auth.Identity) error
 
@@ -91,7 +99,8 @@
 			WriteError(ctx, err)
 			return
 		}
-		ctx.Request().Body = http.MaxBytesReader(ctx.ResponseWriter().Naive(), ctx.Request().Body, f.options.BodyLimit)
+		counted := httpguard.CountBody(ctx.Request(), ctx.Request().Body, bodyMemoryFactor)
+		ctx.Request().Body = http.MaxBytesReader(ctx.ResponseWriter().Naive(), counted, f.options.BodyLimit)
 		if err := handle(ctx, sender); err != nil {
 			WriteError(ctx, err)
 		}
@@ -114,9 +123,9 @@
 }
 
 // ReadJSON decodes the body strictly: unknown fields and data after the value
-// are rejected. Errors: BadRequest, TooLarge.
+// are rejected. Errors: BadRequest, TooLarge, Overloaded.
 func ReadJSON(ctx iris.Context, target any) error {
-	decoder := json.NewDecoder(ctx.Request().Body)
+	decoder := json.NewDecoder(httpguard.CountBody(ctx.Request(), ctx.Request().Body, jsonMemoryFactor))
 	decoder.DisallowUnknownFields()
 	if err := ClassifyBodyError(decoder.Decode(target)); err != nil {
 		return err
@@ -133,7 +142,7 @@
 }
 
 // ClassifyBodyError returns an error of reading or decoding a body with its kind:
-// TooLarge or BadRequest. It returns nil for nil.
+// TooLarge, BadRequest or Overloaded. It returns nil for nil.
 func ClassifyBodyError(err error) error {
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -141,6 +150,8 @@
 		return nil
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return errkind.Wrap(errkind.BadRequest, err, "the body did not arrive in time")
+	case errors.Is(err, memorybudget.ErrNoMemory):
+		return errkind.Wrap(errkind.Overloaded, err, "the process has no memory for the body")
 	case errors.As(err, &tooLarge):
 		return errkind.New(errkind.TooLarge, "the body is larger than %d bytes", tooLarge.Limit)
 	default:
--- a/internal/adapters/httpguard/request.go
+++ b/internal/adapters/httpguard/request.go
@@ -259,11 +259,11 @@
 }
 
 // CountBody returns a request's body, or what reads it, for a handler that decodes it as
-// it arrives. factor is the memory that the handler takes for each byte. A body without a
-// guarded connection is returned as it is.
+// it arrives. factor is the memory that the handler takes for each byte. An empty body, and
+// one without a guarded connection, is returned as it is.
 func CountBody(r *http.Request, body io.ReadCloser, factor int64) io.ReadCloser {
 	c, guarded := r.Context().Value(connKey{}).(*conn)
-	if !guarded {
+	if !guarded || r.ContentLength == 0 {
 		return body
 	}
 	request := &Request{conn: c, hold: c.hold, http: r}
--- a/internal/adapters/peerquic/node.go
+++ b/internal/adapters/peerquic/node.go
@@ -8,11 +8,13 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
 
 	"fescuespar/internal/adapters/keys"
+	"fescuespar/internal/adapters/quicguard"
 	"fescuespar/internal/errkind"
 	"fescuespar/internal/lockrank"
 )
@@ -45,6 +47,8 @@
 	identity   *keys.Identity
 	transport  *quic.Transport
 	socket     *net.UDPConn
+	gate       *quicguard.Gate
+	onRefusal  atomic.Pointer[func()]
 	ctx        context.Context // canceled by Close
 	stop       context.CancelFunc
 	handlers   sync.WaitGroup // requests being handled
@@ -83,7 +87,7 @@
 		return nil, errkind.Wrap(errkind.BadRequest, err, "listen for peers on UDP %q", address)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	return &Node{
+	node := &Node{
 		identity:  identity,
 		transport: &quic.Transport{Conn: socket},
 		socket:    socket,
@@ -92,7 +96,20 @@
 		outgoing:  make(map[string]*peerConn),
 		openConns: make(map[*quic.Conn]struct{}),
 		mu:        lockrank.New(lockrank.RankAdapter),
-	}, nil
+	}
+	node.gate = quicguard.New(maxConnections, node.refused)
+	node.gate.Protect(node.transport)
+	return node, nil
+}
+
+// OnRefusal sets a function that is called for each incoming connection that is refused,
+// or closed for a new one.
+func (n *Node) OnRefusal(f func()) { n.onRefusal.Store(&f) }
+
+func (n *Node) refused() {
+	if f := n.onRefusal.Load(); f != nil {
+		(*f)()
+	}
 }
 
 // Address returns the host:port that the node listens on.
--- a/internal/adapters/peerquic/server.go
+++ b/internal/adapters/peerquic/server.go
@@ -50,6 +50,9 @@
 		if err != nil {
 			return
 		}
+		if !s.node.gate.Accept(conn) {
+			continue
+		}
 		if !s.node.trackConn(conn) {
 			conn.CloseWithError(codeAborted, "too many connections")
 			continue
--- a/internal/adapters/settings/limits.go
+++ b/internal/adapters/settings/limits.go
@@ -15,6 +15,10 @@
 	minBodyBytes   = 1 << 10
 	maxBodyBytes   = 1 << 30
 	maxHeaderBytes = 1 << 20
+	minHeldBytes   = 1 << 20
+	maxHeldBytes   = 1 << 40
+	minConnections = 16
+	maxConnections = 1 << 20
 	minInterval    = time.Millisecond
 	maxInterval    = time.Minute
 	maxRetention   = time.Hour
@@ -62,5 +66,7 @@
 	stricttoml.Size(r, "request", &b.MaxBodyBytes, stricttoml.Optional, body)
 	stricttoml.Size(r, "header", &b.MaxHeaderBytes, stricttoml.Optional, stricttoml.Range[int64]{Min: minBodyBytes, Max: maxHeaderBytes})
 	stricttoml.Duration(r, "arrival", &b.ReadTimeout, stricttoml.Optional, stricttoml.Range[time.Duration]{Min: minReadTimeout, Max: maxReadTimeout})
+	stricttoml.Size(r, "memory", &b.MaxHeldBytes, stricttoml.Optional, stricttoml.Range[int64]{Min: minHeldBytes, Max: maxHeldBytes})
+	stricttoml.Integer(r, "connections", &b.MaxConnections, stricttoml.Optional, stricttoml.Range[int]{Min: minConnections, Max: maxConnections})
 	r.Finish()
 }
--- a/internal/adapters/settings/settings.go
+++ b/internal/adapters/settings/settings.go
@@ -127,7 +127,9 @@
 type BodyLimits struct {
 	MaxBodyBytes   int64         // largest body in bytes
 	MaxHeaderBytes int64         // largest header in bytes
-	ReadTimeout    time.Duration // longest time to read a whole request
+	ReadTimeout    time.Duration // longest time to read a whole request, unless it arrives steadily
+	MaxHeldBytes   int64         // memory for all requests, and answers that are not read yet, in bytes
+	MaxConnections int           // open connections of callers
 }
 
 // Defaults returns the values of the optional settings.
@@ -147,6 +149,8 @@
 			MaxBodyBytes:   defaultRequestBytes,
 			MaxHeaderBytes: defaultHeaderBytes,
 			ReadTimeout:    defaultReadTimeout,
+			MaxHeldBytes:   defaultHeldBytes,
+			MaxConnections: defaultConnections,
 		},
 	}
 }
@@ -157,6 +161,8 @@
 	defaultRequestBytes = 4 << 20
 	defaultHeaderBytes  = 64 << 10
 	defaultReadTimeout  = 30 * time.Second
+	defaultHeldBytes    = 512 << 20
+	defaultConnections  = 16384 // above the calls in flight and waiting of all lanes
 )
 
 var defaultIntervals = Intervals{
