--- a/internal/adapters/httpfront/fakes_test.go
+++ b/internal/adapters/httpfront/fakes_test.go
@@ -155,14 +155,22 @@
 
 func serve(t *testing.T, s drivingPorts) *httptest.Server {
 	t.Helper()
+	server, _ := serveWith(t, s, 64<<20)
+	return server
+}
+
+// serveWith starts a server with the given memory for requests, in bytes.
+func serveWith(t *testing.T, s drivingPorts, bytes int64) (*httptest.Server, *memorybudget.Budget) {
+	t.Helper()
+	memory := memorybudget.New(bytes)
 	server := httptest.NewUnstartedServer(nil)
 	guarded := httpfront.NewServer(buildHandler(t, newFront(s)), httpfront.ServerLimits{
-		ReadTimeout: arrivalTimeout, MaxConnections: 256, Memory: memorybudget.New(64 << 20),
+		MaxHeaderBytes: 64 << 10, ReadTimeout: arrivalTimeout, MaxConnections: 256, Memory: memory,
 	})
 	server.Config, server.Listener = guarded.Server, guarded.Guard.Listener(server.Listener)
 	server.Start()
 	t.Cleanup(server.Close)
-	return server
+	return server, memory
 }
 
 func newFront(s drivingPorts) *httpfront.Front {
