--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -44,17 +44,6 @@
 type ServiceInfo struct {
 	Name  string
 	Slots int // requests that one engine runs at a time; zero for plain services
-
-	Scaling *Scaling // nil if the number of servers is fixed
-}
-
-// Scaling are the bounds and prices within which the number of a service's backend
-// servers may change.
-type Scaling struct {
-	Min, Max   int                  // servers of all kinds in one availability zone
-	BootTime   time.Duration        // from an order until a new server serves
-	SpotPrice  float64              // price of a spot server as a share of its zone's price
-	ZonePrices map[ZoneName]float64 // price of one server for one second; zones without a price have no servers
 }
 
 // CallerLimits bounds the requests that callers may send.
