relay: say by which route table a path was refused, and how old it is

A refusal with 404 named neither the route table nor when a read last confirmed it, so that logs could not tell a path that never had a route from one that an older table does not have.

No decision changes.

go test ./cmd/fescuespar ./internal/core/logs ./internal/metrics: ok.

--- a/cmd/fescuespar/relaystatus.go
+++ b/cmd/fescuespar/relaystatus.go
@@ -30,7 +30,8 @@
 }
 
 func writeRelayStatus(w io.Writer, state *relay.State) {
-	fmt.Fprintf(w, "%s, %d requests in flight, route table %d in force\n", state.Phase, state.InFlight, state.Routes)
+	fmt.Fprintf(w, "%s, %d requests in flight, route table %d in force, as read at %s\n",
+		state.Phase, state.InFlight, state.Routes, state.RoutesConfirmedAt.Format(time.RFC3339))
 	if state.Accounts != nil {
 		writeAccounts(w, state.Accounts)
 	}
--- a/cmd/fescuespar/relaystatus_test.go
+++ b/cmd/fescuespar/relaystatus_test.go
@@ -39,7 +39,7 @@
 
 func TestRelayStatus(t *testing.T) {
 	state := relay.State{
-		Phase: "serving", InFlight: 3, Routes: 17,
+		Phase: "serving", InFlight: 3, Routes: 17, RoutesConfirmedAt: time.Unix(1e9+5, 0),
 		Outages: []core.PlatformOutage{{Service: "servers", Since: time.Unix(1e9, 0)}},
 		Members: []core.Member{{VM: "entry-2", State: core.MemberSuspect, Zone: "z", CallAddress: "10.0.0.2:80"}},
 		Leases:  []tables.LeaseState{{Name: "work|service/m", State: "held", Owner: "entry-1", Fence: 9}},
@@ -69,7 +69,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, want := range []string{"route table 17", "does not answer: servers", "entry-2", "suspect", "work|service/m", "j-4", "i-1", "ejected until",
+	for _, want := range []string{"route table 17 in force, as read at " + time.Unix(1e9+5, 0).Format(time.RFC3339), "does not answer: servers", "entry-2", "suspect", "work|service/m", "j-4", "i-1", "ejected until",
 		"80 accounts with 161 keys in force", "refused with no_key: 4", "removed keys of account fida11: 3", "hule930",
 		"streams", "352", "41", "i-3", "is cold, gets 25%",
 
--- a/internal/app/relay/accounts.go
+++ b/internal/app/relay/accounts.go
@@ -32,11 +32,26 @@
 		return core.Admission{}, err
 	}
 	if matched == nil {
-		return core.Admission{}, errNoRoute(host, path)
+		err := errNoRoute(host, path)
+		s.recordMissingRoute(credentials.Request, err)
+		return core.Admission{}, err
 	}
 	return core.Admission{Route: *matched, Caller: decision.Caller}, nil
 }
 
+// recordMissingRoute counts and logs that a request is refused because no route matches.
+func (s *Service) recordMissingRoute(request core.RequestID, err error) {
+	s.metrics.RoutesMissing.Inc(1)
+	line := s.refusalLog.Warn().Err(err).Str("request", string(request))
+	if table := s.routes.Current(); table != nil {
+		line = line.Uint64("routes", table.Version)
+	}
+	if confirmed := s.accounts.ConfirmedAt(); !confirmed.IsZero() {
+		line = line.Dur("confirmed_age", s.ports.Clock.Now().Sub(confirmed))
+	}
+	line.Msg(logs.RouteMissing)
+}
+
 // admitJobCall admits a call about a job. Jobs that were submitted without an account
 // need no key if there are routes on which they can be.
 func (s *Service) admitJobCall(ctx context.Context, credentials core.Credentials) (core.Caller, error) {
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -134,7 +134,7 @@
 	options    Options
 	ports      Ports
 	log        zerolog.Logger
-	refusalLog zerolog.Logger // of refused keys, with a bounded number of lines
+	refusalLog zerolog.Logger // of refused keys and missing routes, with a bounded number of lines
 	metrics    *metrics.Relay
 
 	pool   *workers.Pool
@@ -310,6 +310,8 @@
 	Slots    []tables.SlotState    `json:"slots"`
 	Usage    *UsageState           `json:"usage,omitempty"` // nil if usage is not reported
 	Pool     workers.PoolState     `json:"pool"`
+
+	RoutesConfirmedAt time.Time `json:"routes_confirmed_at"` // start of the newest successful read of the route table
 }
 
 // State returns a snapshot of this process's state.
@@ -320,6 +322,7 @@
 		Leases: s.leases.State(s.ports.Clock.Now()), Jobs: s.jobs.Summaries(),
 		Servers: s.servers.Views(), Pool: s.pool.State(), Outages: s.platform.Outages(),
 		Crashes: s.crashes.State(s.ports.Clock.Now()), Slots: s.slots.State(), Usage: s.usageState(),
+		RoutesConfirmedAt: s.accounts.ConfirmedAt(),
 	}
 	table := s.routes.Current()
 	if table != nil {
--- a/internal/core/logs/messages.go
+++ b/internal/core/logs/messages.go
@@ -7,7 +7,8 @@
 	RequestEnded   = "request ended"
 	RequestRefused = "refused or failed" // error as returned to the caller, also for a request that was not admitted
 	AttemptFailed  = "attempt failed"
-	KeyRefused     = "key refused" // why, and for a removed key whose it was; at most KeyRefusalsPerSecond
+	KeyRefused     = "key refused"   // why, and for a removed key whose it was; at most KeyRefusalsPerSecond
+	RouteMissing   = "route missing" // with the route table and the time since it was confirmed; at most KeyRefusalsPerSecond
 
 	JobSubmitted = "job submitted"
 	JobOpened    = "job opened"
@@ -44,7 +45,7 @@
 )
 
 // KeyRefusalsPerSecond bounds the lines of one kind that a process writes about refused
-// keys, which anybody can cause. A busy second of a process has 400 lines of other kinds.
+// keys and about paths without a route, which anybody can cause. A busy second of a process has 400 lines of other kinds.
 const KeyRefusalsPerSecond = 20
 
 // Fields of these lines.
--- a/internal/metrics/relay.go
+++ b/internal/metrics/relay.go
@@ -22,6 +22,7 @@
 	KeysUnconfirmed gometrics.Counter
 	KeysFound       gometrics.Counter
 	KeyReads        gometrics.Counter
+	RoutesMissing   gometrics.Counter
 	RunsStarted     gometrics.Counter
 	RunsCut         gometrics.Counter
 	ResultsStored   gometrics.Counter
@@ -65,7 +66,8 @@
 		"relay.jobs.accepted": &r.JobsAccepted, "relay.jobs.refused": &r.JobsRefused, "relay.jobs.ended": &r.JobsEnded,
 		"relay.jobs.denied": &r.JobsDenied, "relay.keys.missing": &r.KeysMissing, "relay.keys.unknown": &r.KeysUnknown,
 		"relay.keys.removed": &r.KeysRemoved, "relay.keys.unconfirmed": &r.KeysUnconfirmed, "relay.keys.found": &r.KeysFound, "relay.keys.reads": &r.KeyReads,
-		"relay.runs.started": &r.RunsStarted, "relay.runs.cut": &r.RunsCut,
+		"relay.routes.missing": &r.RoutesMissing,
+		"relay.runs.started":   &r.RunsStarted, "relay.runs.cut": &r.RunsCut,
 		"relay.results.stored": &r.ResultsStored, "relay.scores.missed": &r.ScoresMissed,
 		"relay.orders.sent": &r.WeightOrders, "relay.orders.failed": &r.OrdersFailed,
 		"relay.leases.acquired": &r.LeasesAcquired, "relay.leases.lost": &r.LeasesLost,
--- a/internal/tables/accounts.go
+++ b/internal/tables/accounts.go
@@ -103,6 +103,14 @@
 	return t.reads.Since(arrived), t.readEnded
 }
 
+// ConfirmedAt returns the start of the newest successful read of the configuration, zero
+// if there was none.
+func (t *Accounts) ConfirmedAt() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reads.Succeeded()
+}
+
 // CountRefusal counts a refused request.
 func (t *Accounts) CountRefusal(decision account.Decision) {
 	t.mu.Lock()
