relay: answer 404 only by a configuration read after the request came

Unknown keys were already looked up once more in the newest configuration before their 401.

Now a path without a route waits for the same shared reads. 404 follows only if a read that began after the request arrived succeeded and has no route either; if it failed or did not end in time the answer is 503 (route_unconfirmed, not run), so the caller may come back. A process that is behind, for whatever reason, can so no longer refuse for good by an older version.

TestAddedRouteIsNotRefusedWithAnOldTable failed before: NotFound while reads failed, and NotFound again once they succeeded. Now ok, with the tests of app/relay, front, core, errkind, metrics and cmd.

--- a/internal/app/relay/accounts.go
+++ b/internal/app/relay/accounts.go
@@ -27,21 +27,40 @@
 		}
 		return matched != nil && matched.AccountExempt
 	}
+	arrived := s.ports.Clock.Now()
 	decision := s.authorize(ctx, credentials, isExempt)
+	isConfirmed := true
+	if decision.Refusal == account.NotRefused && matched == nil {
+		isConfirmed = s.awaitNewest(ctx, arrived)
+		decision = s.decide(credentials, isExempt)
+	}
 	if err := decision.Err(); err != nil {
 		return core.Admission{}, err
 	}
 	if matched == nil {
 		err := errNoRoute(host, path)
+		if !isConfirmed {
+			err = errRouteUnconfirmed(host, path)
+		}
 		s.recordMissingRoute(credentials.Request, err)
 		return core.Admission{}, err
 	}
 	return core.Admission{Route: *matched, Caller: decision.Caller}, nil
 }
 
+// errRouteUnconfirmed is the error for a path that has no route in a table which may not
+// be the newest.
+func errRouteUnconfirmed(host, path string) error {
+	return errkind.New(errkind.RouteUnconfirmed, "no route matches %s%s here, and the newest configuration could not be read", host, path)
+}
+
 // recordMissingRoute counts and logs that a request is refused because no route matches.
 func (s *Service) recordMissingRoute(request core.RequestID, err error) {
-	s.metrics.RoutesMissing.Inc(1)
+	if errkind.Is(err, errkind.RouteUnconfirmed) {
+		s.metrics.RoutesUnconfirmed.Inc(1)
+	} else {
+		s.metrics.RoutesMissing.Inc(1)
+	}
 	line := s.refusalLog.Warn().Err(err).Str("request", string(request))
 	if table := s.routes.Current(); table != nil {
 		line = line.Uint64("routes", table.Version)
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -36,6 +36,7 @@
 	Quarantined        Kind = "quarantined"
 	MayHaveRun         Kind = "may_have_run"
 	KeyUnconfirmed     Kind = "key_unconfirmed"
+	RouteUnconfirmed   Kind = "route_unconfirmed"
 	ClaimUnsettled     Kind = "claim_unsettled"
 	AnswerIncomplete   Kind = "answer_incomplete"
 	StoreUnavailable   Kind = "store_unavailable"
@@ -92,6 +93,7 @@
 	Quarantined:        {http.StatusServiceUnavailable, NotRun, true},
 	MayHaveRun:         {http.StatusConflict, PossiblyRun, false},
 	KeyUnconfirmed:     {http.StatusServiceUnavailable, NotRun, true},
+	RouteUnconfirmed:   {http.StatusServiceUnavailable, NotRun, true},
 	ClaimUnsettled:     {http.StatusServiceUnavailable, NotRun, false},
 	AnswerIncomplete:   {http.StatusBadGateway, PossiblyRun, true},
 	StoreUnavailable:   {http.StatusServiceUnavailable, NotRun, true},
--- a/internal/metrics/relay.go
+++ b/internal/metrics/relay.go
@@ -6,55 +6,56 @@
 type Relay struct {
 	Registry gometrics.Registry
 
-	RequestsServed  gometrics.Counter
-	RequestsRefused gometrics.Counter
-	RequestsFailed  gometrics.Counter
-	Attempts        gometrics.Counter
-	AttemptsCut     gometrics.Counter
-	ServerDeaths    gometrics.Counter
-	JobsAccepted    gometrics.Counter
-	JobsRefused     gometrics.Counter
-	JobsEnded       gometrics.Counter
-	JobsDenied      gometrics.Counter
-	KeysMissing     gometrics.Counter
-	KeysUnknown     gometrics.Counter
-	KeysRemoved     gometrics.Counter
-	KeysUnconfirmed gometrics.Counter
-	KeysFound       gometrics.Counter
-	KeyReads        gometrics.Counter
-	RoutesMissing   gometrics.Counter
-	RunsStarted     gometrics.Counter
-	RunsCut         gometrics.Counter
-	ResultsStored   gometrics.Counter
-	ScoresMissed    gometrics.Counter
-	WeightOrders    gometrics.Counter
-	OrdersFailed    gometrics.Counter
-	LeasesAcquired  gometrics.Counter
-	LeasesLost      gometrics.Counter
-	TableReads      gometrics.Counter
-	TableCommits    gometrics.Counter
-	TableUnknown    gometrics.Counter
-	StoreFailures   gometrics.Counter
-	Accounts        gometrics.Gauge
-	AccountKeys     gometrics.Gauge
-	SlotsAwaited    gometrics.Counter
-	SlotsRefused    gometrics.Counter
-	PacesBegun      gometrics.Counter
-	ServersPaced    gometrics.Gauge
-	UsageBegun      gometrics.Counter
-	UsageWrites     gometrics.Counter
-	UsageSettled    gometrics.Counter
-	UsageAccepted   gometrics.Counter
-	UsageLate       gometrics.Counter
-	UsageLateRows   gometrics.Counter
-	DutyCalls       gometrics.Counter
-	DutyFailures    gometrics.Counter
-	UsageLost       gometrics.Gauge
-	UsageOwed       gometrics.Gauge
-	DutyHeld        gometrics.Gauge
-	RequestTime     *Latency // ms from a request's arrival to its answer
-	RunTime         *Latency // ms from the start to the end of an item's run
-	SlotWait        *Latency // ms for which a request that found no slot waited for one
+	RequestsServed    gometrics.Counter
+	RequestsRefused   gometrics.Counter
+	RequestsFailed    gometrics.Counter
+	Attempts          gometrics.Counter
+	AttemptsCut       gometrics.Counter
+	ServerDeaths      gometrics.Counter
+	JobsAccepted      gometrics.Counter
+	JobsRefused       gometrics.Counter
+	JobsEnded         gometrics.Counter
+	JobsDenied        gometrics.Counter
+	KeysMissing       gometrics.Counter
+	KeysUnknown       gometrics.Counter
+	KeysRemoved       gometrics.Counter
+	KeysUnconfirmed   gometrics.Counter
+	KeysFound         gometrics.Counter
+	KeyReads          gometrics.Counter
+	RoutesMissing     gometrics.Counter
+	RoutesUnconfirmed gometrics.Counter
+	RunsStarted       gometrics.Counter
+	RunsCut           gometrics.Counter
+	ResultsStored     gometrics.Counter
+	ScoresMissed      gometrics.Counter
+	WeightOrders      gometrics.Counter
+	OrdersFailed      gometrics.Counter
+	LeasesAcquired    gometrics.Counter
+	LeasesLost        gometrics.Counter
+	TableReads        gometrics.Counter
+	TableCommits      gometrics.Counter
+	TableUnknown      gometrics.Counter
+	StoreFailures     gometrics.Counter
+	Accounts          gometrics.Gauge
+	AccountKeys       gometrics.Gauge
+	SlotsAwaited      gometrics.Counter
+	SlotsRefused      gometrics.Counter
+	PacesBegun        gometrics.Counter
+	ServersPaced      gometrics.Gauge
+	UsageBegun        gometrics.Counter
+	UsageWrites       gometrics.Counter
+	UsageSettled      gometrics.Counter
+	UsageAccepted     gometrics.Counter
+	UsageLate         gometrics.Counter
+	UsageLateRows     gometrics.Counter
+	DutyCalls         gometrics.Counter
+	DutyFailures      gometrics.Counter
+	UsageLost         gometrics.Gauge
+	UsageOwed         gometrics.Gauge
+	DutyHeld          gometrics.Gauge
+	RequestTime       *Latency // ms from a request's arrival to its answer
+	RunTime           *Latency // ms from the start to the end of an item's run
+	SlotWait          *Latency // ms for which a request that found no slot waited for one
 }
 
 // NewRelay returns a set of zeroed metrics with its own registry.
@@ -66,8 +67,8 @@
 		"relay.jobs.accepted": &r.JobsAccepted, "relay.jobs.refused": &r.JobsRefused, "relay.jobs.ended": &r.JobsEnded,
 		"relay.jobs.denied": &r.JobsDenied, "relay.keys.missing": &r.KeysMissing, "relay.keys.unknown": &r.KeysUnknown,
 		"relay.keys.removed": &r.KeysRemoved, "relay.keys.unconfirmed": &r.KeysUnconfirmed, "relay.keys.found": &r.KeysFound, "relay.keys.reads": &r.KeyReads,
-		"relay.routes.missing": &r.RoutesMissing,
-		"relay.runs.started":   &r.RunsStarted, "relay.runs.cut": &r.RunsCut,
+		"relay.routes.missing": &r.RoutesMissing, "relay.routes.unconfirmed": &r.RoutesUnconfirmed,
+		"relay.runs.started": &r.RunsStarted, "relay.runs.cut": &r.RunsCut,
 		"relay.results.stored": &r.ResultsStored, "relay.scores.missed": &r.ScoresMissed,
 		"relay.orders.sent": &r.WeightOrders, "relay.orders.failed": &r.OrdersFailed,
 		"relay.leases.acquired": &r.LeasesAcquired, "relay.leases.lost": &r.LeasesLost,
--- a/internal/ports/relay.go
+++ b/internal/ports/relay.go
@@ -12,7 +12,7 @@
 	// Admit returns the route of a request and the account that it is served for,
 	// which a front end sets in the requests and jobs that it passes on. It may wait
 	// for a newer configuration. Errors: Starting while no route table is known,
-	// NotFound, Unauthenticated, KeyUnconfirmed; the request was not run.
+	// NotFound, RouteUnconfirmed, Unauthenticated, KeyUnconfirmed; the request was not run.
 	Admit(ctx context.Context, host, path string, credentials core.Credentials) (core.Admission, error)
 	// Forward sends a request to a backend server and returns the complete
 	// response. It returns once the request's body is no longer in use, also when the
