detour: use the platform's own answer while peers are still tried

A read that takes longer than 350 ms also goes through peers. The reads of routes have 1 s: on a slow line, or with peers that hang, each ended late or failed at its time-out although it was answered, and the table in force grew old.

Both paths are now awaited together and the first answer of the platform counts; the other call is cancelled.

TestSlowDirectAnswerIsUsedWhilePeersHang failed before: 3.36 and 3.35 s for an answer that came after 0.5 s. Now ok in 3 of 3 runs with the package's other tests, and once under the race detector.

--- a/internal/adapters/detour/detour_test.go
+++ b/internal/adapters/detour/detour_test.go
@@ -431,3 +431,41 @@
 		t.Errorf("call after the third peer is refused too: %q, %v", got, err)
 	}
 }
+
+// slowTransport is a direct transport whose calls take a time.
+type slowTransport struct{ delay time.Duration }
+
+func (f slowTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	select {
+	case <-time.After(f.delay):
+		return http.DefaultTransport.RoundTrip(request)
+	case <-request.Context().Done():
+		return nil, request.Context().Err()
+	}
+}
+
+// TestSlowDirectAnswerIsUsedWhilePeersHang guards against a read that ends late, or fails at
+// its timeout, although the platform has answered it, because peers are tried meanwhile.
+func TestSlowDirectAnswerIsUsedWhilePeersHang(t *testing.T) {
+	var writes atomic.Int64
+	platform := platformServer(t, &writes)
+	viaPeer, _, peerDirect := newTransportWithPeer(t, platform)
+	peerDirect.hang.Store(true) // for callTimeout
+	direct := slowTransport{hedgeDelay + 150*time.Millisecond}
+	node, err := Listen("127.0.0.1:0", strings.TrimPrefix(platform.URL, "http://"), direct, limits())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(node.Close)
+	transport := NewTransport(direct, node, viaPeer.peers)
+	for i := range 2 {
+		began := time.Now()
+		got, err := send(t, transport, http.MethodGet, platform.URL+"/rows", "", 2*callTimeout)
+		if took := time.Since(began); err != nil || got != "/rows:" || took >= callTimeout {
+			t.Errorf("read %d: %q after %v, %v", i, got, took, err)
+		}
+	}
+	if transport.IsDirectDown() {
+		t.Error("the direct path counts as down")
+	}
+}
--- a/internal/adapters/detour/transport.go
+++ b/internal/adapters/detour/transport.go
@@ -228,10 +228,37 @@
 		}
 	case <-hedge.C:
 	}
-	peerResponse, err := t.callViaPeers(request)
-	viaPeer := readResult{peerResponse, err, false}
-	if viaPeer.isUsable() && !isCached(peerResponse) {
-		return peerResponse, t.resolveDirect(results, direct)
+	return t.readOnBothPaths(request, direct, results)
+}
+
+// readOnBothPaths sends a read through peers beside the direct one, whose result is either
+// known or yet to come, and returns the first usable response of the platform.
+func (t *Transport) readOnBothPaths(request *http.Request, direct readResult, results <-chan readResult) (*http.Response, error) {
+	ctx, cancel := context.WithCancel(request.Context())
+	peerResults := make(chan readResult, 1)
+	go func() {
+		response, err := t.callViaPeers(request.WithContext(ctx))
+		if err == nil {
+			response.Body = &bodyWithCleanup{response.Body, cancel}
+		} else {
+			cancel()
+		}
+		peerResults <- readResult{response, err, false}
+	}()
+	var viaPeer readResult
+	for viaPeer == (readResult{}) {
+		select {
+		case direct = <-results:
+			if direct.isUsable() {
+				cancel()
+				go func() { closeBody((<-peerResults).response) }()
+				return direct.response, nil
+			}
+		case viaPeer = <-peerResults:
+		}
+	}
+	if viaPeer.isUsable() && !isCached(viaPeer.response) {
+		return viaPeer.response, t.resolveDirect(results, direct)
 	}
 	if direct == (readResult{}) {
 		direct = <-results
@@ -241,14 +268,10 @@
 	}
 	if viaPeer.isUsable() && !direct.isUsable() {
 		// A response that a peer has cached is better than none.
-		if direct.response != nil {
-			closeBody(direct.response)
-		}
-		return peerResponse, nil
-	}
-	if err == nil {
-		closeBody(peerResponse)
+		closeBody(direct.response)
+		return viaPeer.response, nil
 	}
+	closeBody(viaPeer.response)
 	return direct.response, direct.err
 }
 
