relay: use a newer route table that a peer read earlier

Route tables and weight versions are taken only if newer, so a peer's earlier answer is now applied; it still counts as a failed read and confirms no refusal. Lists of servers have no version; there an earlier answer serves only a process without one, as before.

--- a/internal/app/relay/newest_test.go
+++ b/internal/app/relay/newest_test.go
@@ -47,3 +47,15 @@
 		t.Errorf("path that has no route in the newest table: %v", err)
 	}
 }
+
+// TestNewerAnswerOfAPeerIsUsed guards against a process that keeps an old table although a
+// peer answers for the store with a newer one.
+func TestNewerAnswerOfAPeerIsUsed(t *testing.T) {
+	s := newEnvironment(t)
+	service := s.waitReady(s.start("vm-1"))
+	s.mu.Lock()
+	s.published.Stale = true
+	s.mu.Unlock()
+	s.publishRoute("/added/")
+	s.waitVersion(service)
+}
--- a/internal/app/relay/watch.go
+++ b/internal/app/relay/watch.go
@@ -68,7 +68,8 @@
 	return s.accounts.RegularReadDelay(s.ports.Clock.Now(), s.pollInterval())
 }
 
-// readPublished makes the read of published data that has begun at a time.
+// readPublished makes the read of published data that has begun at a time. A peer's earlier
+// answer may be newer than what is in force here, but confirms nothing.
 func (s *Service) readPublished(began time.Time) {
 	err := s.lanes.published.Go(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, watchTimeout)
@@ -77,7 +78,7 @@
 		if err == nil && published.Stale && s.routes.Current() != nil {
 			err = errStale
 		}
-		if s.recordStoreResult("published", err); err != nil {
+		if s.recordStoreResult("published", err); err != nil && !published.Stale {
 			s.accounts.EndRead(began, false)
 			return
 		}
@@ -110,6 +111,7 @@
 	s.readAndApply("servers", func(ctx context.Context) (func(), error) {
 		began := s.ports.Clock.Now()
 		read, err := s.ports.Registry.Servers(ctx)
+		// Lists of servers have no version, so that only a process without one uses a peer's.
 		if _, readAt := s.registry.Entries(); err == nil && read.Stale && !readAt.IsZero() {
 			err = errStale
 		}
@@ -120,8 +122,7 @@
 	})
 }
 
-// errStale reports that only a peer's earlier answer was available. A process
-// without any data uses it; any other has data that is as recent.
+// errStale reports that only a peer's earlier answer was available.
 var errStale = errkind.New(errkind.StoreUnavailable, "platform is unavailable; a peer returned an earlier answer")
 
 func (s *Service) applyServers(read core.Registrations, began time.Time) {
