jobs: continue a text only at servers of the software that began it

A server's software version is now read from its registration, kept with each item's text, in checkpoints and in texts kept for items that come back, and required by routing for the next run. If no live server of it is left, or the run has waited for as long as generating the text again takes and another engine has a free slot, the item starts anew. A text whose software is not known is never continued, so that unfinished texts of older releases' checkpoints are dropped once. Runs are moved off slow engines only to engines of their software.

Fixtures that generate a text now place its run first, as the application does.

--- a/bench/stepschedulers.go
+++ b/bench/stepschedulers.go
@@ -38,7 +38,7 @@
 	o.scheduler.RunNotPlaced(start.Work, now)
 }
 func (o serviceSteps) recordPlaced(start job.RunStart, engine core.ServerID) {
-	o.scheduler.RunPlaced(start.Work, engine)
+	o.scheduler.RunPlaced(start.Work, engine, "")
 }
 
 func (o serviceSteps) recordEvent(run job.RunID, id int, engine core.ServerID, interval time.Duration, now time.Time) bool {
@@ -61,7 +61,7 @@
 }
 
 func (o serviceSteps) runsToMove(free int, now time.Time) []job.RunID {
-	reserve := func(core.ModelName, core.WeightVersion) bool {
+	reserve := func(job.Move) bool {
 		free--
 		return free >= 0
 	}
--- a/internal/adapters/peerquic/wire.go
+++ b/internal/adapters/peerquic/wire.go
@@ -183,6 +183,8 @@
 	Region  core.RegionName `cbor:"6,keyasint,omitempty"`
 	State   core.VMState    `cbor:"7,keyasint,omitempty"`
 	Slots   int             `cbor:"8,keyasint,omitempty"`
+
+	Software core.SoftwareVersion `cbor:"9,keyasint,omitempty"`
 }
 
 type wireVMListChangesRequest struct {
--- a/internal/adapters/vmlisthttp/client.go
+++ b/internal/adapters/vmlisthttp/client.go
@@ -31,6 +31,8 @@
 	Region  core.RegionName `json:"region"`
 	State   core.VMState    `json:"state"`
 	Slots   int             `json:"slots,omitempty"`
+
+	Software core.SoftwareVersion `json:"software,omitempty"`
 }
 
 type vmsMessage struct {
--- a/internal/app/relay/fakes_test.go
+++ b/internal/app/relay/fakes_test.go
@@ -78,7 +78,7 @@
 	for i := range 3 {
 		s.servers = append(s.servers,
 			core.ServerEntry{
-				VM:     core.VM{ID: core.ServerID(fmt.Sprint("engine-", i)), Kind: core.KindEngine, Service: engineService, Zone: "z", Region: "r", State: core.VMLive},
+				VM:     core.VM{ID: core.ServerID(fmt.Sprint("engine-", i)), Kind: core.KindEngine, Service: engineService, Zone: "z", Region: "r", State: core.VMLive, Software: "v1"},
 				Models: []core.ModelVersion{{Model: "m", Version: 1}},
 			},
 			core.ServerEntry{VM: core.VM{ID: core.ServerID(fmt.Sprint("desk-", i)), Kind: core.KindPlain, Service: plainService, Zone: "z", Region: "r", State: core.VMLive}})
--- a/internal/app/relay/run.go
+++ b/internal/app/relay/run.go
@@ -77,12 +77,13 @@
 	return found
 }
 
-// reserve takes a free slot of an engine that has loaded a model in the given weight
-// version or a newer one. It returns false if there is none.
-func (f *freeSlots) reserve(model core.ModelName, oldest core.WeightVersion) bool {
+// reserve takes a free slot of an engine that may continue a run. It returns false if there
+// is none.
+func (f *freeSlots) reserve(move job.Move) bool {
 	for i := range f.engines {
-		loaded, isLoaded := f.engines[i].Status.Holds(core.AdapterName(model))
-		if isLoaded && loaded.Version >= oldest && f.free[i] > 0 && !slices.Contains(f.loading[model], f.engines[i].VM.ID) {
+		loaded, isLoaded := f.engines[i].Status.Holds(core.AdapterName(move.Model))
+		if isLoaded && loaded.Version >= move.Oldest && f.free[i] > 0 && f.engines[i].VM.Software == move.Software &&
+			!slices.Contains(f.loading[move.Model], f.engines[i].VM.ID) {
 			f.free[i]--
 			return true
 		}
@@ -99,14 +100,25 @@
 	query := routing.Query{
 		Kind: s.serverKind(target), Service: target, Adapter: core.AdapterName(start.Model),
 		Version: start.OldestVersion, ExactVersion: start.ExactVersion, RequiresFreeSlot: true, KeepsPace: start.KeepsPace(),
+		Software: start.Software, ExactSoftware: start.EventsReceived > 0,
 		Zone: s.options.Self.Zone, Region: s.options.Self.Region, Class: core.ClassRollout,
 		ExpectedTokens: start.Item.Tokens, BodyBytes: len(start.Item.Body), Prefix: promptHashes(start.Item.Parts), Exclude: avoided.EnginesFor(&start),
 	}
 	dispatch, err := s.servers.Acquire(query, now)
+	if err != nil && start.MayStartAnew(s.servers.ServesSoftware(query.Kind, target, start.Software)) {
+		anew := start.Anew()
+		query.Version, query.ExactVersion, query.ExactSoftware = anew.OldestVersion, anew.ExactVersion, false
+		if dispatch, err = s.servers.Acquire(query, now); err == nil {
+			s.log.Info().Str("job", string(start.Work.Job)).Str("item", string(start.Item.ID)).Int("events", start.EventsReceived).
+				Str("software", string(start.Software)).Dur("waited", start.Waited).Msg(logs.TextDiscarded)
+			s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) { scheduler.DiscardText(start.Work) })
+			start = anew
+		}
+	}
 	if err != nil {
 		return err
 	}
-	s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) { scheduler.RunPlaced(start.Work, dispatch.VM.ID) })
+	s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) { scheduler.RunPlaced(start.Work, dispatch.VM.ID, dispatch.VM.Software) })
 	err = s.lanes.runs.Go(func(lane context.Context) {
 		ctx, end := s.beginWork(lane, service, start.Work)
 		result := s.executeRun(ctx, service, start, dispatch)
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -80,8 +80,9 @@
 	Item     ItemID
 	Text     []string // data of the events so far
 	Versions []WeightVersion
-	Newest   WeightVersion // weights that produced the last event
-	Whole    bool          // the text is complete and has yet to be scored
+	Newest   WeightVersion   // weights that produced the last event
+	Software SoftwareVersion `cbor:",omitempty"` // of the servers that generated it; empty in checkpoints of older releases
+	Whole    bool            // the text is complete and has yet to be scored
 }
 
 // ResultPage is one page of a job's results.
--- a/internal/core/job/accounts_test.go
+++ b/internal/core/job/accounts_test.go
@@ -17,6 +17,7 @@
 	if run.Account != "a" {
 		t.Errorf("run of account %q, want a", run.Account)
 	}
+	scheduler.RunPlaced(run.Work, "e", "v1")
 	for i := range 20 {
 		scheduler.AddEvent(run.Work, event(i+1, 1))
 	}
--- a/internal/core/job/checkpoint.go
+++ b/internal/core/job/checkpoint.go
@@ -65,7 +65,7 @@
 func (row *openJob) checkpoint(index int) core.CheckpointText {
 	i := &row.items[index]
 	return core.CheckpointText{
-		Account: row.job.Account, Item: row.job.Items[index].ID, Text: i.text, Versions: i.versions, Newest: i.newest,
+		Account: row.job.Account, Item: row.job.Items[index].ID, Text: i.text, Versions: i.versions, Newest: i.newest, Software: i.software,
 		Whole: i.phase == awaitingScore || i.phase == scoring || i.phase == stored || i.phase == awaitingStore && i.result.State == core.ItemCompleted,
 	}
 }
@@ -105,7 +105,8 @@
 }
 
 // restoreSavedText resumes an item from the text that it had in an earlier job,
-// unless some of the weights that generated it are older than this job allows.
+// unless some of the weights that generated it are older than this job allows, or the
+// text has yet to be continued and it is not known what software generated it.
 func (s *Scheduler) restoreSavedText(row *openJob, index int) {
 	id := row.job.Items[index].ID
 	key := textKey{row.job.Account, id}
@@ -114,11 +115,11 @@
 		return
 	}
 	delete(s.savedTexts, key)
-	if slices.ContainsFunc(saved.Versions, func(v core.WeightVersion) bool { return v < row.job.Oldest }) {
+	if slices.ContainsFunc(saved.Versions, func(v core.WeightVersion) bool { return v < row.job.Oldest }) || !saved.Whole && saved.Software == "" {
 		return
 	}
 	state := &row.items[index]
-	state.text, state.versions, state.newest = saved.Text, saved.Versions, saved.Newest
+	state.text, state.versions, state.newest, state.software = saved.Text, saved.Versions, saved.Newest, saved.Software
 	switch {
 	case saved.Whole && row.job.Items[index].Scorer == nil:
 		state.finish(id, core.ItemCompleted, "")
--- a/internal/core/job/doc.go
+++ b/internal/core/job/doc.go
@@ -38,12 +38,14 @@
 	Account        core.AccountName // that submitted the job; empty if there is none
 	Host           string
 	Model          core.ModelName
-	OldestVersion  core.WeightVersion // oldest weights allowed
-	ExactVersion   bool               // only the version in OldestVersion is allowed
-	EventsReceived int                // number of events already received
-	AvoidServer    core.ServerID      // backend server that interrupted or refused the last run; empty for none
-	IsLong         bool               // the text is expected to be long, compared with the job's others
-	Waited         time.Duration      // time since the first attempt to place the item
+	OldestVersion  core.WeightVersion   // oldest weights allowed
+	ExactVersion   bool                 // only the version in OldestVersion is allowed
+	EventsReceived int                  // number of events already received
+	Software       core.SoftwareVersion // of the backend servers that generated them; only these may continue the text
+	oldestAnew     core.WeightVersion   // oldest weights allowed for a text that starts anew
+	AvoidServer    core.ServerID        // backend server that interrupted or refused the last run; empty for none
+	IsLong         bool                 // the text is expected to be long, compared with the job's others
+	Waited         time.Duration        // time since the first attempt to place the item
 }
 
 // RunOutcome is the way in which a run ended.
--- a/internal/core/job/intervals_test.go
+++ b/internal/core/job/intervals_test.go
@@ -62,7 +62,7 @@
 	scheduler := NewScheduler()
 	scheduler.Open(newTestJob("j", 1, 30, 20, 10), nil, policy, at(0))
 	for i, start := range scheduler.NextRuns(3, at(0)) {
-		scheduler.RunPlaced(start.Work, core.ServerID(fmt.Sprint("e", i)))
+		scheduler.RunPlaced(start.Work, core.ServerID(fmt.Sprint("e", i)), "v1")
 	}
 	slow := []core.ServerID{"e0", "e2"}
 	if got := scheduler.SelectMoves(SlowEngineMoves(slow), limitedRoom(1)); len(got) != 1 || got[0].Index != 0 {
@@ -78,8 +78,8 @@
 
 // limitedRoom returns a callback that reserves a limited number of slots, for
 // any job.
-func limitedRoom(slots int) func(core.ModelName, core.WeightVersion) bool {
-	return func(core.ModelName, core.WeightVersion) bool {
+func limitedRoom(slots int) func(Move) bool {
+	return func(Move) bool {
 		slots--
 		return slots >= 0
 	}
@@ -92,9 +92,9 @@
 	scheduler.Open(newTestJob("older", 1, 10), nil, policy, at(0))
 	scheduler.Open(newTestJob("newer", 2, 10), nil, policy, at(0))
 	for _, start := range scheduler.NextRuns(2, at(0)) {
-		scheduler.RunPlaced(start.Work, "slow")
+		scheduler.RunPlaced(start.Work, "slow", "v1")
 	}
-	onlyOld := func(_ core.ModelName, oldest core.WeightVersion) bool { return oldest <= 1 }
+	onlyOld := func(move Move) bool { return move.Oldest <= 1 }
 	got := scheduler.SelectMoves(SlowEngineMoves([]core.ServerID{"slow"}), onlyOld)
 	if len(got) != 1 || got[0].Job != "older" {
 		t.Errorf("moves %+v, want only the run of the job that allows older weights", got)
--- a/internal/core/job/item.go
+++ b/internal/core/job/item.go
@@ -26,7 +26,9 @@
 	run            uint64
 	text           []string
 	versions       []core.WeightVersion
-	newest         core.WeightVersion // version of the last event
+	newest         core.WeightVersion   // version of the last event
+	software       core.SoftwareVersion // of the backend servers that generated the text
+	runSoftware    core.SoftwareVersion // of the backend server of the current run
 	serverFailures int
 	scorerErrors   int       // error responses of scorers
 	notBefore      time.Time // earliest time of the next run or scorer call
@@ -37,12 +39,13 @@
 	result         core.ItemResult
 }
 
-// appendEvent appends an event. It returns false if the event does not follow
-// the last one.
+// appendEvent appends an event of the current run. It returns false if the event does
+// not follow the last one, which is of the same software version.
 func (i *item) appendEvent(event core.Event) bool {
-	if event.ID != len(i.text)+1 {
+	if event.ID != len(i.text)+1 || len(i.text) > 0 && i.software != i.runSoftware {
 		return false
 	}
+	i.software = i.runSoftware
 	if event.Version != 0 {
 		i.newest = event.Version
 	}
@@ -55,7 +58,7 @@
 
 // discardText discards the text.
 func (i *item) discardText() {
-	i.text, i.versions, i.newest = nil, nil, 0
+	i.text, i.versions, i.newest, i.software = nil, nil, 0, ""
 }
 
 // finish sets the item's result. The text is joined only when the result is
--- a/internal/core/job/scheduler.go
+++ b/internal/core/job/scheduler.go
@@ -164,7 +164,7 @@
 	}
 	start := RunStart{
 		Work: RunID{row.job.ID, index, s.lastRun}, Item: &row.job.Items[index],
-		Account: row.job.Account, Host: row.job.Host, Model: row.job.Model, OldestVersion: row.job.Oldest, EventsReceived: len(state.text), AvoidServer: state.avoidServer, Waited: now.Sub(state.waitingSince),
+		Account: row.job.Account, Host: row.job.Host, Model: row.job.Model, OldestVersion: row.job.Oldest, oldestAnew: row.job.Oldest, EventsReceived: len(state.text), Software: state.software, AvoidServer: state.avoidServer, Waited: now.Sub(state.waitingSince),
 		IsLong: row.isLong(index),
 	}
 	if row.policy.SingleVersion && len(state.text) > 0 {
@@ -188,23 +188,30 @@
 	state.notBefore = now.Add(refusedRetryDelay)
 }
 
-// RunPlaced records the engine on which a run was placed.
-func (s *Scheduler) RunPlaced(run RunID, engine core.ServerID) {
+// RunPlaced records the engine on which a run was placed, and its software.
+func (s *Scheduler) RunPlaced(run RunID, engine core.ServerID, software core.SoftwareVersion) {
 	if row, state := s.findRun(run); state != nil {
-		state.server, state.waitingSince = engine, time.Time{}
+		state.server, state.runSoftware, state.waitingSince = engine, software, time.Time{}
 		s.turns.placed(row, run.Index)
 	}
 }
 
+// DiscardText discards the text of an item whose run starts anew.
+func (s *Scheduler) DiscardText(run RunID) {
+	if _, state := s.findRun(run); state != nil {
+		state.discardText()
+	}
+}
+
 // maxMoves limits how often an item is moved. Without a limit, engines that
 // become slow one after another could keep an item from ever ending.
 const maxMoves = 4
 
-// SelectMoves returns runs that a rule moves to another engine. The reserveSlot callback takes a free slot on another engine that may run the
-// job's items, and reports whether there was one. An engine prefills the text
-// generated so far within a few ms, so a run with more than a few events left
-// ends sooner on a faster engine.
-func (s *Scheduler) SelectMoves(rule MoveRule, reserveSlot func(model core.ModelName, oldest core.WeightVersion) bool) []RunID {
+// SelectMoves returns runs that a rule moves to another engine. The reserveSlot callback
+// takes a free slot on another engine that may continue the text, and reports whether there
+// was one. An engine prefills the text generated so far within a few ms, so a run with more
+// than a few events left ends sooner on a faster engine.
+func (s *Scheduler) SelectMoves(rule MoveRule, reserveSlot func(Move) bool) []RunID {
 	var moves []RunID
 	for _, row := range s.jobsInOrder() {
 		for _, i := range row.startOrder {
@@ -212,8 +219,8 @@
 			if state.phase != running || state.moves >= rule.MaxMoves || len(state.text) < rule.MinEvents || !slices.Contains(rule.Engines, state.server) {
 				continue
 			}
-			if !reserveSlot(row.job.Model, row.job.Oldest) {
-				break
+			if !reserveSlot(Move{row.job.Model, row.job.Oldest, state.software}) {
+				continue
 			}
 			state.moves++
 			state.server = "" // a run is selected only once
--- a/internal/core/job/scheduler_test.go
+++ b/internal/core/job/scheduler_test.go
@@ -200,6 +200,7 @@
 		scheduler := NewScheduler()
 		scheduler.Open(newTestJob("first", 1, 10, 500), nil, policy, at(0))
 		work := scheduler.NextRuns(1, at(0))[0].Work
+		scheduler.RunPlaced(work, "e", "v1")
 		for i := range 3 {
 			scheduler.AddEvent(work, event(i+1, 2))
 		}
@@ -225,6 +226,7 @@
 	scheduler.Open(newTestJob("j", 1, 30, 20, 10), nil, policy, at(0))
 	starts := scheduler.NextRuns(3, at(0))
 	for i, events := range []int{20, 16, 3} {
+		scheduler.RunPlaced(starts[i].Work, "e", "v1")
 		for e := range events {
 			scheduler.AddEvent(starts[i].Work, event(e+1, 1))
 		}
--- a/internal/core/job/turns_test.go
+++ b/internal/core/job/turns_test.go
@@ -33,7 +33,7 @@
 					s.RunNotPlaced(start.Work, at(second)) // one slot is free
 					continue
 				}
-				s.RunPlaced(start.Work, "e")
+				s.RunPlaced(start.Work, "e", "v1")
 				started[start.Work.Job]++
 			}
 		}
--- a/internal/core/job/weakengines_test.go
+++ b/internal/core/job/weakengines_test.go
@@ -75,12 +75,12 @@
 	for attempt := range 5 {
 		start := s.NextRuns(1, now)[0]
 		engine := core.ServerID(fmt.Sprint("e", attempt))
-		s.RunPlaced(start.Work, engine)
+		s.RunPlaced(start.Work, engine, "v1")
 		for range longRunEvents {
 			events++
 			s.AddEvent(start.Work, core.Event{ID: events})
 		}
-		moves := s.SelectMoves(WeakEngineMoves([]core.ServerID{engine}), func(core.ModelName, core.WeightVersion) bool { return true })
+		moves := s.SelectMoves(WeakEngineMoves([]core.ServerID{engine}), func(Move) bool { return true })
 		moved += len(moves)
 		if len(moves) == 0 {
 			break
@@ -141,11 +141,11 @@
 				s.RunNotPlaced(start.Work, now)
 				continue
 			}
-			s.RunPlaced(start.Work, engines[at])
+			s.RunPlaced(start.Work, engines[at], "v1")
 			running = append(running, &active{start, engines[at], start.EventsReceived, now.Add(pace[engines[at]])})
 		}
 		free := map[core.ServerID]int{"fast-1": slots - count("fast-1"), "fast-2": slots - count("fast-2")}
-		moves := s.SelectMoves(WeakEngineMoves(avoided.Weak), func(core.ModelName, core.WeightVersion) bool {
+		moves := s.SelectMoves(WeakEngineMoves(avoided.Weak), func(Move) bool {
 			for engine := range free {
 				if free[engine] > 0 {
 					free[engine]--
--- a/internal/core/logs/messages.go
+++ b/internal/core/logs/messages.go
@@ -16,6 +16,8 @@
 	RunEnded     = "run ended"
 	ResultListed = "result listed"
 
+	TextDiscarded = "text starts anew: no server of its software can continue it"
+
 	VersionNamed  = "weight version named"
 	VersionLoaded = "version loaded"
 	RoutesInForce = "route table in force"
--- a/internal/core/routing/decide.go
+++ b/internal/core/routing/decide.go
@@ -53,6 +53,9 @@
 		d.ignoresPace = true
 		s.gather(random)
 	}
+	if d.candidateCount == 0 && query.ExactSoftware {
+		s.gatherSoftware(random)
+	}
 	if d.candidateCount == 0 {
 		s.gatherSlow(random)
 	}
--- a/internal/core/routing/gather.go
+++ b/internal/core/routing/gather.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"slices"
+
+	"fescuespar/internal/core"
 )
 
 // gatherLocal adds the servers that have a prefix of the prompt cached, the
@@ -131,3 +133,23 @@
 	}
 	return found
 }
+
+// gatherSoftware adds the servers of the software version that the query requires, from a
+// random one on. Servers of other versions may be so many that none of it is drawn. It takes
+// time linear in the number of servers.
+func (s *State) gatherSoftware(random *rand.Rand) {
+	first := random.IntN(len(s.sortedServers))
+	for i := range s.sortedServers {
+		srv := s.sortedServers[(first+i)%len(s.sortedServers)]
+		if srv.pool == s.decision.pool && srv.vm.Software == s.decision.query.Software && !srv.health.Ejected() {
+			s.addCandidate(srv, 0)
+		}
+	}
+}
+
+// ServesSoftware reports whether a service has a live server of a software version.
+func (s *State) ServesSoftware(kind core.ServerKind, service string, version core.SoftwareVersion) bool {
+	return slices.ContainsFunc(s.sortedServers, func(srv *server) bool {
+		return srv.vm.Kind == kind && srv.vm.Service == service && srv.vm.Software == version && srv.vm.State == core.VMLive && version != ""
+	})
+}
--- a/internal/core/routing/query.go
+++ b/internal/core/routing/query.go
@@ -14,8 +14,10 @@
 	Adapter          core.AdapterName
 	Version          core.WeightVersion // oldest weights that may serve the request, zero for any
 	ExactVersion     bool               // only weights of exactly Version may serve the request
-	Zone             core.ZoneName      // of the requesting entry VM
-	Region           core.RegionName    // of the requesting entry VM
+	Software         core.SoftwareVersion
+	ExactSoftware    bool            // only servers whose software is known to have the version Software may serve the request
+	Zone             core.ZoneName   // of the requesting entry VM
+	Region           core.RegionName // of the requesting entry VM
 	Class            core.Class
 	ExpectedTokens   int             // expected tokens of prompt and answer
 	ExpectedBytes    int             // expected bytes of prompt and answer; zero for bytesPerToken for each expected token
--- a/internal/core/routing/state.go
+++ b/internal/core/routing/state.go
@@ -50,7 +50,7 @@
 
 		otherRateShare: initialRateShare,
 
-		filters: []Filter{LiveFilter{}, HealthFilter{}, VersionFilter{}, ExcludeFilter{}, SlotFilter{}, PushbackFilter{}, RateLimitFilter{}, PaceFilter{}, BytesFilter{PerSlot: policy.BytesPerSlot}, LinkFilter{}},
+		filters: []Filter{LiveFilter{}, HealthFilter{}, VersionFilter{}, SoftwareFilter{}, ExcludeFilter{}, SlotFilter{}, PushbackFilter{}, RateLimitFilter{}, PaceFilter{}, BytesFilter{PerSlot: policy.BytesPerSlot}, LinkFilter{}},
 		scorers: []Scorer{
 			WaitScorer{}, LinkScorer{Policy: policy.Link}, ZoneScorer{RoundTrip: policy.ZoneRoundTrip}, LagScorer{}, ConnectScorer{Cost: policy.ConnectionCost},
 			PushbackScorer{},
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -31,8 +31,15 @@
 	Region  RegionName
 	State   VMState
 	Slots   int // requests that it runs concurrently; zero if unknown
+
+	Software SoftwareVersion
 }
 
+// SoftwareVersion is the version of a backend server's software, not of its weights; empty
+// if it is not known. What servers of two versions generate must not be joined, so that
+// text of an unknown one is never continued.
+type SoftwareVersion string
+
 // EngineStatus is the status that an engine reports of itself. It lags by the
 // reporting interval of the engine. CacheEvents may have gaps: if events were
 // lost, NextEvent is larger than the previous cursor plus the number of events.
--- a/internal/tables/servers.go
+++ b/internal/tables/servers.go
@@ -246,6 +246,13 @@
 	return t.state.EnginesOfService(service)
 }
 
+// ServesSoftware reports whether a service has a live server of a software version.
+func (t *Servers) ServesSoftware(kind core.ServerKind, service string, version core.SoftwareVersion) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state.ServesSoftware(kind, service, version)
+}
+
 // Views returns a snapshot of all servers.
 func (t *Servers) Views() []routing.View {
 	t.mu.Lock()
