relay: continue a stream within its answer only at its software version

The software of the server whose head was passed on is kept with the stream and required of later attempts. Without such a server the answer is broken off; the caller may take the stream up.

--- a/internal/app/relay/events.go
+++ b/internal/app/relay/events.go
@@ -24,9 +24,11 @@
 	ctx             context.Context // ends when the caller has left or was answered
 	sink            ports.EventSink
 	progress        route.StreamProgress
+	software        core.SoftwareVersion    // of the backend server whose head was passed on; only such servers may continue the stream
 	contentType     string                  // of the response whose head was passed on
 	excluded        []core.ServerID         // already tried
 	failureResponse core.RelayResponse      // a backend server's 5xx response, returned if no later attempt begins a stream
+	server          core.VM                 // of the current attempt
 	onHead          func(core.ServerNotice) // called for each attempt's head
 	onEvent         func()                  // called for each event of an attempt
 }
@@ -37,7 +39,7 @@
 	st.onHead(response.ServerNotice)
 	contentType := response.Header.Get("Content-Type")
 	if !st.progress.Begun {
-		st.progress.Begun, st.contentType = true, contentType
+		st.progress.Begun, st.contentType, st.software = true, contentType, st.server.Software
 		return st.sink.Head(response)
 	}
 	if contentType != st.contentType {
@@ -176,6 +178,7 @@
 		Kind: s.serverKind(st.service), Service: st.service, Class: core.ClassInteractive, ExpectedTokens: 1,
 		Adapter: core.AdapterName(st.request.Model), BodyBytes: len(st.request.Body),
 		Zone: s.options.Self.Zone, Region: s.options.Self.Region, Exclude: st.excluded,
+		Software: st.software, ExactSoftware: st.progress.Begun,
 	}
 	if st.route.SingleVersion && st.request.Version != 0 {
 		query.Version, query.ExactVersion = st.request.Version, true
@@ -184,6 +187,7 @@
 	if err != nil {
 		return core.RelayResponse{}, "", err
 	}
+	st.server = dispatch.VM
 	st.progress.Attempts++
 	s.metrics.Attempts.Inc(1)
 	st.onHead = func(notice core.ServerNotice) { s.noteServer(dispatch.VM.ID, now, notice) }
--- a/internal/app/relay/software_test.go
+++ b/internal/app/relay/software_test.go
@@ -64,3 +64,33 @@
 		})
 	}
 }
+
+// textSink collects the data of a caller's stream.
+type textSink struct{ events []string }
+
+func (*textSink) Head(core.RelayResponse) error { return nil }
+
+func (k *textSink) Event(event core.Event) error {
+	k.events = append(k.events, event.Data)
+	return nil
+}
+
+// TestAnswerIsNotJoinedFromTwoSoftwareVersions breaks off the first attempt of streams, with
+// one engine of other software beside the stream's, and with no other one of its own.
+func TestAnswerIsNotJoinedFromTwoSoftwareVersions(t *testing.T) {
+	for _, c := range []struct {
+		versions []core.SoftwareVersion
+		goesOn   bool
+	}{{[]core.SoftwareVersion{"v1", "v1", "v1"}, true}, {[]core.SoftwareVersion{"v1", "v2", "v3"}, false}} {
+		for range 5 { // which engine is first is random
+			s := newEnvironment(t)
+			s.setSoftware(c.versions...)
+			s.stream = breakingStream(8)
+			service, sink := s.waitReady(s.start("vm-1")), &textSink{}
+			_, err := service.ForwardEvents(t.Context(), core.EventsRequest{RelayRequest: core.RelayRequest{ID: "s", Host: host, Target: "/stream/x", Model: "m"}}, sink)
+			if (err == nil) != c.goesOn || len(sink.events) < 4 || sink.events[0] != sink.events[len(sink.events)-1] {
+				t.Errorf("%v: %v, %v", c.versions, sink.events, err)
+			}
+		}
+	}
+}
