relay: a stream that is taken up goes on only at the software that began it

Of each service the processes now share one record in the store, the base version; a stream of any other version gets a row, keyed by the attempt that began it, before its first event is passed on. A take-up reads the record, and the row where other versions have begun streams, and goes on only at servers of that version. Where the version is not known, or no server of it is left, it is refused at once with 503. A service whose servers have one version costs no write and one read for each take-up. Rows go when their caller has the whole stream, the others after 2 minutes and four time-outs.

--- a/cmd/fescuespar/relay.go
+++ b/cmd/fescuespar/relay.go
@@ -106,7 +106,7 @@
 		},
 		Seed: uint64(incarnation), Seeds: loaded.Seeds, Workers: relayWorkers, AddressCacheTime: loaded.AddressCacheTime,
 		MinOrderInterval: loaded.MinOrderInterval, GracePeriod: loaded.GracePeriod, RegistryRecovery: loaded.RegistryRecovery, ReclaimPeriod: leaseReclaimDelay,
-		MaxResultBytes: loaded.MaxRowBytes * 3 / 4, StoreReadsPerSecond: loaded.StoreReadsPerSecond,
+		MaxResultBytes: loaded.MaxRowBytes * 3 / 4, StoreReadsPerSecond: loaded.StoreReadsPerSecond, StoreWritesPerSecond: loaded.StoreWritesPerSecond,
 		MaxRequests: admission.Capacity(loaded.MemoryBytes, loaded.MaxDescriptors),
 		Duties: relay.DutyOptions{
 			ReportsUsage: loaded.Duties.UsageReport, CallsPerSecond: loaded.Duties.CallsPerSecond,
--- a/internal/adapters/recordcodec/recordcodec.go
+++ b/internal/adapters/recordcodec/recordcodec.go
@@ -32,6 +32,8 @@
 	core.TableUsage:    codecFor[core.UsageRecord](),
 	core.TableReport:   codecFor[core.ReportRecord](),
 	core.TableReported: codecFor[core.ReportedRecord](),
+	core.TableSoftware: codecFor[core.SoftwareRecord](),
+	core.TableStream:   codecFor[core.StreamRecord](),
 }
 
 // Header values of answers may contain any bytes, so strings are not checked for
--- a/internal/app/relay/events.go
+++ b/internal/app/relay/events.go
@@ -24,7 +24,11 @@
 	ctx             context.Context // ends when the caller has left or was answered
 	sink            ports.EventSink
 	progress        route.StreamProgress
-	software        core.SoftwareVersion    // of the backend server whose head was passed on; only such servers may continue the stream
+	software        core.SoftwareVersion    // of the servers that may run the stream, once isFixed
+	isFixed         bool                    // the stream has begun, or its software is being recorded
+	recorded        <-chan error            // outcome of recording the software; nil if there is nothing to wait for
+	recordErr       error                   // the software could not be recorded
+	row             core.RowKey             // of the recorded software; zero for none
 	contentType     string                  // of the response whose head was passed on
 	excluded        []core.ServerID         // already tried
 	failureResponse core.RelayResponse      // a backend server's 5xx response, returned if no later attempt begins a stream
@@ -39,7 +43,10 @@
 	st.onHead(response.ServerNotice)
 	contentType := response.Header.Get("Content-Type")
 	if !st.progress.Begun {
-		st.progress.Begun, st.contentType, st.software = true, contentType, st.server.Software
+		if err := st.awaitRecorded(); err != nil {
+			return err
+		}
+		st.progress.Begun, st.contentType, st.software, st.isFixed = true, contentType, st.server.Software, true
 		return st.sink.Head(response)
 	}
 	if contentType != st.contentType {
@@ -48,6 +55,21 @@
 	return nil
 }
 
+// awaitRecorded waits until the software of the stream is recorded, if it has to be.
+func (st *eventStream) awaitRecorded() error {
+	if st.recorded == nil {
+		return nil
+	}
+	select {
+	case err := <-st.recorded:
+		st.recorded = nil
+		st.recordErr = errkind.Wrap(errkind.ServerFailed, err, "the software of the stream was not recorded")
+		return st.recordErr
+	case <-st.ctx.Done():
+		return errkind.Wrap(errkind.Canceled, st.ctx.Err(), "record the software of the stream")
+	}
+}
+
 // Event implements ports.EventSink. An event out of order is an error, as is a change
 // of the weight version on a route that allows only one.
 func (st *eventStream) Event(event core.Event) error {
@@ -83,11 +105,20 @@
 		request: request, guard: newCrashGuard(&request.RelayRequest), route: matched, service: s.routes.Choose(&matched), ctx: ctx, sink: sink,
 		progress: route.StreamProgress{Resumable: matched.Resumable, MaxAttempts: matched.Attempts},
 	}
+	if matched.Resumable && request.After > 0 {
+		st.isFixed = true
+		if err := s.findSoftware(st); err != nil {
+			return core.RelayResponse{}, err
+		}
+	}
 	taken := slot{kind: tables.SlotKind{Service: st.service, Stream: true}, class: core.ClassInteractive}
 	var response core.RelayResponse
 	if err = s.acquireStreamSlot(st, &taken, arrived); err == nil {
 		response, err = s.forwardEventsWithRetries(st)
 	}
+	if err == nil && st.progress.Begun {
+		s.forgetStream(st)
+	}
 	s.endTrial(&st.guard)
 	s.releaseSlot(&taken, err)
 	s.logRequest(&call{
@@ -170,6 +201,9 @@
 // attemptEvents sends the request to one backend server and returns that server,
 // empty if none was available.
 func (s *Service) attemptEvents(st *eventStream) (core.RelayResponse, core.ServerID, error) {
+	if st.recordErr != nil {
+		return core.RelayResponse{}, "", st.recordErr
+	}
 	if err := s.awaitGuard(st); err != nil {
 		return core.RelayResponse{}, "", err
 	}
@@ -178,7 +212,7 @@
 		Kind: s.serverKind(st.service), Service: st.service, Class: core.ClassInteractive, ExpectedTokens: 1,
 		Adapter: core.AdapterName(st.request.Model), BodyBytes: len(st.request.Body),
 		Zone: s.options.Self.Zone, Region: s.options.Self.Region, Exclude: st.excluded,
-		Software: st.software, ExactSoftware: st.progress.Begun,
+		Software: st.software, ExactSoftware: st.isFixed,
 	}
 	if st.route.SingleVersion && st.request.Version != 0 {
 		query.Version, query.ExactVersion = st.request.Version, true
@@ -188,6 +222,11 @@
 		return core.RelayResponse{}, "", err
 	}
 	st.server = dispatch.VM
+	if st.route.Resumable && !st.isFixed {
+		st.software = dispatch.VM.Software
+		st.recorded = s.recordStream(st.ctx, st)
+		st.isFixed = st.recorded != nil
+	}
 	st.progress.Attempts++
 	s.metrics.Attempts.Inc(1)
 	st.onHead = func(notice core.ServerNotice) { s.noteServer(dispatch.VM.ID, now, notice) }
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -44,19 +44,20 @@
 
 // Options are the settings of one entry process.
 type Options struct {
-	Self                core.Member
-	Seed                uint64        // of the random source
-	Seeds               []string      // peer addresses of other entry processes; may be stale
-	Workers             int           // goroutines of the worker pool
-	AddressCacheTime    time.Duration // how long callers may cache the entry addresses
-	MinOrderInterval    time.Duration // minimum time between orders of two lease holders to one engine
-	GracePeriod         time.Duration // from the stop signal until the process is killed
-	StoreReadsPerSecond int           // reads per second that the table service accepts from all processes; zero for no limit
-	MaxResultBytes      int           // size of the longest result stored in a row
-	ReclaimPeriod       time.Duration // time after the start in which leases of an earlier process on this VM are reclaimed
-	RegistryRecovery    time.Duration // time after an outage until all live servers have registered again
-	MaxRequests         int           // forwarded requests that the process holds, in flight and waiting; zero for the default
-	Duties              DutyOptions
+	Self                 core.Member
+	Seed                 uint64        // of the random source
+	Seeds                []string      // peer addresses of other entry processes; may be stale
+	Workers              int           // goroutines of the worker pool
+	AddressCacheTime     time.Duration // how long callers may cache the entry addresses
+	MinOrderInterval     time.Duration // minimum time between orders of two lease holders to one engine
+	GracePeriod          time.Duration // from the stop signal until the process is killed
+	StoreReadsPerSecond  int           // reads per second that the table service accepts from all processes; zero for no limit
+	StoreWritesPerSecond int           // writes per second that it accepts; zero for no limit
+	MaxResultBytes       int           // size of the longest result stored in a row
+	ReclaimPeriod        time.Duration // time after the start in which leases of an earlier process on this VM are reclaimed
+	RegistryRecovery     time.Duration // time after an outage until all live servers have registered again
+	MaxRequests          int           // forwarded requests that the process holds, in flight and waiting; zero for the default
+	Duties               DutyOptions
 }
 
 // Limits of the pool's queues and of the lanes. They bound memory; the servers'
@@ -79,8 +80,10 @@
 	publishedWaiting   = 1
 	crashesInFlight    = 8
 	crashesWaiting     = 256
-	dutiesInFlight     = 2 // one write of counts and one of reports
-	platformInFlight   = 1 // so that calls arrive in the order of their fencing numbers
+	softwareInFlight   = 16
+	softwareWaiting    = 512 // streams that callers take up at once, as many as the process holds
+	dutiesInFlight     = 2   // one write of counts and one of reports
+	platformInFlight   = 1   // so that calls arrive in the order of their fencing numbers
 )
 
 // Timing of leases. A holder that dies is replaced within the term and the margin;
@@ -124,6 +127,7 @@
 	// other reads that hang.
 	published *workers.Lane
 	crashes   *workers.Lane // records of requests under which servers died
+	software  *workers.Lane // software versions of streams
 
 	duties   *workers.Lane // rows of counts and reports
 	platform *workers.Lane // calls to the platform's interface
@@ -155,6 +159,8 @@
 	jobStorage     *tables.JobStorage
 	platform       *tables.Platform
 	crashes        *tables.CrashRecords
+	software       *tables.Software
+	streamCommits  *tables.Commits // rows of streams
 	routeDurations *tables.RouteDurations
 	slots          *tables.Slots
 
@@ -173,6 +179,9 @@
 	crashesRead        atomic.Bool  // a read of the crash records is in flight
 	crashReadNotBefore atomic.Int64 // Unix time in nanoseconds
 	scoresPausedUntil  atomic.Int64 // Unix time in nanoseconds
+
+	streamCommitNotBefore atomic.Int64 // Unix time in nanoseconds
+	streamCommitScheduled atomic.Bool
 }
 
 var (
@@ -199,6 +208,7 @@
 			watch:     workers.NewLane("watch", watchInFlight, watchInFlight),
 			published: workers.NewLane("published", publishedInFlight, publishedWaiting),
 			crashes:   workers.NewLane("crashes", crashesInFlight, crashesWaiting),
+			software:  workers.NewLane("software", softwareInFlight, softwareWaiting),
 
 			duties:   workers.NewLane("duties", dutiesInFlight, dutiesInFlight),
 			platform: workers.NewLane("platform", platformInFlight, 0),
@@ -219,6 +229,8 @@
 		jobStorage:     tables.NewJobStorage(),
 		platform:       tables.NewPlatform(),
 		crashes:        tables.NewCrashRecords(crash.Process{VM: options.Self.VM, Incarnation: options.Self.Incarnation}),
+		software:       tables.NewSoftware(),
+		streamCommits:  tables.NewCommits(),
 		routeDurations: tables.NewRouteDurations(),
 		slots:          tables.NewSlots(maxRequests),
 
@@ -255,6 +267,7 @@
 	s.runPeriodically(s.memberReadInterval, s.watchMembers)
 	s.runPeriodically(constantInterval(leaseInterval), s.updateLeases)
 	s.runPeriodically(constantInterval(sweepInterval), s.sweepServers)
+	s.runPeriodically(constantInterval(streamSweepInterval), s.sweepStreams)
 	s.startDuties()
 	s.announce()
 }
--- /dev/null
+++ b/internal/app/relay/streamsoftware.go
@@ -0,0 +1,351 @@
+package relay
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"fescuespar/internal/app/commits"
+	"fescuespar/internal/core"
+	"fescuespar/internal/core/announce"
+	"fescuespar/internal/core/logs"
+	"fescuespar/internal/core/rendezvous"
+	"fescuespar/internal/core/software"
+	"fescuespar/internal/errkind"
+	"fescuespar/internal/tables"
+)
+
+const (
+	// softwareCallTimeout bounds what a stream waits for the table service. Within it the
+	// reply to a commit may be lost once.
+	softwareCallTimeout = 2 * time.Second
+	// maxSoftwareCommits bounds the attempts to change a service's record that other
+	// processes change too.
+	maxSoftwareCommits = 4
+	// streamSweepInterval is the interval at which one process removes rows of streams that
+	// nobody takes up any more, and lets services settle on a new base version.
+	streamSweepInterval = time.Minute
+	softwarePrefix      = "software|"
+)
+
+func softwareKey(service string) core.RowKey {
+	return core.RowKey{Table: core.TableSoftware, ID: softwarePrefix + service}
+}
+
+// recordStream makes sure that a process which never saw a stream can tell its software,
+// before its first event is passed on. It returns nil if nothing has to be stored for that,
+// else a channel that gets the outcome.
+func (s *Service) recordStream(ctx context.Context, st *eventStream) <-chan error {
+	now := s.ports.Clock.Now()
+	record, refresh, known := s.software.Record(st.service, now)
+	if refresh {
+		s.refreshSoftware(st.service)
+	}
+	recorded := make(chan error, 1)
+	switch {
+	case known && !software.NeedsRow(record, st.software, len(st.route.Services)):
+		return nil
+	case known && record.Mixed:
+		s.storeStream(st, recorded)
+		return recorded
+	}
+	err := s.lanes.software.Go(func(lane context.Context) {
+		ctx, cancel := s.mergeContexts(lane, ctx, now.Add(softwareCallTimeout))
+		defer cancel()
+		record, err := s.beginVersion(ctx, st.service, st.software)
+		if err != nil || !software.NeedsRow(record, st.software, len(st.route.Services)) {
+			recorded <- err
+			return
+		}
+		s.storeStream(st, recorded)
+	})
+	if err != nil {
+		recorded <- err
+	}
+	return recorded
+}
+
+// storeStream stores a row with the software of a stream.
+func (s *Service) storeStream(st *eventStream, recorded chan<- error) {
+	st.row = core.RowKey{Table: core.TableStream, ID: software.OwnPartition(s.options.Self.VM) + software.RowName(st.request.ID)}
+	s.enqueueStreamCommit(st.row, core.StreamRecord{Service: st.service, Software: st.software}, func(err error) { recorded <- err })
+}
+
+// beginVersion stores what a service's record must tell before a stream of a version begins,
+// and returns the record. It blocks and runs on a lane.
+func (s *Service) beginVersion(ctx context.Context, service string, version core.SoftwareVersion) (core.SoftwareRecord, error) {
+	for range maxSoftwareCommits {
+		began := s.ports.Clock.Now()
+		rows, err := s.committer.Read(ctx, softwareKey(service))
+		s.recordStoreResult("software", err)
+		if err != nil {
+			return core.SoftwareRecord{}, err
+		}
+		stored, found := rows[0].Record.(core.SoftwareRecord)
+		next, changed := software.Begin(stored, found, version)
+		if changed {
+			applied, err := s.commitSoftware(ctx, service, next, rows[0].Version)
+			if err != nil {
+				return core.SoftwareRecord{}, err
+			}
+			if !applied {
+				continue
+			}
+		}
+		s.software.SetRecord(service, next, began)
+		return next, nil
+	}
+	return core.SoftwareRecord{}, errkind.New(errkind.StoreUnavailable, "other processes changed the software record of %s %d times in a row", service, maxSoftwareCommits)
+}
+
+// commitSoftware replaces a service's record of a version.
+func (s *Service) commitSoftware(ctx context.Context, service string, next core.SoftwareRecord, version core.RowVersion) (applied bool, err error) {
+	result, err := s.committer.Commit(ctx, core.Commit{
+		Attempt:    s.newAttemptID(),
+		Conditions: []core.Condition{{Key: softwareKey(service), Version: version}},
+		Writes:     []core.Write{{Key: softwareKey(service), Record: next}},
+	})
+	s.recordStoreResult("software", err)
+	if err == nil && result.Applied {
+		s.log.Info().Str("service", service).Str("base", string(next.Base)).Bool("mixed", next.Mixed).Msg(logs.SoftwareChanged)
+	}
+	return result.Applied, err
+}
+
+// refreshSoftware reads a service's record again.
+func (s *Service) refreshSoftware(service string) {
+	err := s.lanes.software.Go(func(lane context.Context) {
+		ctx, cancel := context.WithTimeout(lane, softwareCallTimeout)
+		defer cancel()
+		began := s.ports.Clock.Now()
+		rows, err := s.committer.Read(ctx, softwareKey(service))
+		s.recordStoreResult("software", err)
+		if err != nil {
+			s.software.RefreshFailed(service)
+			return
+		}
+		if record, found := rows[0].Record.(core.SoftwareRecord); found {
+			s.software.SetRecord(service, record, began)
+		}
+	})
+	if err != nil {
+		s.software.RefreshFailed(service)
+		s.log.Debug().Err(err).Str("service", service).Msg("software record not read again")
+	}
+}
+
+// findSoftware sets the software of a stream that the caller takes up, and the service that
+// began it. Errors: SoftwareUnknown, StoreUnavailable, NoServer if no server of it is left
+// or the route no longer leads to the service.
+func (s *Service) findSoftware(st *eventStream) error {
+	found := make(chan error, 1)
+	err := s.lanes.software.Go(func(lane context.Context) {
+		ctx, cancel := s.mergeContexts(lane, st.ctx, s.ports.Clock.Now().Add(softwareCallTimeout))
+		defer cancel()
+		found <- s.readSoftware(ctx, st)
+	})
+	if err == nil {
+		err = <-found
+	}
+	if err != nil {
+		s.metrics.StreamsRefused.Inc(1)
+		s.log.Info().Err(err).Str("request", string(st.request.ID)).Str("resumes", string(st.request.Resumes)).Int("after", st.request.After).Msg(logs.StreamNotResumed)
+	}
+	return err
+}
+
+// readSoftware does the work of findSoftware. It blocks and runs on a lane.
+func (s *Service) readSoftware(ctx context.Context, st *eventStream) error {
+	rows, err := s.readForStream(ctx, softwareKey(st.service))
+	if err != nil {
+		return err
+	}
+	record, found := rows[0].Record.(core.SoftwareRecord)
+	services, hasName := len(st.route.Services), st.request.Resumes != ""
+	st.software = software.OfStream(record, found, hasName, services)
+	if hasName && (record.Mixed || services > 1) {
+		stream, found, err := s.readStream(ctx, st.request.Resumes)
+		if err != nil {
+			return err
+		}
+		if found {
+			st.service, st.software = stream.Service, stream.Software
+		}
+	}
+	isRouted := slices.ContainsFunc(st.route.Services, func(w core.WeightedService) bool { return w.Service == st.service && w.Weight > 0 })
+	switch {
+	case st.software == "":
+		return errkind.New(errkind.SoftwareUnknown, "the software that began the stream of attempt %q is not known", st.request.Resumes)
+	case !isRouted || !s.servers.ServesSoftware(s.serverKind(st.service), st.service, st.software):
+		return errkind.New(errkind.NoServer, "no server of %s with software %q is left to continue the stream of attempt %q", st.service, st.software, st.request.Resumes)
+	}
+	return nil
+}
+
+// readStream reads the row of a stream, of which it is not known what process wrote it.
+func (s *Service) readStream(ctx context.Context, id core.RequestID) (stream core.StreamRecord, found bool, err error) {
+	for _, partition := range software.Partitions() {
+		rows, err := s.readForStream(ctx, core.RowKey{Table: core.TableStream, ID: partition + software.RowName(id)})
+		if err != nil {
+			return core.StreamRecord{}, false, err
+		}
+		if stream, found = rows[0].Record.(core.StreamRecord); found {
+			return stream, true, nil
+		}
+	}
+	return core.StreamRecord{}, false, nil
+}
+
+// readForStream reads a row for a stream that is taken up, within this process's share of the
+// reads. It refuses at once what would have to wait longer than its context.
+func (s *Service) readForStream(ctx context.Context, key core.RowKey) ([]core.Row, error) {
+	now := s.ports.Clock.Now()
+	delay := s.software.ReserveRead(now, announce.StreamReadInterval(len(s.members.Live()), s.options.StoreReadsPerSecond))
+	if deadline, bounded := ctx.Deadline(); bounded && delay >= deadline.Sub(now) || !commits.Sleep(ctx, delay) {
+		return nil, errkind.New(errkind.StoreUnavailable, "too many streams are taken up, the next read may begin in %v", delay)
+	}
+	rows, err := s.committer.Read(ctx, key)
+	s.recordStoreResult("software", err)
+	return rows, err
+}
+
+// streamHorizon returns the time after which no stream is taken up any more.
+func (s *Service) streamHorizon() time.Duration {
+	longest := time.Duration(0)
+	if table := s.routes.Current(); table != nil {
+		for i := range table.Routes {
+			if table.Routes[i].Kind == core.RouteStream {
+				longest = max(longest, table.Routes[i].Timeout)
+			}
+		}
+	}
+	return software.Horizon(longest)
+}
+
+// forgetStream removes the row of a stream that its caller has whole.
+func (s *Service) forgetStream(st *eventStream) {
+	if st.row != (core.RowKey{}) {
+		s.enqueueStreamCommit(st.row, nil, func(error) {})
+	}
+}
+
+// enqueueStreamCommit adds a row of a stream, or its removal, to the next group commit and
+// calls ended with the outcome.
+func (s *Service) enqueueStreamCommit(key core.RowKey, record core.Record, ended func(error)) {
+	commit := core.Commit{Attempt: s.newAttemptID(), Writes: []core.Write{{Key: key, Record: record}}}
+	s.streamCommits.Enqueue(commit, func(outcome tables.CommitOutcome) { ended(outcome.Err) })
+	s.flushStreamCommits()
+}
+
+// flushStreamCommits sends the next group commit of rows of streams, unless one is in
+// flight or the last one was too recent.
+func (s *Service) flushStreamCommits() {
+	now := s.ports.Clock.Now()
+	if delay := time.Duration(s.streamCommitNotBefore.Load() - now.UnixNano()); delay > 0 {
+		if s.streamCommitScheduled.CompareAndSwap(false, true) {
+			s.timers.After(delay, core.ClassControl, func() {
+				s.streamCommitScheduled.Store(false)
+				s.flushStreamCommits()
+			})
+		}
+		return
+	}
+	batch, ok := s.streamCommits.BeginBatch(s.newAttemptID())
+	if !ok {
+		return
+	}
+	s.streamCommitNotBefore.Store(now.Add(announce.StreamWriteInterval(len(s.members.Live()), s.options.StoreWritesPerSecond)).UnixNano())
+	end := func(result core.CommitResult, err error) {
+		s.pool.MustEnqueue(core.ClassControl, func() {
+			s.streamCommits.EndBatch(batch, result, err)
+			s.flushStreamCommits()
+		})
+	}
+	err := s.lanes.software.Go(func(lane context.Context) {
+		ctx, cancel := context.WithTimeout(lane, softwareCallTimeout)
+		defer cancel()
+		result, err := s.committer.Commit(ctx, batch.Commit)
+		s.recordStoreResult("software", err)
+		end(result, err)
+	})
+	if err != nil {
+		end(core.CommitResult{}, errkind.Wrap(errkind.StoreUnavailable, err, "rows of streams not stored"))
+	}
+}
+
+// observeSoftware applies the versions of the registered servers as read at a time.
+func (s *Service) observeSoftware() {
+	entries, readAt := s.registry.Entries()
+	versions := make(map[string][]core.SoftwareVersion)
+	for i := range entries {
+		versions[entries[i].VM.Service] = append(versions[entries[i].VM.Service], entries[i].VM.Software)
+	}
+	s.software.ObserveServers(versions, readAt)
+}
+
+// sweepStreams removes the rows of streams that nobody takes up any more and lets services
+// settle on a new base version, if this process is the one that does so.
+func (s *Service) sweepStreams() {
+	live := s.members.Live()
+	first := slices.MinFunc(append(live, core.Member{VM: s.options.Self.VM}), func(a, b core.Member) int {
+		return cmp.Compare(rendezvous.Rank(softwarePrefix, string(a.VM)), rendezvous.Rank(softwarePrefix, string(b.VM)))
+	})
+	if len(live) == 0 || first.VM != s.options.Self.VM {
+		return
+	}
+	err := s.lanes.software.Go(func(lane context.Context) {
+		ctx, cancel := context.WithTimeout(lane, streamSweepInterval)
+		defer cancel()
+		err := s.settleSoftware(ctx)
+		if err == nil {
+			err = s.removeExpiredStreams(ctx)
+		}
+		if err != nil {
+			s.log.Info().Err(err).Msg("rows of streams not swept")
+		}
+	})
+	if err != nil {
+		s.log.Info().Err(err).Msg("rows of streams not swept")
+	}
+}
+
+func (s *Service) settleSoftware(ctx context.Context) error {
+	rows, err := s.ports.Tables.Scan(ctx, core.TableSoftware, softwarePrefix, "", tablePageRows)
+	if err != nil {
+		return err
+	}
+	for _, row := range rows {
+		record, ok := row.Record.(core.SoftwareRecord)
+		service := row.Key.ID[len(softwarePrefix):]
+		version, lasted := s.software.OnlyVersion(service)
+		next, changed := software.Settle(record, version, lasted, s.streamHorizon())
+		if !ok || !changed {
+			continue
+		}
+		if _, err := s.commitSoftware(ctx, service, next, row.Version); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Service) removeExpiredStreams(ctx context.Context) error {
+	var rows []core.Row
+	for _, partition := range software.Partitions() {
+		for after := ""; ; after = rows[len(rows)-1].Key.ID {
+			page, err := s.ports.Tables.Scan(ctx, core.TableStream, partition, after, tablePageRows)
+			if err != nil {
+				return err
+			}
+			rows = append(rows, page...)
+			if len(page) < tablePageRows {
+				break
+			}
+		}
+	}
+	for _, row := range s.software.ExpiredStreams(rows, s.ports.Clock.Now(), s.streamHorizon()) {
+		s.enqueueStreamCommit(row.Key, nil, func(error) {})
+	}
+	return nil
+}
--- a/internal/app/relay/watch.go
+++ b/internal/app/relay/watch.go
@@ -128,8 +128,10 @@
 func (s *Service) applyServers(read core.Registrations, began time.Time) {
 	removed, changed := s.registry.Observe(&read, began)
 	if !changed {
+		s.software.ConfirmServers(began)
 		return
 	}
+	s.observeSoftware()
 	if read.Stale {
 		s.registry.RecordReadFailure()
 		s.log.Info().Int("servers", len(read.Entries)).Msg("backend servers loaded from a peer's earlier answer")
--- a/internal/core/announce/view.go
+++ b/internal/core/announce/view.go
@@ -46,6 +46,12 @@
 	// keyReadShare is the share for reads of the configuration for requests whose key is
 	// not known, which callers with random keys can cause at every process.
 	keyReadShare = 0.1
+	// streamWriteShare is the share of the table service's write capacity for rows of
+	// streams, which processes write while servers of several software versions serve.
+	streamWriteShare = 0.25
+	// streamReadShare is the share for reads for streams that callers take up, all at once
+	// after all processes were killed.
+	streamReadShare = 0.25
 	// readsPerPoll is the number of reads per poll: one for routes and versions, one
 	// for backend servers.
 	readsPerPoll = 2
@@ -75,8 +81,22 @@
 	return sharedInterval(least, members, keyReadShare*float64(readsPerSecond))
 }
 
-// sharedInterval returns the interval, at least the given one, at which a number of reads
-// may be repeated with a budget of reads per second. Without a budget there is no limit.
+// StreamWriteInterval returns the least interval between two commits of rows of streams by
+// one member, so that all members together stay within their share of the table service's
+// writes per second. If writesPerSecond is zero there is no limit.
+func StreamWriteInterval(members, writesPerSecond int) time.Duration {
+	return sharedInterval(0, members, streamWriteShare*float64(writesPerSecond))
+}
+
+// StreamReadInterval returns the mean interval between two reads by one member for streams
+// that callers take up, so that all members together stay within their share of the table
+// service's reads per second. If readsPerSecond is zero there is no limit.
+func StreamReadInterval(members, readsPerSecond int) time.Duration {
+	return sharedInterval(0, members, streamReadShare*float64(readsPerSecond))
+}
+
+// sharedInterval returns the interval, at least the given one, at which a number of calls
+// may be repeated with a budget of calls per second. Without a budget there is no limit.
 func sharedInterval(least time.Duration, reads int, perSecond float64) time.Duration {
 	if perSecond <= 0 {
 		return least
--- a/internal/core/logs/messages.go
+++ b/internal/core/logs/messages.go
@@ -22,6 +22,9 @@
 	VersionLoaded = "version loaded"
 	RoutesInForce = "route table in force"
 
+	SoftwareChanged  = "software version of a service's streams changed"
+	StreamNotResumed = "stream not taken up"
+
 	LeaseAcquired       = "lease acquired"
 	LeaseLost           = "lease lost"
 	ServerEjected       = "backend server ejected"
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -140,6 +140,7 @@
 type EventsRequest struct {
 	RelayRequest
 	After   int           // id of the last event that was already received
+	Resumes RequestID     // attempt of the caller that brought the first event, if After is not zero; empty if unknown
 	Version WeightVersion // weights that produced that event; zero if unknown or not to be told to the caller
 
 	// FirstEventWithin and LongestGap are the times to the first event and between
--- a/internal/core/row.go
+++ b/internal/core/row.go
@@ -22,6 +22,8 @@
 	TableUsage    TableName = "usage"    // UsageRecord
 	TableReport   TableName = "report"   // ReportRecord
 	TableReported TableName = "reported" // ReportedRecord
+	TableSoftware TableName = "software" // SoftwareRecord
+	TableStream   TableName = "stream"   // StreamRecord
 )
 
 // RowKey identifies one row.
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -28,6 +28,7 @@
 	Overloaded         Kind = "overloaded"
 	DeadlineTooShort   Kind = "deadline_too_short"
 	NoServer           Kind = "no_server"
+	SoftwareUnknown    Kind = "software_unknown"
 	Canceled           Kind = "canceled"
 	Timeout            Kind = "timeout"
 	ServerFailed       Kind = "server_failed"
@@ -85,6 +86,7 @@
 	Overloaded:         {http.StatusTooManyRequests, NotRun, true},
 	DeadlineTooShort:   {http.StatusServiceUnavailable, NotRun, true},
 	NoServer:           {http.StatusServiceUnavailable, NotRun, true},
+	SoftwareUnknown:    {http.StatusServiceUnavailable, NotRun, true},
 	Canceled:           {http.StatusRequestTimeout, PossiblyRun, true},
 	Timeout:            {http.StatusGatewayTimeout, PossiblyRun, false},
 	ServerFailed:       {http.StatusBadGateway, PossiblyRun, false},
--- a/internal/lockrank/lockrank.go
+++ b/internal/lockrank/lockrank.go
@@ -25,6 +25,7 @@
 	RankLimits         Rank = 60
 	RankSlots          Rank = 62
 	RankRouteDurations Rank = 65
+	RankSoftware       Rank = 67
 	RankCrashes        Rank = 70
 	RankRollouts       Rank = 80
 	RankRuns           Rank = 85
--- a/internal/metrics/relay.go
+++ b/internal/metrics/relay.go
@@ -16,6 +16,7 @@
 	JobsRefused       gometrics.Counter
 	JobsEnded         gometrics.Counter
 	JobsDenied        gometrics.Counter
+	StreamsRefused    gometrics.Counter
 	KeysMissing       gometrics.Counter
 	KeysUnknown       gometrics.Counter
 	KeysRemoved       gometrics.Counter
@@ -67,7 +68,7 @@
 		"relay.jobs.accepted": &r.JobsAccepted, "relay.jobs.refused": &r.JobsRefused, "relay.jobs.ended": &r.JobsEnded,
 		"relay.jobs.denied": &r.JobsDenied, "relay.keys.missing": &r.KeysMissing, "relay.keys.unknown": &r.KeysUnknown,
 		"relay.keys.removed": &r.KeysRemoved, "relay.keys.unconfirmed": &r.KeysUnconfirmed, "relay.keys.found": &r.KeysFound, "relay.keys.reads": &r.KeyReads,
-		"relay.routes.missing": &r.RoutesMissing, "relay.routes.unconfirmed": &r.RoutesUnconfirmed,
+		"relay.streams.not_resumed": &r.StreamsRefused, "relay.routes.missing": &r.RoutesMissing, "relay.routes.unconfirmed": &r.RoutesUnconfirmed,
 		"relay.runs.started": &r.RunsStarted, "relay.runs.cut": &r.RunsCut,
 		"relay.results.stored": &r.ResultsStored, "relay.scores.missed": &r.ScoresMissed,
 		"relay.orders.sent": &r.WeightOrders, "relay.orders.failed": &r.OrdersFailed,
--- a/internal/ports/porttest/records.go
+++ b/internal/ports/porttest/records.go
@@ -29,6 +29,8 @@
 	core.TableUsage:    copyWith(copyUsage),
 	core.TableReport:   copyWith(copyReport),
 	core.TableReported: copyWith(copyFlat[core.ReportedRecord]),
+	core.TableSoftware: copyWith(copyFlat[core.SoftwareRecord]),
+	core.TableStream:   copyWith(copyFlat[core.StreamRecord]),
 }
 
 // copyRecord returns a deep copy of a record, nil for nil. Errors: BadRequest
--- a/internal/ports/porttest/tablesuite.go
+++ b/internal/ports/porttest/tablesuite.go
@@ -98,6 +98,8 @@
 	core.TableUsage:    core.UsageRecord{Window: 7, Counts: map[core.AccountName]uint64{"hule930": 412}},
 	core.TableReport:   core.ReportRecord{Report: core.UsageReport{Window: 7, Counts: map[core.AccountName]uint64{"hule930": 412}}},
 	core.TableReported: core.ReportedRecord{Next: 8},
+	core.TableSoftware: core.SoftwareRecord{Base: "v1", Mixed: true},
+	core.TableStream:   core.StreamRecord{Service: "coach", Software: "v2"},
 	core.TableCrash:    core.CrashRecord{Deaths: []core.ServerInstance{"server-1", "server-2"}, TrialVM: "vm-4", TrialIncarnation: 6},
 }
 
