relay: deaths of servers that had sent events do not hold a stream

Each stream on a dying server counted as a possible cause of its death, and two deaths hold a request.

A request crashes servers when it begins to run. A death after the server has sent events of the stream is now recorded apart and does not count, up to two; later ones do, so that a request which crashes each server after an event is still held, from four deaths on. Deaths of trials always count.

TestStreamsOfDyingServersAreTakenUp failed before (held after two deaths).

--- a/internal/app/relay/crashes.go
+++ b/internal/app/relay/crashes.go
@@ -51,6 +51,7 @@
 	isExempt    bool // the request is never held: an item of a job depends on it
 	fingerprint uint64
 	isTrial     bool // the attempt in progress is a trial
+	hasEvents   bool // the attempt in progress has brought events of a stream
 }
 
 func newCrashGuard(r *core.RelayRequest) crashGuard {
@@ -152,14 +153,14 @@
 func (s *Service) checkDeath(g *crashGuard, server core.VM, done func()) {
 	endsTrial := g.isTrial
 	g.isTrial = false
-	fingerprint := g.fingerprint
+	fingerprint, hasEvents := g.fingerprint, g.hasEvents && !endsTrial
 	err := s.lanes.crashes.Go(func(ctx context.Context) {
 		defer done()
 		probe, cancel := context.WithTimeout(ctx, deathProbeTimeout)
 		defer cancel()
 		now := s.ports.Clock.Now()
 		if s.ports.Backend.Probe(probe, server) != nil && ctx.Err() == nil {
-			s.recordDeath(fingerprint, server.ID, endsTrial, now)
+			s.recordDeath(fingerprint, server.ID, endsTrial, hasEvents, now)
 		}
 		if endsTrial {
 			s.crashes.EndTrial(fingerprint, now)
@@ -175,11 +176,17 @@
 	}
 }
 
-func (s *Service) recordDeath(fingerprint uint64, server core.ServerID, isTrial bool, now time.Time) {
-	deaths, recorded := s.crashes.RecordDeath(fingerprint, s.registry.InstanceOf(server), isTrial, now)
+func (s *Service) recordDeath(fingerprint uint64, server core.ServerID, isTrial, hasEvents bool, now time.Time) {
+	instance := s.registry.InstanceOf(server)
+	deaths, recorded := 0, false
+	if hasEvents {
+		deaths, recorded = s.crashes.RecordExcusedDeath(fingerprint, instance, now)
+	} else {
+		deaths, recorded = s.crashes.RecordDeath(fingerprint, instance, isTrial, now)
+	}
 	s.metrics.ServerDeaths.Inc(1)
 	s.log.Warn().Str("fingerprint", formatFingerprint(fingerprint)).Str("server", string(server)).
-		Int("deaths", deaths).Bool("recorded", recorded).Msg(logs.ServerDied)
+		Int("deaths", deaths).Bool("recorded", recorded).Bool("sent_events", hasEvents).Msg(logs.ServerDied)
 }
 
 // endTrial ends a trial that says nothing about its request.
--- a/internal/app/relay/crashes_test.go
+++ b/internal/app/relay/crashes_test.go
@@ -331,3 +331,52 @@
 		t.Errorf("%d engines died, want %d", crashes, deaths)
 	}
 }
+
+// TestStreamsOfDyingServersAreTakenUp guards against callers who are refused because their
+// streams were running when servers died, and against a request that crashes servers after
+// an event of each run and is sent on without end.
+func TestStreamsOfDyingServersAreTakenUp(t *testing.T) {
+	for _, deaths := range []int{2, 1000} {
+		s := newEnvironment(t)
+		servers := newCrashingServers(s)
+		s.stream = func(server core.VM, request core.EventsRequest, sink ports.EventSink) (core.RelayResponse, error) {
+			if servers.isDead(server.ID) {
+				return core.RelayResponse{}, errkind.New(errkind.ServerRefused, "connection refused")
+			}
+			if err := sink.Head(core.RelayResponse{Status: 200}); err != nil {
+				return core.RelayResponse{}, err
+			}
+			for id := request.After + 1; id <= 100; id++ {
+				if err := sink.Event(core.Event{ID: id, Data: "e", Version: 1}); err != nil {
+					return core.RelayResponse{}, err
+				}
+				servers.mu.Lock()
+				dies := len(servers.crashes) < deaths
+				if dies {
+					servers.crash(server.ID)
+				}
+				servers.mu.Unlock()
+				if dies {
+					return core.RelayResponse{}, errkind.New(errkind.ServerFailed, "EOF")
+				}
+			}
+			return core.RelayResponse{}, nil
+		}
+		service := s.waitReady(s.start("vm-1"))
+		request, sink := streamRequest("s"), &textSink{}
+		_, err := service.ForwardEvents(t.Context(), request, sink)
+		for n := 0; err != nil && n < 40; n++ {
+			time.Sleep(restartTime / 3)
+			request.ID, request.After, request.Resumes = core.RequestID(fmt.Sprint("t", n)), len(sink.events), "s"
+			if _, err = service.ForwardEvents(t.Context(), request, sink); deaths == 2 && errkind.Is(err, errkind.Quarantined) {
+				t.Fatalf("the stream is held after %d deaths of servers that ran it", deaths)
+			}
+		}
+		switch crashes, _ := servers.counts(); {
+		case deaths == 2 && (err != nil || len(sink.events) != 100):
+			t.Errorf("%d events, %v", len(sink.events), err)
+		case deaths > 2 && (!errkind.Is(err, errkind.Quarantined) || crashes > crashesBefore+maxRetries):
+			t.Errorf("%d servers crashed, then %v", crashes, err)
+		}
+	}
+}
--- a/internal/app/relay/events.go
+++ b/internal/app/relay/events.go
@@ -249,6 +249,7 @@
 	s.countCutAttempt(r.err)
 	s.noteServer(dispatch.VM.ID, now, r.response.ServerNotice)
 	s.servers.Release(dispatch, attemptResult(r.err, r.response.Status), s.ports.Clock.Now())
+	st.guard.hasEvents = st.request.After > request.After
 	s.awaitRecord(st, dispatch.VM, r.response.Status, r.err)
 	return r.response, dispatch.VM.ID, r.err
 }
--- a/internal/core/crash.go
+++ b/internal/core/crash.go
@@ -38,6 +38,7 @@
 // processes that share only the table service.
 type CrashRecord struct {
 	Deaths           []ServerInstance // that died while they ran the request, each once
+	Excused          []ServerInstance `cbor:",omitempty"` // that died after they had sent events of its stream, which does not count
 	TrialVM          VMID             // entry VM whose process runs the request alone, empty for none
 	TrialIncarnation Incarnation
 }
--- a/internal/core/crash/record.go
+++ b/internal/core/crash/record.go
@@ -14,6 +14,11 @@
 	// deathsBeforeRefusal is the number of deaths from which no trial is made. A request
 	// may cost two servers after the third.
 	deathsBeforeRefusal = 5
+	// maxExcused is the number of deaths that do not count since the servers had sent events
+	// of the request's stream. A request crashes servers when it begins to run, so that they
+	// are likely to have died of something else; one that crashes them later, each time
+	// anew, may cost as many servers more.
+	maxExcused = 2
 	// trialExpiry is the time after which a trial whose process has not ended it is
 	// void. Requests end before that.
 	trialExpiry = 2 * time.Minute
@@ -65,13 +70,27 @@
 // addDeaths returns the record with further deaths. An instance counts once, and no more
 // than deathsBeforeRefusal are kept.
 func addDeaths(record core.CrashRecord, instances []core.ServerInstance) core.CrashRecord {
-	record.Deaths = slices.Clone(record.Deaths)
+	record.Deaths = addInstances(record.Deaths, instances, deathsBeforeRefusal)
+	return record
+}
+
+// addExcused returns the record with further deaths that do not count, up to maxExcused. The
+// others count.
+func addExcused(record core.CrashRecord, instances []core.ServerInstance) core.CrashRecord {
+	record.Excused = addInstances(record.Excused, instances, maxExcused)
+	rest := slices.DeleteFunc(slices.Clone(instances), func(id core.ServerInstance) bool { return slices.Contains(record.Excused, id) })
+	return addDeaths(record, rest)
+}
+
+// addInstances returns a list with further instances, each once and up to a limit.
+func addInstances(list, instances []core.ServerInstance, limit int) []core.ServerInstance {
+	list = slices.Clone(list)
 	for _, instance := range instances {
-		if len(record.Deaths) < deathsBeforeRefusal && !slices.Contains(record.Deaths, instance) {
-			record.Deaths = append(record.Deaths, instance)
+		if len(list) < limit && !slices.Contains(list, instance) {
+			list = append(list, instance)
 		}
 	}
-	return record
+	return list
 }
 
 // retentionOf returns the time after which an unchanged record is removed.
--- a/internal/core/crash/record_test.go
+++ b/internal/core/crash/record_test.go
@@ -55,3 +55,29 @@
 		t.Error("the trial was not ended by its process")
 	}
 }
+
+// TestDeathsAfterEventsAreExcused guards against a stream that is held since servers died
+// while they ran it, and against one that is never held.
+func TestDeathsAfterEventsAreExcused(t *testing.T) {
+	now := time.Unix(1000, 0)
+	records, others := NewRecords(Process{"vm-1", 1}), NewRecords(Process{"vm-2", 1})
+	version := core.RowVersion(0)
+	for n, instance := range []core.ServerInstance{"a", "a", "b", "c", "d"} {
+		deaths, _ := records.RecordExcusedDeath(1, instance, now)
+		if want := max(0, n-2); deaths != want {
+			t.Errorf("%d deaths count after that of %s, want %d", deaths, instance, want)
+		}
+		if record, _, found := records.Unstored(1); found {
+			version++
+			records.ApplyStored(1, record, version, now)
+			others.ApplyRow(1, core.Row{Version: version, Record: record}, now)
+		}
+		wantVerdict := Run
+		if n == 4 {
+			wantVerdict = Refuse
+		}
+		if got := others.Verdict(1, now); got != wantVerdict {
+			t.Errorf("verdict %d after the death of %s, want %d", got, instance, wantVerdict)
+		}
+	}
+}
--- a/internal/core/crash/records.go
+++ b/internal/core/crash/records.go
@@ -32,6 +32,7 @@
 
 	// Changes that are not stored yet.
 	deaths     []core.ServerInstance
+	excused    []core.ServerInstance
 	trialEnded bool
 }
 
@@ -42,14 +43,16 @@
 
 // current returns the record with the changes that are not stored yet.
 func (r *Records) current(state *recordState) core.CrashRecord {
-	record := addDeaths(state.stored, state.deaths)
+	record := addExcused(addDeaths(state.stored, state.deaths), state.excused)
 	if state.trialEnded {
 		record = r.self.endTrial(record)
 	}
 	return record
 }
 
-func (s *recordState) isStored() bool { return len(s.deaths) == 0 && !s.trialEnded }
+func (s *recordState) isStored() bool {
+	return len(s.deaths) == 0 && len(s.excused) == 0 && !s.trialEnded
+}
 
 // IsEmpty reports whether no fingerprint has a record.
 func (r *Records) IsEmpty() bool { return len(r.states) == 0 }
@@ -66,7 +69,7 @@
 
 // RecordDeath records that a server died while it ran a request. The death of a trial's
 // server is a new one, even if its new instance is not known yet. It returns the number
-// of deaths that are known, and false if there are too many records.
+// of deaths that count, and false if there are too many records.
 func (r *Records) RecordDeath(fingerprint uint64, instance core.ServerInstance, isTrial bool, now time.Time) (int, bool) {
 	state := r.states[fingerprint]
 	if state == nil {
@@ -87,6 +90,24 @@
 	return len(r.current(state).Deaths), true
 }
 
+// RecordExcusedDeath records that a server died after it had sent events of a request's
+// stream. It returns what RecordDeath returns.
+func (r *Records) RecordExcusedDeath(fingerprint uint64, instance core.ServerInstance, now time.Time) (int, bool) {
+	state := r.states[fingerprint]
+	if state == nil && len(r.states) >= maxRecords {
+		return 0, false
+	}
+	if state == nil {
+		state = &recordState{}
+		r.states[fingerprint] = state
+	}
+	current := r.current(state)
+	if !slices.Contains(current.Excused, instance) && !slices.Contains(current.Deaths, instance) {
+		state.excused, state.since = append(state.excused, instance), now
+	}
+	return len(r.current(state).Deaths), true
+}
+
 // EndTrial records that this process's trial of a fingerprint has ended.
 func (r *Records) EndTrial(fingerprint uint64, now time.Time) {
 	if state := r.states[fingerprint]; state != nil {
@@ -151,6 +172,9 @@
 func (s *recordState) replaceStored(record core.CrashRecord, version core.RowVersion, now time.Time) {
 	s.stored, s.version, s.since = record, version, now
 	s.deaths = slices.DeleteFunc(s.deaths, func(id core.ServerInstance) bool { return slices.Contains(record.Deaths, id) })
+	s.excused = slices.DeleteFunc(s.excused, func(id core.ServerInstance) bool {
+		return slices.Contains(record.Excused, id) || slices.Contains(record.Deaths, id)
+	})
 	s.trialEnded = s.trialEnded && record.TrialVM != ""
 }
 
--- a/internal/tables/crashrecords.go
+++ b/internal/tables/crashrecords.go
@@ -43,6 +43,14 @@
 	return t.records.RecordDeath(fingerprint, instance, isTrial, now)
 }
 
+// RecordExcusedDeath records that a server died after it had sent events of a request's
+// stream. It returns what RecordDeath returns.
+func (t *CrashRecords) RecordExcusedDeath(fingerprint uint64, instance core.ServerInstance, now time.Time) (int, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.records.RecordExcusedDeath(fingerprint, instance, now)
+}
+
 // EndTrial records that this process's trial of a fingerprint has ended.
 func (t *CrashRecords) EndTrial(fingerprint uint64, now time.Time) {
 	t.mu.Lock()
