software: change the base version only when cut-off processes can't matter

A process that is cut off from the store could begin a stream of the old base version, without a row, up to 40 s after its last read, at a server that has left the registry.

The base now changes after the horizon and the greatest age of a record. That age, counted from the last read of both the record and the registrations, is 2 minutes, so that streams of the base version begin through most outages.

--- a/internal/core/software/epoch.go
+++ b/internal/core/software/epoch.go
@@ -10,6 +10,9 @@
 	// MinHorizon is the least time after which no stream is taken up any more. It covers the
 	// time for which a server serves on after its registration is gone, several times.
 	MinHorizon = 2 * time.Minute
+	// MaxRecordAge is how long a process goes by a service's record, from its last read of
+	// both the record and the registered servers: most outages of the store are shorter.
+	MaxRecordAge = 2 * time.Minute
 	// horizonTimeouts is the number of time-outs of a route that a caller's attempts at one
 	// stream may last, by the most retries of the users' sheets.
 	horizonTimeouts = 4
@@ -48,10 +51,11 @@
 	return stored.Base
 }
 
-// Settle returns the record once all registered servers have had one version for the
-// horizon, and whether it differs from the stored one. Streams of other versions, and their
-// rows, are of no use by then.
+// Settle returns the record once all registered servers have had one version for the horizon
+// and MaxRecordAge, and whether it differs from the stored one. A process that has been cut
+// off since before may have begun a stream of another version, without a row, up to
+// MaxRecordAge later; nobody takes it up any more by then.
 func Settle(stored core.SoftwareRecord, only core.SoftwareVersion, lasted, horizon time.Duration) (next core.SoftwareRecord, changed bool) {
 	next = core.SoftwareRecord{Base: only}
-	return next, only != "" && lasted >= horizon && next != stored
+	return next, only != "" && lasted >= horizon+MaxRecordAge && next != stored
 }
--- a/internal/core/software/registered.go
+++ b/internal/core/software/registered.go
@@ -41,6 +41,9 @@
 	r.readAt = readAt
 }
 
+// ReadAt returns when the registrations were last read.
+func (r *Registered) ReadAt() time.Time { return r.readAt }
+
 // Only returns the only version and for how long it has been, empty if there are several or
 // none.
 func (r *Registered) Only() (version core.SoftwareVersion, lasted time.Duration) {
--- a/internal/tables/software.go
+++ b/internal/tables/software.go
@@ -8,14 +8,8 @@
 	"fescuespar/internal/lockrank"
 )
 
-// Age of a service's SoftwareRecord as read by this process.
-const (
-	// softwareRefreshAge is the age from which the record is read again beside its use.
-	softwareRefreshAge = softwareMaxAge / 4
-	// softwareMaxAge is the age up to which it is used. Another process changes the base
-	// version only after the horizon, at least three times as long.
-	softwareMaxAge = software.MinHorizon / 3
-)
+// softwareRefreshAge is the age from which a service's record is read again beside its use.
+const softwareRefreshAge = 10 * time.Second
 
 // maxReadBurst is the number of reads of streams that a process may make at once after a
 // pause: six streams that are taken up, of a service with several versions.
@@ -56,9 +50,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	held := t.service(service)
-	if age := now.Sub(held.readAt); held.readAt.IsZero() || age > softwareMaxAge {
+	if held.readAt.IsZero() || now.Sub(held.readAt) > software.MaxRecordAge || now.Sub(held.registered.ReadAt()) > software.MaxRecordAge {
 		return core.SoftwareRecord{}, false, false
-	} else if age > softwareRefreshAge && !held.refreshing {
+	}
+	if now.Sub(held.readAt) > softwareRefreshAge && !held.refreshing {
 		held.refreshing, refresh = true, true
 	}
 	return held.record, refresh, true
--- a/internal/tables/software_test.go
+++ b/internal/tables/software_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,10 +20,17 @@
 	found      bool
 	rows       map[int]core.SoftwareVersion // by stream
 	registered []core.SoftwareVersion
-	processes  []*Software
+	processes  []*replayedProcess
 	streams    []replayedStream
 }
 
+// replayedProcess goes by the servers that it read last, while it is cut off from the store.
+type replayedProcess struct {
+	*Software
+	registered []core.SoftwareVersion
+	cutUntil   time.Time
+}
+
 type replayedStream struct {
 	software core.SoftwareVersion
 	began    time.Time
@@ -30,10 +38,18 @@
 
 const replayedService = "coach"
 
-// begin begins a stream at a random registered version, as the application does.
+// begin begins a stream at a random version that a process knows, as the application does.
 func (r *softwareReplay) begin() {
-	process, version := r.processes[r.random.IntN(len(r.processes))], r.registered[r.random.IntN(len(r.registered))]
+	process := r.processes[r.random.IntN(len(r.processes))]
+	version := process.registered[r.random.IntN(len(process.registered))]
 	record, refresh, known := process.Record(replayedService, r.now)
+	if r.now.Before(process.cutUntil) && (!known || software.NeedsRow(record, version, 1)) {
+		return // refused
+	}
+	if refresh && r.now.Before(process.cutUntil) {
+		process.RefreshFailed(replayedService)
+		refresh = false
+	}
 	if !known || refresh || software.NeedsRow(record, version, 1) && !record.Mixed {
 		next, changed := software.Begin(r.record, r.found, version)
 		if changed {
@@ -63,17 +79,17 @@
 
 // TestReplaySoftwareOfStreams guards against a stream that goes on at another version than
 // began it. The load is releases, rollbacks and pauses while processes go by records that
-// they read up to softwareMaxAge ago.
+// they read before they were cut off from the store, and by servers that have left.
 func TestReplaySoftwareOfStreams(t *testing.T) {
 	const horizon = software.MinHorizon
 	rows, streams, settled := 0, 0, 0
 	for seed := range uint64(20) {
 		r := &softwareReplay{random: rand.New(rand.NewPCG(seed, 3)), now: time.Unix(1000, 0), rows: make(map[int]core.SoftwareVersion), registered: []core.SoftwareVersion{"v0"}}
 		for range 4 {
-			r.processes = append(r.processes, NewSoftware())
+			r.processes = append(r.processes, &replayedProcess{Software: NewSoftware()})
 		}
 		oldest := 0
-		for step := range 3000 {
+		for step := range 6000 {
 			r.now = r.now.Add(time.Duration(r.random.IntN(1000)) * time.Millisecond)
 			if step%400 == 399 {
 				r.now = r.now.Add(9 * time.Second) // without streams
@@ -86,16 +102,29 @@
 				}
 			}
 			for _, process := range r.processes {
-				process.ObserveServers(map[string][]core.SoftwareVersion{replayedService: r.registered}, r.now)
+				if r.random.IntN(1000) == 0 {
+					process.cutUntil = r.now.Add(time.Duration(r.random.Int64N(int64(2 * software.MaxRecordAge))))
+				}
+				if !r.now.Before(process.cutUntil) {
+					process.registered = slices.Clone(r.registered)
+					process.ObserveServers(map[string][]core.SoftwareVersion{replayedService: r.registered}, r.now)
+				}
 			}
 			r.begin()
-			only, lasted := r.processes[0].OnlyVersion(replayedService)
-			if next, changed := software.Settle(r.record, only, lasted, horizon); changed {
+			owner := r.processes[r.random.IntN(len(r.processes))]
+			only, lasted := owner.OnlyVersion(replayedService)
+			if next, changed := software.Settle(r.record, only, lasted, horizon); changed && r.found && !r.now.Before(owner.cutUntil) {
 				r.record, settled = next, settled+1
 			}
-			for r.now.Sub(r.streams[oldest].began) > horizon {
+			if len(r.streams) == 0 {
+				continue
+			}
+			for oldest < len(r.streams)-1 && r.now.Sub(r.streams[oldest].began) > horizon {
 				oldest++
 			}
+			if r.now.Sub(r.streams[oldest].began) > horizon {
+				continue
+			}
 			if problem := r.takeUp(oldest + r.random.IntN(len(r.streams)-oldest)); problem != "" {
 				t.Fatalf("seed %d, step %d: %s", seed, step, problem)
 			}
