--- a/internal/app/relay/events.go
+++ b/internal/app/relay/events.go
@@ -27,7 +27,6 @@
 	software        core.SoftwareVersion    // of the servers that may run the stream, once isFixed
 	isFixed         bool                    // the stream has begun, or its software is being recorded
 	recorded        <-chan error            // outcome of recording the software; nil if there is nothing to wait for
-	recordErr       error                   // the software could not be recorded
 	row             core.RowKey             // of the recorded software; zero for none
 	contentType     string                  // of the response whose head was passed on
 	excluded        []core.ServerID         // already tried
@@ -55,7 +54,8 @@
 	return nil
 }
 
-// awaitRecorded waits until the software of the stream is recorded, if it has to be.
+// awaitRecorded waits until the software of the stream is recorded, if it has to be. Its
+// errors end the stream and say nothing about the backend server. Errors: Canceled.
 func (st *eventStream) awaitRecorded() error {
 	if st.recorded == nil {
 		return nil
@@ -63,8 +63,7 @@
 	select {
 	case err := <-st.recorded:
 		st.recorded = nil
-		st.recordErr = errkind.Wrap(errkind.ServerFailed, err, "the software of the stream was not recorded")
-		return st.recordErr
+		return errkind.Wrap(errkind.Canceled, err, "the software of the stream was not recorded")
 	case <-st.ctx.Done():
 		return errkind.Wrap(errkind.Canceled, st.ctx.Err(), "record the software of the stream")
 	}
@@ -201,9 +200,6 @@
 // attemptEvents sends the request to one backend server and returns that server,
 // empty if none was available.
 func (s *Service) attemptEvents(st *eventStream) (core.RelayResponse, core.ServerID, error) {
-	if st.recordErr != nil {
-		return core.RelayResponse{}, "", st.recordErr
-	}
 	if err := s.awaitGuard(st); err != nil {
 		return core.RelayResponse{}, "", err
 	}
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -81,7 +81,7 @@
 	crashesInFlight    = 8
 	crashesWaiting     = 256
 	softwareInFlight   = 16
-	softwareWaiting    = 512 // streams that callers take up at once, as many as the process holds
+	softwareWaiting    = 512 // as many streams as a process holds
 	dutiesInFlight     = 2   // one write of counts and one of reports
 	platformInFlight   = 1   // so that calls arrive in the order of their fencing numbers
 )
@@ -127,7 +127,8 @@
 	// other reads that hang.
 	published *workers.Lane
 	crashes   *workers.Lane // records of requests under which servers died
-	software  *workers.Lane // software versions of streams
+	software  *workers.Lane // software versions of streams that begin
+	takeUps   *workers.Lane // software versions of streams that are taken up
 
 	duties   *workers.Lane // rows of counts and reports
 	platform *workers.Lane // calls to the platform's interface
@@ -209,6 +210,7 @@
 			published: workers.NewLane("published", publishedInFlight, publishedWaiting),
 			crashes:   workers.NewLane("crashes", crashesInFlight, crashesWaiting),
 			software:  workers.NewLane("software", softwareInFlight, softwareWaiting),
+			takeUps:   workers.NewLane("take-ups", softwareInFlight, softwareWaiting),
 
 			duties:   workers.NewLane("duties", dutiesInFlight, dutiesInFlight),
 			platform: workers.NewLane("platform", platformInFlight, 0),
--- a/internal/app/relay/shutdown.go
+++ b/internal/app/relay/shutdown.go
@@ -40,6 +40,8 @@
 	s.lanes.calls.Cancel()
 	s.lanes.store.Cancel()
 	s.lanes.crashes.Cancel()
+	s.lanes.takeUps.Cancel()
+	s.lanes.software.Cancel()
 }
 
 // planShutdown returns the plan of a shutdown that begins now and ends with the context.
@@ -78,7 +80,10 @@
 func (s *Service) Stop() {
 	s.lifecycle.Advance(tables.PhaseStopped)
 	s.slots.RefuseWaiting(errkind.New(errkind.ShuttingDown, "this entry process has stopped"))
+	s.lanes.takeUps.Stop()
+	s.lanes.software.Cancel() // streams that have not begun wait for it
 	s.lanes.calls.Stop()
+	s.lanes.software.Stop()
 	s.lanes.runs.Stop()
 	s.lanes.scores.Stop()
 	s.lanes.store.Stop()
--- a/internal/app/relay/streamsoftware.go
+++ b/internal/app/relay/streamsoftware.go
@@ -140,8 +140,9 @@
 // or the route no longer leads to the service.
 func (s *Service) findSoftware(st *eventStream) error {
 	found := make(chan error, 1)
-	err := s.lanes.software.Go(func(lane context.Context) {
-		ctx, cancel := s.mergeContexts(lane, st.ctx, s.ports.Clock.Now().Add(softwareCallTimeout))
+	until := s.ports.Clock.Now().Add(softwareCallTimeout)
+	err := s.lanes.takeUps.Go(func(lane context.Context) {
+		ctx, cancel := s.mergeContexts(lane, st.ctx, until)
 		defer cancel()
 		found <- s.readSoftware(ctx, st)
 	})
--- a/internal/core/software/registered.go
+++ b/internal/core/software/registered.go
@@ -41,6 +41,9 @@
 	r.readAt = readAt
 }
 
+// Since returns from when on the versions were read without a gap.
+func (r *Registered) Since() time.Time { return r.since }
+
 // ReadAt returns when the registrations were last read.
 func (r *Registered) ReadAt() time.Time { return r.readAt }
 
--- a/internal/tables/software.go
+++ b/internal/tables/software.go
@@ -59,13 +59,14 @@
 	return held.record, refresh, true
 }
 
-// SetRecord sets a service's record as read or written by a call that began at a time.
+// SetRecord sets a service's record as read or written by a call that began at a time. One
+// from before the last change of the registered versions is not kept.
 func (t *Software) SetRecord(service string, record core.SoftwareRecord, began time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	held := t.service(service)
 	held.refreshing = false
-	if began.After(held.readAt) {
+	if began.After(held.readAt) && !began.Before(held.registered.Since()) {
 		held.record, held.readAt = record, began
 	}
 }
