software: a process may read for two seconds' worth of take-ups at once

After all processes were killed callers take their streams up together. The burst is now two seconds of the process's share: 100 reads with 10 processes, 49 with 61; all processes together stay within half a second's reads of the store.

TestReadsOfStreamsKeepToTheirShare, take-up tests of app/relay: ok.

--- a/internal/tables/software.go
+++ b/internal/tables/software.go
@@ -11,9 +11,9 @@
 // softwareRefreshAge is the age from which a service's record is read again beside its use.
 const softwareRefreshAge = 10 * time.Second
 
-// maxReadBurst is the number of reads of streams that a process may make at once after a
-// pause: six streams that are taken up, of a service with several versions.
-const maxReadBurst = 32
+// readBurst is the time of which a process may make its reads of streams at once after a
+// pause. All processes together then make half a second's reads of the store at once.
+const readBurst = 2 * time.Second
 
 // Software holds, for each service, the record that tells the software version of streams
 // without a row, and the versions of the registered servers.
@@ -123,7 +123,7 @@
 func (t *Software) ReserveRead(now time.Time, interval time.Duration) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if earliest := now.Add(-maxReadBurst * interval); t.nextRead.Before(earliest) {
+	if earliest := now.Add(-readBurst); t.nextRead.Before(earliest) {
 		t.nextRead = earliest
 	}
 	t.nextRead = t.nextRead.Add(interval)
--- a/internal/tables/software_test.go
+++ b/internal/tables/software_test.go
@@ -142,8 +142,9 @@
 func TestReadsOfStreamsKeepToTheirShare(t *testing.T) {
 	table, now := NewSoftware(), time.Unix(1000, 0)
 	const interval = 20 * time.Millisecond
-	for n := range 2 * maxReadBurst {
-		want := max(0, time.Duration(n+1-maxReadBurst)*interval)
+	const burst = int(readBurst / interval)
+	for n := range 2 * burst {
+		want := max(0, time.Duration(n+1-burst)*interval)
 		if got := table.ReserveRead(now, interval); got != want {
 			t.Fatalf("read %d waits %v, want %v", n, got, want)
 		}
