--- a/internal/app/relay/streamsoftware.go
+++ b/internal/app/relay/streamsoftware.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -10,10 +9,8 @@
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/announce"
 	"fescuespar/internal/core/logs"
-	"fescuespar/internal/core/rendezvous"
 	"fescuespar/internal/core/software"
 	"fescuespar/internal/errkind"
-	"fescuespar/internal/tables"
 )
 
 const (
@@ -23,10 +20,7 @@
 	// maxSoftwareCommits bounds the attempts to change a service's record that other
 	// processes change too.
 	maxSoftwareCommits = 4
-	// streamSweepInterval is the interval at which one process removes rows of streams that
-	// nobody takes up any more, and lets services settle on a new base version.
-	streamSweepInterval = time.Minute
-	softwarePrefix      = "software|"
+	softwarePrefix     = "software|"
 )
 
 func softwareKey(service string) core.RowKey {
@@ -211,70 +205,6 @@
 	return rows, err
 }
 
-// streamHorizon returns the time after which no stream is taken up any more.
-func (s *Service) streamHorizon() time.Duration {
-	longest := time.Duration(0)
-	if table := s.routes.Current(); table != nil {
-		for i := range table.Routes {
-			if table.Routes[i].Kind == core.RouteStream {
-				longest = max(longest, table.Routes[i].Timeout)
-			}
-		}
-	}
-	return software.Horizon(longest)
-}
-
-// forgetStream removes the row of a stream that its caller has whole.
-func (s *Service) forgetStream(st *eventStream) {
-	if st.row != (core.RowKey{}) {
-		s.enqueueStreamCommit(st.row, nil, func(error) {})
-	}
-}
-
-// enqueueStreamCommit adds a row of a stream, or its removal, to the next group commit and
-// calls ended with the outcome.
-func (s *Service) enqueueStreamCommit(key core.RowKey, record core.Record, ended func(error)) {
-	commit := core.Commit{Attempt: s.newAttemptID(), Writes: []core.Write{{Key: key, Record: record}}}
-	s.streamCommits.Enqueue(commit, func(outcome tables.CommitOutcome) { ended(outcome.Err) })
-	s.flushStreamCommits()
-}
-
-// flushStreamCommits sends the next group commit of rows of streams, unless one is in
-// flight or the last one was too recent.
-func (s *Service) flushStreamCommits() {
-	now := s.ports.Clock.Now()
-	if delay := time.Duration(s.streamCommitNotBefore.Load() - now.UnixNano()); delay > 0 {
-		if s.streamCommitScheduled.CompareAndSwap(false, true) {
-			s.timers.After(delay, core.ClassControl, func() {
-				s.streamCommitScheduled.Store(false)
-				s.flushStreamCommits()
-			})
-		}
-		return
-	}
-	batch, ok := s.streamCommits.BeginBatch(s.newAttemptID())
-	if !ok {
-		return
-	}
-	s.streamCommitNotBefore.Store(now.Add(announce.StreamWriteInterval(len(s.members.Live()), s.options.StoreWritesPerSecond)).UnixNano())
-	end := func(result core.CommitResult, err error) {
-		s.pool.MustEnqueue(core.ClassControl, func() {
-			s.streamCommits.EndBatch(batch, result, err)
-			s.flushStreamCommits()
-		})
-	}
-	err := s.lanes.software.Go(func(lane context.Context) {
-		ctx, cancel := context.WithTimeout(lane, softwareCallTimeout)
-		defer cancel()
-		result, err := s.committer.Commit(ctx, batch.Commit)
-		s.recordStoreResult("software", err)
-		end(result, err)
-	})
-	if err != nil {
-		end(core.CommitResult{}, errkind.Wrap(errkind.StoreUnavailable, err, "rows of streams not stored"))
-	}
-}
-
 // observeSoftware applies the versions of the registered servers as read at a time.
 func (s *Service) observeSoftware() {
 	entries, readAt := s.registry.Entries()
@@ -284,69 +214,3 @@
 	}
 	s.software.ObserveServers(versions, readAt)
 }
-
-// sweepStreams removes the rows of streams that nobody takes up any more and lets services
-// settle on a new base version, if this process is the one that does so.
-func (s *Service) sweepStreams() {
-	live := s.members.Live()
-	first := slices.MinFunc(append(live, core.Member{VM: s.options.Self.VM}), func(a, b core.Member) int {
-		return cmp.Compare(rendezvous.Rank(softwarePrefix, string(a.VM)), rendezvous.Rank(softwarePrefix, string(b.VM)))
-	})
-	if len(live) == 0 || first.VM != s.options.Self.VM {
-		return
-	}
-	err := s.lanes.software.Go(func(lane context.Context) {
-		ctx, cancel := context.WithTimeout(lane, streamSweepInterval)
-		defer cancel()
-		err := s.settleSoftware(ctx)
-		if err == nil {
-			err = s.removeExpiredStreams(ctx)
-		}
-		if err != nil {
-			s.log.Info().Err(err).Msg("rows of streams not swept")
-		}
-	})
-	if err != nil {
-		s.log.Info().Err(err).Msg("rows of streams not swept")
-	}
-}
-
-func (s *Service) settleSoftware(ctx context.Context) error {
-	rows, err := s.ports.Tables.Scan(ctx, core.TableSoftware, softwarePrefix, "", tablePageRows)
-	if err != nil {
-		return err
-	}
-	for _, row := range rows {
-		record, ok := row.Record.(core.SoftwareRecord)
-		service := row.Key.ID[len(softwarePrefix):]
-		version, lasted := s.software.OnlyVersion(service)
-		next, changed := software.Settle(record, version, lasted, s.streamHorizon())
-		if !ok || !changed {
-			continue
-		}
-		if _, err := s.commitSoftware(ctx, service, next, row.Version); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (s *Service) removeExpiredStreams(ctx context.Context) error {
-	var rows []core.Row
-	for _, partition := range software.Partitions() {
-		for after := ""; ; after = rows[len(rows)-1].Key.ID {
-			page, err := s.ports.Tables.Scan(ctx, core.TableStream, partition, after, tablePageRows)
-			if err != nil {
-				return err
-			}
-			rows = append(rows, page...)
-			if len(page) < tablePageRows {
-				break
-			}
-		}
-	}
-	for _, row := range s.software.ExpiredStreams(rows, s.ports.Clock.Now(), s.streamHorizon()) {
-		s.enqueueStreamCommit(row.Key, nil, func(error) {})
-	}
-	return nil
-}
