relay: keep the row of a stream until its caller has stopped waiting

The row that tells a stream's software was removed when the process had sent the stream's last event.

Rows are now removed by the process that wrote them 5 s after the caller's deadline, or after the horizon if it names none. Rows that a process left are looked for every 10 minutes instead of every minute; base versions are settled every minute as before.

TestEndOfStreamCanBeResumed failed before (a stream of v2 went on with three events of v1); now ok, with the other tests of streams.

--- a/internal/app/relay/events.go
+++ b/internal/app/relay/events.go
@@ -27,7 +27,7 @@
 	software        core.SoftwareVersion    // of the servers that may run the stream, once isFixed
 	isFixed         bool                    // the stream has begun, or its software is being recorded
 	recorded        <-chan error            // outcome of recording the software; nil if there is nothing to wait for
-	row             core.RowKey             // of the recorded software; zero for none
+	callerDeadline  time.Time               // until when the caller waits, over all its attempts; zero if unknown
 	contentType     string                  // of the response whose head was passed on
 	excluded        []core.ServerID         // already tried
 	failureResponse core.RelayResponse      // a backend server's 5xx response, returned if no later attempt begins a stream
@@ -93,7 +93,7 @@
 	if err != nil {
 		return core.RelayResponse{}, err
 	}
-	arrived := s.ports.Clock.Now()
+	arrived, callerDeadline := s.ports.Clock.Now(), request.Deadline
 	request.Deadline = requestDeadline(request.Deadline, matched.Timeout, arrived)
 	if err := s.beginForwarded(core.ClassInteractive, &matched, arrived, request.Deadline); err != nil {
 		return core.RelayResponse{}, err
@@ -101,7 +101,7 @@
 	defer s.lifecycle.EndRequest()
 	request.AtMostOnce = !matched.Resumable
 	st := &eventStream{
-		request: request, guard: newCrashGuard(&request.RelayRequest), route: matched, service: s.routes.Choose(&matched), ctx: ctx, sink: sink,
+		request: request, guard: newCrashGuard(&request.RelayRequest), route: matched, service: s.routes.Choose(&matched), ctx: ctx, sink: sink, callerDeadline: callerDeadline,
 		progress: route.StreamProgress{Resumable: matched.Resumable, MaxAttempts: matched.Attempts},
 	}
 	if matched.Resumable && request.After > 0 {
@@ -115,9 +115,6 @@
 	if err = s.acquireStreamSlot(st, &taken, arrived); err == nil {
 		response, err = s.forwardEventsWithRetries(st)
 	}
-	if err == nil && st.progress.Begun {
-		s.forgetStream(st)
-	}
 	s.endTrial(&st.guard)
 	s.releaseSlot(&taken, err)
 	s.logRequest(&call{
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -125,10 +125,10 @@
 	watch  *workers.Lane // registrations and members
 	// published is for routes, accounts and weight versions, which must not wait for
 	// other reads that hang.
-	published *workers.Lane
-	crashes   *workers.Lane // records of requests under which servers died
-	software  *workers.Lane // software versions of streams that begin
-	takeUps   *workers.Lane // software versions of streams that are taken up
+	published   *workers.Lane
+	crashes     *workers.Lane // records of requests under which servers died
+	software    *workers.Lane // software versions of streams that begin
+	resumptions *workers.Lane // software versions of streams that are resumed
 
 	duties   *workers.Lane // rows of counts and reports
 	platform *workers.Lane // calls to the platform's interface
@@ -200,17 +200,17 @@
 		refusalLog: log.Sample(&zerolog.BurstSampler{Burst: logs.KeyRefusalsPerSecond, Period: time.Second}),
 		pool:       pool, timers: workers.NewTimers(pool),
 		lanes: lanes{
-			calls:     workers.NewLane("calls", maxRequests, maxRequests),
-			runs:      workers.NewLane("runs", runsInFlight, 0),
-			scores:    workers.NewLane("scores", scoresInFlight, 0),
-			store:     workers.NewLane("store", storeInFlight, storeWaiting),
-			leases:    workers.NewLane("leases", leaseInFlight, leaseWaiting),
-			orders:    workers.NewLane("orders", ordersInFlight, ordersWaiting),
-			watch:     workers.NewLane("watch", watchInFlight, watchInFlight),
-			published: workers.NewLane("published", publishedInFlight, publishedWaiting),
-			crashes:   workers.NewLane("crashes", crashesInFlight, crashesWaiting),
-			software:  workers.NewLane("software", softwareInFlight, softwareWaiting),
-			takeUps:   workers.NewLane("take-ups", softwareInFlight, softwareWaiting),
+			calls:       workers.NewLane("calls", maxRequests, maxRequests),
+			runs:        workers.NewLane("runs", runsInFlight, 0),
+			scores:      workers.NewLane("scores", scoresInFlight, 0),
+			store:       workers.NewLane("store", storeInFlight, storeWaiting),
+			leases:      workers.NewLane("leases", leaseInFlight, leaseWaiting),
+			orders:      workers.NewLane("orders", ordersInFlight, ordersWaiting),
+			watch:       workers.NewLane("watch", watchInFlight, watchInFlight),
+			published:   workers.NewLane("published", publishedInFlight, publishedWaiting),
+			crashes:     workers.NewLane("crashes", crashesInFlight, crashesWaiting),
+			software:    workers.NewLane("software", softwareInFlight, softwareWaiting),
+			resumptions: workers.NewLane("resumptions", softwareInFlight, softwareWaiting),
 
 			duties:   workers.NewLane("duties", dutiesInFlight, dutiesInFlight),
 			platform: workers.NewLane("platform", platformInFlight, 0),
@@ -269,6 +269,7 @@
 	s.runPeriodically(s.memberReadInterval, s.watchMembers)
 	s.runPeriodically(constantInterval(leaseInterval), s.updateLeases)
 	s.runPeriodically(constantInterval(sweepInterval), s.sweepServers)
+	s.runPeriodically(constantInterval(settleInterval), s.settleVersions)
 	s.runPeriodically(constantInterval(streamSweepInterval), s.sweepStreams)
 	s.startDuties()
 	s.announce()
--- a/internal/app/relay/shutdown.go
+++ b/internal/app/relay/shutdown.go
@@ -40,7 +40,7 @@
 	s.lanes.calls.Cancel()
 	s.lanes.store.Cancel()
 	s.lanes.crashes.Cancel()
-	s.lanes.takeUps.Cancel()
+	s.lanes.resumptions.Cancel()
 	s.lanes.software.Cancel()
 }
 
@@ -80,7 +80,7 @@
 func (s *Service) Stop() {
 	s.lifecycle.Advance(tables.PhaseStopped)
 	s.slots.RefuseWaiting(errkind.New(errkind.ShuttingDown, "this entry process has stopped"))
-	s.lanes.takeUps.Stop()
+	s.lanes.resumptions.Stop()
 	s.lanes.software.Cancel() // streams that have not begun wait for it
 	s.lanes.calls.Stop()
 	s.lanes.software.Stop()
--- a/internal/app/relay/streamrows.go
+++ b/internal/app/relay/streamrows.go
@@ -14,15 +14,22 @@
 	"fescuespar/internal/tables"
 )
 
-// streamSweepInterval is the interval at which one process removes rows of streams that
-// nobody takes up any more, and lets services settle on a new base version.
-const streamSweepInterval = time.Minute
+const (
+	// settleInterval is the interval at which one process lets services settle on a new base
+	// version.
+	settleInterval = time.Minute
+	// streamSweepInterval is the interval at which one process removes the rows of streams
+	// whose process has not done so. It reads all rows.
+	streamSweepInterval = 10 * time.Minute
+)
 
-// forgetStream removes the row of a stream that its caller has whole.
-func (s *Service) forgetStream(st *eventStream) {
-	if st.row != (core.RowKey{}) {
-		s.enqueueStreamCommit(st.row, nil, func(error) {})
-	}
+// storeStream stores a row with the software of a stream, and removes it once the caller can
+// no longer resume the stream.
+func (s *Service) storeStream(st *eventStream, recorded chan<- error) {
+	key := core.RowKey{Table: core.TableStream, ID: software.OwnPartition(s.options.Self.VM) + software.RowName(st.request.ID)}
+	s.enqueueStreamCommit(key, core.StreamRecord{Service: st.service, Software: st.software}, func(err error) { recorded <- err })
+	lifetime := software.RowLifetime(st.callerDeadline, s.ports.Clock.Now(), s.streamHorizon())
+	s.timers.After(lifetime, core.ClassControl, func() { s.enqueueStreamCommit(key, nil, func(error) {}) })
 }
 
 // enqueueStreamCommit adds a row of a stream, or its removal, to the next group commit and
@@ -69,32 +76,39 @@
 	}
 }
 
-// sweepStreams removes the rows of streams that nobody takes up any more and lets services
-// settle on a new base version, if this process is the one that does so.
-func (s *Service) sweepStreams() {
+// isSweeper reports whether this process is the one that settles base versions and removes
+// rows that others have left.
+func (s *Service) isSweeper() bool {
 	live := s.members.Live()
 	first := slices.MinFunc(append(live, core.Member{VM: s.options.Self.VM}), func(a, b core.Member) int {
 		return cmp.Compare(rendezvous.Rank(softwarePrefix, string(a.VM)), rendezvous.Rank(softwarePrefix, string(b.VM)))
 	})
-	if len(live) == 0 || first.VM != s.options.Self.VM {
+	return len(live) > 0 && first.VM == s.options.Self.VM
+}
+
+// runAsSweeper runs work on a lane if this process is the one for it.
+func (s *Service) runAsSweeper(what string, work func(context.Context) error) {
+	if !s.isSweeper() {
 		return
 	}
 	err := s.lanes.software.Go(func(lane context.Context) {
-		ctx, cancel := context.WithTimeout(lane, streamSweepInterval)
+		ctx, cancel := context.WithTimeout(lane, settleInterval)
 		defer cancel()
-		err := s.settleSoftware(ctx)
-		if err == nil {
-			err = s.removeExpiredStreams(ctx)
-		}
-		if err != nil {
-			s.log.Info().Err(err).Msg("rows of streams not swept")
+		if err := work(ctx); err != nil {
+			s.log.Info().Err(err).Str("what", what).Msg("software versions not maintained")
 		}
 	})
 	if err != nil {
-		s.log.Info().Err(err).Msg("rows of streams not swept")
+		s.log.Info().Err(err).Str("what", what).Msg("software versions not maintained")
 	}
 }
 
+// settleVersions lets services settle on a new base version.
+func (s *Service) settleVersions() { s.runAsSweeper("base versions", s.settleSoftware) }
+
+// sweepStreams removes rows of streams that nobody can resume any more.
+func (s *Service) sweepStreams() { s.runAsSweeper("rows of streams", s.removeExpiredStreams) }
+
 func (s *Service) settleSoftware(ctx context.Context) error {
 	rows, err := s.ports.Tables.Scan(ctx, core.TableSoftware, softwarePrefix, "", tablePageRows)
 	if err != nil {
@@ -135,7 +149,7 @@
 	return nil
 }
 
-// streamHorizon returns the time after which no stream is taken up any more.
+// streamHorizon returns the time after which no stream is resumed any more.
 func (s *Service) streamHorizon() time.Duration {
 	longest := time.Duration(0)
 	if table := s.routes.Current(); table != nil {
--- a/internal/app/relay/streamsoftware.go
+++ b/internal/app/relay/streamsoftware.go
@@ -60,12 +60,6 @@
 	return recorded
 }
 
-// storeStream stores a row with the software of a stream.
-func (s *Service) storeStream(st *eventStream, recorded chan<- error) {
-	st.row = core.RowKey{Table: core.TableStream, ID: software.OwnPartition(s.options.Self.VM) + software.RowName(st.request.ID)}
-	s.enqueueStreamCommit(st.row, core.StreamRecord{Service: st.service, Software: st.software}, func(err error) { recorded <- err })
-}
-
 // beginVersion stores what a service's record must tell before a stream of a version begins,
 // and returns the record. It blocks and runs on a lane.
 func (s *Service) beginVersion(ctx context.Context, service string, version core.SoftwareVersion) (core.SoftwareRecord, error) {
@@ -119,9 +113,12 @@
 			s.software.RefreshFailed(service)
 			return
 		}
-		if record, found := rows[0].Record.(core.SoftwareRecord); found {
-			s.software.SetRecord(service, record, began)
+		record, found := rows[0].Record.(core.SoftwareRecord)
+		if !found {
+			s.software.RefreshFailed(service)
+			return
 		}
+		s.software.SetRecord(service, record, began)
 	})
 	if err != nil {
 		s.software.RefreshFailed(service)
@@ -129,13 +126,13 @@
 	}
 }
 
-// findSoftware sets the software of a stream that the caller takes up, and the service that
+// findSoftware sets the software of a stream that the caller resumes, and the service that
 // began it. Errors: SoftwareUnknown, StoreUnavailable, NoServer if no server of it is left
 // or the route no longer leads to the service.
 func (s *Service) findSoftware(st *eventStream) error {
 	found := make(chan error, 1)
 	until := s.ports.Clock.Now().Add(softwareCallTimeout)
-	err := s.lanes.takeUps.Go(func(lane context.Context) {
+	err := s.lanes.resumptions.Go(func(lane context.Context) {
 		ctx, cancel := s.mergeContexts(lane, st.ctx, until)
 		defer cancel()
 		found <- s.readSoftware(ctx, st)
@@ -192,13 +189,13 @@
 	return core.StreamRecord{}, false, nil
 }
 
-// readForStream reads a row for a stream that is taken up, within this process's share of the
+// readForStream reads a row for a stream that is resumed, within this process's share of the
 // reads. It refuses at once what would have to wait longer than its context.
 func (s *Service) readForStream(ctx context.Context, key core.RowKey) ([]core.Row, error) {
 	now := s.ports.Clock.Now()
 	delay := s.software.ReserveRead(now, announce.StreamReadInterval(len(s.members.Live()), s.options.StoreReadsPerSecond))
 	if deadline, bounded := ctx.Deadline(); bounded && delay >= deadline.Sub(now) || !commits.Sleep(ctx, delay) {
-		return nil, errkind.New(errkind.StoreUnavailable, "too many streams are taken up, the next read may begin in %v", delay)
+		return nil, errkind.New(errkind.StoreUnavailable, "too many streams are resumed, the next read may begin in %v", delay)
 	}
 	rows, err := s.committer.Read(ctx, key)
 	s.recordStoreResult("software", err)
--- a/internal/core/software/rows.go
+++ b/internal/core/software/rows.go
@@ -41,6 +41,20 @@
 	return fmt.Sprintf("%x", hash.Sum(nil))
 }
 
+// rowMargin is added to the deadline of a stream's caller, who may wait somewhat longer than
+// it says: 1.5 s by the users' pages.
+const rowMargin = 5 * time.Second
+
+// RowLifetime returns how long the row of a stream is kept that begins now: until its caller
+// has stopped waiting, whose deadline may be zero for none, and no longer than the horizon.
+// The end of the stream does not matter, since its caller may not have received it.
+func RowLifetime(deadline, now time.Time, horizon time.Duration) time.Duration {
+	if deadline.IsZero() {
+		return horizon
+	}
+	return min(horizon, deadline.Sub(now)+rowMargin)
+}
+
 // Sweep finds rows that have not changed for the horizon, without comparing clocks: by the
 // time for which this process has seen them. It is not safe for concurrent use.
 type Sweep struct {
