software: rows of streams belong to their account

Callers choose the ids of their attempts, and accounts may choose the same.

The key now covers the account, as texts that are kept for items do. TestAccountsMayUseTheSameIDs fails without that.

--- a/internal/app/relay/resume_test.go
+++ b/internal/app/relay/resume_test.go
@@ -198,3 +198,25 @@
 		t.Errorf("resumed after its end: %q, %v", text, err)
 	}
 }
+
+// TestAccountsMayUseTheSameIDs guards against a stream that goes on at the software of
+// another account's stream of the same id.
+func TestAccountsMayUseTheSameIDs(t *testing.T) {
+	s, service := newMixedService(t)
+	begin := func(account core.AccountName, versions ...core.SoftwareVersion) {
+		s.replaceSoftware(service, versions[0], versions...)
+		request := streamRequest("same")
+		request.Account, request.HasAccounts = account, true
+		if _, err := service.ForwardEvents(t.Context(), request, &textSink{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	begin("a", "v2", "v2", "v2")
+	begin("b", "v3", "v3", "v3")
+	s.replaceSoftware(service, "v2", "v1", "v2", "v3")
+	request, sink := streamRequest("t"), &textSink{}
+	request.Account, request.HasAccounts, request.After, request.Resumes = "a", true, 1, "same"
+	if _, err := service.ForwardEvents(t.Context(), request, sink); err != nil || strings.Join(sink.events, " ") != "v2 v2 v2" {
+		t.Errorf("the stream of account a goes on with %v, %v", sink.events, err)
+	}
+}
--- a/internal/app/relay/streamrows.go
+++ b/internal/app/relay/streamrows.go
@@ -26,7 +26,7 @@
 // storeStream stores a row with the software of a stream, and removes it once the caller can
 // no longer resume the stream.
 func (s *Service) storeStream(st *eventStream, recorded chan<- error) {
-	key := core.RowKey{Table: core.TableStream, ID: software.OwnPartition(s.options.Self.VM) + software.RowName(st.request.ID)}
+	key := core.RowKey{Table: core.TableStream, ID: software.OwnPartition(s.options.Self.VM) + software.RowName(st.request.Account, st.request.ID)}
 	s.enqueueStreamCommit(key, core.StreamRecord{Service: st.service, Software: st.software}, func(err error) { recorded <- err })
 	lifetime := software.RowLifetime(st.callerDeadline, s.ports.Clock.Now(), s.streamHorizon())
 	s.timers.After(lifetime, core.ClassControl, func() { s.enqueueStreamCommit(key, nil, func(error) {}) })
--- a/internal/app/relay/streamsoftware.go
+++ b/internal/app/relay/streamsoftware.go
@@ -157,7 +157,7 @@
 	services, hasName := len(st.route.Services), st.request.Resumes != ""
 	st.software = software.OfStream(record, found, hasName, services)
 	if hasName && (record.Mixed || services > 1) {
-		stream, found, err := s.readStream(ctx, st.request.Resumes)
+		stream, found, err := s.readStream(ctx, st.request.Account, st.request.Resumes)
 		if err != nil {
 			return err
 		}
@@ -176,9 +176,9 @@
 }
 
 // readStream reads the row of a stream, of which it is not known what process wrote it.
-func (s *Service) readStream(ctx context.Context, id core.RequestID) (stream core.StreamRecord, found bool, err error) {
+func (s *Service) readStream(ctx context.Context, account core.AccountName, id core.RequestID) (stream core.StreamRecord, found bool, err error) {
 	for _, partition := range software.Partitions() {
-		rows, err := s.readForStream(ctx, core.RowKey{Table: core.TableStream, ID: partition + software.RowName(id)})
+		rows, err := s.readForStream(ctx, core.RowKey{Table: core.TableStream, ID: partition + software.RowName(account, id)})
 		if err != nil {
 			return core.StreamRecord{}, false, err
 		}
--- a/internal/core/software/rows.go
+++ b/internal/core/software/rows.go
@@ -34,9 +34,11 @@
 }
 
 // RowName returns the name of a stream's row within its partition. IDs of requests are the
-// callers' and may have any length.
-func RowName(id core.RequestID) string {
+// callers' and may have any length, and accounts may use the same ones.
+func RowName(account core.AccountName, id core.RequestID) string {
 	hash := fnv.New128a()
+	_, _ = hash.Write([]byte(account))
+	_, _ = hash.Write([]byte{0})
 	_, _ = hash.Write([]byte(id))
 	return fmt.Sprintf("%x", hash.Sum(nil))
 }
