--- a/review/stage2/cases.go
+++ b/review/stage2/cases.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"net/http"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -15,11 +15,19 @@
 		ends, over, peak := m.counts()
 		d.record.line("%s: its process ended %d times by itself, %d of them over MemoryMb; most memory %d MB", m.name, ends, over, peak)
 		ended += ends
-		if ends >= 3 {
+	}
+	return ended, d.machinesThrice()
+}
+
+// machinesThrice returns on how many machines processes ended by themselves three times.
+func (d *site) machinesThrice() int {
+	thrice := 0
+	for _, m := range d.relays {
+		if ends, _, _ := m.counts(); ends >= 3 {
 			thrice++
 		}
 	}
-	return ended, thrice
+	return thrice
 }
 
 // verdict records and prints the outcome.
@@ -33,38 +41,6 @@
 	return held
 }
 
-// lookups sends ordinary requests to all machines until stop is called, which returns how
-// many were sent and served.
-func (d *site) lookups() (stop func() (sent, served int)) {
-	var mu sync.Mutex
-	var all sync.WaitGroup
-	sent, served := 0, 0
-	done := make(chan struct{})
-	for _, m := range d.relays {
-		all.Go(func() {
-			for n := 0; ; n++ {
-				select {
-				case <-done:
-					return
-				case <-time.After(300 * time.Millisecond):
-				}
-				id := fmt.Sprintf("b%s%04x", m.name[len(m.name)-1:], n)
-				status, _ := d.call(m, http.MethodPost, "/pufi791/"+id, id, []byte("{}"), 2*time.Second)
-				mu.Lock()
-				if sent++; status == http.StatusOK {
-					served++
-				}
-				mu.Unlock()
-			}
-		})
-	}
-	return func() (int, int) {
-		close(done)
-		all.Wait()
-		return sent, served
-	}
-}
-
 // playPrefix lets one client submit a batch job of one item whose prompt has a part of very
 // many tokens, among the steps of an ordinary trainer.
 func playPrefix(root, folder string, trouble bool) int {
@@ -92,7 +68,7 @@
 	odd := &batch{id: "aa41e09b52d6a3f8", items: []item{{id: "aab2907c14da6f38", group: "g1", prefix: fmt.Sprintf("9c2e41:1000,5d07b8:%d", tokens), events: 22, bodyBytes: 600}}}
 	d.submit(odd, 1, time.Now().Add(5*time.Second))
 	steps, whole := 0, 0
-	for n, end := 1, time.Now().Add(55*time.Second); time.Now().Before(end); n++ {
+	for n, end := 1, time.Now().Add(55*time.Second); time.Now().Before(end) && d.machinesThrice() < 2; n++ {
 		accepted, read, items := step(n)
 		steps++
 		if accepted && read == items {
@@ -104,39 +80,6 @@
 	return d.verdict(thrice >= 2, "%d of %d later steps of the ordinary trainer done; processes ended %d times by themselves, three times or more on %d of %d machines", whole, steps, ended, thrice, len(d.relays))
 }
 
-// playOpen lets clients have 30 batch jobs open at a time, each with 32 bodies of 150 KiB.
-func playOpen(root, folder string, trouble bool) int {
-	d, err := startSite(root, folder, shape{machines: 4, memoryMB: 154, engines: 4, slots: 16, eventEvery: 100 * time.Millisecond, eventBytes: 220, itemTTL: 100})
-	if err != nil {
-		return fail(err)
-	}
-	defer d.stop()
-	bytes := 600
-	if trouble {
-		bytes = 150 << 10
-	}
-	accepted := 0
-	for n := range 30 {
-		if d.submit(newBatch(fmt.Sprintf("5c41e09b52d6a3%02x", n), 32, 60, bytes), n, time.Now().Add(6*time.Second)) {
-			accepted++
-		}
-	}
-	thrice := 0
-	for end := time.Now().Add(65 * time.Second); time.Now().Before(end) && thrice < 2; time.Sleep(200 * time.Millisecond) {
-		thrice = 0
-		for _, m := range d.relays {
-			if ends, _, _ := m.counts(); ends >= 3 {
-				thrice++
-			}
-		}
-		if !trouble && time.Until(end) < 40*time.Second {
-			break
-		}
-	}
-	ended, thrice := d.summarize()
-	return d.verdict(thrice >= 2, "%d of 30 batch jobs accepted; processes ended %d times by themselves, three times or more on %d of %d machines", accepted, ended, thrice, len(d.relays))
-}
-
 // playUpgrade lets the workers of a service start again in place, under their ids, with
 // another version of their software, while items run on them.
 func playUpgrade(root, folder string, trouble bool) int {
@@ -185,100 +128,171 @@
 	return d.verdict(mixed > 2, "%d results read, %d of them with events of two software versions", read, mixed)
 }
 
-// share returns the share that was served, 1 if nothing was sent.
-func share(served, sent int) float64 {
-	if sent == 0 {
-		return 1
-	}
-	return float64(served) / float64(sent)
-}
-
-// isStarved applies the rule: the items are served less than a quarter as often as all
-// requests.
-func isStarved(items, itemsServed, lookups, lookupsServed int) bool {
-	return share(itemsServed, items) < share(itemsServed+lookupsServed, items+lookups)/4
-}
-
-// playFull runs batch jobs, each of which ends before the next one is submitted, until the
-// store holds what it may.
-func playFull(root, folder string, trouble bool) int {
-	d, err := startSite(root, folder, shape{machines: 3, memoryMB: 324, engines: 4, slots: 16, eventEvery: 10 * time.Millisecond, eventBytes: 900, itemTTL: 100})
+// playRoute removes the route of one trainer, whose batch job is open, while a step of
+// another trainer is in progress on the same workers.
+func playRoute(root, folder string, trouble bool) int {
+	s := shape{machines: 4, memoryMB: 154, engines: 4, slots: 16, eventEvery: 20 * time.Millisecond, eventBytes: 220, itemTTL: 40, two: true}
+	d, err := startSite(root, folder, s)
 	if err != nil {
 		return fail(err)
 	}
 	defer d.stop()
-	bytes := 600
+	time.Sleep(2 * time.Second)
+	guide, triage := newBatch("6c41e09b52d6a3f8", 96, 60, 600), newBatch("7c41e09b52d6a3f8", 400, 12, 600)
+	for n := range guide.items {
+		guide.items[n].events = 100 + 200*(n%64)/64 // texts of 2 to 6 s
+	}
+	ahead := newBatch("8c41e09b52d6a3f8", 400, 12, 600)
+	triage.route, ahead.route = "/trig118/", "/trig118/"
+	began := time.Now()
+	if !d.submit(guide, 0, time.Now().Add(2*time.Second)) {
+		return fail(fmt.Errorf("not accepted"))
+	}
+	time.Sleep(300 * time.Millisecond)
+	if !d.submit(triage, 1, time.Now().Add(2*time.Second)) || !d.submit(ahead, 2, time.Now().Add(2*time.Second)) {
+		return fail(fmt.Errorf("not accepted"))
+	}
 	if trouble {
-		bytes = 600 << 10
+		s.two = false
+		d.publish(s)
+		d.record.line("configuration without the route of %s acknowledged", triage.id)
 	}
-	done := 0
-	run := func(b *batch, from int) bool {
-		if !d.submit(b, from, time.Now().Add(time.Second)) {
-			return false
+	deadline := began.Add(12 * time.Second)
+	read := make(chan int)
+	go func() { read <- d.readAll(guide, 2, deadline) }()
+	busiest, idleSince := 0, time.Time{}
+	for time.Now().Before(deadline) {
+		running := 0
+		for _, w := range d.workers[:s.engines] {
+			running += w.load()
+		}
+		if running*2 >= s.engines*s.slots {
+			idleSince = time.Time{}
+		} else if idleSince.IsZero() {
+			idleSince = time.Now()
+			d.record.line("the workers are under half full from now on: %d runs", running)
 		}
-		if d.readAll(b, from, time.Now().Add(6*time.Second)) == len(b.items) {
-			done++
+		busiest = max(busiest, running)
+		time.Sleep(50 * time.Millisecond)
+	}
+	listed := <-read
+	begun, waiting := 0, 0
+	for _, i := range guide.items {
+		if d.record.hasBegun(i.id) {
+			begun++
+		} else {
+			waiting++
 		}
-		d.end(b, from)
-		return true
 	}
-	for n := 0; n < 60 && run(newBatch(fmt.Sprintf("2c41e09b52d6a3%02x", n), 12, 2, bytes), n); n++ {
+	idle := time.Duration(0)
+	if !idleSince.IsZero() {
+		idle = time.Since(idleSince)
 	}
-	for n, size := 0, 1<<20; trouble && size > 200<<10; n++ {
-		if !run(newBatch(fmt.Sprintf("3c41e09b52d6a3%02x", n), 1, 2, size), n) {
-			size /= 2
+	return d.verdict(begun > 0 && waiting > 0 && idle >= 5*time.Second,
+		"step of %d items: %d begun, %d at no worker until its time was out, %d listed; the workers were under half full for the last %.1f s", len(guide.items), begun, waiting, listed, idle.Seconds())
+}
+
+// playModel lets one of two trainers on the same workers stop, and the other one go on.
+func playModel(root, folder string, trouble bool) int {
+	s := shape{machines: 4, memoryMB: 154, engines: 8, slots: 8, eventEvery: 25 * time.Millisecond, eventBytes: 220, itemTTL: 40, models: true}
+	d, err := startSite(root, folder, s)
+	if err != nil {
+		return fail(err)
+	}
+	defer d.stop()
+	time.Sleep(4 * time.Second)
+	for n := range 2 {
+		if !trouble {
+			break
 		}
+		b := newBatch(fmt.Sprintf("aa41e09b52d6a3%02x", n), 196, 160, 600)
+		b.model = otherModel
+		if !d.submit(b, n, time.Now().Add(4*time.Second)) {
+			return fail(fmt.Errorf("a step of the first trainer is not accepted"))
+		}
+		time.Sleep(5 * time.Second)
+		d.end(b, n)
 	}
-	d.store.mu.Lock()
-	stored := d.store.blobBytes
-	d.store.mu.Unlock()
-	d.record.line("%d batch jobs done and ended; the store holds %d bytes of objects", done, stored)
-	stop := d.lookups()
-	long, short := newBatch("4c41e09b52d6a3f8", 4, 350, 600), newBatch("5c41e09b52d6a3f8", 16, 22, 200)
-	accepted, items, served := 0, 0, 0
-	hasLong := d.submit(long, 0, time.Now().Add(6*time.Second))
+	d.record.line("the trainer of %s has stopped", otherModel)
 	time.Sleep(5 * time.Second)
-	hasShort := d.submit(short, 1, time.Now().Add(6*time.Second))
-	for _, b := range []struct {
-		is bool
-		*batch
-	}{{hasShort, short}, {hasLong, long}} {
-		if b.is {
-			accepted++
-			items += len(b.items)
-			served += d.readAll(b.batch, 2, time.Now().Add(10*time.Second))
-		}
+	for v := uint64(2); v < 4; v++ {
+		d.name(v)
+		time.Sleep(7 * time.Second)
 	}
-	sent, answered := stop()
-	finished := 0
-	for _, b := range []*batch{long, short} {
-		for _, i := range b.items {
-			if d.record.isFinished(i.id) {
-				finished++
-			}
+	var versions []uint64
+	for _, w := range d.workers[:s.engines] {
+		w.mu.Lock()
+		versions = append(versions, w.versions[modelName])
+		w.mu.Unlock()
+	}
+	d.record.line("version of %s at the workers: %v", modelName, versions)
+	b := newBatch("6c41e09b52d6a3f8", 96, 150, 600)
+	b.least = 2
+	began := time.Now()
+	if !d.submit(b, 0, time.Now().Add(4*time.Second)) {
+		return fail(fmt.Errorf("the step is not accepted"))
+	}
+	deadline := began.Add(7500 * time.Millisecond) // ResultDeadlineMs of the route
+	read := make(chan int)
+	go func() { read <- d.readAll(b, 2, deadline) }()
+	peak := 0
+	for time.Now().Before(deadline) {
+		running := 0
+		for _, w := range d.workers[:s.engines] {
+			running += w.load()
 		}
+		peak = max(peak, running)
+		time.Sleep(50 * time.Millisecond)
 	}
-	return d.verdict(isStarved(items, served, sent, answered), "the store holds %d MB; %d of 2 later batch jobs accepted, %d of their %d items finished by workers, %d listed; %d of %d lookups served", stored>>20, accepted, finished, items, served, answered, sent)
+	lastBegan, begun := d.record.lastBegun(b.items)
+	listed := <-read
+	quiet := deadline.Sub(lastBegan)
+	return d.verdict(begun > 0 && begun < len(b.items) && 2*peak < s.engines*s.slots && quiet >= 3*time.Second,
+		"version of %s at the 8 workers: %v; step of %d items: %d begun, the last %.1f s before its time was out, %d listed; never more than %d of %d places taken", modelName, versions, len(b.items), begun, quiet.Seconds(), listed, peak, s.engines*s.slots)
 }
 
-// playID lets one client submit a batch job with an id of 190 bytes, before an ordinary one.
-func playID(root, folder string, trouble bool) int {
-	d, err := startSite(root, folder, shape{machines: 3, memoryMB: 154, engines: 4, slots: 16, eventEvery: 20 * time.Millisecond, eventBytes: 220, itemTTL: 40})
+// playAdded adds one route after another for batch jobs whose results may have one version
+// only, and submits a batch job on each as soon as the configuration is acknowledged. While
+// it runs, the next version of the model is named.
+func playAdded(root, folder string, trouble bool) int {
+	s := shape{machines: 4, memoryMB: 154, engines: 2, slots: 16, eventEvery: 20 * time.Millisecond, eventBytes: 60, itemTTL: 60}
+	d, err := startSite(root, folder, s)
 	if err != nil {
 		return fail(err)
 	}
 	defer d.stop()
-	id := "2c41e09b52d6a3f8"
-	if trouble {
-		id += strings.Repeat("0", 190-len(id))
+	time.Sleep(4 * time.Second)
+	rounds, after := 30, time.Duration(0)
+	if !trouble {
+		rounds, after = 12, 3*time.Second
 	}
-	odd := &batch{id: id, items: []item{{id: "aab2907c14da6f38", group: "g1", prefix: "9c2e41:1000,5d07b8:16", events: 5, bodyBytes: 600}}}
-	oddAccepted := d.submit(odd, 0, time.Now().Add(5*time.Second))
-	time.Sleep(2 * time.Second)
-	stop := d.lookups()
-	short := newBatch("5c41e09b52d6a3f8", 16, 22, 200)
-	accepted := d.submit(short, 1, time.Now().Add(6*time.Second))
-	read := d.readAll(short, 2, time.Now().Add(20*time.Second))
-	sent, answered := stop()
-	return d.verdict(accepted && isStarved(16, read, sent, answered), "batch job with the id of %d bytes accepted: %t; ordinary one accepted: %t, %d of 16 items listed; %d of %d lookups served", len(id), oddAccepted, accepted, read, answered, sent)
+	several, read, begun := 0, 0, time.Now()
+	for round := 0; round < rounds && several == 0 && time.Since(begun) < 95*time.Second; round++ {
+		time.Sleep(time.Duration(rand.IntN(300)) * time.Millisecond)
+		s.added++
+		d.publish(s)
+		d.record.line("configuration with route /solo77%d/ acknowledged", round)
+		time.Sleep(after)
+		b := newBatch(fmt.Sprintf("6c41e09b52d6a3%02x", round), 16, 110, 600)
+		b.route = fmt.Sprintf("/solo77%d/", round)
+		if !d.submit(b, rand.IntN(len(d.relays)), time.Now().Add(4*time.Second)) {
+			return fail(fmt.Errorf("the batch job is not accepted"))
+		}
+		time.Sleep(250 * time.Millisecond)
+		d.name(uint64(round + 2))
+		next := 0
+		for end := time.Now().Add(2700 * time.Millisecond); time.Now().Before(end) && next < len(b.items); time.Sleep(100 * time.Millisecond) {
+			page, _ := d.read(b, d.relays[round%len(d.relays)], next)
+			for _, r := range page.Results {
+				read++
+				if len(r.Versions) > 1 {
+					several++
+					d.record.line("result %s has the versions %v", r.ID, r.Versions)
+				}
+			}
+			next += len(page.Results)
+		}
+		d.end(b, round)
+	}
+	return d.verdict(several > 0, "%d results read, %d of them with several versions on a route that allows one", read, several)
 }
--- a/review/stage2/main.go
+++ b/review/stage2/main.go
@@ -16,7 +16,7 @@
 )
 
 var cases = map[string]func(root, folder string, trouble bool) int{
-	"prefix": playPrefix, "open": playOpen, "upgrade": playUpgrade, "full": playFull, "id": playID,
+	"route": playRoute, "model": playModel, "upgrade": playUpgrade, "added": playAdded, "prefix": playPrefix,
 }
 
 func main() {
--- a/review/stage2/site.go
+++ b/review/stage2/site.go
@@ -8,16 +8,17 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"time"
 )
 
 // recorder writes what happened to record.txt.
 type recorder struct {
-	mu       sync.Mutex
-	file     *os.File
-	began    time.Time
-	complete map[string]bool
+	mu    sync.Mutex
+	file  *os.File
+	began time.Time
+	begun map[string]time.Time
 }
 
 func newRecorder(path string) (*recorder, error) {
@@ -25,7 +26,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &recorder{file: file, began: time.Now(), complete: map[string]bool{}}, nil
+	return &recorder{file: file, began: time.Now(), begun: map[string]time.Time{}}, nil
 }
 
 func (r *recorder) line(format string, args ...any) {
@@ -35,20 +36,35 @@
 }
 
 func (r *recorder) ran(id, worker, path string, bytes int) {
+	r.mu.Lock()
+	r.begun[id] = time.Now()
+	r.mu.Unlock()
 	r.line("run %s at %s, path %s, %d bytes", id, worker, path, bytes)
 }
 
 func (r *recorder) finished(id, worker string) {
-	r.mu.Lock()
-	r.complete[id] = true
-	r.mu.Unlock()
 	r.line("run %s finished at %s", id, worker)
 }
 
-func (r *recorder) isFinished(id string) bool {
+func (r *recorder) hasBegun(id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.complete[id]
+	return !r.begun[id].IsZero()
+}
+
+// lastBegun returns when the last of the items began that have, and how many have.
+func (r *recorder) lastBegun(items []item) (last time.Time, begun int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, i := range items {
+		if at := r.begun[i.id]; !at.IsZero() {
+			begun++
+			if at.After(last) {
+				last = at
+			}
+		}
+	}
+	return last, begun
 }
 
 func readState(body io.Reader) bool {
@@ -76,8 +92,7 @@
 	relays  []*relay
 	workers []*worker
 	folder  string
-	proxies []*proxy // to the store, one for each machine, then to the workers
-	config  int      // version of the configuration
+	config  int // version of the configuration
 }
 
 type shape struct {
@@ -85,8 +100,9 @@
 	eventEvery                         time.Duration
 	eventBytes                         int
 	itemTTL                            float64
-	proxied                            bool // connections to the store and the workers pass through proxies
-	second                             int  // plain workers of a second service
+	models                             bool // the engines have two models
+	added                              int  // routes of batch jobs that were added later
+	two                                bool // a second route of batch jobs, which is more urgent
 }
 
 func startSite(root, caseFolder string, s shape) (*site, error) {
@@ -103,12 +119,15 @@
 		return nil, err
 	}
 	d := &site{record: record, store: st, folder: folder}
-	d.publish(s, plainService)
+	d.publish(s)
 	for n := range s.engines {
 		w, err := startWorker(st, record, fmt.Sprintf("i-e%04d", n), engineService, s.slots, true, s.eventEvery, s.eventBytes)
 		if err != nil {
 			return nil, err
 		}
+		if s.models {
+			w.versions[otherModel] = 1
+		}
 		d.workers = append(d.workers, w)
 	}
 	for n := range 2 {
@@ -118,42 +137,17 @@
 		}
 		d.workers = append(d.workers, w)
 	}
-	for n := range s.second {
-		w, err := startWorker(st, record, fmt.Sprintf("i-q%04d", n), secondService, 6, false, 0, 0)
-		if err != nil {
-			return nil, err
-		}
-		d.workers = append(d.workers, w)
-	}
-	for _, w := range d.workers {
-		if !s.proxied {
-			break
-		}
-		p, err := startProxy(w.address)
-		if err != nil {
-			return nil, err
-		}
-		w.move(p.address)
-		d.proxies = append(d.proxies, p)
-	}
 	network, err := freeNetwork(s.machines)
 	if err != nil {
 		return nil, err
 	}
 	for n := range s.machines {
-		address := st.address
-		if s.proxied {
-			p, err := startProxy(st.address)
-			if err != nil {
-				return nil, err
-			}
-			address, d.proxies = p.address, append(d.proxies, p)
-		}
-		m, err := startRelay(record, root, folder, network, n, s.machines, s.memoryMB, address)
+		m, err := startRelay(record, root, folder, network, n, s.machines, s.memoryMB, st.address)
 		if err != nil {
 			return nil, err
 		}
 		d.relays = append(d.relays, m)
+		time.Sleep(90 * time.Millisecond) // the machines start within 0.3 s
 	}
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		ready := 0
@@ -171,23 +165,34 @@
 	return nil, fmt.Errorf("the machines are not ready in 15 s")
 }
 
-// publish writes the next version of the configuration. Lookups go to a service.
-func (d *site) publish(s shape, lookups string) {
+// publish writes the next version of the configuration.
+func (d *site) publish(s shape) {
 	d.config += 3
 	route := func(name, prefix, kind, service string, attempts, timeout int) map[string]any {
 		return map[string]any{"Name": name, "Host": hostName, "Prefix": prefix, "Kind": kind, "Service": service, "MaxAttempts": attempts,
 			"TimeoutMs": timeout, "TargetLatencyMs": 400, "Priority": 0, "ResultDeadlineMs": 7500, "ItemTtlS": s.itemTTL}
 	}
+	guide := route("guide-rollout", "/pule252/", "rollout", engineService, 3, 10000)
+	if s.two {
+		guide["Priority"], guide["ResultDeadlineMs"] = 1, 12000
+	}
+	routes := []any{
+		route("booking-lookup", "/pufi791/", "idempotent", plainService, 3, 2000),
+		route("library-sync", "/sync102/", "idempotent", plainService, 4, 2000), guide,
+	}
+	if s.two {
+		routes = append(routes, route("triage-rollout", "/trig118/", "rollout", engineService, 3, 10000))
+	}
+	for n := range s.added {
+		solo := route(fmt.Sprintf("solo-rollout-%d", n), fmt.Sprintf("/solo77%d/", n), "rollout", engineService, 3, 10000)
+		solo["SingleVersion"] = true
+		routes = append(routes, solo)
+	}
 	d.store.putJSON("op", "config", map[string]any{
 		"Version": d.config,
-		"Routes": []any{
-			route("booking-lookup", "/pufi791/", "idempotent", lookups, 3, 2000),
-			route("library-sync", "/sync102/", "idempotent", plainService, 4, 2000),
-			route("guide-rollout", "/pule252/", "rollout", engineService, 3, 10000),
-		},
+		"Routes":  routes,
 		"Services": []any{
 			map[string]any{"Name": plainService, "MaxConnections": 110, "HealthPath": "/health"},
-			map[string]any{"Name": secondService, "MaxConnections": 110, "HealthPath": "/health"},
 			map[string]any{"Name": engineService, "MaxConnections": 180, "HealthPath": "/health", "Engine": map[string]any{"Slots": s.slots}},
 		},
 		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 33554432, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
@@ -224,19 +229,36 @@
 // batch is a batch job.
 type batch struct {
 	id    string
+	route string // prefix of its route; empty for that of guide-rollout
+	model string // of which it trains; empty for modelName
+	least uint64 // MinVersion; zero for 1
 	items []item
 }
 
+func (b *batch) modelName() string {
+	if b.model != "" {
+		return b.model
+	}
+	return modelName
+}
+
+func (b *batch) prefix() string {
+	if b.route != "" {
+		return b.route
+	}
+	return "/pule252/"
+}
+
 func (b *batch) body() []byte {
 	var requests []any
 	for _, i := range b.items {
 		requests = append(requests, map[string]any{
-			"Id": i.id, "Path": "/pule252/3/" + i.id, "Body": bytes.Repeat([]byte("a"), i.bodyBytes), "Tokens": 1016 + i.events, "Group": i.group,
-			"Headers":   map[string]string{"Model": modelName, "Token-Count": fmt.Sprintf("1016,%d", i.events), "Prompt-Prefix": i.prefix},
+			"Id": i.id, "Path": b.prefix() + "3/" + i.id, "Body": bytes.Repeat([]byte("a"), i.bodyBytes), "Tokens": 1016 + i.events, "Group": i.group,
+			"Headers":   map[string]string{"Model": b.modelName(), "Token-Count": fmt.Sprintf("1016,%d", i.events), "Length-Hint": strconv.Itoa(i.events), "Prompt-Prefix": i.prefix},
 			"ScorerUri": map[string]any{"Id": "r" + i.id, "Host": hostName, "Path": "/sync102/" + i.id, "Body": []byte("ok")},
 		})
 	}
-	body, _ := json.Marshal(map[string]any{"Step": 0, "Model": modelName, "MinVersion": 1, "DesiredCount": len(b.items), "Requests": requests})
+	body, _ := json.Marshal(map[string]any{"Step": 0, "Model": b.modelName(), "MinVersion": max(1, b.least), "DesiredCount": len(b.items), "Requests": requests})
 	return body
 }
 
@@ -283,7 +305,7 @@
 	body := b.body()
 	for try := 0; time.Now().Before(until); try++ {
 		m := d.relays[(from+try)%len(d.relays)]
-		status, _ := d.call(m, http.MethodPost, "/pule252/"+b.id, b.id, body, 8*time.Second)
+		status, _ := d.call(m, http.MethodPost, b.prefix()+b.id, b.id, body, 8*time.Second)
 		d.record.line("submit %s (%d items, %d bytes) at %s: %d", b.id, len(b.items), len(body), m.name, status)
 		if status == http.StatusAccepted {
 			return true
@@ -300,6 +322,8 @@
 		State string
 		Text  string
 		Score string
+
+		Versions []uint64
 	}
 }
 
@@ -339,3 +363,9 @@
 		time.Sleep(300 * time.Millisecond)
 	}
 }
+
+// name names a version of the model's weights, as its trainer does.
+func (d *site) name(version uint64) {
+	d.store.putJSON("op", "version/"+modelName, map[string]any{"Model": modelName, "Version": version})
+	d.record.line("version %d named", version)
+}
--- a/review/stage2/worker.go
+++ b/review/stage2/worker.go
@@ -15,9 +15,9 @@
 const (
 	hostName      = "ficu95.example"
 	plainService  = "booking-app"
-	secondService = "booking-app-2"
 	engineService = "coach-servers"
 	modelName     = "daka510000"
+	otherModel    = "daka510001" // of deployments with two trainers
 	heartbeat     = 1200 * time.Millisecond
 	loadTime      = 900 * time.Millisecond
 )
@@ -32,16 +32,15 @@
 	store             *store
 	record            *recorder
 	address           string
-	own               string // its own address, behind a proxy if there is one
 	server            *http.Server
 
 	mu       sync.Mutex
 	running  int
 	software string
 	born     int64
-	ended    bool // the entry is not written any more
-	cut      bool // from the store
-	version  uint64
+	ended    bool              // the entry is not written any more
+	cut      bool              // from the store
+	versions map[string]uint64 // of the weights, by model
 	loading  bool
 	accepted uint64
 	stamps   int
@@ -55,10 +54,9 @@
 		return nil, err
 	}
 	w := &worker{id: id, service: service, zone: "nelson-hall", slots: slots, isEngine: isEngine, eventEvery: eventEvery, eventBytes: eventBytes,
-		store: store, record: record, address: listener.Addr().String(), version: 1, software: "s1", born: time.Now().UnixMilli(), own: listener.Addr().String(), open: map[net.Conn]bool{}}
+		store: store, record: record, address: listener.Addr().String(), versions: map[string]uint64{modelName: 1}, software: "s1", born: time.Now().UnixMilli(), open: map[net.Conn]bool{}}
 	w.listen(listener)
 	go func() {
-		time.Sleep(50 * time.Millisecond) // until a proxy stands before it
 		for {
 			w.register()
 			time.Sleep(heartbeat)
@@ -89,42 +87,33 @@
 	}
 }
 
+// models returns the models with the versions of their weights. The caller holds mu.
+func (w *worker) models() []any {
+	var models []any
+	for _, name := range []string{modelName, otherModel} {
+		if version := w.versions[name]; version > 0 {
+			models = append(models, map[string]any{"Name": name, "Version": version, "Adapters": []string{}})
+		}
+	}
+	return models
+}
+
 // register writes the worker's entry.
 func (w *worker) register() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.ended || w.cut {
+	if w.ended {
 		return
 	}
 	w.writes++
 	entry := map[string]any{"Service": w.service, "Address": w.address, "Zone": w.zone, "Version": w.software, "Slots": w.slots,
 		"State": "ready", "ColdRemainingMs": 0, "SeqNo": w.writes, "born": w.born}
 	if w.isEngine {
-		entry["Stage"], entry["Models"] = "dual", []any{map[string]any{"Name": modelName, "Version": w.version, "Adapters": []string{}}}
+		entry["Stage"], entry["Models"] = "dual", w.models()
 	}
 	w.store.putJSON("servers", w.id, entry)
 }
 
-// cutFromStore partitions the worker from the store, which removes its entry after three
-// heartbeat intervals of silence.
-func (w *worker) cutFromStore(during time.Duration) {
-	w.mu.Lock()
-	w.cut = true
-	w.mu.Unlock()
-	w.record.line("worker %s is cut from the store", w.id)
-	time.AfterFunc(3*heartbeat, func() {
-		w.store.put("servers", w.id, nil)
-		w.record.line("entry of worker %s removed", w.id)
-	})
-	time.AfterFunc(during, func() {
-		w.mu.Lock()
-		w.cut = false
-		w.mu.Unlock()
-		w.record.line("worker %s reaches the store again", w.id)
-		w.register()
-	})
-}
-
 // crash ends the worker: its connections are reset, and it writes nothing any more.
 func (w *worker) crash() {
 	w.mu.Lock()
@@ -148,7 +137,7 @@
 	w.software, w.born, w.open = software, time.Now().UnixMilli(), map[net.Conn]bool{}
 	w.mu.Unlock()
 	w.register()
-	listener, err := net.Listen("tcp", w.own)
+	listener, err := net.Listen("tcp", w.address)
 	if err != nil {
 		return err
 	}
@@ -157,13 +146,6 @@
 	return nil
 }
 
-// move makes the worker register another address, at which it is reached through a proxy.
-func (w *worker) move(address string) {
-	w.mu.Lock()
-	w.address = address
-	w.mu.Unlock()
-}
-
 func (w *worker) stamp() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -222,7 +204,8 @@
 	events, _ := strconv.Atoi(out)
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	w.mu.Lock()
-	version, software := w.version, w.software
+	model := r.Header.Get("Model")
+	version, software := w.versions[model], w.software
 	w.mu.Unlock()
 	w.record.line("run %s at %s goes on after event %d, software %s", id, w.id, after, software)
 	rw.Header().Set("Content-Type", "text/event-stream")
@@ -236,8 +219,8 @@
 		}
 		line := ""
 		w.mu.Lock()
-		if w.version != version {
-			version = w.version
+		if w.versions[model] != version {
+			version = w.versions[model]
 			line = fmt.Sprintf("weight-versions: %d\n", version)
 		}
 		w.mu.Unlock()
@@ -257,12 +240,13 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	rw.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
-	reply(rw, http.StatusOK, map[string]any{"Stage": "dual", "Models": []any{map[string]any{"Name": modelName, "Version": w.version, "Adapters": []string{}}},
+	reply(rw, http.StatusOK, map[string]any{"Stage": "dual", "Models": w.models(),
 		"Busy": w.loading, "SeqNo": w.accepted, "Waiting": 0, "Running": w.running, "KvUsed": 0, "KvTotal": 95290, "Handles": 0})
 }
 
 func (w *worker) serveOrder(rw http.ResponseWriter, r *http.Request) {
 	var order struct {
+		Model       string
 		Version     uint64
 		ExpectedRev *uint64
 	}
@@ -277,16 +261,23 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 	case w.loading || order.ExpectedRev != nil && *order.ExpectedRev != w.accepted:
 		rw.WriteHeader(http.StatusConflict)
-	case w.version >= order.Version:
+	case w.versions[order.Model] >= order.Version:
 		rw.WriteHeader(http.StatusOK)
 	default:
 		w.accepted++
 		w.loading = true
 		time.AfterFunc(loadTime, func() {
 			w.mu.Lock()
-			w.version, w.loading = order.Version, false
+			w.versions[order.Model], w.loading = order.Version, false
 			w.mu.Unlock()
 		})
 		rw.WriteHeader(http.StatusAccepted)
 	}
 }
+
+// load returns the number of runs in progress.
+func (w *worker) load() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.running
+}
