--- a/review/stage2/cases.go
+++ b/review/stage2/cases.go
@@ -131,7 +131,7 @@
 // playRoute removes the route of one trainer, whose batch job is open, while a step of
 // another trainer is in progress on the same workers.
 func playRoute(root, folder string, trouble bool) int {
-	s := shape{machines: 4, memoryMB: 154, engines: 4, slots: 16, eventEvery: 20 * time.Millisecond, eventBytes: 220, itemTTL: 40, two: true}
+	s := shape{machines: 4, memoryMB: 154, engines: 4, slots: 16, eventEvery: 40 * time.Millisecond, eventBytes: 220, itemTTL: 40, two: true}
 	d, err := startSite(root, folder, s)
 	if err != nil {
 		return fail(err)
@@ -140,7 +140,7 @@
 	time.Sleep(2 * time.Second)
 	guide, triage := newBatch("6c41e09b52d6a3f8", 96, 60, 600), newBatch("7c41e09b52d6a3f8", 400, 12, 600)
 	for n := range guide.items {
-		guide.items[n].events = 100 + 200*(n%64)/64 // texts of 2 to 6 s
+		guide.items[n].events = 50 + 100*(n%64)/64 // texts of 2 to 6 s
 	}
 	ahead := newBatch("8c41e09b52d6a3f8", 400, 12, 600)
 	triage.route, ahead.route = "/trig118/", "/trig118/"
@@ -262,9 +262,9 @@
 	}
 	defer d.stop()
 	time.Sleep(4 * time.Second)
-	rounds, after := 30, time.Duration(0)
+	rounds, after, wait := 30, time.Duration(0), 2700*time.Millisecond
 	if !trouble {
-		rounds, after = 12, 3*time.Second
+		rounds, after, wait = 6, 3*time.Second, 9*time.Second // texts of one version begin anew
 	}
 	several, read, begun := 0, 0, time.Now()
 	for round := 0; round < rounds && several == 0 && time.Since(begun) < 95*time.Second; round++ {
@@ -281,7 +281,7 @@
 		time.Sleep(250 * time.Millisecond)
 		d.name(uint64(round + 2))
 		next := 0
-		for end := time.Now().Add(2700 * time.Millisecond); time.Now().Before(end) && next < len(b.items); time.Sleep(100 * time.Millisecond) {
+		for end := time.Now().Add(wait); time.Now().Before(end) && next < len(b.items); time.Sleep(100 * time.Millisecond) {
 			page, _ := d.read(b, d.relays[round%len(d.relays)], next)
 			for _, r := range page.Results {
 				read++
--- a/review/stage2/site.go
+++ b/review/stage2/site.go
@@ -147,7 +147,7 @@
 			return nil, err
 		}
 		d.relays = append(d.relays, m)
-		time.Sleep(90 * time.Millisecond) // the machines start within 0.3 s
+		time.Sleep(75 * time.Millisecond) // the machines start within 0.3 s
 	}
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		ready := 0
