jobs: a prompt's number of tokens no longer sets the memory of a coordinator

Cause: the decoder took any number, and the placement made one hash for each 16 tokens that it names, at each attempt.

--- a/internal/app/relay/run.go
+++ b/internal/app/relay/run.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"slices"
-	"strconv"
 	"time"
 
 	"fescuespar/internal/core"
@@ -102,7 +100,7 @@
 		Version: start.OldestVersion, ExactVersion: start.ExactVersion, RequiresFreeSlot: true, KeepsPace: start.KeepsPace(),
 		Software: start.Software, ExactSoftware: start.EventsReceived > 0,
 		Zone: s.options.Self.Zone, Region: s.options.Self.Region, Class: core.ClassRollout,
-		ExpectedTokens: start.Item.Tokens, BodyBytes: len(start.Item.Body), Prefix: promptHashes(start.Item.Parts), Exclude: avoided.EnginesFor(&start),
+		ExpectedTokens: start.Item.Tokens, BodyBytes: len(start.Item.Body), Prefix: core.PromptHashes(start.Item.Parts), Exclude: avoided.EnginesFor(&start),
 	}
 	dispatch, err := s.servers.Acquire(query, now)
 	if err != nil && start.MayStartAnew(s.servers.ServesSoftware(query.Kind, target, start.Software)) {
@@ -265,25 +263,6 @@
 	s.startDueWork(service)
 }
 
-// tokensPerHash is the number of prompt tokens covered by one hash, as in
-// core.PrefixHashes.
-const tokensPerHash = 16
-
-// promptHashes returns a hash per block of the prompt's parts. Equal hashes mean
-// equal prompts up to the end of the block.
-func promptHashes(parts []core.PromptPart) []uint64 {
-	var hashes []uint64
-	chain := fnv.New64a()
-	for _, part := range parts {
-		_, _ = chain.Write([]byte(part.ID))
-		for block := range part.Tokens / tokensPerHash {
-			_, _ = chain.Write([]byte(strconv.Itoa(block)))
-			hashes = append(hashes, chain.Sum64())
-		}
-	}
-	return hashes
-}
-
 // scorePause is how long no output is sent to a scorer after all scorers were at their
 // limits or had no slot.
 const scorePause = 100 * time.Millisecond
