jobs: an item that can't be sent no longer restarts without end

Cause: nothing checked these texts; encoding the request then fails locally with BadRequest, which was taken for an interrupted run, and an interrupted run starts again at once. The server was never asked, which rules out its connections.

--- a/internal/app/relay/events_test.go
+++ b/internal/app/relay/events_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"fescuespar/internal/core"
@@ -184,3 +185,28 @@
 		t.Errorf("event %d ended the run with %v, want %s at event 5", id-1, err, errkind.ServerFailed)
 	}
 }
+
+// TestItemThatCannotBeSentFails guards against an item that no backend server can be asked
+// for, such as one with an invalid path: its run was repeated without end, and the engines
+// counted as failing.
+func TestItemThatCannotBeSentFails(t *testing.T) {
+	s := newEnvironment(t)
+	var unsent atomic.Int64
+	s.stream = func(_ core.VM, request core.EventsRequest, _ ports.EventSink) (core.RelayResponse, error) {
+		if request.Target == "/jobs/%zz" {
+			unsent.Add(1)
+			return core.RelayResponse{}, errkind.New(errkind.BadRequest, "invalid URL escape")
+		}
+		return core.RelayResponse{}, nil
+	}
+	service := s.waitReady(s.start("vm-1"))
+	job := newJob("j", 1)
+	job.Items[0].Path = "/jobs/%zz"
+	if err := service.Submit(t.Context(), job); err != nil {
+		t.Fatal(err)
+	}
+	s.eventually("the item's result", func() bool { return len(s.readResults(service, "j").Results) == 1 })
+	if result := s.readResults(service, "j").Results[0]; result.State != core.ItemFailed || unsent.Load() != 1 {
+		t.Errorf("result %+v after %d runs, want %s after one", result, unsent.Load(), core.ItemFailed)
+	}
+}
--- a/internal/app/relay/run.go
+++ b/internal/app/relay/run.go
@@ -226,6 +226,8 @@
 	switch {
 	case errkind.Is(err, errkind.ServerRefused):
 		return job.Refused
+	case errkind.Is(err, errkind.BadRequest):
+		return job.Impossible // no request can be made of the item
 	case err != nil:
 		return job.Interrupted
 	case status == 422:
--- a/internal/core/job/item.go
+++ b/internal/core/job/item.go
@@ -35,6 +35,8 @@
 	avoidServer    core.ServerID
 	server         core.ServerID // on which the current run was placed
 	moves          int
+	eventsBefore   int       // of the text, when the current run began
+	idleRuns       int       // consecutive runs that were interrupted without a new event
 	waitingSince   time.Time // time of the first attempt to place it; zero once placed
 	result         core.ItemResult
 }
@@ -79,3 +81,21 @@
 	}
 	return result
 }
+
+// retryDelay returns the delay after an interrupted run: none for the first one, as a
+// stream may break at any moment, and a doubling one while further runs bring no event.
+func (i *item) retryDelay() time.Duration {
+	if len(i.text) > i.eventsBefore {
+		i.idleRuns = 0
+		return 0
+	}
+	i.idleRuns++
+	if i.idleRuns == 1 {
+		return 0
+	}
+	delay := refusedRetryDelay
+	for n := 2; n < i.idleRuns && delay < maxIdleRetryDelay; n++ {
+		delay *= 2
+	}
+	return min(delay, maxIdleRetryDelay)
+}
--- a/internal/core/job/scheduler.go
+++ b/internal/core/job/scheduler.go
@@ -13,6 +13,10 @@
 	refusedRetryDelay = 30 * time.Millisecond  // about the time in which one running item ends
 	failedRetryDelay  = 100 * time.Millisecond // a backend server that failed is likely to fail again immediately
 	scoreRetryDelay   = 150 * time.Millisecond // several request durations of a plain service
+
+	// maxIdleRetryDelay bounds the delay of an item whose runs bring no event. It is shorter
+	// than the time in which a server that crashed returns.
+	maxIdleRetryDelay = time.Second
 )
 
 // openJob is the state of one job in progress.
@@ -158,7 +162,7 @@
 func (s *Scheduler) startRun(row *openJob, index int, now time.Time) RunStart {
 	s.lastRun++
 	state := &row.items[index]
-	state.phase, state.run, state.server = running, s.lastRun, ""
+	state.phase, state.run, state.server, state.eventsBefore = running, s.lastRun, "", len(state.text)
 	if state.waitingSince.IsZero() {
 		state.waitingSince = now
 	}
@@ -273,7 +277,7 @@
 			state.finish(id, core.ItemCompleted, "")
 		}
 	case Interrupted:
-		state.avoidServer = server
+		state.avoidServer, state.notBefore = server, now.Add(state.retryDelay())
 	case Refused:
 		state.avoidServer, state.notBefore = server, now.Add(refusedRetryDelay)
 	case Failed:
