jobs: a caller's id is no longer a part of keys as it comes

Cause: the id was put into row and object keys unchanged. The result's key then has 209 bytes, which the store refuses each time, and a slash puts rows into another job's range.

Change: core.StoredJobID keeps usual ids and replaces others by a digest, where calls enter the application; no id is refused with 400.

--- a/internal/app/relay/jobs.go
+++ b/internal/app/relay/jobs.go
@@ -76,9 +76,14 @@
 
 // Submit implements ports.Jobs.
 func (s *Service) Submit(ctx context.Context, job core.Job) error {
+	named := job.ID
+	job.ID = core.StoredJobID(named)
 	matched, err := s.RouteOf(job.Host, job.Path)
-	if err == nil && matched.Kind != core.RouteJobs {
+	switch {
+	case err == nil && matched.Kind != core.RouteJobs:
 		err = errkind.New(errkind.BadRequest, "route %s does not accept jobs", matched.Name)
+	case err == nil && named == "":
+		err = errkind.New(errkind.BadRequest, "the job has no id")
 	}
 	if err == nil {
 		err = s.beginJobCall()
@@ -89,7 +94,7 @@
 			return struct{}{}, s.storeJob(ctx, job, &matched)
 		})
 	}
-	s.logSubmission(job, matched.Name, err)
+	s.logSubmission(job, named, matched.Name, err)
 	return err
 }
 
@@ -102,7 +107,10 @@
 	return nil
 }
 
-func (s *Service) logSubmission(job core.Job, routeName string, err error) {
+// maxLoggedID is the number of bytes of a caller's id in a log line.
+const maxLoggedID = 64
+
+func (s *Service) logSubmission(job core.Job, named core.JobID, routeName string, err error) {
 	line := s.log.Info()
 	if err != nil {
 		s.metrics.JobsRefused.Inc(1)
@@ -113,6 +121,9 @@
 	if job.Account != "" {
 		line = line.Str("account", string(job.Account))
 	}
+	if named != job.ID {
+		line = line.Str("named", string(named[:min(len(named), maxLoggedID)]))
+	}
 	line.Str("job", string(job.ID)).Str("route", routeName).Uint64("step", uint64(job.Step)).
 		Int("items", len(job.Items)).Uint64("oldest_version", uint64(job.Oldest)).Msg(logs.JobSubmitted)
 }
@@ -196,6 +207,7 @@
 
 // Results implements ports.Jobs.
 func (s *Service) Results(ctx context.Context, credentials core.Credentials, id core.JobID, from int, wait time.Duration) (core.ResultPage, error) {
+	id = core.StoredJobID(id)
 	page := core.ResultPage{Next: from}
 	caller, err := s.admitJobCall(ctx, credentials)
 	if err != nil {
@@ -277,6 +289,7 @@
 
 // ItemBody implements ports.Jobs.
 func (s *Service) ItemBody(ctx context.Context, credentials core.Credentials, id core.JobID, item core.ItemID) ([]byte, error) {
+	id = core.StoredJobID(id)
 	caller, err := s.admitJobCall(ctx, credentials)
 	if err != nil {
 		return nil, err
@@ -339,6 +352,7 @@
 
 // EndJob implements ports.Jobs.
 func (s *Service) EndJob(ctx context.Context, credentials core.Credentials, id core.JobID) error {
+	id = core.StoredJobID(id)
 	caller, err := s.admitJobCall(ctx, credentials)
 	if err != nil {
 		return err
--- a/internal/app/relay/service_test.go
+++ b/internal/app/relay/service_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"reflect"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -208,6 +209,57 @@
 	})
 }
 
+// TestJobsOfAnyIDAreListed guards against a job's id that makes its results' keys longer
+// than the store accepts, after which no result of the service was listed, and against one
+// whose results lie between those of another job.
+func TestJobsOfAnyIDAreListed(t *testing.T) {
+	const maxKeyBytes = 200 // of the users' platform, "The platform's metadata store"
+	s := newEnvironment(t)
+	service := s.waitReady(s.start("vm-1"))
+	jobs := []core.JobID{core.JobID(strings.Repeat("x", 190)), "a/00000000", "a"}
+	for i, id := range jobs {
+		job := newJob(id, 3)
+		for n := range job.Items {
+			job.Items[n].ID = core.ItemID(fmt.Sprint(i, "-", n))
+		}
+		if err := service.Submit(t.Context(), job); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i, id := range jobs {
+		s.eventually("all results", func() bool { return len(s.readResults(service, id).Results) >= 3 })
+		results := s.readResults(service, id).Results
+		for _, result := range results {
+			if !strings.HasPrefix(string(result.Item), fmt.Sprint(i, "-")) {
+				t.Errorf("job %.20s lists item %s of another job", id, result.Item)
+			}
+		}
+		if err := service.EndJob(t.Context(), noKey, id); err != nil {
+			t.Errorf("end of job %.20s: %v", id, err)
+		}
+	}
+	for _, table := range []core.TableName{core.TableJob, core.TableResult, core.TableSettled} {
+		rows, err := s.tables.Scan(t.Context(), table, workPartition, "", 1000)
+		if err != nil || len(rows) == 0 {
+			t.Errorf("%d rows of %s, %v", len(rows), table, err)
+		}
+		for _, row := range rows {
+			if len(row.Key.ID) > maxKeyBytes {
+				t.Errorf("key of %d bytes in %s", len(row.Key.ID), table)
+			}
+		}
+	}
+}
+
+// TestJobWithoutIDIsRefused guards against jobs that replace each other.
+func TestJobWithoutIDIsRefused(t *testing.T) {
+	s := newEnvironment(t)
+	service := s.waitReady(s.start("vm-1"))
+	if err := service.Submit(t.Context(), newJob("", 1)); !errkind.Is(err, errkind.BadRequest) {
+		t.Errorf("%v, want %s", err, errkind.BadRequest)
+	}
+}
+
 // TestLongResultsAreStoredAsObjects stores results that exceed the size of a row.
 func TestLongResultsAreStoredAsObjects(t *testing.T) {
 	s := newEnvironment(t)
