jobs: the size of a result's row counts all that it holds

Cause: a result was put into a row by the size of its text alone; the store refuses a row over 64 KB for good, and the same transaction is repeated.

Change: job.ResultBytes decides, for the row and for the transaction. Objects of long results are named by position.

TestRowsOfResultsAreBounded: all four forms in the row before, as objects now.

--- a/internal/app/relay/listing.go
+++ b/internal/app/relay/listing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"fescuespar/internal/core"
@@ -39,7 +40,7 @@
 	}
 	var results []job.PositionedResult
 	s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) {
-		results = job.FirstResults(scheduler.UnstoredResults(maxResultsPerCommit), job.MaxCommitTextBytes)
+		results = job.FirstResults(scheduler.UnstoredResults(maxResultsPerCommit), job.MaxCommitResultBytes)
 	})
 	if len(results) == 0 {
 		s.jobStorage.EndResultWrite(service)
@@ -106,7 +107,7 @@
 // resultRecord returns the record of a result's row. A result that is too long for
 // a row is stored as an object to which the record refers.
 func (s *Service) resultRecord(ctx context.Context, result job.PositionedResult) (core.ResultRecord, error) {
-	if len(result.Result.Text) <= s.options.MaxResultBytes {
+	if job.ResultBytes(&result.Result) <= s.options.MaxResultBytes {
 		return core.ResultRecord{Result: result.Result}, nil
 	}
 	body, err := s.ports.Bodies.EncodeResult(result.Result)
@@ -114,8 +115,8 @@
 		return core.ResultRecord{}, err
 	}
 	// The attempt ID makes the key unique: another coordinator may store another
-	// output of the same item.
-	key := core.ObjectKey("result-" + string(result.Job) + "-" + string(result.Result.Item) + "-" + string(s.newAttemptID()))
+	// result at the same position.
+	key := core.ObjectKey(fmt.Sprintf("result-%s-%08d-%s", result.Job, result.Position, s.newAttemptID()))
 	if err := s.ports.Objects.Put(ctx, key, body); err != nil {
 		return core.ResultRecord{}, errkind.Wrap(errkind.StoreUnavailable, err, "store result of item %s", result.Result.Item)
 	}
--- a/internal/app/relay/service_test.go
+++ b/internal/app/relay/service_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/job"
 	"fescuespar/internal/core/lease"
 	"fescuespar/internal/errkind"
 	"fescuespar/internal/ports/porttest/faults"
@@ -274,6 +275,29 @@
 	}
 }
 
+// TestRowsOfResultsAreBounded guards against a result that is short but for what a server or
+// a caller named, whose row the store refuses for good: no later result was listed.
+func TestRowsOfResultsAreBounded(t *testing.T) {
+	s := newEnvironment(t)
+	service := s.create("vm-1")
+	limit := service.options.MaxResultBytes
+	long := strings.Repeat("x", limit+1)
+	for what, result := range map[string]core.ItemResult{
+		"score":    {Item: "i", State: core.ItemCompleted, Text: "t", Score: long},
+		"versions": {Item: "i", State: core.ItemCompleted, Text: "t", Versions: make([]core.WeightVersion, limit)},
+		"id":       {Item: core.ItemID(long), State: core.ItemCompleted, Text: "t"},
+		"in all":   {Item: "i", State: core.ItemCompleted, Text: long[:limit/2], Score: long[:limit/2]},
+	} {
+		record, err := service.resultRecord(t.Context(), job.PositionedResult{Job: "j", Result: result})
+		if err != nil || record.Overflow == "" || record.Result.Score != "" || record.Result.Versions != nil {
+			t.Errorf("%s: the row holds the result (object %q, %v)", what, record.Overflow, err)
+		}
+		if len(record.Overflow) > 200 {
+			t.Errorf("%s: the object's name has %d bytes", what, len(record.Overflow))
+		}
+	}
+}
+
 // TestEngineThatHoldsTheVersionIsOrderedLater has engines whose registrations lag: they
 // hold the first published version and answer the order for it without counting it. The
 // next version must still be loaded.
--- a/internal/core/job/settled.go
+++ b/internal/core/job/settled.go
@@ -17,15 +17,24 @@
 	return settled
 }
 
-// MaxCommitTextBytes bounds the texts of the results that one transaction stores. The
-// store accepts 1 MB, and its encoding of a row adds a third.
-const MaxCommitTextBytes = 640 << 10
+// MaxCommitResultBytes bounds the results that one transaction stores. The store accepts
+// 1 MB, and its encoding of a row adds a third.
+const MaxCommitResultBytes = 640 << 10
 
-// FirstResults returns the first of some results, as many as have texts of at most the
-// given bytes in all, but one at least.
+// maxVersionBytes is the largest size of a weight version in a result's encoding.
+const maxVersionBytes = 9
+
+// ResultBytes returns the size of a result's row. The text, the versions and the score are
+// what backend servers sent, the id is the caller's.
+func ResultBytes(result *core.ItemResult) int {
+	return len(result.Item) + len(result.Text) + len(result.Score) + maxVersionBytes*len(result.Versions)
+}
+
+// FirstResults returns the first of some results, as many as have at most the given bytes
+// in all, but one at least.
 func FirstResults(results []PositionedResult, bytes int) []PositionedResult {
 	for i := range results {
-		if bytes -= len(results[i].Result.Text); bytes < 0 && i > 0 {
+		if bytes -= ResultBytes(&results[i].Result); bytes < 0 && i > 0 {
 			return results[:i]
 		}
 	}
