--- a/internal/app/relay/orders.go
+++ b/internal/app/relay/orders.go
@@ -74,6 +74,8 @@
 func (s *Service) assignEngines(service string, byModel map[core.ModelName][]weights.Engine, vms map[core.ServerID]core.VM) map[core.ModelName][]core.ServerID {
 	var demand map[core.ModelName]float64
 	s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) { demand = scheduler.Demand() })
+	// Callers may name any model, but get engines for those that the service has.
+	maps.DeleteFunc(demand, func(model core.ModelName, _ float64) bool { return byModel[model] == nil })
 	for model := range byModel {
 		demand[model] += 0 // a model without requests keeps the minimum of engines
 	}
--- a/internal/app/relay/orders_test.go
+++ b/internal/app/relay/orders_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
 
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/lease"
+	"fescuespar/internal/core/weights"
 	"fescuespar/internal/workers"
 )
 
@@ -56,3 +58,24 @@
 		}
 	}
 }
+
+// TestUnknownModelGetsNoEngines guards against jobs that name a model which no engine has:
+// engines were set apart for it, and loaded no versions of the others.
+func TestUnknownModelGetsNoEngines(t *testing.T) {
+	s := newEnvironment(t)
+	service := s.create("vm-1")
+	vms := make(map[core.ServerID]core.VM)
+	byModel := make(map[core.ModelName][]weights.Engine)
+	for i := range 8 {
+		id := core.ServerID(fmt.Sprint("engine-", i))
+		vms[id], byModel["m"] = core.VM{ID: id}, append(byModel["m"], weights.Engine{Server: id})
+	}
+	for i, model := range []core.ModelName{"m", "unknown"} {
+		job := newJob(core.JobID(fmt.Sprint("j-", i)), 4)
+		job.Model = model
+		service.startJob(engineService, job, nil)
+	}
+	if assigned := service.assignEngines(engineService, byModel, vms); len(assigned["m"]) != len(vms) || len(assigned["unknown"]) != 0 {
+		t.Errorf("assigned engines %v, want all for m", assigned)
+	}
+}
--- a/internal/core/job/demand_test.go
+++ b/internal/core/job/demand_test.go
@@ -37,3 +37,23 @@
 		t.Errorf("demand %v, want 100", demand)
 	}
 }
+
+// TestModelsAreForgotten guards against callers that name a new model with each job, of which
+// each coordinator kept the groups until it lost its lease.
+func TestModelsAreForgotten(t *testing.T) {
+	s := NewScheduler()
+	now := time.Unix(1000, 0)
+	open := func(id core.JobID, model core.ModelName) {
+		s.Open(core.Job{ID: id, Model: model, Items: []core.JobItem{{ID: "i", Length: 90, Group: "g"}}}, nil, Policy{}, now)
+		s.Close(id)
+	}
+	for number := range 100 * maxModels {
+		open(core.JobID(fmt.Sprint("named-", number)), core.ModelName(fmt.Sprint("named-", number)))
+		if number%10 == 0 {
+			open(core.JobID(fmt.Sprint("m-", number)), "m")
+		}
+	}
+	if demand := s.Demand(); len(demand) > maxModels || demand["m"] != 90 {
+		t.Errorf("demand of %d models, %v for the one in use; want at most %d, 90", len(demand), demand["m"], maxModels)
+	}
+}
--- a/internal/core/job/order.go
+++ b/internal/core/job/order.go
@@ -17,15 +17,6 @@
 	jobs []map[string]bool
 }
 
-func (s *Scheduler) recentGroupsOf(model core.ModelName) *recentGroups {
-	names := s.recentGroups[model]
-	if names == nil {
-		names = &recentGroups{}
-		s.recentGroups[model] = names
-	}
-	return names
-}
-
 // resubmittedGroups holds the groups of a job that were also in an earlier one.
 type resubmittedGroups struct {
 	groups   map[string]bool
--- a/internal/core/job/scheduler.go
+++ b/internal/core/job/scheduler.go
@@ -34,21 +34,20 @@
 
 // Scheduler schedules the jobs of one service that this process coordinates.
 type Scheduler struct {
-	jobs         map[core.JobID]*openJob
-	savedTexts   map[textKey]savedText            // of ended jobs and of a former coordinator's jobs
-	recentGroups map[core.ModelName]*recentGroups // of the most recent jobs opened here
-	jobTokens    map[core.ModelName][]float64     // expected tokens of the most recent jobs opened here
-	lastRun      uint64
-	lastOpened   uint64
-	closedJobs   uint64
-	turns        accountTurns
+	jobs       map[core.JobID]*openJob
+	savedTexts map[textKey]savedText // of ended jobs and of a former coordinator's jobs
+	models     map[core.ModelName]*modelHistory
+	lastRun    uint64
+	lastOpened uint64
+	closedJobs uint64
+	turns      accountTurns
 }
 
 // NewScheduler returns a Scheduler without jobs.
 func NewScheduler() *Scheduler {
 	return &Scheduler{
-		jobs: make(map[core.JobID]*openJob), jobTokens: make(map[core.ModelName][]float64),
-		savedTexts: make(map[textKey]savedText), recentGroups: make(map[core.ModelName]*recentGroups),
+		jobs: make(map[core.JobID]*openJob), models: make(map[core.ModelName]*modelHistory),
+		savedTexts: make(map[textKey]savedText),
 	}
 }
 
@@ -72,8 +71,9 @@
 		row.unlisted[job.Items[i].Group]++
 		s.restoreSavedText(row, i)
 	}
-	s.recordDemand(&job)
-	row.startOrder = itemStartOrder(row, s.recentGroupsOf(job.Model).recordJob(job.Items), s.hasUnstartedItems())
+	history := s.historyOf(job.Model)
+	history.recordDemand(&job)
+	row.startOrder = itemStartOrder(row, history.groups.recordJob(job.Items), s.hasUnstartedItems())
 	s.jobs[job.ID] = row
 }
 
@@ -121,7 +121,9 @@
 	for _, id := range s.IDs() {
 		cancel = append(cancel, s.Close(id)...)
 	}
-	clear(s.recentGroups) // another coordinator opens the jobs until this process coordinates again
+	for _, history := range s.models {
+		history.groups = recentGroups{} // another coordinator opens the jobs until this process coordinates again
+	}
 	return cancel
 }
 
