jobs: open jobs are bounded by the memory of their coordinator

Cause: the memory of a job is counted until it is answered, and not afterwards in the process that coordinates; after a take-over all open jobs are read at once. The submissions themselves are ruled out, they are counted and were answered one by one.

--- a/internal/app/relay/coordinate.go
+++ b/internal/app/relay/coordinate.go
@@ -139,12 +139,22 @@
 		s.startDueWork(service)
 		return
 	}
+	if canceled := s.dropJobs(service); canceled > 0 {
+		s.log.Info().Str("service", service).Int("runs", canceled).Msg("jobs left to another coordinator")
+	}
+}
+
+// dropJobs closes a service's jobs, cancels their runs and returns the number of runs.
+func (s *Service) dropJobs(service string) int {
+	var closed []core.JobID
 	var canceled []job.RunID
-	s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) { canceled = scheduler.Clear() })
+	s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) {
+		closed = scheduler.IDs()
+		canceled = scheduler.Clear()
+	})
+	s.jobStorage.ReleaseMemory(closed...)
 	s.runs.Cancel(canceled)
-	if len(canceled) > 0 {
-		s.log.Info().Str("service", service).Int("runs", len(canceled)).Msg("jobs left to another coordinator")
-	}
+	return len(canceled)
 }
 
 // coordinateService runs the coordinator work of one service.
@@ -211,6 +221,10 @@
 		case record.Ended && open:
 			s.closeJob(service, id)
 		case !record.Ended && !open && s.jobStorage.BeginJobRead(id):
+			if !s.reserveForRead(id, &record) {
+				s.jobStorage.EndJobRead(id)
+				continue
+			}
 			s.openJob(service, &jobRead{id: id})
 		}
 	}
@@ -219,6 +233,7 @@
 func (s *Service) closeJob(service string, id core.JobID) {
 	var canceled []job.RunID
 	s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) { canceled = scheduler.Close(id) })
+	s.jobStorage.ReleaseMemory(id)
 	s.runs.Cancel(canceled)
 	s.metrics.JobsEnded.Inc(1)
 	s.log.Info().Str("job", string(id)).Int("canceled", len(canceled)).Msg(logs.JobEnded)
--- a/internal/app/relay/jobs.go
+++ b/internal/app/relay/jobs.go
@@ -137,10 +137,13 @@
 		return err
 	}
 	key := jobBodyKey(job.Account, job.ID)
+	record := core.JobRecord{Service: route.HeaviestService(matched), Items: len(job.Items), Body: key, Account: job.Account, Memory: jobMemory(&job, body)}
+	if err := s.checkJobMemory(ctx, &job, &record); err != nil {
+		return err
+	}
 	if err := s.putJobBody(ctx, key, body); err != nil {
 		return err
 	}
-	record := core.JobRecord{Service: route.HeaviestService(matched), Items: len(job.Items), Body: key, Account: job.Account}
 	result, err := s.committer.Commit(ctx, core.Commit{
 		Attempt:    s.newAttemptID(),
 		Conditions: []core.Condition{{Key: jobKey(job.ID)}},
--- a/internal/app/relay/listing.go
+++ b/internal/app/relay/listing.go
@@ -132,6 +132,7 @@
 	case err != nil:
 		s.log.Debug().Err(err).Str("service", service).Int("results", len(results)).Msg("results not stored; retrying")
 	case !result.Applied:
+		// If this process still holds the lease, the next read of jobs opens them again.
 		s.log.Warn().Str("service", service).Int("results", len(results)).Msg("results refused: lease or positions have changed")
 		s.dropJobs(service)
 	default:
@@ -147,12 +148,3 @@
 	s.jobStorage.EndResultWrite(service)
 	s.timers.After(resultCommitInterval, core.ClassRollout, func() { s.storeResults(service) })
 }
-
-// dropJobs cancels a service's runs and closes its jobs after another coordinator
-// has changed their rows. If this process still holds the lease, the next read of
-// jobs opens them again.
-func (s *Service) dropJobs(service string) {
-	var canceled []job.RunID
-	s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) { canceled = scheduler.Clear() })
-	s.runs.Cancel(canceled)
-}
--- a/internal/app/relay/reopen.go
+++ b/internal/app/relay/reopen.go
@@ -38,10 +38,16 @@
 		s.pool.MustEnqueue(core.ClassRollout, func() { s.finishJobRead(service, read, err) })
 	})
 	if err != nil {
-		s.jobStorage.EndJobRead(read.id)
+		s.abandonJobRead(read.id)
 	}
 }
 
+// abandonJobRead ends the read of a job that is not opened.
+func (s *Service) abandonJobRead(id core.JobID) {
+	s.jobStorage.ReleaseMemory(id)
+	s.jobStorage.EndJobRead(id)
+}
+
 // finishJobRead starts a job that was read. After an error the read goes on later, where
 // it stopped.
 func (s *Service) finishJobRead(service string, read *jobRead, err error) {
@@ -51,10 +57,13 @@
 		s.timers.After(jobReadRetryDelay, core.ClassRollout, func() { s.openJob(service, read) })
 		return
 	}
-	s.jobStorage.EndJobRead(read.id)
-	if err == nil && held && !read.isEnded {
-		s.startJob(service, *read.found, read.listed)
+	if err != nil || !held || read.isEnded {
+		s.abandonJobRead(read.id)
+		return
 	}
+	s.jobStorage.EndJobRead(read.id)
+	s.jobStorage.ResizeMemory(read.id, job.Memory(read.found))
+	s.startJob(service, *read.found, read.listed)
 }
 
 // continueJobRead reads what is missing of a job. It blocks and runs on a lane.
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -54,6 +54,7 @@
 	StoreReadsPerSecond  int           // reads per second that the table service accepts from all processes; zero for no limit
 	StoreWritesPerSecond int           // writes per second that it accepts; zero for no limit
 	MaxResultBytes       int           // size of the longest result stored in a row
+	JobMemory            int64         // bytes for the jobs that the process coordinates; zero for no bound
 	ReclaimPeriod        time.Duration // time after the start in which leases of an earlier process on this VM are reclaimed
 	RegistryRecovery     time.Duration // time after an outage until all live servers have registered again
 	MaxRequests          int           // forwarded requests that the process holds, in flight and waiting; zero for the default
@@ -140,7 +141,9 @@
 	ports      Ports
 	log        zerolog.Logger
 	refusalLog zerolog.Logger // of refused keys and missing routes, with a bounded number of lines
-	metrics    *metrics.Relay
+	// waitingJobLog is for jobs that wait for memory, one line a second.
+	waitingJobLog zerolog.Logger
+	metrics       *metrics.Relay
 
 	pool   *workers.Pool
 	timers *workers.Timers
@@ -197,8 +200,9 @@
 	random := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(options.Seed, stream)) }
 	s := &Service{
 		options: options, ports: adapters, log: log, metrics: metrics.NewRelay(),
-		refusalLog: log.Sample(&zerolog.BurstSampler{Burst: logs.KeyRefusalsPerSecond, Period: time.Second}),
-		pool:       pool, timers: workers.NewTimers(pool),
+		waitingJobLog: log.Sample(&zerolog.BurstSampler{Burst: 1, Period: time.Second}),
+		refusalLog:    log.Sample(&zerolog.BurstSampler{Burst: logs.KeyRefusalsPerSecond, Period: time.Second}),
+		pool:          pool, timers: workers.NewTimers(pool),
 		lanes: lanes{
 			calls:       workers.NewLane("calls", maxRequests, maxRequests),
 			runs:        workers.NewLane("runs", runsInFlight, 0),
@@ -228,7 +232,7 @@
 		runs:           tables.NewRuns(),
 		engineSpeeds:   tables.NewEngineSpeeds(),
 		weights:        tables.NewWeights(),
-		jobStorage:     tables.NewJobStorage(),
+		jobStorage:     tables.NewJobStorage(options.JobMemory),
 		platform:       tables.NewPlatform(),
 		crashes:        tables.NewCrashRecords(crash.Process{VM: options.Self.VM, Incarnation: options.Self.Incarnation}),
 		software:       tables.NewSoftware(),
--- a/internal/app/relay/service_test.go
+++ b/internal/app/relay/service_test.go
@@ -14,6 +14,7 @@
 	"fescuespar/internal/core/lease"
 	"fescuespar/internal/errkind"
 	"fescuespar/internal/ports/porttest/faults"
+	"fescuespar/internal/tables"
 )
 
 func forward(t *testing.T, service *Service, target string) (core.RelayResponse, error) {
@@ -546,3 +547,39 @@
 		t.Errorf("lease reclaimed after %v, want less than the term of %v", took, leaseTerm)
 	}
 }
+
+// TestResubmittedJobIsAcceptedWithoutMemory guards against a job that is refused although an
+// earlier attempt was accepted, because its coordinator has no memory for another one.
+func TestResubmittedJobIsAcceptedWithoutMemory(t *testing.T) {
+	s := newEnvironment(t)
+	s.refusesRuns = func(core.VM) bool { return true }
+	service := s.create("vm-1")
+	job := newJob("first", 100)
+	body, err := service.ports.Bodies.EncodeJob(job)
+	if err != nil {
+		t.Fatal(err)
+	}
+	service.jobStorage = tables.NewJobStorage(jobMemory(&job, body))
+	service.Start()
+	s.waitReady(service)
+	s.eventually("the coordinator's lease", func() bool {
+		_, held := service.leases.Holding(coordinatorLease(engineService), time.Now())
+		return held
+	})
+	if err := service.Submit(t.Context(), job); err != nil {
+		t.Fatal(err)
+	}
+	s.eventually("the job to be open", func() bool { return len(service.jobs.Summaries()) == 1 })
+	if err := service.Submit(t.Context(), job); err != nil {
+		t.Errorf("second submission of an accepted job: %v", err)
+	}
+	other := newJob("other", 100)
+	if err := service.Submit(t.Context(), other); !errkind.Is(err, errkind.Overloaded) {
+		t.Errorf("a job that does not fit: %v, want %s", err, errkind.Overloaded)
+	}
+	if err := service.EndJob(t.Context(), noKey, "first"); err != nil {
+		t.Fatal(err)
+	}
+	s.eventually("memory for the other job", func() bool { return service.Submit(t.Context(), other) == nil })
+	s.eventually("the other job to be open", func() bool { return len(service.jobs.Summaries()) == 1 && service.jobs.Summaries()[0].Job == "other" })
+}
--- a/internal/app/relay/watch.go
+++ b/internal/app/relay/watch.go
@@ -330,7 +330,7 @@
 		Incarnation: self.Incarnation, Zone: self.Zone, Region: self.Region, CallAddress: self.CallAddress,
 		PeerAddress: self.PeerAddress, Power: self.Power,
 		Beat: s.announcementCount.Add(1), Every: interval, Leaving: !s.acceptsNewWork(),
-		Demand: s.servers.Demand(s.ports.Clock.Now()), Usage: s.announcedUsage(),
+		Demand: s.servers.Demand(s.ports.Clock.Now()), Usage: s.announcedUsage(), Rooms: s.jobRooms(),
 	}
 	s.metrics.TableCommits.Inc(1)
 	_, err := s.ports.Tables.Commit(ctx, core.Commit{
--- a/internal/core/announce/view.go
+++ b/internal/core/announce/view.go
@@ -174,6 +174,19 @@
 
 func (r *memberRow) isExpired() bool { return r.unchangedFor >= missedAnnouncements*r.record.Every }
 
+// JobRoom returns the memory that the coordinator of a service has announced to have left
+// for a job. It returns false if none has announced that it is short of it.
+func (v *View) JobRoom(service string) (bytes int64, isScarce bool) {
+	for _, known := range v.rows {
+		for _, room := range known.record.Rooms {
+			if room.Service == service && !known.isExpired() && (!isScarce || room.Bytes < bytes) {
+				bytes, isScarce = room.Bytes, true
+			}
+		}
+	}
+	return bytes, isScarce
+}
+
 // minPowerShare is the share of the strongest VM's power that a VM needs to count
 // as strong.
 const minPowerShare = 0.75
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -128,6 +128,7 @@
 	Body    ObjectKey // object holding the Job
 	Ended   bool
 	Account AccountName `cbor:",omitempty"` // account that submitted the job; empty if there is none
+	Memory  int64       `cbor:",omitempty"` // bytes that a coordinator needs to read it; zero in rows of older releases
 }
 
 // ResultRecord is the row of one position in a job's results.
@@ -157,6 +158,13 @@
 	Demand      []ServiceDemand // of this process, sorted by service
 
 	Usage *MemberUsage `cbor:",omitempty"` // nil if usage is not reported
+	Rooms []JobRoom    `cbor:",omitempty"` // of the services that the process coordinates, while it has little memory left for jobs
+}
+
+// JobRoom is the memory that a coordinator has left for a job of a service.
+type JobRoom struct {
+	Service string
+	Bytes   int64
 }
 
 // MemberUsage is the part of an announcement that serves reports of usage. Its encoded names
--- a/internal/core/logs/messages.go
+++ b/internal/core/logs/messages.go
@@ -12,6 +12,7 @@
 
 	JobSubmitted = "job submitted"
 	JobOpened    = "job opened"
+	JobHeldBack  = "job waits until others that are open leave memory for it"
 	JobEnded     = "job ended"
 	RunEnded     = "run ended"
 	ResultListed = "result listed"
--- a/internal/ports/porttest/records.go
+++ b/internal/ports/porttest/records.go
@@ -87,7 +87,7 @@
 }
 
 func copyMember(record core.MemberRecord) core.MemberRecord {
-	record.Demand = slices.Clone(record.Demand)
+	record.Demand, record.Rooms = slices.Clone(record.Demand), slices.Clone(record.Rooms)
 	if record.Usage != nil {
 		usage := *record.Usage
 		record.Usage = &usage
--- a/internal/ports/porttest/tablesuite.go
+++ b/internal/ports/porttest/tablesuite.go
@@ -82,7 +82,7 @@
 	},
 	core.TableConfig: core.ConfigRecord{Generation: 6, Parent: 5, Operator: "ops", Body: "config/6"},
 	core.TableWeight: core.WeightRecord{Version: 1<<63 + 1},
-	core.TableJob:    core.JobRecord{Service: "engines", Items: 7, Body: "job-1", Ended: true},
+	core.TableJob:    core.JobRecord{Service: "engines", Items: 7, Body: "job-1", Ended: true, Memory: 1 << 20},
 	core.TableResult: core.ResultRecord{
 		Result: core.ItemResult{
 			Item: "item-1", State: core.ItemCompleted, Text: "not UTF-8: \xff", Versions: []core.WeightVersion{3, 4}, Score: "signed",
@@ -94,6 +94,7 @@
 		Incarnation: 5, Zone: "z", Region: "r", CallAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2", Beat: 9, Every: time.Second, Leaving: true,
 		Demand: []core.ServiceDemand{{Service: "engines", PerSecond: 45.5}},
 		Usage:  &core.MemberUsage{ClockOffset: -time.Hour, CountedThrough: 353445120},
+		Rooms:  []core.JobRoom{{Service: "engines", Bytes: 7 << 20}},
 	},
 	core.TableUsage:    core.UsageRecord{Window: 7, Counts: map[core.AccountName]uint64{"hule930": 412}},
 	core.TableReport:   core.ReportRecord{Report: core.UsageReport{Window: 7, Counts: map[core.AccountName]uint64{"hule930": 412}}},
--- a/internal/tables/announced.go
+++ b/internal/tables/announced.go
@@ -45,6 +45,14 @@
 	return t.view.HasDemandGrown(self, now)
 }
 
+// JobRoom returns the memory that the coordinator of a service has announced to have left
+// for a job, false if it is not short of it.
+func (t *AnnouncedMembers) JobRoom(service string) (bytes int64, isScarce bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.view.JobRoom(service)
+}
+
 // ClockOffsets returns the clock offsets that the other processes have published, and the
 // number of other processes.
 func (t *AnnouncedMembers) ClockOffsets(self core.VMID) (offsets []time.Duration, processes int) {
--- a/internal/tables/jobstorage.go
+++ b/internal/tables/jobstorage.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fescuespar/internal/core"
+	"fescuespar/internal/core/job"
 	"fescuespar/internal/lockrank"
 )
 
@@ -22,6 +23,7 @@
 	handovers   map[string]bool             // whether the last checkpoint before a handover has ended, by service
 	order       []core.JobID                // oldest first
 	bytes       int
+	room        *job.Room // for the jobs that this process coordinates
 }
 
 type storedJob struct {
@@ -29,9 +31,10 @@
 	bytes int
 }
 
-// NewJobStorage returns an empty table.
-func NewJobStorage() *JobStorage {
-	return &JobStorage{mu: lockrank.New(lockrank.RankAnswers), jobs: make(map[core.JobID]storedJob), inProgress: make(map[string]bool), checkpoints: make(map[string]*checkpointState), handovers: make(map[string]bool)}
+// NewJobStorage returns an empty table. The jobs that the process coordinates have the given
+// number of bytes of memory, zero for no bound.
+func NewJobStorage(memory int64) *JobStorage {
+	return &JobStorage{room: job.NewRoom(memory), mu: lockrank.New(lockrank.RankAnswers), jobs: make(map[core.JobID]storedJob), inProgress: make(map[string]bool), checkpoints: make(map[string]*checkpointState), handovers: make(map[string]bool)}
 }
 
 // Job returns a cached job.
@@ -44,14 +47,14 @@
 
 // CacheJob caches a job whose body has the given size in bytes, and evicts the
 // oldest jobs over the limit. It ignores a job that is larger than the limit.
-func (t *JobStorage) CacheJob(job core.Job, bytes int) {
+func (t *JobStorage) CacheJob(cached core.Job, bytes int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if _, found := t.jobs[job.ID]; found || bytes > maxCachedBytes {
+	if _, found := t.jobs[cached.ID]; found || bytes > maxCachedBytes {
 		return
 	}
-	t.jobs[job.ID] = storedJob{job, bytes}
-	t.order = append(t.order, job.ID)
+	t.jobs[cached.ID] = storedJob{cached, bytes}
+	t.order = append(t.order, cached.ID)
 	t.bytes += bytes
 	for t.bytes > maxCachedBytes {
 		oldest := t.order[0]
@@ -61,6 +64,37 @@
 	}
 }
 
+// ReserveMemory takes memory for a job that this process is going to open. It returns false
+// if the job does not fit beside the others now.
+func (t *JobStorage) ReserveMemory(id core.JobID, bytes int64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.room.Reserve(id, bytes)
+}
+
+// ResizeMemory sets the memory of a job that is open.
+func (t *JobStorage) ResizeMemory(id core.JobID, bytes int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.room.Resize(id, bytes)
+}
+
+// ReleaseMemory returns the memory of jobs that are not open any more.
+func (t *JobStorage) ReleaseMemory(ids ...core.JobID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, id := range ids {
+		t.room.Release(id)
+	}
+}
+
+// FreeMemory returns the most memory that one more job may take, and whether it is scarce.
+func (t *JobStorage) FreeMemory() (bytes int64, isScarce bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.room.Largest(), t.room.IsScarce()
+}
+
 // BeginSearch reports whether a search for a service's jobs may start now; only
 // one runs at a time. EndSearch must be called after true.
 func (t *JobStorage) BeginSearch(service string) bool { return t.begin("search " + service) }
