routing: a refusal says why each server was turned away

Change: after a decision without a server the reasons of all of its servers are counted (ten decisions a second, 256 servers at most, not for requests that wait for a slot), in the error and in gauges relay.servers.rejected.REASON.

--- a/internal/core/ids_test.go
+++ b/internal/app/relay/jobid_test.go
@@ -1,4 +1,4 @@
-package core_test
+package relay
 
 import (
 	"strings"
@@ -12,14 +12,14 @@
 // other jobs.
 func TestJobNamesAreSafeInKeys(t *testing.T) {
 	for _, usual := range []core.JobID{"7c41e09b52d6a3f8", "step-7_a.B"} {
-		if got := core.StoredJobID(usual); got != usual {
+		if got := storedJobID(usual); got != usual {
 			t.Errorf("%q becomes %q, want no change", usual, got)
 		}
 	}
 	seen := map[core.JobID]core.JobID{}
 	long := strings.Repeat("x", 10_000)
 	for _, id := range []core.JobID{"", "a/00000000", "a|b", "a\x00", "\xff", "~a", "é", core.JobID(long), core.JobID(long + "y"), core.JobID(long[:190])} {
-		stored := core.StoredJobID(id)
+		stored := storedJobID(id)
 		if len(stored) > 65 || strings.Trim(string(stored), "~0123456789abcdef") != "" {
 			t.Errorf("id of %d bytes becomes %q", len(id), stored)
 		}
@@ -28,8 +28,8 @@
 		}
 		seen[stored] = id
 	}
-	digest := core.StoredJobID("a/b")
-	if core.StoredJobID(digest) == digest {
+	digest := storedJobID("a/b")
+	if storedJobID(digest) == digest {
 		t.Error("a caller can name the digest of another id")
 	}
 }
--- a/internal/app/relay/jobs.go
+++ b/internal/app/relay/jobs.go
@@ -77,7 +77,7 @@
 // Submit implements ports.Jobs.
 func (s *Service) Submit(ctx context.Context, job core.Job) error {
 	named := job.ID
-	job.ID = core.StoredJobID(named)
+	job.ID = storedJobID(named)
 	matched, err := s.RouteOf(job.Host, job.Path)
 	switch {
 	case err == nil && matched.Kind != core.RouteJobs:
@@ -210,7 +210,7 @@
 
 // Results implements ports.Jobs.
 func (s *Service) Results(ctx context.Context, credentials core.Credentials, id core.JobID, from int, wait time.Duration) (core.ResultPage, error) {
-	id = core.StoredJobID(id)
+	id = storedJobID(id)
 	page := core.ResultPage{Next: from}
 	caller, err := s.admitJobCall(ctx, credentials)
 	if err != nil {
@@ -292,7 +292,7 @@
 
 // ItemBody implements ports.Jobs.
 func (s *Service) ItemBody(ctx context.Context, credentials core.Credentials, id core.JobID, item core.ItemID) ([]byte, error) {
-	id = core.StoredJobID(id)
+	id = storedJobID(id)
 	caller, err := s.admitJobCall(ctx, credentials)
 	if err != nil {
 		return nil, err
@@ -355,7 +355,7 @@
 
 // EndJob implements ports.Jobs.
 func (s *Service) EndJob(ctx context.Context, credentials core.Credentials, id core.JobID) error {
-	id = core.StoredJobID(id)
+	id = storedJobID(id)
 	caller, err := s.admitJobCall(ctx, credentials)
 	if err != nil {
 		return err
--- a/internal/app/relay/watch.go
+++ b/internal/app/relay/watch.go
@@ -227,6 +227,7 @@
 func (s *Service) sweepServers() {
 	defer s.reportPaces()
 	s.reportShortages()
+	s.metrics.ServersRejected.Update(s.servers.Rejections())
 	ejected, restored := s.servers.Sweep(s.ports.Clock.Now())
 	for _, found := range ejected {
 		s.log.Warn().Str("server", string(found.Server)).Str("why", found.Why).Int("failures", found.Failures).
--- a/internal/core/routing/state.go
+++ b/internal/core/routing/state.go
@@ -31,6 +31,8 @@
 	otherRateShare float64            // of services without one
 
 	paceChanges []PaceChange // not yet returned
+	rejections  Rejections   // since the start
+	explainedAt time.Time    // the last decision whose rejections were counted
 
 	filters  []Filter
 	scorers  []Scorer
--- a/internal/metrics/relay.go
+++ b/internal/metrics/relay.go
@@ -55,6 +55,7 @@
 	UsageLost         gometrics.Gauge
 	UsageOwed         gometrics.Gauge
 	DutyHeld          gometrics.Gauge
+	ServersRejected   *Rejections
 	RequestTime       *Latency // ms from a request's arrival to its answer
 	RunTime           *Latency // ms from the start to the end of an item's run
 	SlotWait          *Latency // ms for which a request that found no slot waited for one
@@ -96,6 +97,7 @@
 			panic(err) // two metrics have the same name, which is a bug in this file
 		}
 	}
+	r.ServersRejected = newRejections(r.Registry)
 	r.ServersPaced = gometrics.NewRegisteredGauge("relay.servers.paced", r.Registry)
 	return r
 }
--- a/internal/tables/servers.go
+++ b/internal/tables/servers.go
@@ -117,6 +117,14 @@
 	return t.state.RecordNotice(id, notice, sent, now, t.random)
 }
 
+// Rejections returns the counts of servers that were not eligible in decisions without a
+// candidate.
+func (t *Servers) Rejections() routing.Rejections {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state.Rejections()
+}
+
 // SetRateShares sets this process's share of the rate limits that servers advertise, by
 // service, and that of other services.
 func (t *Servers) SetRateShares(shares map[string]float64, others float64) {
@@ -183,6 +191,9 @@
 	}
 	vm, err := t.state.Pick(query, now, t.random)
 	if err != nil {
+		if reasons, explained := t.state.ExplainLast(&query, now); explained {
+			err = errkind.Wrap(errkind.Of(err), err, "servers by the reason why they are not eligible: %s", reasons)
+		}
 		return routing.Dispatch{}, err
 	}
 	return t.state.Begin(vm.ID, query, now), nil
