software: a registration counts for the process that was reached only if it was read later

Ruled out by reading: rows and base versions, which a resumption reads from the store. Left: the list of servers read before.

Change: responses carry the age of their connection. A text or stream goes on, and a resumable stream begins, only once the registrations were read after the connection was opened, which is done at once and for new connections only; texts that began unconfirmed are dropped when their run breaks off.

--- a/internal/adapters/sendonce/sendonce.go
+++ b/internal/adapters/sendonce/sendonce.go
@@ -50,7 +50,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countedConn{Conn: connection}, nil
+		return &countedConn{Conn: connection, opened: time.Now()}, nil
 	}
 	return &Transport{base: base}
 }
@@ -136,9 +136,13 @@
 // countedConn counts the bytes that are written to a connection.
 type countedConn struct {
 	net.Conn
-	bytes atomic.Int64
+	opened time.Time
+	bytes  atomic.Int64
 }
 
+// ConnectionAge returns the time since a connection of a Transport was opened.
+func ConnectionAge(connection net.Conn) time.Duration { return time.Since(counted(connection).opened) }
+
 // Write implements net.Conn.
 func (c *countedConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
--- a/internal/app/relay/events.go
+++ b/internal/app/relay/events.go
@@ -24,22 +24,24 @@
 	ctx             context.Context // ends when the caller has left or was answered
 	sink            ports.EventSink
 	progress        route.StreamProgress
-	software        core.SoftwareVersion    // of the servers that may run the stream, once isFixed
-	isFixed         bool                    // the stream has begun, or its software is being recorded
-	recorded        <-chan error            // outcome of recording the software; nil if there is nothing to wait for
-	callerDeadline  time.Time               // until when the caller waits, over all its attempts; zero if unknown
-	contentType     string                  // of the response whose head was passed on
-	excluded        []core.ServerID         // already tried
-	failureResponse core.RelayResponse      // a backend server's 5xx response, returned if no later attempt begins a stream
-	server          core.VM                 // of the current attempt
-	onHead          func(core.ServerNotice) // called for each attempt's head
-	onEvent         func()                  // called for each event of an attempt
+	software        core.SoftwareVersion           // of the servers that may run the stream, once isFixed
+	isFixed         bool                           // the stream has begun, or its software is being recorded
+	recorded        <-chan error                   // outcome of recording the software; nil if there is nothing to wait for
+	callerDeadline  time.Time                      // until when the caller waits, over all its attempts; zero if unknown
+	contentType     string                         // of the response whose head was passed on
+	excluded        []core.ServerID                // already tried
+	failureResponse core.RelayResponse             // a backend server's 5xx response, returned if no later attempt begins a stream
+	server          core.VM                        // of the current attempt
+	onHead          func(core.RelayResponse) error // called for each attempt's head
+	onEvent         func()                         // called for each event of an attempt
 }
 
 // Head implements ports.EventSink. Only the first attempt's head is passed on; the
 // stream of a later one must be of the same type.
 func (st *eventStream) Head(response core.RelayResponse) error {
-	st.onHead(response.ServerNotice)
+	if err := st.onHead(response); err != nil {
+		return err
+	}
 	contentType := response.Header.Get("Content-Type")
 	if !st.progress.Begun {
 		if err := st.awaitRecorded(); err != nil {
@@ -222,7 +224,15 @@
 	}
 	st.progress.Attempts++
 	s.metrics.Attempts.Inc(1)
-	st.onHead = func(notice core.ServerNotice) { s.noteServer(dispatch.VM.ID, now, notice) }
+	isOther := false
+	st.onHead = func(response core.RelayResponse) error {
+		s.noteServer(dispatch.VM.ID, now, response.ServerNotice)
+		isOther = st.route.Resumable && s.isOfOtherSoftware(st, &dispatch.VM, response.ConnectionAge)
+		if isOther {
+			return errkind.Wrap(errkind.ServerFailed, errOtherSoftware(&dispatch.VM), "stream not passed on")
+		}
+		return nil
+	}
 	st.onEvent = s.countFirstEvent(st.request.Account)
 	request := st.request
 	request.FirstEventWithin, request.LongestGap = s.streamTimeouts(st, dispatch.VM.ID, now)
@@ -241,12 +251,27 @@
 	r := <-result
 	s.countCutAttempt(r.err)
 	s.noteServer(dispatch.VM.ID, now, r.response.ServerNotice)
-	s.servers.Release(dispatch, attemptResult(r.err, r.response.Status), s.ports.Clock.Now())
+	ended := attemptResult(r.err, r.response.Status)
+	switch {
+	case isOther:
+		ended = routing.Result{Outcome: outlier.Abandoned}
+	case errkind.Is(r.err, errkind.ServerFailed):
+		s.registry.RecordBroken(dispatch.VM.ID, s.ports.Clock.Now())
+	}
+	s.servers.Release(dispatch, ended, s.ports.Clock.Now())
 	st.guard.hasEvents = st.request.After > request.After
 	s.awaitRecord(st, dispatch.VM, r.response.Status, r.err)
 	return r.response, dispatch.VM.ID, r.err
 }
 
+// isOfOtherSoftware reports whether the process that answered an attempt may not continue the
+// stream, or does not have the software that is recorded for a stream which begins. A stream
+// begins also while registrations can't be read.
+func (s *Service) isOfOtherSoftware(st *eventStream, server *core.VM, connectionAge time.Duration) bool {
+	state := s.confirmSoftware(st.ctx, server, connectionAge)
+	return state == softwareChanged || state == softwareUnread && st.request.After > 0
+}
+
 // awaitGuard waits until it is known whether the next attempt may be sent, also when the
 // caller has left, so that a trial is ended by this goroutine. Errors: Quarantined.
 func (s *Service) awaitGuard(st *eventStream) error {
--- a/internal/app/relay/run.go
+++ b/internal/app/relay/run.go
@@ -148,8 +148,8 @@
 
 // executeRun sends an item to a backend server and receives its events. It blocks
 // and runs on a lane.
-func (s *Service) executeRun(ctx context.Context, service string, start job.RunStart, dispatch routing.Dispatch) runResult {
-	ctx, cancel := context.WithTimeout(ctx, runTimeout)
+func (s *Service) executeRun(lane context.Context, service string, start job.RunStart, dispatch routing.Dispatch) runResult {
+	ctx, cancel := context.WithTimeout(lane, runTimeout)
 	defer cancel()
 	request := core.EventsRequest{After: start.EventsReceived, RelayRequest: core.RelayRequest{
 		ID: core.RequestID(start.Item.ID), Method: "POST", Host: start.Host, Target: start.Item.Path,
@@ -169,13 +169,29 @@
 		}
 		lastEvent = now
 	}
-	sink.onHead = func(notice core.ServerNotice) { s.noteServer(dispatch.VM.ID, dispatch.Started, notice) }
+	var opened time.Time // the connection
+	sink.onHead = func(response core.RelayResponse) error {
+		s.noteServer(dispatch.VM.ID, dispatch.Started, response.ServerNotice)
+		opened = s.ports.Clock.Now().Add(-response.ConnectionAge)
+		if start.EventsReceived > 0 && s.confirmSoftware(ctx, &dispatch.VM, response.ConnectionAge) != softwareConfirmed {
+			return errOtherSoftware(&dispatch.VM)
+		}
+		return nil
+	}
 	response, err := s.ports.Backend.Events(ctx, dispatch.VM, request, sink)
 	if response.Release != nil {
 		response.Release() // only the status is used
 	}
 	s.noteServer(dispatch.VM.ID, dispatch.Started, response.ServerNotice)
-	return runResult{status: response.Status, err: err, events: sink.events, duration: s.ports.Clock.Now().Sub(began)}
+	result := runResult{status: response.Status, err: err, events: sink.events, duration: s.ports.Clock.Now().Sub(began)}
+	if errkind.Is(err, errkind.ServerFailed) {
+		s.registry.RecordBroken(dispatch.VM.ID, s.ports.Clock.Now())
+	}
+	if err != nil && start.EventsReceived == 0 && sink.events > 0 {
+		// The text goes on at servers of the software that it is taken to have.
+		result.ofUnknownSoftware = s.confirmSoftware(lane, &dispatch.VM, s.ports.Clock.Now().Sub(opened)) != softwareConfirmed
+	}
+	return result
 }
 
 // maxTextBytes bounds one run's part of an item's text. A text is returned within one
@@ -185,7 +201,7 @@
 // itemSink receives the events of a run. It implements ports.EventSink.
 type itemSink struct {
 	addEvent  func(core.Event) bool // returns false to end the run
-	onHead    func(core.ServerNotice)
+	onHead    func(core.RelayResponse) error
 	onEvent   func()
 	after     int // id of the last event of earlier runs
 	maxEvents int // of the whole text, as each has a token at least; zero if unknown
@@ -195,8 +211,7 @@
 
 // Head implements ports.EventSink.
 func (k *itemSink) Head(response core.RelayResponse) error {
-	k.onHead(response.ServerNotice)
-	return nil
+	return k.onHead(response)
 }
 
 // Event implements ports.EventSink.
@@ -219,6 +234,8 @@
 	err      error
 	events   int
 	duration time.Duration
+
+	ofUnknownSoftware bool // it began a text, of other software than the server was chosen for or of an unknown one
 }
 
 // runOutcome classifies the result of a run.
@@ -251,7 +268,12 @@
 		outcome = outlier.Failed
 	}
 	s.servers.Release(dispatch, routing.Result{Outcome: outcome, Refused: ending == job.Refused, Tokens: start.Item.Tokens}, now)
-	s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) { scheduler.RunEnded(start.Work, dispatch.VM.ID, ending, now) })
+	s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) {
+		if result.ofUnknownSoftware {
+			scheduler.DiscardText(start.Work)
+		}
+		scheduler.RunEnded(start.Work, dispatch.VM.ID, ending, now)
+	})
 	line := s.log.Info()
 	if ending == job.Completed {
 		s.metrics.RunTime.Update(result.duration.Milliseconds())
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -137,10 +137,12 @@
 
 // Service is one entry process without its front ends.
 type Service struct {
-	options    Options
-	ports      Ports
-	log        zerolog.Logger
-	refusalLog zerolog.Logger // of refused keys and missing routes, with a bounded number of lines
+	options        Options
+	ports          Ports
+	log            zerolog.Logger
+	refusalLog     zerolog.Logger // of refused keys and missing routes, with a bounded number of lines
+	lastServerRead atomic.Int64   // time of the last read of registrations beside the regular ones, Unix nanoseconds
+
 	// waitingJobLog is for jobs that wait for memory, one line a second.
 	waitingJobLog zerolog.Logger
 	metrics       *metrics.Relay
--- a/internal/core/logs/messages.go
+++ b/internal/core/logs/messages.go
@@ -25,6 +25,7 @@
 
 	SoftwareChanged  = "software version of a service's streams changed"
 	StreamNotResumed = "stream not resumed"
+	SoftwareMismatch = "backend server runs other software than it was chosen for"
 
 	LeaseAcquired       = "lease acquired"
 	LeaseLost           = "lease lost"
--- a/internal/core/registration/view.go
+++ b/internal/core/registration/view.go
@@ -34,6 +34,8 @@
 	startedUnixMs int64
 	firstRead     time.Time // when a registration of it was first read
 	lastRead      time.Time
+	software      core.SoftwareVersion
+	brokenAt      time.Time // when a connection to it broke or was refused last, as this process saw
 	leaving       bool      // it announced its shutdown in a response
 	coldUntil     time.Time // by its first registration
 }
@@ -44,6 +46,7 @@
 	recovery       time.Duration // time after an outage in which live servers register again
 	servers        map[core.ServerID]Server
 	instances      map[core.ServerID]*instance // the newest instance of each server, also of servers that are gone
+	observedAt     time.Time                   // of the last read that Observe applied
 	lastReadCount  int                         // number of registrations in the last successful read
 	answeringSince time.Time                   // first successful read after the last failure
 	readFailed     bool
@@ -65,7 +68,7 @@
 	if v.readFailed {
 		v.readFailed, v.answeringSince = false, now
 	}
-	v.lastReadCount = len(entries)
+	v.lastReadCount, v.observedAt = len(entries), now
 	listed := make(map[core.ServerID]bool, len(entries))
 	for _, entry := range entries {
 		listed[entry.VM.ID] = true
@@ -103,10 +106,35 @@
 		known = &instance{startedUnixMs: entry.StartedUnixMs, firstRead: now, coldUntil: now.Add(entry.ColdFor)}
 		v.instances[entry.VM.ID] = known
 	}
-	known.lastRead = now
+	known.lastRead, known.software = now, entry.VM.Software
 	return known
 }
 
+// RecordBroken records that a connection to a server broke or was refused.
+func (v *View) RecordBroken(id core.ServerID, now time.Time) {
+	if known := v.instances[id]; known != nil {
+		known.brokenAt = now
+	}
+}
+
+// IsUnbroken reports whether no connection to a server is known to have broken since its
+// registration was read at a time, and reads fail since. A server that starts again breaks
+// its connections.
+func (v *View) IsUnbroken(id core.ServerID, readAt time.Time) bool {
+	known := v.instances[id]
+	return known != nil && v.readFailed && known.brokenAt.Before(readAt)
+}
+
+// SoftwareOf returns the software of the newest known instance of a server, when its
+// registration was last read, and whether that was in the last read that changed the view.
+func (v *View) SoftwareOf(id core.ServerID) (software core.SoftwareVersion, lastRead time.Time, isListed bool) {
+	known := v.instances[id]
+	if known == nil {
+		return "", time.Time{}, false
+	}
+	return known.software, known.lastRead, known.lastRead.Equal(v.observedAt)
+}
+
 // InstanceOf returns the newest known instance of a server.
 func (v *View) InstanceOf(id core.ServerID) core.ServerInstance {
 	started := int64(0)
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -118,6 +118,10 @@
 	// SentAfter is the time from the start of the exchange until the whole request was
 	// sent, zero if it was not. It is set with an error too.
 	SentAfter time.Duration
+
+	// ConnectionAge is how long the connection had been open when the head arrived, zero if
+	// that is not known.
+	ConnectionAge time.Duration
 }
 
 // ServerNotice is the state that a backend server reports in the header of a response.
--- a/internal/metrics/relay.go
+++ b/internal/metrics/relay.go
@@ -55,10 +55,12 @@
 	UsageLost         gometrics.Gauge
 	UsageOwed         gometrics.Gauge
 	DutyHeld          gometrics.Gauge
-	ServersRejected   *Rejections
-	RequestTime       *Latency // ms from a request's arrival to its answer
-	RunTime           *Latency // ms from the start to the end of an item's run
-	SlotWait          *Latency // ms for which a request that found no slot waited for one
+
+	SoftwareMismatches gometrics.Counter
+	ServersRejected    *Rejections
+	RequestTime        *Latency // ms from a request's arrival to its answer
+	RunTime            *Latency // ms from the start to the end of an item's run
+	SlotWait           *Latency // ms for which a request that found no slot waited for one
 }
 
 // NewRelay returns a set of zeroed metrics with its own registry.
@@ -70,7 +72,7 @@
 		"relay.jobs.accepted": &r.JobsAccepted, "relay.jobs.refused": &r.JobsRefused, "relay.jobs.ended": &r.JobsEnded, "relay.jobs.held_back": &r.JobsHeldBack,
 		"relay.jobs.denied": &r.JobsDenied, "relay.keys.missing": &r.KeysMissing, "relay.keys.unknown": &r.KeysUnknown,
 		"relay.keys.removed": &r.KeysRemoved, "relay.keys.unconfirmed": &r.KeysUnconfirmed, "relay.keys.found": &r.KeysFound, "relay.keys.reads": &r.KeyReads,
-		"relay.streams.not_resumed": &r.StreamsRefused, "relay.routes.missing": &r.RoutesMissing, "relay.routes.unconfirmed": &r.RoutesUnconfirmed,
+		"relay.streams.not_resumed": &r.StreamsRefused, "relay.software.mismatches": &r.SoftwareMismatches, "relay.routes.missing": &r.RoutesMissing, "relay.routes.unconfirmed": &r.RoutesUnconfirmed,
 		"relay.runs.started": &r.RunsStarted, "relay.runs.cut": &r.RunsCut,
 		"relay.results.stored": &r.ResultsStored, "relay.scores.missed": &r.ScoresMissed,
 		"relay.orders.sent": &r.WeightOrders, "relay.orders.failed": &r.OrdersFailed,
--- a/internal/tables/registry.go
+++ b/internal/tables/registry.go
@@ -17,6 +17,7 @@
 	entries []registration.Server
 	content uint64 // content version of the last read, zero when unknown
 	readAt  time.Time
+	freshAt time.Time // start of the last read that was not a peer's earlier answer
 }
 
 // NewRegistry returns a table without servers. All live servers register again
@@ -32,6 +33,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.readAt = began
+	if !read.Stale {
+		t.freshAt = began
+	}
 	if read.ContentHash != 0 && read.ContentHash == t.content && t.view.IsUnchanged(began) {
 		return nil, false
 	}
@@ -55,6 +59,43 @@
 	return t.entries, t.readAt
 }
 
+// SoftwareAfter returns the software of a server if its registration was read by a call that
+// began after a time, and false otherwise.
+func (t *Registry) SoftwareAfter(id core.ServerID, after time.Time) (core.SoftwareVersion, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	software, lastRead := t.softwareOf(id)
+	return software, lastRead.After(after)
+}
+
+// softwareOf returns the software of a server and when it was last read. The caller holds mu.
+func (t *Registry) softwareOf(id core.ServerID) (core.SoftwareVersion, time.Time) {
+	if t.readAt.After(t.freshAt) { // a peer's earlier answer
+		return "", time.Time{}
+	}
+	software, lastRead, isListed := t.view.SoftwareOf(id)
+	if isListed && t.freshAt.After(lastRead) { // later reads did not change the list
+		lastRead = t.freshAt
+	}
+	return software, lastRead
+}
+
+// RecordBroken records that a connection to a server broke or was refused.
+func (t *Registry) RecordBroken(id core.ServerID, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.view.RecordBroken(id, now)
+}
+
+// IsUnbroken reports whether registrations can't be read now, and no connection to a server
+// is known to have broken since they could.
+func (t *Registry) IsUnbroken(id core.ServerID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, lastRead := t.softwareOf(id)
+	return t.view.IsUnbroken(id, lastRead)
+}
+
 // InstanceOf returns the newest known instance of a server.
 func (t *Registry) InstanceOf(id core.ServerID) core.ServerInstance {
 	t.mu.Lock()
