routing: a stream goes to an ejected server if no other one may continue it

Callers saw: 503 'no server of the service is eligible' for resumed streams, at a process whose servers had started again in place, while a server of their software was live.

Cause: 'health 1, software 2' by the new reasons in the refusals: the one server of the version was ejected for the connections that its own restart had broken. An ejection assumes that the others take the work, and for such a stream there are none.

Change: gatherSoftware takes ejected servers if no other one of the version is a candidate, except for items, which can wait or start anew.

TestEjectedServerTakesWhatOnlyItMay fails before ('none of 3 servers') and passes.

--- a/internal/core/routing/decide.go
+++ b/internal/core/routing/decide.go
@@ -24,6 +24,7 @@
 	peerRatio        float64
 	linkAvailable    bool
 	acceptsSlow      bool    // servers that are ejected because they are slow may be candidates
+	acceptsEjected   bool    // all ejected servers may be
 	rateShare        float64 // this process's share of the servers' rate limits
 	paceDraw         float64
 	ignoresPace      bool // servers' paces count in the cost only
@@ -80,7 +81,7 @@
 	d := &s.decision
 	d.query, d.now, d.pool = *query, now, pool
 	d.candidateCount, d.entriesChecked, d.prefixCandidates = 0, 0, 0
-	d.ignoresPace, d.acceptsSlow = false, false
+	d.ignoresPace, d.acceptsSlow, d.acceptsEjected = false, false, false
 	d.peerRatio = pool.peerRatio(s.processCount)
 	d.rateShare = s.rateShare(pool)
 	d.linkAvailable = pool.isOnlyIn(query.Region) || s.link.hasCapacity(query.Class, query.crossRegionBytes(), now)
@@ -141,7 +142,7 @@
 	ejected := srv.health.Ejected()
 	srv.rateLimit.refill(d.rateShare, d.now)
 	weight, paceShare := s.weights(srv)
-	if d.acceptsSlow && srv.isOnlySlow() {
+	if d.acceptsEjected || d.acceptsSlow && srv.isOnlySlow() {
 		ejected, weight = false, 1
 	}
 	*candidate = Candidate{
--- a/internal/core/routing/gather.go
+++ b/internal/core/routing/gather.go
@@ -135,14 +135,22 @@
 }
 
 // gatherSoftware adds the servers of the software version that the query requires, from a
-// random one on. Servers of other versions may be so many that none of it is drawn. It takes
+// random one on. Servers of other versions may be so many that none of it is drawn. If all of
+// the version are ejected, it adds these, but for requests that can wait for a slot: an
+// ejection assumes that others take the work, and these are the only ones that may. It takes
 // time linear in the number of servers.
 func (s *State) gatherSoftware(random *rand.Rand) {
+	d := &s.decision
 	first := random.IntN(len(s.sortedServers))
-	for i := range s.sortedServers {
-		srv := s.sortedServers[(first+i)%len(s.sortedServers)]
-		if srv.pool == s.decision.pool && srv.vm.Software == s.decision.query.Software && !srv.health.Ejected() {
-			s.addCandidate(srv, 0)
+	for _, d.acceptsEjected = range [...]bool{false, true} {
+		for i := range s.sortedServers {
+			srv := s.sortedServers[(first+i)%len(s.sortedServers)]
+			if srv.pool == d.pool && srv.vm.Software == d.query.Software {
+				s.addCandidate(srv, 0)
+			}
+		}
+		if d.candidateCount > 0 || d.query.RequiresFreeSlot {
+			return
 		}
 	}
 }
