jobs: a job that ends each coordinator is set aside

Change: a job's row counts the coordinators in a row that ended within 2 s after they had taken it over; from three on it is opened alone, from four on not any more. The count is cleared by a coordinator that lasts. Two commits for each open job at a take-over, none otherwise.

Weighed: counting each opening (a commit for every job); a count in the lease (doesn't tell which job); leaving it to the bound on known values.

TestReplayJobThatEndsItsCoordinators: five ends, then set aside, the other five jobs without losses. TestReplayKilledCoordinatorsSetNoJobAside: six kills, nothing waits. TestJobThatEndsCoordinatorsIsSetAside: over rows, with three processes.

--- a/internal/app/relay/coordinate.go
+++ b/internal/app/relay/coordinate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 
 	"fescuespar/internal/app/leasing"
@@ -32,7 +33,9 @@
 				s.performDuties()
 				return
 			}
-			s.restoreCheckpoint(strings.TrimPrefix(name, coordinatorLease("")))
+			service := strings.TrimPrefix(name, coordinatorLease(""))
+			s.jobStorage.BeginTakeover(service)
+			s.restoreCheckpoint(service)
 		},
 		OnLost: func(name string) {
 			s.metrics.LeasesLost.Inc(1)
@@ -209,27 +212,49 @@
 }
 
 func (s *Service) applyJobs(service string, rows []core.Row) {
-	for _, row := range rows {
+	rows = slices.DeleteFunc(rows, func(row core.Row) bool {
 		record, ok := row.Record.(core.JobRecord)
-		if !ok || record.Service != service {
-			continue
-		}
-		id := core.JobID(row.Key.ID[len(jobPrefix):])
+		return !ok || record.Service != service
+	})
+	job.SortByLosses(rows)
+	var ids []core.JobID
+	for _, row := range rows {
+		ids = append(ids, core.JobID(row.Key.ID[len(jobPrefix):]))
+	}
+	s.jobStorage.FoundJobs(service, ids)
+	for i, row := range rows {
+		record, id := row.Record.(core.JobRecord), ids[i]
 		open := false
 		s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) { open = scheduler.IsOpen(id) })
 		switch {
 		case record.Ended && open:
 			s.closeJob(service, id)
+		case record.Losses > 0 && open && s.jobStorage.IsOpeningSettled(service, id, s.ports.Clock.Now()):
+			s.clearLosses(id)
 		case !record.Ended && !open && s.jobStorage.BeginJobRead(id):
-			if !s.reserveForRead(id, &record) {
-				s.jobStorage.EndJobRead(id)
-				continue
-			}
-			s.openJob(service, &jobRead{id: id})
+			s.considerJob(service, id, &record)
 		}
 	}
 }
 
+// considerJob begins to open a job whose read has begun, if it may be opened now.
+func (s *Service) considerJob(service string, id core.JobID, record *core.JobRecord) {
+	if !s.reserveForRead(id, record) {
+		s.jobStorage.EndJobRead(id)
+		return
+	}
+	mayOpen, counts := s.jobStorage.MayOpen(service, id, record.Losses, s.ports.Clock.Now())
+	if mayOpen {
+		s.openJob(service, &jobRead{id: id, countsLoss: counts})
+		return
+	}
+	if job.IsSetAside(record.Losses) {
+		s.metrics.JobsSetAside.Inc(1)
+		s.waitingJobLog.Error().Str("job", string(id)).Int("losses", record.Losses).Msg(logs.JobSetAside)
+	}
+	s.abandonJobRead(id)
+}
+
 func (s *Service) closeJob(service string, id core.JobID) {
 	var canceled []job.RunID
 	s.jobs.WithScheduler(service, func(scheduler *job.Scheduler) { canceled = scheduler.Close(id) })
--- a/internal/app/relay/reopen.go
+++ b/internal/app/relay/reopen.go
@@ -4,10 +4,12 @@
 	"context"
 	"time"
 
+	"fescuespar/internal/app/commits"
 	"fescuespar/internal/core"
 	"fescuespar/internal/core/account"
 	"fescuespar/internal/core/job"
 	"fescuespar/internal/core/logs"
+	"fescuespar/internal/errkind"
 )
 
 const (
@@ -26,6 +28,8 @@
 	listed   []core.ItemID // items whose results are listed, as far as known
 	hasIndex bool          // the record of settled items is read
 	isEnded  bool          // the job ended meanwhile
+
+	countsLoss bool // the opening counts as a loss until it has settled, and is not counted yet
 }
 
 // openJob reads a job and which of its items are settled, and starts the remaining items.
@@ -68,6 +72,12 @@
 
 // continueJobRead reads what is missing of a job. It blocks and runs on a lane.
 func (s *Service) continueJobRead(ctx context.Context, read *jobRead) error {
+	if read.countsLoss { // before anything of the job is read
+		if err := s.changeLosses(ctx, read.id, func(losses int) int { return losses + 1 }); err != nil {
+			return err
+		}
+		read.countsLoss = false
+	}
 	if read.found == nil {
 		found, err := s.loadJob(ctx, read.id, core.Caller{})
 		if err != nil {
@@ -92,6 +102,45 @@
 	return err
 }
 
+// changeLosses changes the number of losses in a job's row.
+func (s *Service) changeLosses(ctx context.Context, id core.JobID, change func(int) int) error {
+	row, record, err := s.readJobRow(ctx, id, core.Caller{})
+	if err != nil || record.Ended {
+		return err
+	}
+	record.Losses = change(record.Losses)
+	result, err := s.committer.Commit(ctx, core.Commit{
+		Attempt:    s.newAttemptID(),
+		Conditions: []core.Condition{{Key: row.Key, Version: row.Version}},
+		Writes:     []core.Write{{Key: row.Key, Record: record}},
+	})
+	if err == nil && !result.Applied {
+		err = errkind.New(errkind.StoreUnavailable, "the row of job %s changed meanwhile", id)
+	}
+	return err
+}
+
+// clearLosses records that this process has had a job open for a while.
+func (s *Service) clearLosses(id core.JobID) {
+	err := s.lanes.store.Go(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, jobReadTimeout)
+		defer cancel()
+		for {
+			err := s.changeLosses(ctx, id, func(int) int { return 0 })
+			if err == nil {
+				return
+			}
+			s.log.Info().Err(err).Str("job", string(id)).Msg("losses of a job not cleared")
+			if !commits.Sleep(ctx, jobReadRetryDelay) {
+				return
+			}
+		}
+	})
+	if err != nil {
+		s.log.Info().Err(err).Str("job", string(id)).Msg("losses of a job not cleared")
+	}
+}
+
 // readUnsettled reads the results that the record of settled items does not contain.
 // There are none unless another release of the program has listed them.
 func (s *Service) readUnsettled(ctx context.Context, read *jobRead) error {
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -100,6 +100,7 @@
 	Body    ObjectKey // object holding the Job
 	Ended   bool
 	Account AccountName `cbor:",omitempty"` // account that submitted the job; empty if there is none
+	Losses  int         `cbor:",omitempty"` // coordinators in a row that ended within a moment after they opened the job
 	Memory  int64       `cbor:",omitempty"` // bytes that a coordinator needs to read it; zero in rows of older releases
 }
 
--- a/internal/core/logs/messages.go
+++ b/internal/core/logs/messages.go
@@ -12,6 +12,7 @@
 
 	JobSubmitted = "job submitted"
 	JobOpened    = "job opened"
+	JobSetAside  = "job is not opened any more: coordinators ended one after the other when they had opened it"
 	JobHeldBack  = "job waits until others that are open leave memory for it"
 	JobEnded     = "job ended"
 	RunEnded     = "run ended"
--- a/internal/metrics/relay.go
+++ b/internal/metrics/relay.go
@@ -16,6 +16,7 @@
 	JobsRefused       gometrics.Counter
 	JobsEnded         gometrics.Counter
 	JobsHeldBack      gometrics.Counter
+	JobsSetAside      gometrics.Counter
 	JobsDenied        gometrics.Counter
 	StreamsRefused    gometrics.Counter
 	KeysMissing       gometrics.Counter
@@ -69,7 +70,7 @@
 	for name, counter := range map[string]*gometrics.Counter{
 		"relay.requests.served": &r.RequestsServed, "relay.requests.refused": &r.RequestsRefused,
 		"relay.requests.failed": &r.RequestsFailed, "relay.attempts": &r.Attempts, "relay.attempts.cut": &r.AttemptsCut, "relay.servers.died": &r.ServerDeaths,
-		"relay.jobs.accepted": &r.JobsAccepted, "relay.jobs.refused": &r.JobsRefused, "relay.jobs.ended": &r.JobsEnded, "relay.jobs.held_back": &r.JobsHeldBack,
+		"relay.jobs.accepted": &r.JobsAccepted, "relay.jobs.refused": &r.JobsRefused, "relay.jobs.ended": &r.JobsEnded, "relay.jobs.held_back": &r.JobsHeldBack, "relay.jobs.set_aside": &r.JobsSetAside,
 		"relay.jobs.denied": &r.JobsDenied, "relay.keys.missing": &r.KeysMissing, "relay.keys.unknown": &r.KeysUnknown,
 		"relay.keys.removed": &r.KeysRemoved, "relay.keys.unconfirmed": &r.KeysUnconfirmed, "relay.keys.found": &r.KeysFound, "relay.keys.reads": &r.KeyReads,
 		"relay.streams.not_resumed": &r.StreamsRefused, "relay.software.mismatches": &r.SoftwareMismatches, "relay.routes.missing": &r.RoutesMissing, "relay.routes.unconfirmed": &r.RoutesUnconfirmed,
--- a/internal/tables/jobstorage.go
+++ b/internal/tables/jobstorage.go
@@ -23,7 +23,8 @@
 	handovers   map[string]bool             // whether the last checkpoint before a handover has ended, by service
 	order       []core.JobID                // oldest first
 	bytes       int
-	room        *job.Room // for the jobs that this process coordinates
+	room        *job.Room                 // for the jobs that this process coordinates
+	takeovers   map[string]*job.Takeovers // by service
 }
 
 type storedJob struct {
@@ -34,7 +35,7 @@
 // NewJobStorage returns an empty table. The jobs that the process coordinates have the given
 // number of bytes of memory, zero for no bound.
 func NewJobStorage(memory int64) *JobStorage {
-	return &JobStorage{room: job.NewRoom(memory), mu: lockrank.New(lockrank.RankAnswers), jobs: make(map[core.JobID]storedJob), inProgress: make(map[string]bool), checkpoints: make(map[string]*checkpointState), handovers: make(map[string]bool)}
+	return &JobStorage{room: job.NewRoom(memory), takeovers: make(map[string]*job.Takeovers), mu: lockrank.New(lockrank.RankAnswers), jobs: make(map[core.JobID]storedJob), inProgress: make(map[string]bool), checkpoints: make(map[string]*checkpointState), handovers: make(map[string]bool)}
 }
 
 // Job returns a cached job.
@@ -95,6 +96,46 @@
 	return t.room.Largest(), t.room.IsScarce()
 }
 
+// BeginTakeover begins to coordinate a service.
+func (t *JobStorage) BeginTakeover(service string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.takeoverOf(service).Begin()
+}
+
+// takeoverOf returns the takeover of a service. The caller holds mu.
+func (t *JobStorage) takeoverOf(service string) *job.Takeovers {
+	known := t.takeovers[service]
+	if known == nil {
+		known = &job.Takeovers{}
+		known.Begin()
+		t.takeovers[service] = known
+	}
+	return known
+}
+
+// FoundJobs tells the jobs of a service that a search has found.
+func (t *JobStorage) FoundJobs(service string, ids []core.JobID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.takeoverOf(service).Found(ids)
+}
+
+// MayOpen reports whether a job may be opened now, and whether that counts as a loss until
+// it has settled.
+func (t *JobStorage) MayOpen(service string, id core.JobID, losses int, now time.Time) (mayOpen, counts bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.takeoverOf(service).Open(id, losses, now)
+}
+
+// IsOpeningSettled reports, once for each job, whether an opening that counted has lasted.
+func (t *JobStorage) IsOpeningSettled(service string, id core.JobID, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.takeoverOf(service).IsSettled(id, now)
+}
+
 // BeginSearch reports whether a search for a service's jobs may start now; only
 // one runs at a time. EndSearch must be called after true.
 func (t *JobStorage) BeginSearch(service string) bool { return t.begin("search " + service) }
