--- a/internal/app/relay/inplace_test.go
+++ b/internal/app/relay/inplace_test.go
@@ -83,15 +83,15 @@
 // and for one that its caller resumes.
 func TestStreamIsNotJoinedAtServersRestartedInPlace(t *testing.T) {
 	for range 5 {
-		u, service := newUpgradedEngines(t)
+		_, first := newUpgradedEngines(t)
 		sink := &textSink{}
-		_, err := service.ForwardEvents(t.Context(), streamRequest("s"), sink)
+		_, err := first.ForwardEvents(t.Context(), streamRequest("s"), sink)
 		if isJoined(sink.events) {
 			t.Errorf("one answer has events %q, %v", sink.events, err)
 		}
-		service.Stop()
+		first.Stop()
 
-		u, service = newUpgradedEngines(t)
+		u, service := newUpgradedEngines(t)
 		u.beginStream(service, "s") // v1, left after its first event
 		u.setSoftware("v2", "v2", "v2")
 		u.mu.Lock()
