jobs: one job alone is always opened, whatever the memory of the VM

Found on reading the diff: a small VM refused with 413 what the coordinator on a larger one can read, as it compared with its own memory; and jobs of an older release, whose rows name no memory, would never fit on a VM of 112 MB.

Change: the bound for 413 is 24 MB for all VMs, and a job alone is opened whatever it takes.

--- a/cmd/fescuespar/relay.go
+++ b/cmd/fescuespar/relay.go
@@ -50,7 +50,7 @@
 	leaseReclaimDelay = 10 * time.Second        // longer than most store outages during which processes restart
 	heapMemoryShare   = 0.6                     // share of the VM's memory for the Go heap
 	heldMemoryShare   = 0.35                    // share of the VM's memory for what callers send and what is read for them; on the smallest VM, two thirds of it hold the largest body of 32 MB
-	jobMemoryShare    = 0.125                   // share of the VM's memory for the jobs that the process coordinates; on the smallest VM it holds the largest job, of 8 MB, while it is read
+	jobMemoryShare    = 0.125                   // share of the VM's memory for the jobs that the process coordinates; on the smallest VM it holds a job of 8 MB while it is read
 	logBufferLines    = 4096                    // log lines buffered for standard output; beyond it lines are dropped and counted
 	maxCloseTime      = 1500 * time.Millisecond // for answers that are being written when the shutdown is over
 	closeReserve      = 500 * time.Millisecond  // part of the shutdown grace reserved for closing connections
--- a/internal/app/relay/coordinate.go
+++ b/internal/app/relay/coordinate.go
@@ -232,13 +232,13 @@
 		case record.Losses > 0 && open && s.jobStorage.IsOpeningSettled(service, id, s.ports.Clock.Now()):
 			s.clearLosses(id)
 		case !record.Ended && !open && s.jobStorage.BeginJobRead(id):
-			s.considerJob(service, id, &record)
+			s.tryOpenJob(service, id, &record)
 		}
 	}
 }
 
-// considerJob begins to open a job whose read has begun, if it may be opened now.
-func (s *Service) considerJob(service string, id core.JobID, record *core.JobRecord) {
+// tryOpenJob begins to open a job whose read has begun, if it may be opened now.
+func (s *Service) tryOpenJob(service string, id core.JobID, record *core.JobRecord) {
 	if !s.reserveForRead(id, record) {
 		s.jobStorage.EndJobRead(id)
 		return
--- a/internal/app/relay/events.go
+++ b/internal/app/relay/events.go
@@ -224,11 +224,11 @@
 	}
 	st.progress.Attempts++
 	s.metrics.Attempts.Inc(1)
-	isOther := false
+	hasOtherSoftware := false
 	st.onHead = func(response core.RelayResponse) error {
 		s.noteServer(dispatch.VM.ID, now, response.ServerNotice)
-		isOther = st.route.Resumable && s.isOfOtherSoftware(st, &dispatch.VM, response.ConnectionAge)
-		if isOther {
+		hasOtherSoftware = st.route.Resumable && s.isOfOtherSoftware(st, &dispatch.VM, response.ConnectionAge)
+		if hasOtherSoftware {
 			return errkind.Wrap(errkind.ServerFailed, errOtherSoftware(&dispatch.VM), "stream not passed on")
 		}
 		return nil
@@ -253,7 +253,7 @@
 	s.noteServer(dispatch.VM.ID, now, r.response.ServerNotice)
 	ended := attemptResult(r.err, r.response.Status)
 	switch {
-	case isOther:
+	case hasOtherSoftware:
 		ended = routing.Result{Outcome: outlier.Abandoned}
 	case errkind.Is(r.err, errkind.ServerFailed):
 		s.registry.RecordBroken(dispatch.VM.ID, s.ports.Clock.Now())
--- a/internal/app/relay/jobmemory.go
+++ b/internal/app/relay/jobmemory.go
@@ -9,6 +9,10 @@
 	"fescuespar/internal/errkind"
 )
 
+// maxJobMemory bounds what a coordinator needs to read a job, which it may have to do alone:
+// a body of the largest size, and twice as much for what is decoded from it.
+const maxJobMemory = 3 * maxJobBytes
+
 // jobMemory returns the bytes that a coordinator needs to read a job: its stored body and
 // the job that is decoded from it.
 func jobMemory(submitted *core.Job, body []byte) int64 {
@@ -43,8 +47,8 @@
 // that was submitted before is accepted again whatever there is. Errors: TooLarge for a job
 // that no coordinator has memory for, Overloaded for one that doesn't fit beside the others.
 func (s *Service) checkJobMemory(ctx context.Context, submitted *core.Job, record *core.JobRecord) error {
-	if bound := s.options.JobMemory; bound > 0 && record.Memory > bound {
-		return errkind.New(errkind.TooLarge, "job of %d bytes in memory, at most %d are allowed", record.Memory, bound)
+	if record.Memory > maxJobMemory {
+		return errkind.New(errkind.TooLarge, "job of %d bytes in memory, at most %d are allowed", record.Memory, int64(maxJobMemory))
 	}
 	free, isScarce := s.members.JobRoom(record.Service)
 	if _, held := s.leases.Holding(coordinatorLease(record.Service), s.ports.Clock.Now()); held {
--- a/internal/core/job/room.go
+++ b/internal/core/job/room.go
@@ -86,13 +86,11 @@
 	delete(r.jobs, id)
 }
 
-// Largest returns the most bytes that a job may take now. One alone may take all.
+// Largest returns the most bytes that a job may take now. One alone may take any number, so
+// that no job waits for room that there will never be.
 func (r *Room) Largest() int64 {
-	switch {
-	case r.total == 0:
+	if r.total == 0 || len(r.jobs) == 0 {
 		return math.MaxInt64
-	case len(r.jobs) == 0:
-		return r.total
 	}
 	small := min(r.free, int64(smallJobShare*float64(r.total)))
 	return max(small, r.free-int64(reservedShare*float64(r.total)))
