software: a server without a registration is not waited for

Found on reading the diff: a stream that begins at a server whose registration is missing right after an outage waited a second for it. The list was read, so that nothing more is to come.

--- a/internal/app/relay/serversoftware.go
+++ b/internal/app/relay/serversoftware.go
@@ -36,7 +36,7 @@
 const (
 	softwareConfirmed softwareState = iota // the server's process has the software that routing took it to have
 	softwareChanged                        // it has other software
-	softwareUnread                         // its registration could not be read again in time
+	softwareUnread                         // its registration was not found, or could not be read in time
 )
 
 // confirmSoftware finds out whether the process behind a connection of the given age has the
@@ -54,6 +54,9 @@
 			s.log.Info().Str("server", string(server.ID)).Str("expected", string(server.Software)).Str("found", string(software)).Msg(logs.SoftwareMismatch)
 			return softwareChanged
 		}
+		if s.registry.IsReadAfter(opened) {
+			return softwareUnread // its registration is missing, as right after an outage
+		}
 		if s.registry.IsUnbroken(server.ID) {
 			return softwareConfirmed // as far as it can be known in an outage of the store
 		}
--- a/internal/tables/registry.go
+++ b/internal/tables/registry.go
@@ -80,6 +80,13 @@
 	return software, lastRead
 }
 
+// IsReadAfter reports whether the registrations were read by a call that began after a time.
+func (t *Registry) IsReadAfter(after time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.freshAt.After(after)
+}
+
 // RecordBroken records that a connection to a server broke or was refused.
 func (t *Registry) RecordBroken(id core.ServerID, now time.Time) {
 	t.mu.Lock()
