sendonce: a connection that a write found broken has no orderly end

Callers saw: a server answered a long upload at once, without a length, sent a part of the body and reset the connection while the upload was being written. They got the part as a complete answer. A long write to the platform, answered in this way, counted as acknowledged.

Cause: the operating system reports a reset to one call only. If a write takes it, the next read sees an end like that of a connection which was closed, and a body without a length ends with its connection. http.Transport gives the error of the write to nobody who reads the body.

Change: a connection remembers the error of a write that tells of a break, and a read that sees the end returns it. A write still in progress may hold the error: the read ends it by a deadline and waits for it, since the transport uses a connection no further after its end. EPIPE is no break: the system returns it once the server has closed its direction in order, so that an early answer which is whole is passed on as before.

--- /dev/null
+++ b/internal/adapters/platformhttp/broken_test.go
@@ -0,0 +1,55 @@
+package platformhttp_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"fescuespar/internal/adapters/platformhttp"
+	"fescuespar/internal/errkind"
+)
+
+// startBrokenPlatform starts a platform that answers each call with the given bytes, once it
+// has read the head of the call, and then ends the connection.
+func startBrokenPlatform(t *testing.T, answer string, end func(*net.TCPConn)) *platformhttp.Client {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.WriteString(conn, answer)
+					time.Sleep(10 * time.Millisecond) // until the client has read the answer
+				}
+				end(conn.(*net.TCPConn))
+			}()
+		}
+	}()
+	return platformhttp.New("http://"+listener.Addr().String(), 5*time.Second)
+}
+
+// TestResetDuringWriteAcknowledgesNothing has a platform that acknowledges a long write at
+// once, in a reply without a length, and resets the connection while the call is being sent.
+func TestResetDuringWriteAcknowledgesNothing(t *testing.T) {
+	client := startBrokenPlatform(t, "HTTP/1.1 200 OK\r\n\r\n{}", func(conn *net.TCPConn) {
+		_ = conn.SetLinger(0)
+		_ = conn.Close()
+	})
+	call := platformhttp.Call{Method: http.MethodPut, Path: "/x", Body: make([]byte, 8<<20), IsWrite: true, MaxBody: 8 << 20, MaxReply: 1 << 10}
+	for range 10 {
+		if answer, err := client.Do(t.Context(), call); !errkind.Is(err, errkind.OutcomeUnknown) {
+			t.Errorf("reply %q, error %v, want %s", answer, err, errkind.OutcomeUnknown)
+		}
+	}
+}
--- a/internal/adapters/sendonce/sendonce.go
+++ b/internal/adapters/sendonce/sendonce.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -50,7 +49,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countedConn{Conn: connection, opened: time.Now()}, nil
+		return newTrackedConn(connection), nil
 	}
 	return &Transport{base: base}
 }
@@ -133,34 +132,9 @@
 func (e *notSentError) Error() string   { return e.cause.Error() }
 func (e *notSentError) Unwrap() []error { return []error{ErrNotSent, e.cause} }
 
-// countedConn counts the bytes that are written to a connection.
-type countedConn struct {
-	net.Conn
-	opened time.Time
-	bytes  atomic.Int64
-}
-
-// ConnectionAge returns the time since a connection of a Transport was opened.
-func ConnectionAge(connection net.Conn) time.Duration { return time.Since(counted(connection).opened) }
-
-// Write implements net.Conn.
-func (c *countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-// counted returns the counted connection below one that the transport uses.
-func counted(connection net.Conn) *countedConn {
-	if encrypted, isEncrypted := connection.(*tls.Conn); isEncrypted {
-		connection = encrypted.NetConn()
-	}
-	return connection.(*countedConn) // the transport gets its connections from no other dialer
-}
-
 // attempt observes one send of a request.
 type attempt struct {
-	connection atomic.Pointer[countedConn] // nil until there is one
+	connection atomic.Pointer[trackedConn] // nil until there is one
 	before     atomic.Int64                // bytes written to the connection before the request
 	reused     atomic.Bool                 // the connection carried other requests before
 	answered   atomic.Bool                 // the first byte of a response has arrived
@@ -183,7 +157,7 @@
 func (a *attempt) prepare(request *http.Request, body io.ReadCloser) *http.Request {
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			connection := counted(info.Conn)
+			connection := tracked(info.Conn)
 			a.before.Store(connection.bytes.Load())
 			a.reused.Store(info.Reused)
 			a.connection.Store(connection)
