responsecheck: a response with a malformed status line is none

Callers saw: a server sent an answer with the status 000, and they got it as an answer with the status 0; also one behind an informational response, one with the status +20 or 999, and one of HTTP/0.0 or HTTP/9.9.

Cause: net/http takes any three characters for a status that strconv.Atoi accepts, any version of two digits, and any reason. Nothing behind it looked at the line again.

Change: a Checker reads the bytes of each connection before net/http does, follows where heads and bodies begin and end, and lets a status line pass only in the form of RFC 9112, with HTTP/1.0 or 1.1 and a status from 100 to 599. 101 is none, as no request asks for it. A missing reason, also without the blank before it, and one in 8 bits pass. It stands in sendonce, the transport of all HTTP clients; under TLS it sees the decrypted bytes. Since it knows where a response ends, bytes behind it end the connection before another request is written on it. The failed request counts as one whose connection broke: at most one copy is sent, also of a read of the platform.

--- a/internal/adapters/platformhttp/broken_test.go
+++ b/internal/adapters/platformhttp/broken_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,3 +55,39 @@
 		}
 	}
 }
+
+// TestMalformedReplyIsNoReply has a platform whose second reply on a connection is malformed.
+// A read is not sent again, as it is where a kept connection ends before the reply.
+func TestMalformedReplyIsNoReply(t *testing.T) {
+	for _, malformed := range []string{"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}", "HTTP/9.9 200 OK\r\nContent-Length: 2\r\n\r\n{}"} {
+		for _, isWrite := range []bool{false, true} {
+			var received atomic.Int32
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if received.Add(1) == 1 {
+					return
+				}
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				_, _ = io.WriteString(conn, malformed)
+				_ = conn.Close()
+			}))
+			client := platformhttp.New(server.URL, 5*time.Second)
+			call := platformhttp.Call{Method: http.MethodGet, Path: "/x", MaxReply: 1 << 10}
+			want := errkind.StoreUnavailable
+			if isWrite {
+				call.Method, call.IsWrite, want = http.MethodPost, true, errkind.OutcomeUnknown
+			}
+			if _, err := client.Do(t.Context(), call); err != nil {
+				t.Error(err)
+			}
+			if answer, err := client.Do(t.Context(), call); !errkind.Is(err, want) || received.Load() != 2 {
+				t.Errorf("%s %q: reply %q, error %v, %d calls received; want %s and 2", call.Method, malformed, answer, err, received.Load(), want)
+			}
+			client.Close()
+			server.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/adapters/responsecheck/field.go
@@ -0,0 +1,42 @@
+package responsecheck
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+)
+
+// readField reads a line of a head that is not its last.
+func (h *head) readField(line []byte) error {
+	name, value, err := splitField(line)
+	if err != nil {
+		return err
+	}
+	return h.add(name, value)
+}
+
+// checkTrailerField checks a line behind the last chunk.
+func checkTrailerField(line []byte) error {
+	_, _, err := splitField(line)
+	return err
+}
+
+// splitField splits the line of a field into its name and its value (RFC 9112, section 5).
+func splitField(line []byte) (name, value []byte, err error) {
+	name, value, hasColon := bytes.Cut(line, []byte{':'})
+	if !hasColon {
+		return nil, nil, fmt.Errorf("field %s", quoted(line))
+	}
+	return name, bytes.Trim(value, " \t"), nil
+}
+
+// chunkSize returns the size in the line before a chunk (RFC 9112, section 7.1), in bytes.
+// Some servers pad it with blanks.
+func chunkSize(line []byte) (int64, error) {
+	digits, extensions, _ := bytes.Cut(line, []byte{';'})
+	size, err := strconv.ParseUint(string(bytes.TrimRight(digits, " \t")), 16, 63)
+	if err != nil || !isText(extensions) {
+		return 0, fmt.Errorf("size of a chunk: %s", quoted(line))
+	}
+	return int64(size), nil
+}
--- a/internal/adapters/sendonce/connection.go
+++ b/internal/adapters/sendonce/connection.go
@@ -1,6 +1,7 @@
 package sendonce
 
 import (
+	"context"
 	"crypto/tls"
 	"errors"
 	"fmt"
@@ -11,12 +12,13 @@
 	"syscall"
 	"time"
 
+	"fescuespar/internal/adapters/responsecheck"
 	"fescuespar/internal/lockrank"
 )
 
-// trackedConn is a connection of a Transport. It counts the bytes that are written, and
-// tells a connection that the server ended from one that broke. One goroutine reads at a
-// time, and one writes.
+// trackedConn is a connection of a Transport. It counts the bytes that are written, tells a
+// connection that the server ended from one that broke, and lets no malformed response pass.
+// One goroutine reads at a time, and one writes.
 type trackedConn struct {
 	net.Conn
 	opened time.Time
@@ -27,6 +29,7 @@
 	writing    bool
 	writeEnded chan struct{} // closed when the write in progress ends; nil if nobody waits for it
 	broken     error         // why a write failed, unless the server had ended its direction; nil if none did
+	responses  responsecheck.Checker
 }
 
 func newTrackedConn(connection net.Conn) *trackedConn {
@@ -36,17 +39,43 @@
 // ConnectionAge returns the time since a connection of a Transport was opened.
 func ConnectionAge(connection net.Conn) time.Duration { return time.Since(tracked(connection).opened) }
 
-// tracked returns the tracked connection below one that the transport uses.
-func tracked(connection net.Conn) *trackedConn {
-	if encrypted, isEncrypted := connection.(*tls.Conn); isEncrypted {
-		connection = encrypted.NetConn()
+// tracked returns a connection that the transport uses, which gets them from no other dialer.
+func tracked(connection net.Conn) *trackedConn { return connection.(*trackedConn) }
+
+// encrypt begins TLS on a connection to host:port, which it closes if that fails. The bytes
+// that a trackedConn sees are those of the responses.
+func encrypt(ctx context.Context, connection net.Conn, address string, config *tls.Config) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, errors.Join(err, connection.Close())
+	}
+	if config = config.Clone(); config == nil {
+		config = &tls.Config{}
+	}
+	if config.ServerName == "" {
+		config.ServerName = host
 	}
-	return connection.(*trackedConn) // the transport gets its connections from no other dialer
+	encrypted := tls.Client(connection, config)
+	if err := encrypted.HandshakeContext(ctx); err != nil {
+		return nil, errors.Join(err, connection.Close())
+	}
+	return encrypted, nil
 }
 
-// Write implements net.Conn.
+// expectResponse begins a request with a method.
+func (c *trackedConn) expectResponse(method string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.responses.Expect(method)
+}
+
+// Write implements net.Conn. It writes nothing after a malformed response.
 func (c *trackedConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
+	if err := c.responses.Err(); err != nil {
+		c.mu.Unlock()
+		return 0, err
+	}
 	c.writing = true
 	c.mu.Unlock()
 	n, err := c.Conn.Write(p)
@@ -76,7 +105,16 @@
 // it, reads see an end like that of a connection which was closed, and a body without a
 // length would look complete.
 func (c *trackedConn) Read(p []byte) (int, error) {
+	if _, malformed := c.check(nil); malformed != nil {
+		return 0, malformed
+	}
 	n, err := c.Conn.Read(p)
+	if passed, malformed := c.check(p[:n]); passed < n {
+		if passed > 0 {
+			return passed, nil // the fault stands for the next read
+		}
+		return 0, malformed
+	}
 	if errors.Is(err, io.EOF) {
 		if broken := c.awaitBroken(); broken != nil {
 			return n, fmt.Errorf("connection broke off: %w", broken)
@@ -85,6 +123,14 @@
 	return n, err
 }
 
+// check returns how many of the next bytes pass, and why further ones don't.
+func (c *trackedConn) check(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	passed := c.responses.Check(p)
+	return passed, c.responses.Err()
+}
+
 // awaitBroken returns why the connection broke, nil if it did not. It ends a write in
 // progress, which may have taken the error that the read did not get. The transport writes
 // nothing more on a connection that has ended.
--- a/internal/adapters/sendonce/sendonce.go
+++ b/internal/adapters/sendonce/sendonce.go
@@ -17,6 +17,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"fescuespar/internal/adapters/responsecheck"
 )
 
 // maxUnwritten bounds the kept connections that one request meets which ended before any
@@ -39,6 +41,7 @@
 
 // New returns a transport that sends requests over the connections of base, which it takes
 // over. A request of which no byte was written to a kept connection is sent on another one.
+// A malformed response is an error, which is responsecheck.ErrMalformed.
 func New(base *http.Transport) *Transport {
 	dial := base.DialContext
 	if dial == nil {
@@ -51,6 +54,17 @@
 		}
 		return newTrackedConn(connection), nil
 	}
+	base.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		encrypted, err := encrypt(ctx, connection, address, base.TLSClientConfig)
+		if err != nil {
+			return nil, err
+		}
+		return newTrackedConn(encrypted), nil
+	}
 	return &Transport{base: base}
 }
 
@@ -92,7 +106,7 @@
 		case sent.written() == 0:
 			unwritten++
 			again = unwritten <= maxUnwritten
-		case t.repeatsReads && isRead(request.Method) && !sent.answered.Load():
+		case t.repeatsReads && isRead(request.Method) && !sent.answered.Load() && !errors.Is(err, responsecheck.ErrMalformed):
 			repeats++
 			again = repeats <= 1
 		}
@@ -160,6 +174,7 @@
 			connection := tracked(info.Conn)
 			a.before.Store(connection.bytes.Load())
 			a.reused.Store(info.Reused)
+			connection.expectResponse(request.Method)
 			a.connection.Store(connection)
 		},
 		GotFirstResponseByte: func() { a.answered.Store(true) },
--- a/internal/adapters/sendonce/sendonce_test.go
+++ b/internal/adapters/sendonce/sendonce_test.go
@@ -127,3 +127,26 @@
 		t.Errorf("%d requests received, want 1", received.Load())
 	}
 }
+
+// TestEncryptedConnections sends requests over TLS, whose responses are checked like others.
+func TestEncryptedConnections(t *testing.T) {
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "ok")
+	}))
+	defer server.Close()
+	roots := server.Client().Transport.(*http.Transport).TLSClientConfig
+	client := NewClient(New(&http.Transport{TLSClientConfig: roots}), 0)
+	for range 2 {
+		response, err := client.Get(server.URL)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := io.ReadAll(response.Body); err != nil || string(body) != "ok" {
+			t.Errorf("body %q, %v", body, err)
+		}
+		_ = response.Body.Close()
+	}
+	if _, err := NewClient(New(&http.Transport{}), 0).Get(server.URL); !errors.Is(err, ErrNotSent) {
+		t.Errorf("server with an unknown certificate: %v, want %v", err, ErrNotSent)
+	}
+}
