responsecheck: a response with a malformed field is none

Callers saw: a server sent an answer in whose head the name of a field held a blank. They got it as an answer with that line passed on. Where the name was to be Content-Length or Transfer-Encoding, the body was read to the end of the connection, and bytes behind it, or the sizes of chunks, came out as content; an event stream ended without an error.

Cause: net/http takes names with blanks, also before the colon, and keeps them as they came, so that nobody finds the length under its name. It joins a line that begins with a blank to the value before it, and ends a line at LF without CR. The trailer and informational heads are read alike. Names with control bytes it refuses already, except on lines that begin with a blank; values with them too.

Change: a line of a head or trailer passes only as RFC 9112 and RFC 9110 have it: a token, the colon directly behind it, and a value without control bytes on one line. Lines folded over several are refused, as section 5.2 of RFC 9112 lets a gateway do.

TestMalformedReplyIsNoReply: a reply of the platform with such a name was taken for an acknowledgement, now its outcome counts as unknown.

--- a/internal/adapters/platformhttp/broken_test.go
+++ b/internal/adapters/platformhttp/broken_test.go
@@ -59,7 +59,7 @@
 // TestMalformedReplyIsNoReply has a platform whose second reply on a connection is malformed.
 // A read is not sent again, as it is where a kept connection ends before the reply.
 func TestMalformedReplyIsNoReply(t *testing.T) {
-	for _, malformed := range []string{"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}", "HTTP/9.9 200 OK\r\nContent-Length: 2\r\n\r\n{}"} {
+	for _, malformed := range []string{"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}", "HTTP/1.1 200 OK\r\nX: 1\r\nContent Length: 2\r\n\r\n{}"} {
 		for _, isWrite := range []bool{false, true} {
 			var received atomic.Int32
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/adapters/responsecheck/field.go
+++ b/internal/adapters/responsecheck/field.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"fmt"
 	"strconv"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // readField reads a line of a head that is not its last.
@@ -22,14 +24,24 @@
 }
 
 // splitField splits the line of a field into its name and its value (RFC 9112, section 5).
+// Nothing stands before the name or between it and the colon, and a value has one line.
 func splitField(line []byte) (name, value []byte, err error) {
 	name, value, hasColon := bytes.Cut(line, []byte{':'})
-	if !hasColon {
+	if !hasColon || !isName(name) || !isText(value) {
 		return nil, nil, fmt.Errorf("field %s", quoted(line))
 	}
 	return name, bytes.Trim(value, " \t"), nil
 }
 
+func isName(text []byte) bool {
+	for _, c := range text {
+		if !httpguts.IsTokenRune(rune(c)) {
+			return false
+		}
+	}
+	return len(text) > 0
+}
+
 // chunkSize returns the size in the line before a chunk (RFC 9112, section 7.1), in bytes.
 // Some servers pad it with blanks.
 func chunkSize(line []byte) (int64, error) {
