responsecheck: a head that contradicts itself is no response

Callers saw: a server sent an answer with a spoilt head, and they got it as a sound and complete answer with content that was not the server's: with chunks in HTTP/1.0 the sizes of the chunks came out as content; with a length and chunks one of the two was chosen; where a field that comes once came twice with different values, as when two heads run into each other, one was chosen too.

Cause: net/http drops a transfer coding that HTTP/1.0 doesn't have, and the length beside a coding, before anybody sees them. It looks at no other field.

Change: the checker reads both fields itself.

--- a/internal/adapters/responsecheck/checker.go
+++ b/internal/adapters/responsecheck/checker.go
@@ -150,7 +150,8 @@
 
 // endHead begins the body of a response, or the response after an informational one.
 func (c *Checker) endHead() {
-	body := c.head.body(c.isHead)
+	body, err := c.head.body(c.isHead)
+	c.reject(err)
 	c.left = body.length
 	switch {
 	case c.head.isInformational():
--- a/internal/adapters/responsecheck/field.go
+++ b/internal/adapters/responsecheck/field.go
@@ -17,9 +17,13 @@
 	return h.add(name, value)
 }
 
-// checkTrailerField checks a line behind the last chunk.
+// checkTrailerField checks a line behind the last chunk. A trailer can't say how the body
+// before it is read (RFC 9110, section 6.5.1).
 func checkTrailerField(line []byte) error {
-	_, _, err := splitField(line)
+	name, _, err := splitField(line)
+	if err == nil && (bytes.EqualFold(name, contentLength) || bytes.EqualFold(name, transferEncoding)) {
+		err = fmt.Errorf("field %s in a trailer", quoted(name))
+	}
 	return err
 }
 
