detour: a malformed response of a peer is none

Callers saw: nothing yet; found while the other places that read answers were checked. A call to the platform that went through a peer took a status of 000, a blank in the name of a length, and chunks in HTTP/1.0 for a response, in the last case with the sizes of the chunks as content.

Cause: callVia reads its stream with net/http alone; it uses no connection of sendonce.

Change: the stream is read behind a checker. Peers name HTTP/1.1 in what they pass on, whatever the platform speaks. A reset stream gave an error before.

--- a/internal/adapters/detour/node.go
+++ b/internal/adapters/detour/node.go
@@ -20,6 +20,7 @@
 
 	"fescuespar/internal/adapters/memorybudget"
 	"fescuespar/internal/adapters/quicguard"
+	"fescuespar/internal/adapters/responsecheck"
 	"fescuespar/internal/lockrank"
 )
 
@@ -224,7 +225,7 @@
 		err = stream.Close()
 	}
 	if err == nil {
-		response, err = http.ReadResponse(bufio.NewReader(stream), copied)
+		response, err = http.ReadResponse(bufio.NewReader(responsecheck.NewReader(stream, copied.Method)), copied)
 	}
 	if err != nil {
 		stop()
--- a/internal/adapters/detour/serve.go
+++ b/internal/adapters/detour/serve.go
@@ -130,6 +130,7 @@
 	if err != nil {
 		return incoming, nil, err
 	}
+	response.ProtoMajor, response.ProtoMinor = 1, 1 // between peers, whatever the platform speaks
 	pieces := net.Buffers(answer)
 	response.ContentLength = int64(answer.Len())
 	response.Body, response.TransferEncoding = io.NopCloser(&pieces), nil
