platformhttp: a refusal that ends early tells nothing

Callers saw: nothing yet; found while the other places that read answers were checked. A write was taken for one without effect after a refusal whose body was cut off, and could be sent again.

Cause: the error of reading a refusal's body was dropped, since only its text was wanted.

Change: a reply that is not whole is none, whatever its status: the outcome of a write is unknown, and a read counts as failed.

Test: 6 of the 6 refusals of TestRefusalThatEndsEarlyTellsNothing counted as such before, now none.

--- a/internal/adapters/platformhttp/broken_test.go
+++ b/internal/adapters/platformhttp/broken_test.go
@@ -91,3 +91,15 @@
 		}
 	}
 }
+
+// TestRefusalThatEndsEarlyTellsNothing has a platform whose refusal of a write, which would
+// have had no effect, is not whole.
+func TestRefusalThatEndsEarlyTellsNothing(t *testing.T) {
+	for _, status := range []string{"400 X", "404 X", "413 X", "429 X", "503 X", "507 X"} {
+		client := startBrokenPlatform(t, "HTTP/1.1 "+status+"\r\nContent-Length: 30\r\n\r\npart", func(conn *net.TCPConn) { _ = conn.Close() })
+		call := platformhttp.Call{Method: http.MethodPost, Path: "/x", IsWrite: true}
+		if _, err := client.Do(t.Context(), call); !errkind.Is(err, errkind.OutcomeUnknown) {
+			t.Errorf("status %s: %v, want %s", status, err, errkind.OutcomeUnknown)
+		}
+	}
+}
--- a/internal/adapters/platformhttp/client.go
+++ b/internal/adapters/platformhttp/client.go
@@ -161,12 +161,12 @@
 		limit = maxErrorTextBytes
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
-	if !succeeded {
-		return nil, call.refusalError(response.StatusCode, body)
-	}
 	if err != nil {
 		return nil, call.noReply(err, true)
 	}
+	if !succeeded {
+		return nil, call.refusalError(response.StatusCode, body)
+	}
 	if int64(len(body)) > limit {
 		tooLong := errkind.New(errkind.TooLarge, "reply exceeds the limit of %d bytes", limit)
 		return nil, call.noReply(tooLong, true)
