--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -189,6 +189,28 @@
 	}
 }
 
+// TestResponsesAreChecked guards against a client that reads responses from a connection of
+// its own without the checks of sendonce's connections.
+func TestResponsesAreChecked(t *testing.T) {
+	checked := 0
+	for _, folder := range []string{"internal", "cmd", "platform"} {
+		for _, file := range readFiles(t, "../..", folder) {
+			content, err := os.ReadFile(file.path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			reads, checks := strings.Count(string(content), "http.ReadResponse("), strings.Count(string(content), "http.ReadResponse(bufio.NewReader(responsecheck.NewReader(")
+			if reads != checks {
+				t.Errorf("%s reads %d responses, %d of them through responsecheck", file.path, reads, checks)
+			}
+			checked += checks
+		}
+	}
+	if checked == 0 {
+		t.Error("found no response that is read through responsecheck")
+	}
+}
+
 // isTestOnly reports whether a path belongs to the fakes, the contract suites or the
 // code that starts processes for tests.
 func isTestOnly(path string) bool {
