responsecheck: bounds on the size of a chunk and on lines

Found in reading the change: a server that named a chunk of 2^63 - 1 bytes, with bytes behind it, ended the process with a panic, since the size with the end of its line did not fit. Sizes have 62 bits now.

Lines were bounded by what reads them only, which for peers is nothing. The lines of a head, of a trailer, and before a chunk are bounded by 64 KiB each, the bound that the clients set on heads. TestLinesAreBounded takes the place of TestLongLinesTakeLinearTime: as many single bytes as the bound allows, at five places, with the bytes held checked beside the time.

--- a/internal/adapters/responsecheck/checker.go
+++ b/internal/adapters/responsecheck/checker.go
@@ -31,12 +31,17 @@
 	openBody                // a body that ends with the connection
 )
 
+// maxLinesBytes bounds the lines of a head, of a trailer and before a chunk, in bytes. It is
+// the bound that the HTTP clients set on heads.
+const maxLinesBytes = 64 << 10
+
 // Checker checks the responses on one connection. Beside what it knows of a head it holds
-// one line of it, so that its reader bounds its memory. It is not safe for concurrent use.
+// at most one line. It is not safe for concurrent use.
 type Checker struct {
 	phase  phase
 	isHead bool   // the request in progress has the method HEAD
 	line   []byte // begin of a line that has not ended yet
+	lines  int    // bytes of the lines of this head, of this trailer, or before this chunk
 	head   head
 	left   int64 // bytes that are to come of a sized body or of a chunk
 	failed error
@@ -99,6 +104,14 @@
 // advanceLine collects a line, and checks it once it has ended.
 func (c *Checker) advanceLine(p []byte) int {
 	end := bytes.IndexByte(p, '\n')
+	length := end + 1
+	if end < 0 {
+		length = len(p)
+	}
+	if c.lines += length; c.lines > maxLinesBytes {
+		c.fail("more than %d bytes of lines", maxLinesBytes)
+		return 0
+	}
 	if end < 0 {
 		c.line = append(c.line, p...)
 		return len(p)
@@ -116,7 +129,7 @@
 		return 0
 	}
 	c.endLine(content)
-	return end + 1
+	return length
 }
 
 // endLine checks a whole line, without its end.
@@ -135,13 +148,13 @@
 	case chunkLine:
 		size, err := chunkSize(line)
 		c.reject(err)
-		c.phase, c.left = chunkData, size+int64(len("\r\n"))
+		c.phase, c.lines, c.left = chunkData, 0, size+int64(len("\r\n"))
 		if size == 0 {
 			c.phase = trailer
 		}
 	case trailer:
 		if len(line) == 0 {
-			c.phase = idle
+			c.phase, c.lines = idle, 0
 		} else {
 			c.reject(checkTrailerField(line))
 		}
@@ -152,7 +165,7 @@
 func (c *Checker) endHead() {
 	body, err := c.head.body(c.isHead)
 	c.reject(err)
-	c.left = body.length
+	c.lines, c.left = 0, body.length
 	switch {
 	case c.head.isInformational():
 		c.phase = statusLine
--- a/internal/adapters/responsecheck/checker_test.go
+++ b/internal/adapters/responsecheck/checker_test.go
@@ -37,20 +37,42 @@
 	}
 }
 
-// TestLongLinesTakeLinearTime sends a head in single bytes, which must not be scanned anew
-// for each of them.
-func TestLongLinesTakeLinearTime(t *testing.T) {
-	c := &Checker{}
-	c.Expect(http.MethodGet)
-	c.Check([]byte("HTTP/1.1 200 OK\r\nX-Long: "))
-	letter := []byte("a")
-	for range 4 << 20 {
-		if c.Check(letter) != 1 {
-			t.Fatal(c.Err())
+// TestLinesAreBounded sends lines without end in single bytes, of which neither the time nor
+// the memory may grow with what was sent before.
+func TestLinesAreBounded(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n"
+	for _, begin := range []string{"", head, head + "X-Long: ", head + "Transfer-Encoding: chunked\r\n\r\n1;", head + "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Long: "} {
+		c := &Checker{}
+		c.Expect(http.MethodGet)
+		c.Check([]byte(begin))
+		passed := 0
+		for c.Check([]byte("a")) == 1 {
+			if passed++; len(c.line) > maxLinesBytes {
+				t.Fatalf("%q: %d bytes held", begin, len(c.line))
+			}
+		}
+		if passed < maxLinesBytes-len(begin) || passed > maxLinesBytes || !errors.Is(c.Err(), ErrMalformed) {
+			t.Errorf("%q: %d bytes passed, %v", begin, passed, c.Err())
 		}
 	}
-	if c.Check([]byte("\r\n\r\n")); c.Err() != nil || c.line != nil {
-		t.Errorf("%v, %d bytes held after the head", c.Err(), len(c.line))
+	for _, begin := range []string{head, "HTTP/1.1 102 X\r\n"} {
+		c := &Checker{}
+		c.Expect(http.MethodGet)
+		c.Check([]byte(begin))
+		if passed := c.Check([]byte(strings.Repeat("X: 1\r\n", maxLinesBytes))); passed > maxLinesBytes || !errors.Is(c.Err(), ErrMalformed) {
+			t.Errorf("fields without end behind %q: %d bytes passed, %v", begin, passed, c.Err())
+		}
+	}
+}
+
+// TestManyChunksPass guards against a bound on all lines of a body together.
+func TestManyChunksPass(t *testing.T) {
+	c := &Checker{}
+	c.Expect(http.MethodGet)
+	c.Check([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"))
+	chunks := strings.Repeat("1\r\nx\r\n", maxLinesBytes)
+	if passed := c.Check([]byte(chunks)); passed != len(chunks) {
+		t.Errorf("%d of %d bytes passed, %v", passed, len(chunks), c.Err())
 	}
 }
 
@@ -60,7 +82,7 @@
 	"HTTP/1.1 102 X\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;a=b\r\nok\r\n0\r\nX: 1\r\n\r\n",
 	"HTTP/1.1 204 X\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 304 X\r\nContent-Length: 9\r\n\r\n", "HTTP/1.1 000 X\r\n\r\n",
 	"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok", "HTTP/1.1 200 OK\nContent-Length: 2\n\nok",
-	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7fffffffffffffff\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 9223372036854775807\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7fffffffffffffff\r\nmore", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3fffffffffffffff\r\nmore", "HTTP/1.1 200 OK\r\nContent-Length: 9223372036854775807\r\n\r\n",
 }
 
 // readResponse reads a response with net/http behind a checker. It returns its body and
--- a/internal/adapters/responsecheck/field.go
+++ b/internal/adapters/responsecheck/field.go
@@ -46,11 +46,14 @@
 	return len(text) > 0
 }
 
+// chunkSizeBits bounds the size of a chunk, so that an int64 holds it with the end of its line.
+const chunkSizeBits = 62
+
 // chunkSize returns the size in the line before a chunk (RFC 9112, section 7.1), in bytes.
 // Some servers pad it with blanks.
 func chunkSize(line []byte) (int64, error) {
 	digits, extensions, _ := bytes.Cut(line, []byte{';'})
-	size, err := strconv.ParseUint(string(bytes.TrimRight(digits, " \t")), 16, 63)
+	size, err := strconv.ParseUint(string(bytes.TrimRight(digits, " \t")), 16, chunkSizeBits)
 	if err != nil || !isText(extensions) {
 		return 0, fmt.Errorf("size of a chunk: %s", quoted(line))
 	}
--- a/internal/adapters/sendonce/connection.go
+++ b/internal/adapters/sendonce/connection.go
@@ -62,7 +62,7 @@
 	return encrypted, nil
 }
 
-// expectResponse begins a request with a method.
+// expectResponse is called before a request with a method is written.
 func (c *trackedConn) expectResponse(method string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
