--- a/tests/clients/clients_test.go
+++ b/tests/clients/clients_test.go
@@ -33,10 +33,11 @@
 
 // dyingServer answers requests until it is told to die. From then on it closes the
 // connection after the last byte of each request, as a server that crashes under the
-// request. It is back at once or stays dead.
+// request, or after its last words. It is back at once or stays dead.
 type dyingServer struct {
 	listener  net.Listener
 	staysDead bool
+	lastWords string       // format of the request's id; empty for none
 	answered  atomic.Int64 // requests
 	dies      atomic.Bool
 	received  atomic.Int64 // requests received since then
@@ -84,6 +85,9 @@
 			if served > 0 {
 				s.kept.Add(1)
 			}
+			if s.lastWords != "" {
+				_, _ = fmt.Fprintf(connection, s.lastWords, request.Header.Get("Attempt-Id"))
+			}
 			return
 		}
 		s.answered.Add(1)
