sendonce: ends of real connections

That a reset is reported once, and that EPIPE means an end in order, was held by a fake connection alone. TestEndsOfRealConnections writes to a server that resets, and to one that closes its direction before: the write fails with ECONNRESET and EPIPE, and only the second body is whole, the odd but sound case.

--- a/internal/adapters/sendonce/connection_test.go
+++ b/internal/adapters/sendonce/connection_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"syscall"
 	"testing"
@@ -63,3 +64,49 @@
 		}
 	}
 }
+
+// TestEndsOfRealConnections has a server that sends a part of a body while the client writes,
+// and ends the connection. The client's write takes the error before a read sees the end.
+func TestEndsOfRealConnections(t *testing.T) {
+	for _, inOrder := range []bool{false, true} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			accepted, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			conn := accepted.(*net.TCPConn)
+			_, _ = conn.Read(make([]byte, 1))
+			_, _ = io.WriteString(conn, openResponse)
+			if inOrder {
+				_ = conn.CloseWrite()
+			}
+			time.Sleep(50 * time.Millisecond) // until the client has received what was sent
+			_ = conn.SetLinger(0)
+			_ = conn.Close() // with a reset
+		}()
+		dialed, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		connection := newTrackedConn(dialed)
+		connection.expectResponse(http.MethodPost)
+		for block := make([]byte, 1<<20); err == nil; {
+			_, err = connection.Write(block)
+		}
+		if errors.Is(err, syscall.EPIPE) != inOrder {
+			t.Errorf("closed in order %t: write failed with %v", inOrder, err)
+		}
+		received, err := io.ReadAll(connection)
+		if (err == nil) != inOrder || string(received) != openResponse {
+			t.Errorf("closed in order %t: received %q, %v", inOrder, received, err)
+		}
+		_, _ = connection.Close(), listener.Close()
+	}
+}
+
+// openResponse is a response whose body ends with its connection.
+const openResponse = "HTTP/1.1 200 OK\r\n\r\npart"
