--- a/internal/adapters/responsecheck/checker.go
+++ b/internal/adapters/responsecheck/checker.go
@@ -40,7 +40,7 @@
 type Checker struct {
 	phase  phase
 	isHead bool   // the request in progress has the method HEAD
-	line   []byte // begin of a line that has not ended yet
+	line   []byte // beginning of a line that has not ended yet
 	lines  int    // bytes of the lines of this head, of this trailer, or before this chunk
 	head   head
 	left   int64 // bytes that are to come of a sized body or of a chunk
@@ -192,5 +192,5 @@
 // maxQuotedBytes bounds the bytes of a response that an error quotes.
 const maxQuotedBytes = 60
 
-// quoted returns the begin of some bytes in quotes, for an error.
+// quoted returns the beginning of some bytes in quotes, for an error.
 func quoted(p []byte) string { return fmt.Sprintf("%q", p[:min(len(p), maxQuotedBytes)]) }
