--- a/review/stage3/moved.go
+++ b/review/stage3/moved.go
@@ -75,6 +75,9 @@
 	if total == 0 {
 		return nil, fmt.Errorf("the batch job could not be read")
 	}
+	if !s.allReady() {
+		return nil, fmt.Errorf("not all relays are ready at the end")
+	}
 	idle := s.idleItems(ids)
 	if len(idle) > 0 {
 		broken = append(broken, fmt.Sprintf("LOST: the step's time of 7.5 s is over, %d of %d items are listed, and %d items that no worker has finished have been at no worker for 5 s, such as %s", len(listed), itemCount, len(idle), idle[0]))
--- a/review/stage3/rolling.go
+++ b/review/stage3/rolling.go
@@ -68,6 +68,9 @@
 	if total == 0 {
 		return nil, fmt.Errorf("the batch job could not be read")
 	}
+	if !s.allReady() {
+		return nil, fmt.Errorf("not all relays are ready at the end")
+	}
 	if idle := s.idleItems(ids); len(idle) > 0 {
 		broken = append(broken, fmt.Sprintf("LOST: %v after it was handed in and %v after the last SIGTERM, %d of the %d items of a batch job are listed, and %d that no worker has finished have been at no worker for 5 s, such as %s",
 			time.Since(handedIn).Round(time.Second), time.Since(last).Round(time.Second), len(listed), itemCount, len(idle), idle[0]))
--- a/review/stage3/site.go
+++ b/review/stage3/site.go
@@ -11,7 +11,9 @@
 	"net/http"
 	"net/url"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -89,6 +91,7 @@
 		return nil, err
 	}
 	s := &site{record: rec, store: newStore(), folder: folder}
+	s.endOnSignal()
 	if err := prepare(s); err != nil {
 		return s, err
 	}
@@ -118,6 +121,17 @@
 	return s, nil
 }
 
+// endOnSignal ends the case when it is stopped. The kernel ends the relays with it.
+func (s *site) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		s.logf("stopped by %v", <-signals)
+		_ = os.RemoveAll(s.folder)
+		os.Exit(notRun)
+	}()
+}
+
 func (s *site) allReady() bool {
 	for _, r := range s.relays {
 		if !r.isReady() {
